--- /dev/null
+++ b/Source/Core/Common/Common.h
@@ -0,0 +1,13 @@
+#pragma once
+
+// Public header of the library Common: names, time, errors, logs, metrics, settings and
+// read-copy-update cells that all other libraries use. Nothing here knows of sockets.
+
+#include "Common/Error.h"
+#include "Common/Hash.h"
+#include "Common/Ids.h"
+#include "Common/Log.h"
+#include "Common/Metrics.h"
+#include "Common/Rcu.h"
+#include "Common/Settings.h"
+#include "Common/Time.h"
--- /dev/null
+++ b/Source/Core/Common/Settings.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Common/Error.h"
+#include "Common/Time.h"
+
+namespace LaburnumChute::Common {
+
+/// Where the value of a setting comes from; a higher layer hides the lower ones.
+enum class SettingLayer { Default, Environment, Flag };
+
+/// A setting without its type: what --help, the man page and the state dump list.
+struct SettingInfo
+{
+    /// Words joined by hyphens; the flag is --NAME, the variable LABURNUMCHUTE_NAME.
+    std::string name;
+    /// The part of the program under which --help lists it.
+    std::string part;
+    std::string help;
+    std::string defaultText;
+    /// What a value must look like, for errors: "a whole number from 1 to 65535".
+    std::string expected;
+};
+
+/// "listen-port" becomes "LABURNUMCHUTE_LISTEN_PORT".
+std::string environmentName(std::string_view settingName);
+
+namespace Detail {
+Result<bool> parseSetting(std::string_view text, const bool *);
+Result<std::int64_t> parseSetting(std::string_view text, const std::int64_t *);
+Result<double> parseSetting(std::string_view text, const double *);
+Result<std::string> parseSetting(std::string_view text, const std::string *);
+/// A number and a unit: us, ms, s, min.
+Result<milliseconds> parseSetting(std::string_view text, const milliseconds *);
+std::string settingText(bool value);
+std::string settingText(std::int64_t value);
+std::string settingText(double value);
+std::string settingText(const std::string &value);
+std::string settingText(milliseconds value);
+} // namespace Detail
+
+/// A typed setting: its name, its default and what a value must be.
+template <typename T>
+struct Setting
+{
+    const char *name;
+    const char *part;
+    T defaultValue;
+    const char *help;
+    const char *expected;
+    bool (*valid)(const T &) = [](const T &) { return true; };
+};
+
+/// Reads the settings of one program from its flags and environment. Declare all settings first,
+/// then call parse() once, then get().
+class Settings
+{
+public:
+    template <typename T>
+    void declare(const Setting<T> &setting)
+    {
+        declareChecked({setting.name, setting.part, setting.help,
+                        Detail::settingText(setting.defaultValue), setting.expected},
+                       [&setting](std::string_view text) {
+                           const auto value = Detail::parseSetting(text, static_cast<T *>(nullptr));
+                           return value && setting.valid(*value);
+                       });
+    }
+
+    /// Takes flags out of the arguments and returns the positional words. An unknown flag or
+    /// variable and a bad value are errors that name the setting, the value and what was expected.
+    Result<std::vector<std::string>> parse(const std::vector<std::string> &arguments,
+                                           const std::map<std::string, std::string> &environment);
+
+    template <typename T>
+    T get(const Setting<T> &setting) const
+    {
+        return *Detail::parseSetting(text(setting.name), static_cast<T *>(nullptr));
+    }
+
+    bool helpWanted() const
+    {
+        return helpWanted_;
+    }
+    SettingLayer layer(const std::string &name) const;
+    std::string text(const std::string &name) const;
+    /// All declared settings in the order of their declaration.
+    const std::vector<SettingInfo> &all() const
+    {
+        return infos_;
+    }
+    /// The text of --help: the settings by part.
+    std::string helpText() const;
+
+private:
+    struct Value
+    {
+        std::string text;
+        SettingLayer layer = SettingLayer::Default;
+        std::function<bool(std::string_view)> valid;
+    };
+
+    struct Words
+    {
+        std::vector<std::string> flags;
+        std::vector<std::string> positional;
+    };
+
+    Result<Words> splitWords(const std::vector<std::string> &arguments);
+    Result<void> applyEnvironment(const std::map<std::string, std::string> &environment);
+    Result<void> applyFlags(std::vector<std::string> flags);
+    void declareChecked(SettingInfo info, std::function<bool(std::string_view)> valid);
+    Result<void> set(const std::string &name, const std::string &text, SettingLayer layer);
+    const SettingInfo &info(const std::string &name) const;
+
+    std::vector<SettingInfo> infos_;
+    std::map<std::string, Value> values_;
+    bool helpWanted_ = false;
+};
+
+/// The environment of this process.
+std::map<std::string, std::string> processEnvironment();
+
+} // namespace LaburnumChute::Common
