Add the parts of the scheduler: routing, queue, admission, retry, ejection, quarantine, spill

The thin scheduler sends to whichever endpoint has the fewest own requests and queues without a bound. Each decision under load becomes a class of its own whose header says which load pattern it answers. Ruled out: virtual policies (std::variant holds the routing policy, the queue order and the placement policy), and one large state machine, which could not be tested decision by decision.

--- /dev/null
+++ b/Source/Core/Decisions/Admission.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <map>
+#include <random>
+#include <unordered_map>
+
+#include <nlohmann/json.hpp>
+
+#include "Decisions/Decaying.h"
+#include "Decisions/Facts.h"
+#include "Decisions/Options.h"
+#include "Decisions/WaitQueue.h"
+
+namespace LaburnumChute::Decisions {
+
+/// Why a request is not let in, and when a new try has a fair chance.
+struct AdmissionRefusal
+{
+    RefusalReason reason = RefusalReason::Overloaded;
+    Duration retryAfter{0};
+};
+
+/// Lets in what the endpoints can begin in time, measured in decode tokens of work.
+///
+/// Load pattern: more work than capacity, from one hot customer or all. Without it the queue grows
+/// until every caller has left before the first token, and what little is served is wasted.
+/// Counting requests lets a customer with long histories take many times the share of one with
+/// short lines, so work counts and not number. The limits are not fixed: what may wait is the rate
+/// at which this target's queue was seen to drain, times the longest wait that the caller's
+/// patience allows. A loss of capacity shows in that rate within averagingTime. Refusals come at
+/// once and name the time in which the surplus will have drained. Under contention each customer
+/// may fill its weight's share of what may wait, and one fingerprint hotKeyShare of it.
+class Admission
+{
+public:
+    Admission(const AdmissionOptions &options, std::uint64_t seed);
+
+    void setLimits(const std::vector<CustomerLimit> &limits);
+    /// The priority that the customer may use, at best the one it asks for.
+    int priority(const RequestFacts &facts) const;
+
+    /// @param capacity decode tokens a second of this instance's share, for as long as no drain of
+    ///                 the queue was seen; 0 when unknown
+    std::optional<AdmissionRefusal> refuse(const RequestFacts &facts, const Waiting &waiting,
+                                           const Target &base, double capacity, Time now);
+
+    void entered(const Target &base, const Waiting &waiting, Time now);
+    void left(const Target &base, const Waiting &waiting, Time now);
+    /// Work was sent to an endpoint.
+    void started(const CustomerName &customer, double workTokens, Time now);
+
+    bool overShare(const CustomerName &customer, Time now) const;
+    /// Decode tokens a second that leave the target's queue.
+    double drainRate(const Target &base, double capacity, Time now) const;
+    /// Wait before work that arrives now at the given priority.
+    Duration expectedWait(const Target &base, int priority, double capacity, Time now) const;
+    nlohmann::json dump(Time now) const;
+
+private:
+    struct Backlog
+    {
+        explicit Backlog(Duration averagingTime)
+            : drained(averagingTime)
+            , busySeconds(averagingTime)
+        {
+        }
+
+        std::map<int, double> byPriority;
+        std::unordered_map<CustomerName, double> byCustomer;
+        std::unordered_map<std::uint64_t, double> byFingerprint;
+        double total = 0;
+        std::size_t requests = 0;
+        DecayingSum drained;
+        DecayingSum busySeconds;
+        Time busySince{};
+    };
+
+    double weight(const CustomerName &customer) const;
+    double fairShare(const CustomerName &customer) const;
+    Duration longestWait(const RequestFacts &facts, Time now) const;
+    Duration spread(double seconds);
+    static double ahead(const Backlog &backlog, int priority);
+    Backlog &backlog(const Target &base);
+
+    AdmissionOptions options_;
+    std::mt19937_64 random_;
+    std::unordered_map<CustomerName, CustomerLimit> limits_;
+    std::map<Target, Backlog> backlogs_;
+    std::unordered_map<CustomerName, DecayingSum> used_;
+    DecayingSum usedByAll_;
+    /// Waiting requests of each customer, over all targets.
+    std::unordered_map<CustomerName, std::size_t> active_;
+    double activeWeight_ = 0;
+};
+
+} // namespace LaburnumChute::Decisions
--- a/Source/Core/Decisions/Decisions.h
+++ b/Source/Core/Decisions/Decisions.h
@@ -6,4 +6,5 @@
 
 #include "Decisions/Facts.h"
 #include "Decisions/Options.h"
+#include "Decisions/Placement.h"
 #include "Decisions/Scheduler.h"
--- /dev/null
+++ b/Source/Core/Decisions/EndpointTable.cpp
@@ -0,0 +1,177 @@
+#include "Decisions/EndpointTable.h"
+
+#include <algorithm>
+
+namespace LaburnumChute::Decisions {
+
+namespace {
+
+/// Share of its limit with which an endpoint begins its slow start.
+constexpr double RampStart = 0.25;
+
+} // namespace
+
+bool EndpointState::hasAdapter(const AdapterName &adapter) const
+{
+    return adapter.empty()
+           || std::find(facts.adapters.begin(), facts.adapters.end(), adapter)
+                  != facts.adapters.end();
+}
+
+EndpointTable::EndpointTable(const RoutingOptions &routing, const ConcurrencyOptions &concurrency,
+                             InstanceId self, RegionName home)
+    : routing_(&routing)
+    , concurrency_(&concurrency)
+    , self_(std::move(self))
+    , home_(std::move(home))
+{
+}
+
+std::vector<Slot> EndpointTable::update(const std::vector<EndpointFacts> &endpoints, Time now)
+{
+    for (const auto &[id, slot] : byId_) {
+        states_[slot]->listed = false;
+    }
+    for (const auto &facts : endpoints) {
+        if (facts.region != home_) {
+            continue;
+        }
+        const auto known = byId_.find(facts.id);
+        if (known != byId_.end()) {
+            states_[known->second]->facts = facts;
+            states_[known->second]->listed = true;
+            continue;
+        }
+        auto state = std::make_unique<EndpointState>(facts, *routing_, *concurrency_);
+        state->load.setInstances(instances_);
+        if (!first_) {
+            state->rampFrom = now;
+        }
+        const Slot slot = free_.empty() ? static_cast<Slot>(states_.size()) : free_.back();
+        if (free_.empty()) {
+            states_.push_back(std::move(state));
+        } else {
+            free_.pop_back();
+            states_[slot] = std::move(state);
+        }
+        byId_[facts.id] = slot;
+    }
+    first_ = first_ && byId_.empty();
+
+    std::vector<Slot> gone;
+    for (auto entry = byId_.begin(); entry != byId_.end();) {
+        const Slot slot = entry->second;
+        const bool unused = !states_[slot]->listed && states_[slot]->load.ownInFlight() == 0;
+        entry = unused ? byId_.erase(entry) : std::next(entry);
+        if (unused) {
+            gone.push_back(slot);
+            free_.push_back(slot);
+        }
+    }
+    rebuildSubsets();
+    return gone;
+}
+
+void EndpointTable::setInstances(std::size_t instances)
+{
+    instances_ = std::max<std::size_t>(1, instances);
+    for (const auto &[id, slot] : byId_) {
+        states_[slot]->load.setInstances(instances_);
+    }
+}
+
+void EndpointTable::rebuildSubsets()
+{
+    subsets_.clear();
+    for (const auto &[id, slot] : byId_) {
+        const auto &state = *states_[slot];
+        if (!state.listed || state.facts.leaving) {
+            continue;
+        }
+        for (const auto &target : state.facts.targets) {
+            subsets_[target.base()].push_back(slot);
+        }
+    }
+    for (auto &[target, subset] : subsets_) {
+        std::vector<std::pair<std::uint64_t, Slot>> weighted;
+        weighted.reserve(subset.size());
+        for (const auto slot : subset) {
+            weighted.emplace_back(
+                Common::rendezvousWeight(self_.text(), states_[slot]->facts.id.text()), slot);
+        }
+        std::sort(weighted.rbegin(), weighted.rend());
+        weighted.resize(std::min(weighted.size(), routing_->subsetSize));
+        subset.clear();
+        for (const auto &[weight, slot] : weighted) {
+            subset.push_back(slot);
+        }
+    }
+}
+
+std::optional<Slot> EndpointTable::find(const EndpointId &endpoint) const
+{
+    const auto found = byId_.find(endpoint);
+    return found == byId_.end() ? std::nullopt : std::optional(found->second);
+}
+
+const std::vector<Slot> &EndpointTable::candidates(const Target &base) const
+{
+    static const std::vector<Slot> None;
+    const auto found = subsets_.find(base);
+    return found == subsets_.end() ? None : found->second;
+}
+
+std::vector<Slot> EndpointTable::slots() const
+{
+    std::vector<Slot> result;
+    for (const auto &[id, slot] : byId_) {
+        result.push_back(slot);
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+double EndpointTable::limit(Slot slot, Time now) const
+{
+    const auto &state = *states_[slot];
+    const double full = state.limit.value();
+    if (!state.rampFrom) {
+        return full;
+    }
+    const double progress =
+        Common::toSeconds(now - *state.rampFrom) / Common::toSeconds(routing_->endpointSlowStart);
+    return std::max(1.0, full * std::clamp(progress, RampStart, 1.0));
+}
+
+bool EndpointTable::hasRoom(Slot slot, Time now) const
+{
+    return states_[slot]->load.inFlight(now) + 1 <= limit(slot, now);
+}
+
+double EndpointTable::tokensPerSecond(Slot slot) const
+{
+    const auto &report = states_[slot]->load.lastReport();
+    const double step = Common::toSeconds(report.stepTime);
+    return step > 0 ? static_cast<double>(report.batchLimit) / step : 0;
+}
+
+double EndpointTable::capacity(const Target &base) const
+{
+    double sum = 0;
+    for (const auto slot : candidates(base)) {
+        sum += tokensPerSecond(slot);
+    }
+    return sum / static_cast<double>(instances_);
+}
+
+double EndpointTable::freeCapacity(const Target &base, Time now) const
+{
+    double sum = 0;
+    for (const auto slot : candidates(base)) {
+        const double free = 1 - states_[slot]->load.inFlight(now) / std::max(1.0, limit(slot, now));
+        sum += tokensPerSecond(slot) * std::clamp(free, 0.0, 1.0);
+    }
+    return sum / static_cast<double>(instances_);
+}
+
+} // namespace LaburnumChute::Decisions
--- a/Source/Core/Decisions/Facts.h
+++ b/Source/Core/Decisions/Facts.h
@@ -134,7 +134,9 @@
     TimedOut,
 };
 
-/// What a region tells the others about what it serves of one target.
+/// What a region tells the others about what it serves of one target. Scheduler::regionSummary()
+/// gives the share of one instance; over the instances of a region the free tokens add up, of the
+/// waits the longest counts.
 struct RegionSummary
 {
     RegionName region;
@@ -232,13 +234,15 @@
     Duration retryAfter{0};
 };
 
-/// Cancelled or superseded while it waited: nothing was run, the scheduler has forgotten it.
+/// Cancelled or superseded while it waited in this instance: it costs nothing from here on, the
+/// scheduler has forgotten it.
 struct Drop
 {
     RequestId request;
 };
 
-/// Cancel on the endpoint; finished() with Outcome::Cancelled (or what came first) follows.
+/// Cancel on the endpoint, or in the region when the endpoint is empty; finished() with
+/// Outcome::Cancelled (or what came first) follows.
 struct CancelOnEndpoint
 {
     RequestId request;
--- /dev/null
+++ b/Source/Core/Decisions/PrefixIndex.cpp
@@ -0,0 +1,102 @@
+#include "Decisions/PrefixIndex.h"
+
+#include <algorithm>
+
+namespace LaburnumChute::Decisions {
+
+std::int64_t PrefixHolders::cachedTokens(Slot slot) const
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        if (holders[index].slot == slot) {
+            return holders[index].cachedTokens;
+        }
+    }
+    return 0;
+}
+
+PrefixIndex::PrefixIndex(std::size_t maxEntries)
+    : maxEntries_(maxEntries)
+{
+}
+
+void PrefixIndex::stored(Slot slot, std::uint64_t block)
+{
+    auto &positions = byBlock_[block];
+    for (const auto position : positions) {
+        if (position->slot == slot) {
+            byAge_.splice(byAge_.end(), byAge_, position);
+            return;
+        }
+    }
+    byAge_.push_back({block, slot});
+    positions.push_back(std::prev(byAge_.end()));
+    if (byAge_.size() > maxEntries_) {
+        erase(byAge_.begin());
+    }
+}
+
+void PrefixIndex::stored(Slot slot, const std::vector<std::uint64_t> &blocks)
+{
+    for (const auto block : blocks) {
+        stored(slot, block);
+    }
+}
+
+void PrefixIndex::evicted(Slot slot, std::uint64_t block)
+{
+    const auto found = byBlock_.find(block);
+    if (found == byBlock_.end()) {
+        return;
+    }
+    for (const auto position : found->second) {
+        if (position->slot == slot) {
+            erase(position);
+            return;
+        }
+    }
+}
+
+void PrefixIndex::forget(Slot slot)
+{
+    for (auto position = byAge_.begin(); position != byAge_.end();) {
+        const auto next = std::next(position);
+        if (position->slot == slot) {
+            erase(position);
+        }
+        position = next;
+    }
+}
+
+void PrefixIndex::erase(Position position)
+{
+    const auto found = byBlock_.find(position->block);
+    std::erase(found->second, position);
+    if (found->second.empty()) {
+        byBlock_.erase(found);
+    }
+    byAge_.erase(position);
+}
+
+PrefixHolders PrefixIndex::holders(const std::vector<std::uint64_t> &blocks) const
+{
+    PrefixHolders result;
+    for (std::size_t depth = blocks.size(); depth > 0; --depth) {
+        const auto found = byBlock_.find(blocks[depth - 1]);
+        if (found == byBlock_.end()) {
+            continue;
+        }
+        for (const auto position : found->second) {
+            if (result.cachedTokens(position->slot) > 0) {
+                continue;
+            }
+            const auto tokens = static_cast<std::int64_t>(depth) * BlockTokens;
+            result.holders[result.count++] = {position->slot, tokens};
+            if (result.count == PrefixHolders::Most) {
+                return result;
+            }
+        }
+    }
+    return result;
+}
+
+} // namespace LaburnumChute::Decisions
--- /dev/null
+++ b/Source/Core/Decisions/Quarantine.cpp
@@ -0,0 +1,187 @@
+#include "Decisions/Quarantine.h"
+
+#include <algorithm>
+
+namespace LaburnumChute::Decisions {
+
+namespace {
+
+/// A busy suspect is likely to have ended by then.
+constexpr Duration BusyRetryAfter = seconds(1);
+
+bool contains(const std::vector<EndpointId> &endpoints, const EndpointId &endpoint)
+{
+    return std::find(endpoints.begin(), endpoints.end(), endpoint) != endpoints.end();
+}
+
+} // namespace
+
+Quarantine::Quarantine(const QuarantineOptions &options)
+    : options_(options)
+{
+}
+
+bool Quarantine::condemned(const Suspect &suspect) const
+{
+    return suspect.deaths.size() >= options_.maxDeaths;
+}
+
+Time Quarantine::quarantinedUntil(const Suspect &suspect) const
+{
+    const auto factor = 1 << std::min(suspect.returns, 8);
+    return suspect.lastDeath + std::min(options_.firstQuarantine * factor, options_.maxQuarantine);
+}
+
+Verdict Quarantine::verdict(std::uint64_t fingerprint, Time now) const
+{
+    const auto found = suspects_.find(fingerprint);
+    if (found == suspects_.end() || found->second.deaths.empty()) {
+        return Verdict::Clear;
+    }
+    const bool held = condemned(found->second) && now < quarantinedUntil(found->second);
+    return held ? Verdict::Quarantined : Verdict::Suspect;
+}
+
+bool Quarantine::mayStart(std::uint64_t fingerprint, Time now) const
+{
+    switch (verdict(fingerprint, now)) {
+    case Verdict::Clear:
+        return true;
+    case Verdict::Suspect:
+        return suspects_.at(fingerprint).running == 0;
+    case Verdict::Quarantined:
+        return false;
+    }
+    return false;
+}
+
+Duration Quarantine::retryAfter(std::uint64_t fingerprint, Time now) const
+{
+    if (verdict(fingerprint, now) != Verdict::Quarantined) {
+        return BusyRetryAfter;
+    }
+    return quarantinedUntil(suspects_.at(fingerprint)) - now;
+}
+
+bool Quarantine::started(std::uint64_t fingerprint)
+{
+    const auto found = suspects_.find(fingerprint);
+    if (found == suspects_.end()) {
+        return false;
+    }
+    ++found->second.running;
+    return true;
+}
+
+void Quarantine::stopped(std::uint64_t fingerprint)
+{
+    const auto found = suspects_.find(fingerprint);
+    if (found != suspects_.end() && found->second.running > 0) {
+        --found->second.running;
+    }
+}
+
+void Quarantine::completed(std::uint64_t fingerprint, Time now)
+{
+    const auto found = suspects_.find(fingerprint);
+    if (found == suspects_.end()) {
+        return;
+    }
+    found->second.deaths.clear();
+    found->second.clearedAt = now;
+    found->second.returns = 0;
+}
+
+void Quarantine::charge(std::uint64_t fingerprint, const EndpointId &endpoint, Time now)
+{
+    if (suspects_.count(fingerprint) == 0 && suspects_.size() >= options_.maxSuspects) {
+        return;
+    }
+    auto &suspect = suspects_[fingerprint];
+    if (condemned(suspect)) {
+        ++suspect.returns;
+    }
+    if (!contains(suspect.deaths, endpoint)) {
+        suspect.deaths.push_back(endpoint);
+    }
+    suspect.lastDeath = now;
+}
+
+void Quarantine::endpointDied(const EndpointId &endpoint, const std::vector<std::uint64_t> &onBoard,
+                              Time now)
+{
+    std::size_t most = 0;
+    const auto deaths = [this, now](std::uint64_t fingerprint) {
+        return verdict(fingerprint, now) == Verdict::Clear
+                   ? 0
+                   : suspects_.at(fingerprint).deaths.size();
+    };
+    for (const auto fingerprint : onBoard) {
+        most = std::max(most, deaths(fingerprint));
+    }
+    std::vector<std::uint64_t> blamed;
+    for (const auto fingerprint : onBoard) {
+        const bool known = std::find(blamed.begin(), blamed.end(), fingerprint) != blamed.end();
+        if (!known && deaths(fingerprint) == most) {
+            blamed.push_back(fingerprint);
+        }
+    }
+    for (const auto fingerprint : blamed) {
+        charge(fingerprint, endpoint, now);
+    }
+}
+
+void Quarantine::merge(const std::vector<SuspectNotice> &notices, Time now)
+{
+    for (const auto &notice : notices) {
+        const Time lastDeath = now - notice.age;
+        const auto known = suspects_.find(notice.fingerprint);
+        const bool cleared = known != suspects_.end() && lastDeath <= known->second.clearedAt;
+        const bool full = known == suspects_.end() && suspects_.size() >= options_.maxSuspects;
+        if (cleared || full || notice.age > options_.suspectLifetime + options_.maxQuarantine) {
+            continue;
+        }
+        auto &suspect = suspects_[notice.fingerprint];
+        for (const auto &endpoint : notice.deaths) {
+            if (!contains(suspect.deaths, endpoint)) {
+                suspect.deaths.push_back(endpoint);
+            }
+        }
+        suspect.lastDeath = std::max(suspect.lastDeath, lastDeath);
+    }
+}
+
+std::vector<SuspectNotice> Quarantine::notices(Time now) const
+{
+    std::vector<SuspectNotice> result;
+    for (const auto &[fingerprint, suspect] : suspects_) {
+        if (!suspect.deaths.empty()) {
+            result.push_back({fingerprint, suspect.deaths, now - suspect.lastDeath});
+        }
+    }
+    return result;
+}
+
+void Quarantine::expire(Time now)
+{
+    std::erase_if(suspects_, [this, now](const auto &entry) {
+        const auto &suspect = entry.second;
+        const Time since = std::max(suspect.lastDeath, suspect.clearedAt);
+        const Time until = condemned(suspect) ? quarantinedUntil(suspect) : since;
+        return suspect.running == 0 && now > until + options_.suspectLifetime;
+    });
+}
+
+nlohmann::json Quarantine::dump(Time now) const
+{
+    nlohmann::json result = nlohmann::json::array();
+    for (const auto &[fingerprint, suspect] : suspects_) {
+        result.push_back({{"fingerprint", fingerprint},
+                          {"deaths", suspect.deaths.size()},
+                          {"quarantined", verdict(fingerprint, now) == Verdict::Quarantined},
+                          {"running", suspect.running}});
+    }
+    return result;
+}
+
+} // namespace LaburnumChute::Decisions
--- /dev/null
+++ b/Source/Core/Decisions/WaitQueue.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "Decisions/Facts.h"
+#include "Decisions/Options.h"
+
+namespace LaburnumChute::Decisions {
+
+/// One waiting request.
+struct Waiting
+{
+    RequestId id;
+    CustomerName customer;
+    int priority = 0;
+    Time enqueuedAt{};
+    std::optional<Time> deadline;
+    /// Time until the first token on an idle endpoint.
+    Duration firstTokenWork{0};
+    /// Whole work in decode tokens.
+    double workTokens = 0;
+    std::uint64_t fingerprint = 0;
+};
+
+/// The requests of one target that wait in this instance.
+///
+/// Load pattern: a burst or a loss of capacity while most callers leave early. Requests wait here
+/// and not on the endpoints, since here the order is ours and a cancelled request costs nothing.
+/// In the order of arrival an overloaded queue serves those who have waited longest, whose callers
+/// are the most likely to have left or to leave before the first token: all wait for long and the
+/// work is wasted. So while the oldest has waited for overloadInterval, the newest is served first
+/// (adaptive LIFO; Maurer, "Fail at Scale", ACM Queue 2015). Otherwise a request counts as older
+/// the less work it is until its first token, so that short lines are not stuck behind long
+/// histories. Between priorities the higher goes first; between customers of one priority those
+/// that used less than their share. Bound on starvation: each oldestEvery-th turn goes to the one
+/// who has waited longest of all, so that with n requests before it in age no request sees more
+/// than oldestEvery * (n + 1) turns go by; each lowerPriorityEvery-th turn goes to the lowest
+/// waiting priority.
+class WaitQueue
+{
+public:
+    /// True for a customer that has used more than its share.
+    using OverShare = std::function<bool(const CustomerName &)>;
+
+    explicit WaitQueue(const QueueOptions &options);
+
+    void push(Waiting waiting);
+    /// Takes it out, wherever it stands.
+    std::optional<Waiting> remove(const RequestId &id);
+    /// The one whose turn it is; null when empty.
+    const Waiting *next(Time now, const OverShare &overShare) const;
+    /// next() was served: the turn passes on.
+    void turnTaken();
+
+    /// Those whose deadline is not after `time`.
+    std::vector<RequestId> expired(Time time) const;
+    std::optional<Time> firstDeadline() const;
+    /// The oldest requests, at most `count`.
+    std::vector<RequestId> oldest(std::size_t count) const;
+    bool overloaded(Time now) const;
+    std::size_t size() const
+    {
+        return waiting_.size();
+    }
+    bool empty() const
+    {
+        return waiting_.empty();
+    }
+
+private:
+    /// Sort key and a serial number that keeps equal keys apart and in order.
+    struct Key
+    {
+        Time time{};
+        std::uint64_t serial = 0;
+        auto operator<=>(const Key &) const = default;
+    };
+    struct Entry
+    {
+        Waiting waiting;
+        Key age;
+        Key order;
+    };
+    struct Lane
+    {
+        std::map<Key, const Entry *> byAge;
+        std::map<Key, const Entry *> byOrder;
+    };
+    using Level = std::map<CustomerName, Lane>;
+
+    Time orderTime(const Waiting &waiting) const;
+    bool newestFirst(Time now) const;
+    const Entry *firstOf(const Level &level, bool newest, const OverShare &overShare) const;
+
+    QueueOptions options_;
+    std::uint64_t serial_ = 0;
+    std::uint64_t turns_ = 0;
+    std::unordered_map<RequestId, Entry> waiting_;
+    std::map<int, Level> levels_;
+    std::map<Key, const Entry *> byAge_;
+    std::set<std::pair<Time, RequestId>> byDeadline_;
+};
+
+} // namespace LaburnumChute::Decisions
