Compose the scheduler of its decisions and test routing

The thin scheduler counted its own requests only. It now sends by expected time to first token, keeps what does not fit, and forwards, retries, ejects and quarantines through the parts. Seen failing without the guard: lag correction off, 24 of 24 requests sent where 12 places were free (OwnSendsCorrectALaggingReport); share of the other instances' sends 0, 8 instead of at most 6 on an endpoint (InstancesWithTheSameStaleViewDoNotHerd); queued prefill ignored, short lines land behind the history (AShortLineDoesNotGoBehindALongHistory); wait beyond the batch ignored, 9 on an endpoint of 8 while others are idle (AHotPrefixSpreadsOverEndpoints); no slow start, 9 instead of at most 2 (AReturningEndpointStartsSlowly); leaving flag ignored (ALeavingEndpointGetsNoNewWork).

--- /dev/null
+++ b/Source/Core/Decisions/SchedulerParts.cpp
@@ -0,0 +1,234 @@
+#include "Decisions/SchedulerParts.h"
+
+#include <algorithm>
+
+namespace LaburnumChute::Decisions {
+
+namespace {
+
+constexpr Duration DemandWindow = seconds(5);
+constexpr std::size_t DemandWindows = 60;
+constexpr double AssumedPrefillRate = 5000;
+
+} // namespace
+
+Scheduler::Parts::Parts(const SchedulerOptions &schedulerOptions, InstanceId selfId,
+                        RegionName homeRegion, std::uint64_t seed)
+    : options(schedulerOptions)
+    , self(std::move(selfId))
+    , home(std::move(homeRegion))
+    , random(seed)
+    , table(options.routing, options.concurrency, self, home)
+    , prefixes(options.routing.prefixEntries)
+    , ejection(options.ejection)
+    , quarantine(options.quarantine)
+    , router(options.routing, seed + 1)
+    , admission(options.admission, seed + 2)
+    , spill(options.spill, home)
+    , budget(options.retry)
+    , demand(DemandWindow, DemandWindows)
+    , trace(options.trace)
+{
+}
+
+bool Scheduler::Parts::sendsAtOnce() const
+{
+    return !std::holds_alternative<ExpectedCostPolicy>(options.routing.policy);
+}
+
+bool Scheduler::Parts::homeAllowed(const RequestFacts &facts) const
+{
+    const auto &allowed = facts.allowedRegions;
+    return std::find(allowed.begin(), allowed.end(), home) != allowed.end();
+}
+
+bool Scheduler::Parts::suffering(const Target &base) const
+{
+    const double share = ejection.failingShare(table.candidates(base));
+    return share > 0 && share >= options.retry.sufferingShare;
+}
+
+double Scheduler::Parts::prefillRate(const Target &base) const
+{
+    for (const auto slot : table.candidates(base)) {
+        const double rate = table.at(slot).load.lastReport().prefillTokensPerSecond;
+        if (rate > 0) {
+            return rate;
+        }
+    }
+    return AssumedPrefillRate;
+}
+
+double Scheduler::Parts::prefillWeight(const Target &base) const
+{
+    for (const auto slot : table.candidates(base)) {
+        const double decode = table.tokensPerSecond(slot);
+        const double prefill = table.at(slot).load.lastReport().prefillTokensPerSecond;
+        if (decode > 0 && prefill > 0) {
+            return std::clamp(decode / prefill, 0.001, 1.0);
+        }
+    }
+    return options.admission.prefillTokenWeight;
+}
+
+double Scheduler::Parts::workTokens(const RequestFacts &facts) const
+{
+    const auto learned = outputRatio.find(facts.target.base());
+    const double ratio = learned == outputRatio.end() ? 1 : learned->second;
+    const double output = static_cast<double>(facts.expectedOutputTokens) * ratio;
+    const double prompt = static_cast<double>(facts.promptTokens);
+    return std::max(1.0, output + prompt * prefillWeight(facts.target.base()));
+}
+
+HomeOffer Scheduler::Parts::homeOffer(const RequestState &request, Time now) const
+{
+    const auto base = request.facts.target.base();
+    if (table.candidates(base).empty()) {
+        return {true, Duration(0)};
+    }
+    const auto wait =
+        admission.expectedWait(base, request.waiting.priority, table.capacity(base), now);
+    return {false, wait + request.waiting.firstTokenWork};
+}
+
+bool Scheduler::Parts::suspectMayUse(std::uint64_t fingerprint, Slot slot, Time now) const
+{
+    const auto found = onSlot.find(slot);
+    if (found == onSlot.end()) {
+        return true;
+    }
+    return std::none_of(found->second.begin(), found->second.end(), [&](const RequestId &other) {
+        const auto &facts = requests.at(other).facts;
+        return facts.fingerprint != fingerprint
+               && quarantine.verdict(facts.fingerprint, now) != Verdict::Clear;
+    });
+}
+
+std::optional<Placed> Scheduler::Parts::place(const RequestState &request, Time now,
+                                              std::optional<Slot> except)
+{
+    const auto fingerprint = request.facts.fingerprint;
+    const auto verdict = quarantine.verdict(fingerprint, now);
+    if (verdict != Verdict::Clear && !quarantine.mayStart(fingerprint, now)) {
+        return std::nullopt;
+    }
+    const bool apart = verdict == Verdict::Suspect;
+    const auto allowed = [&](Slot slot) {
+        return (!except || slot != *except) && (!apart || suspectMayUse(fingerprint, slot, now));
+    };
+    return router.choose(request.facts, table, prefixes, ejection, now, allowed);
+}
+
+void Scheduler::Parts::dispatch(RequestState &request, const Placed &placed, bool hedge, Time now,
+                                Effects &effects)
+{
+    const RequestId &id = request.facts.id;
+    auto &state = table.at(placed.slot);
+    Try sent;
+    sent.slot = placed.slot;
+    sent.endpoint = state.facts.id;
+    sent.sentAt = now;
+    sent.prefillTokens = placed.prefillTokens;
+    sent.expected = placed.expectedFirstToken;
+    const std::chrono::duration<double> prefill(placed.prefillTokens
+                                                / prefillRate(request.facts.target.base()));
+    sent.expectedIdle =
+        std::chrono::duration_cast<Duration>(prefill) + state.load.lastReport().stepTime;
+    sent.hedge = hedge;
+    sent.countedSuspect = quarantine.started(request.facts.fingerprint);
+
+    state.load.sent(placed.prefillTokens, now);
+    onSlot[placed.slot].insert(id);
+    prefixes.stored(placed.slot, request.facts.prefixBlocks);
+    admission.started(request.facts.customer, request.waiting.workTokens, now);
+    request.phase = Phase::Running;
+    ++request.attempts;
+    if (options.retry.hedgeAfter > 0 && request.facts.repeatable && !hedge) {
+        const std::chrono::duration<double> late = sent.expected * options.retry.hedgeAfter;
+        const auto wait =
+            std::max(options.retry.hedgeMinimum, std::chrono::duration_cast<Duration>(late));
+        hedgeAt.emplace(now + wait, id);
+    }
+    note(id, now, hedge ? "hedged on" : "sent to", sent.endpoint.text(), sent.expected,
+         sent.prefillTokens);
+    effects.push_back(Dispatch{id, sent.endpoint, request.attempts, hedge});
+    request.tries.push_back(std::move(sent));
+}
+
+bool Scheduler::Parts::forward(RequestState &request, Time now, Effects &effects)
+{
+    if (request.wasForwarded) {
+        return false;
+    }
+    const auto offer = homeOffer(request, now);
+    const HomeOffer judged{offer.none || !homeAllowed(request.facts), offer.expectedFirstToken};
+    const auto region = spill.choose(request.facts, judged, request.waiting.workTokens, now);
+    if (!region) {
+        return false;
+    }
+    request.phase = Phase::Forwarded;
+    request.wasForwarded = true;
+    note(request.facts.id, now, "forwarded to", region->text(), offer.expectedFirstToken,
+         request.waiting.workTokens);
+    effects.push_back(Forward{request.facts.id, *region});
+    return true;
+}
+
+void Scheduler::Parts::enqueue(RequestState &request, Time now)
+{
+    const auto base = request.facts.target.base();
+    request.phase = Phase::Waiting;
+    queues.try_emplace(base, options.queue).first->second.push(request.waiting);
+    admission.entered(base, request.waiting, now);
+}
+
+void Scheduler::Parts::unqueue(const RequestState &request, Time now)
+{
+    const auto base = request.facts.target.base();
+    const auto queue = queues.find(base);
+    if (queue == queues.end()) {
+        return;
+    }
+    const auto waiting = queue->second.remove(request.facts.id);
+    if (waiting) {
+        admission.left(base, *waiting, now);
+    }
+}
+
+void Scheduler::Parts::backOff(RequestState &request, Time until)
+{
+    request.phase = Phase::BackingOff;
+    request.nextTryAt = until;
+    backingOff.emplace(until, request.facts.id);
+}
+
+void Scheduler::Parts::refuse(const RequestId &id, RefusalReason reason, RunState run,
+                              Duration retryAfter, Time now, Effects &effects)
+{
+    const auto found = requests.find(id);
+    // "Not run" is a promise to the caller: one earlier try whose end is unknown breaks it.
+    const auto claim =
+        found->second.mayHaveRun && run == RunState::NotRun ? RunState::Unknown : run;
+    note(id, now, "refused:", std::string(toString(reason)), retryAfter);
+    effects.push_back(Refuse{id, reason, claim, retryAfter});
+    unqueue(found->second, now);
+    backingOff.erase({found->second.nextTryAt, id});
+    requests.erase(found);
+}
+
+void Scheduler::Parts::note(const RequestId &id, Time now, const char *what, std::string subject,
+                            Duration expected, double tokens)
+{
+    trace.add(id, {now, what, std::move(subject), expected, tokens});
+}
+
+std::size_t Scheduler::Parts::waitingRequests() const
+{
+    std::size_t sum = backingOff.size();
+    for (const auto &[target, queue] : queues) {
+        sum += queue.size();
+    }
+    return sum;
+}
+
+} // namespace LaburnumChute::Decisions
--- a/Source/UnitTests/Decisions/SchedulerTest.cpp
+++ b/Source/UnitTests/Decisions/SchedulerTest.cpp
@@ -1,57 +1,106 @@
 #include <gtest/gtest.h>
 
-#include "Decisions/Decisions.h"
+#include "Support.h"
 
 namespace LaburnumChute::Decisions {
 
+using namespace Testing;
+
 namespace {
 
-const RegionName Sapporo("sapporo");
-const Target Inscription = Target::model(ModelName("inscription"));
+TEST(SchedulerTest, ARequestGoesToAnEndpointThatServesItsModel)
+{
+    World world;
+    world.addEngines(1);
+    const auto effects = world.submit(request("r1"));
+    ASSERT_EQ(effects.size(), 1U);
+    EXPECT_EQ(std::get<Dispatch>(effects.front()).endpoint, EndpointId("e0"));
+}
 
-EndpointFacts engine(const std::string &id)
+TEST(SchedulerTest, WithoutAnEndpointTheRequestIsRefusedAsNotRun)
 {
-    return {EndpointId(id), {Inscription}, {}, Sapporo, FailureDomainName("a"), false};
+    World world;
+    const auto effects = world.submit(request("r1"));
+    ASSERT_EQ(effects.size(), 1U);
+    const auto &refusal = std::get<Refuse>(effects.front());
+    EXPECT_EQ(refusal.reason, RefusalReason::NoEndpoint);
+    EXPECT_EQ(refusal.run, RunState::NotRun);
 }
 
-RequestFacts request(const std::string &id)
+// The platform announces that an endpoint leaves while it still answers. New work sent there would
+// be cut off when it goes; the caller sees a broken answer.
+TEST(SchedulerTest, ALeavingEndpointGetsNoNewWork)
 {
-    RequestFacts facts;
-    facts.id = RequestId(id);
-    facts.target = Inscription;
-    facts.allowedRegions = {Sapporo};
-    facts.promptTokens = 100;
-    facts.expectedOutputTokens = 50;
-    return facts;
+    World world;
+    auto list = engines(2);
+    list[0].leaving = true;
+    world.scheduler.updateEndpoints(list, world.now);
+    for (int index = 0; index < 16; ++index) {
+        world.submit(request("r" + std::to_string(index)));
+    }
+    EXPECT_TRUE(world.on["e0"].empty());
+    EXPECT_EQ(world.on["e1"].size(), 8U);
 }
 
-class SchedulerTest : public testing::Test
+// The caller hangs up while its request waits in a full region. If it stayed in the queue, an
+// endpoint would compute an answer for nobody while others wait.
+TEST(SchedulerTest, ACancelledRequestThatWaitsIsDroppedAndNeverSent)
 {
-protected:
-    SchedulerTest()
-        : scheduler_({}, InstanceId("i1"), Sapporo, 1)
-    {
+    World world;
+    world.addEngines(1);
+    for (int index = 0; index < 9; ++index) {
+        world.submit(request("r" + std::to_string(index)));
+    }
+    world.submit(request("gone"));
+    EXPECT_TRUE(has<Drop>(world.cancel("gone")));
+    for (int index = 0; index < 9; ++index) {
+        world.finish("r" + std::to_string(index));
     }
+    EXPECT_EQ(world.order.size(), 9U);
+    EXPECT_EQ(world.endpointOf("gone"), "");
+}
 
-    Scheduler scheduler_;
-    Time now_{};
-};
+// A clerk retypes a draft while the first one is being generated.
+TEST(SchedulerTest, ASupersededRequestIsCancelledOnItsEndpoint)
+{
+    World world;
+    world.addEngines(2);
+    world.submit(request("draft1"));
+    const auto endpoint = world.endpointOf("draft1");
+    auto second = request("draft2");
+    second.supersedes = RequestId("draft1");
+    const auto effects = world.submit(second);
+    const auto cancels = all<CancelOnEndpoint>(effects);
+    ASSERT_EQ(cancels.size(), 1U);
+    EXPECT_EQ(cancels.front().endpoint, EndpointId(endpoint));
+    EXPECT_TRUE(has<Dispatch>(effects));
+}
 
-TEST_F(SchedulerTest, ARequestGoesToAnEndpointThatServesItsModel)
+TEST(SchedulerTest, AnExpiredRequestIsRefusedAsNotRun)
 {
-    scheduler_.updateEndpoints({engine("e1")}, now_);
-    const auto effects = scheduler_.submit(request("r1"), now_);
-    ASSERT_EQ(effects.size(), 1U);
-    EXPECT_EQ(std::get<Dispatch>(effects.front()).endpoint, EndpointId("e1"));
+    World world;
+    world.addEngines(1);
+    for (int index = 0; index < 9; ++index) {
+        world.submit(request("r" + std::to_string(index)));
+    }
+    auto facts = request("late");
+    facts.deadline = world.now + milliseconds(200);
+    world.submit(facts);
+    const auto refusals = all<Refuse>(world.tickAfter(milliseconds(200)));
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals.front().request, RequestId("late"));
+    EXPECT_EQ(refusals.front().run, RunState::NotRun);
 }
 
-TEST_F(SchedulerTest, WithoutAnEndpointTheRequestIsRefusedAsNotRun)
+TEST(SchedulerTest, ExplainTellsWhereARequestWent)
 {
-    const auto effects = scheduler_.submit(request("r1"), now_);
-    ASSERT_EQ(effects.size(), 1U);
-    const auto &refusal = std::get<Refuse>(effects.front());
-    EXPECT_EQ(refusal.reason, RefusalReason::NoEndpoint);
-    EXPECT_EQ(refusal.run, RunState::NotRun);
+    World world;
+    world.addEngines(1);
+    world.submit(request("r1"));
+    const auto lines = world.scheduler.explain(RequestId("r1"));
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_NE(lines.front().find("sent to e0"), std::string::npos);
+    EXPECT_TRUE(world.scheduler.explain(RequestId("never seen")).empty());
 }
 
 } // namespace
