Add the libraries Async, Endpoints, Entry and the channel of Peers

The ways of a request in and out: an HTTP server that notices a caller's leaving, a client of engines that resumes a silent stream on a fresh connection after the last whole event, and a multiplexed TCP channel whose calls outlive their connection. Parts of an answer are numbered so that one that is lost, doubled or foreign is noticed.

Weighed: forwarding by HTTP between instances was ruled out, since a connection per stream would have to be resumed per stream and cancel would cost one more connection. Nothing is measured yet; the code builds and the tests of Common pass.

--- /dev/null
+++ b/Source/Core/Async/Async.h
@@ -0,0 +1,6 @@
+#pragma once
+
+// Public header of the library Async: the threads that run coroutines, and a mailbox between them.
+
+#include "Async/AsyncQueue.h"
+#include "Async/IoPool.h"
--- /dev/null
+++ b/Source/Core/Async/IoPool.cpp
@@ -0,0 +1,41 @@
+#include "Async/IoPool.h"
+
+namespace LaburnumChute::Async {
+
+IoPool::IoPool(std::size_t threads)
+{
+    for (std::size_t index = 0; index < threads; ++index) {
+        contexts_.push_back(std::make_unique<boost::asio::io_context>(1));
+        guards_.push_back(boost::asio::make_work_guard(*contexts_.back()));
+    }
+}
+
+IoPool::~IoPool()
+{
+    stop();
+}
+
+void IoPool::start()
+{
+    for (auto &context : contexts_) {
+        threads_.emplace_back([&context] { context->run(); });
+    }
+}
+
+void IoPool::stop()
+{
+    for (auto &context : contexts_) {
+        context->stop();
+    }
+    for (auto &thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+boost::asio::io_context &IoPool::next()
+{
+    return *contexts_[turn_.fetch_add(1, std::memory_order_relaxed) % contexts_.size()];
+}
+
+} // namespace LaburnumChute::Async
--- /dev/null
+++ b/Source/Core/Async/IoPool.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace LaburnumChute::Async {
+
+/// Threads that each run an io_context of their own. What is bound to one context runs on one
+/// thread and needs no lock.
+class IoPool
+{
+public:
+    explicit IoPool(std::size_t threads);
+    ~IoPool();
+    IoPool(const IoPool &) = delete;
+    IoPool &operator=(const IoPool &) = delete;
+
+    void start();
+    /// Stops the contexts and joins the threads; unfinished coroutines are destroyed.
+    void stop();
+
+    std::size_t size() const
+    {
+        return contexts_.size();
+    }
+    boost::asio::io_context &at(std::size_t index)
+    {
+        return *contexts_.at(index);
+    }
+    /// The contexts in turn.
+    boost::asio::io_context &next();
+
+private:
+    using Guard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+    std::vector<std::unique_ptr<boost::asio::io_context>> contexts_;
+    std::vector<Guard> guards_;
+    std::vector<std::thread> threads_;
+    std::atomic<std::size_t> turn_{0};
+};
+
+} // namespace LaburnumChute::Async
--- a/Source/Core/Common/Common.h
+++ b/Source/Core/Common/Common.h
@@ -5,6 +5,7 @@
 
 #include "Common/Error.h"
 #include "Common/Hash.h"
+#include "Common/Http.h"
 #include "Common/Ids.h"
 #include "Common/Log.h"
 #include "Common/Metrics.h"
--- /dev/null
+++ b/Source/Core/Endpoints/ConnectionPool.cpp
@@ -0,0 +1,107 @@
+#include "Endpoints/ConnectionPool.h"
+
+#include <charconv>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace LaburnumChute::Endpoints {
+
+namespace {
+
+/// True when the other side has closed the connection or has sent bytes nobody asked for.
+bool isStale(Connection &connection)
+{
+    auto &socket = connection.stream.socket();
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+} // namespace
+
+Common::Result<asio::ip::tcp::endpoint> parseAddress(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return Common::makeError(Common::ErrorCode::InvalidArgument,
+                                 "\"" + address + "\" is no address of the form ip:port");
+    }
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    unsigned short port = 0;
+    const auto *end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+        return Common::makeError(Common::ErrorCode::InvalidArgument,
+                                 "\"" + address + "\" is no address of the form ip:port");
+    }
+    return asio::ip::tcp::endpoint(ip, port);
+}
+
+asio::awaitable<Common::Result<ConnectionPtr>> ConnectionPool::acquire(std::string address)
+{
+    auto &idle = idle_[address];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back().connection);
+        idle.pop_back();
+        if (!isStale(*connection)) {
+            co_return connection;
+        }
+    }
+    co_return co_await connect(address);
+}
+
+asio::awaitable<Common::Result<ConnectionPtr>> ConnectionPool::connect(std::string address) const
+{
+    const auto target = parseAddress(address);
+    if (!target) {
+        co_return tl::unexpected(target.error());
+    }
+    auto connection = std::make_unique<Connection>(co_await asio::this_coro::executor);
+    boost::system::error_code error;
+    connection->stream.expires_after(options_.connectTimeout);
+    co_await connection->stream.async_connect(*target,
+                                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return Common::makeError(Common::ErrorCode::Unavailable,
+                                    "no connection to " + address + ": " + error.message());
+    }
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    co_return connection;
+}
+
+void ConnectionPool::release(const std::string &address, ConnectionPtr connection)
+{
+    auto &idle = idle_[address];
+    if (idle.size() >= options_.idleLimit) {
+        return;
+    }
+    connection->reused = true;
+    connection->stream.expires_never();
+    idle.push_back({std::move(connection), std::chrono::steady_clock::now()});
+}
+
+void ConnectionPool::expire(Common::Time now)
+{
+    for (auto entry = idle_.begin(); entry != idle_.end();) {
+        std::erase_if(entry->second,
+                      [&](const Idle &idle) { return now - idle.since > options_.idleTime; });
+        entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+    }
+}
+
+std::size_t ConnectionPool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &entry : idle_) {
+        count += entry.second.size();
+    }
+    return count;
+}
+
+} // namespace LaburnumChute::Endpoints
--- /dev/null
+++ b/Source/Core/Entry/HttpServer.cpp
@@ -0,0 +1,274 @@
+#include "Entry/HttpServer.h"
+
+#include <charconv>
+#include <optional>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace LaburnumChute::Entry {
+
+namespace {
+
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr Common::milliseconds AcceptPause{50};
+constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+class CountGuard
+{
+public:
+    explicit CountGuard(std::atomic<std::int64_t> &count)
+        : count_(count)
+    {
+        ++count_;
+    }
+    ~CountGuard()
+    {
+        --count_;
+    }
+    CountGuard(const CountGuard &) = delete;
+    CountGuard &operator=(const CountGuard &) = delete;
+
+private:
+    std::atomic<std::int64_t> &count_;
+};
+
+Problem problemOfRead(const boost::system::error_code &error)
+{
+    Problem problem;
+    problem.status = 400;
+    problem.code = Common::ErrorCode::InvalidArgument;
+    problem.detail = "the request is not well-formed HTTP: " + error.message();
+    if (error == http::error::header_limit) {
+        problem.status = 431;
+        problem.code = Common::ErrorCode::TooLarge;
+        problem.detail = "the request's header is too large";
+    } else if (error == http::error::body_limit) {
+        problem.status = 413;
+        problem.code = Common::ErrorCode::TooLarge;
+        problem.detail = "the request's body is too large";
+    } else if (error == beast::error::timeout) {
+        problem.status = 408;
+        problem.code = Common::ErrorCode::DeadlineExceeded;
+        problem.detail = "the request did not arrive in time";
+    }
+    return problem;
+}
+
+/// True when the caller has simply gone, so that no answer can reach it.
+bool isDisconnect(const boost::system::error_code &error)
+{
+    return error == http::error::end_of_stream || error == http::error::partial_message
+           || error == asio::error::connection_reset || error == asio::error::eof
+           || error == asio::error::operation_aborted || error == asio::error::broken_pipe;
+}
+
+/// Cancels what a stream is doing after a time, but leaves it open, so that the caller can be told.
+class ReadTimeout
+{
+public:
+    ReadTimeout(beast::tcp_stream &stream, Common::Duration time)
+        : state_(std::make_shared<State>(stream))
+    {
+        state_->timer.expires_after(time);
+        state_->timer.async_wait([state = state_](const boost::system::error_code &error) {
+            if (!error && state->stream != nullptr) {
+                state->expired = true;
+                state->stream->cancel();
+            }
+        });
+    }
+    ~ReadTimeout()
+    {
+        state_->stream = nullptr;
+        state_->timer.cancel();
+    }
+    ReadTimeout(const ReadTimeout &) = delete;
+    ReadTimeout &operator=(const ReadTimeout &) = delete;
+
+    bool expired() const
+    {
+        return state_->expired;
+    }
+
+private:
+    struct State
+    {
+        explicit State(beast::tcp_stream &watched)
+            : stream(&watched)
+            , timer(watched.get_executor())
+        {
+        }
+
+        beast::tcp_stream *stream;
+        asio::steady_timer timer;
+        bool expired = false;
+    };
+
+    std::shared_ptr<State> state_;
+};
+
+using Parser = http::request_parser<http::string_body>;
+enum class Part { Header, Body };
+
+asio::awaitable<boost::system::error_code> readWithin(Common::Duration time,
+                                                      beast::tcp_stream &stream,
+                                                      beast::flat_buffer &buffer, Parser &parser,
+                                                      Part part)
+{
+    const ReadTimeout timeout(stream, time);
+    boost::system::error_code error;
+    if (part == Part::Header) {
+        co_await http::async_read_header(stream, buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+    } else {
+        co_await http::async_read(stream, buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+    }
+    co_return timeout.expired() ? beast::error::timeout : error;
+}
+
+template <typename Message>
+HttpRequest takeRequest(Message &message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+} // namespace
+
+HttpServer::HttpServer(Async::IoPool &pool, HttpServerOptions options, Handler handler)
+    : pool_(pool)
+    , options_(options)
+    , handler_(std::move(handler))
+    , acceptor_(pool.at(0))
+{
+}
+
+Common::Result<std::string> HttpServer::listen(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    unsigned short port = 0;
+    const auto portText = colon == std::string::npos ? "" : address.substr(colon + 1);
+    const auto parsed = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    if (error || parsed.ec != std::errc()) {
+        return Common::makeError(Common::ErrorCode::InvalidArgument,
+                                 "\"" + address + "\" is no address of the form ip:port");
+    }
+    const tcp::endpoint endpoint(ip, port);
+    acceptor_.open(endpoint.protocol(), error);
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor_.bind(endpoint, error);
+    if (!error) {
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return Common::makeError(Common::ErrorCode::Unavailable,
+                                 "cannot listen on " + address + ": " + error.message());
+    }
+    asio::co_spawn(pool_.at(0), accept(), asio::detached);
+    return ip.to_string() + ":" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void HttpServer::stopAccepting()
+{
+    asio::post(pool_.at(0), [this] {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+    });
+}
+
+asio::awaitable<void> HttpServer::accept()
+{
+    while (acceptor_.is_open()) {
+        auto &context = pool_.next();
+        boost::system::error_code error;
+        auto socket = co_await acceptor_.async_accept(
+            context, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            // Running out of file descriptors must not turn into a busy loop.
+            co_await Async::sleepFor(AcceptPause);
+            continue;
+        }
+        if (connections_ >= options_.connectionLimit) {
+            socket.close(error);
+            continue;
+        }
+        asio::co_spawn(context, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> HttpServer::serve(tcp::socket socket)
+{
+    const CountGuard guard(connections_);
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    co_await serveRequests(stream);
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<void> HttpServer::serveRequests(beast::tcp_stream &stream)
+{
+    beast::flat_buffer buffer;
+    bool more = true;
+    while (more) {
+        const auto exchange = co_await readExchange(stream, buffer);
+        if (!exchange) {
+            co_return;
+        }
+        const CountGuard guard(exchanges_);
+        exchange->watch();
+        co_await handler_(*exchange);
+        exchange->stopWatching();
+        more = exchange->reusable();
+    }
+}
+
+asio::awaitable<std::unique_ptr<Exchange>> HttpServer::readExchange(beast::tcp_stream &stream,
+                                                                    beast::flat_buffer &buffer)
+{
+    Parser parser;
+    parser.header_limit(options_.headerLimitBytes);
+    parser.body_limit(options_.bodyLimitBytes);
+    stream.expires_never();
+    auto error = co_await readWithin(options_.idleTimeout, stream, buffer, parser, Part::Header);
+    if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        const asio::const_buffer interim(Continue.data(), Continue.size());
+        co_await asio::async_write(stream, interim,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (!error) {
+        error = co_await readWithin(options_.bodyTimeout, stream, buffer, parser, Part::Body);
+    }
+    const bool idle =
+        error == beast::error::timeout && buffer.size() == 0 && !parser.is_header_done();
+    if (error && (idle || isDisconnect(error))) {
+        co_return nullptr;
+    }
+    Exchange::Options exchangeOptions;
+    exchangeOptions.writeTimeout = options_.writeTimeout;
+    exchangeOptions.chunked = parser.get().version() >= 11;
+    exchangeOptions.keepAlive = !error && parser.get().keep_alive() && !draining_;
+    auto exchange = std::make_unique<Exchange>(stream, takeRequest(parser.get()), exchangeOptions);
+    if (error) {
+        co_await exchange->sendProblem(problemOfRead(error));
+        co_return nullptr;
+    }
+    co_return exchange;
+}
+
+} // namespace LaburnumChute::Entry
--- /dev/null
+++ b/Source/Core/Entry/WholeAnswer.cpp
@@ -0,0 +1,127 @@
+#include "Entry/WholeAnswer.h"
+
+namespace LaburnumChute::Entry {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view DataField = "data: ";
+constexpr std::string_view DoneMark = "[DONE]";
+
+std::string textOf(const json &object, const char *member)
+{
+    const auto found = object.find(member);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+} // namespace
+
+Common::Result<void> WholeAnswer::feed(std::string_view events)
+{
+    while (!events.empty()) {
+        const auto line = events.substr(0, events.find('\n'));
+        events.remove_prefix(std::min(events.size(), line.size() + 1));
+        if (line.substr(0, DataField.size()) != DataField) {
+            continue;
+        }
+        const auto data = line.substr(DataField.size());
+        if (data == DoneMark) {
+            continue;
+        }
+        const auto chunk = json::parse(data, nullptr, false);
+        if (!chunk.is_object()) {
+            return Common::makeError(Common::ErrorCode::ProtocolViolation,
+                                     "the engine sent an event that is no JSON object");
+        }
+        take(chunk);
+    }
+    return {};
+}
+
+void WholeAnswer::take(const json &chunk)
+{
+    for (const auto *member : {"id", "created", "model", "system_fingerprint"}) {
+        if (chunk.contains(member) && !head_.contains(member)) {
+            head_[member] = chunk[member];
+        }
+    }
+    if (chunk.contains("usage") && chunk["usage"].is_object()) {
+        usage_ = chunk["usage"];
+    }
+    const auto choices = chunk.find("choices");
+    if (choices == chunk.end() || !choices->is_array()) {
+        return;
+    }
+    for (const auto &part : *choices) {
+        auto &choice = choices_[part.value("index", 0)];
+        choice.text += textOf(part, "text");
+        const auto delta = part.find("delta");
+        if (delta != part.end() && delta->is_object()) {
+            choice.text += textOf(*delta, "content");
+            const auto role = textOf(*delta, "role");
+            choice.role = role.empty() ? choice.role : role;
+            takeToolCalls(choice, delta->value("tool_calls", json::array()));
+        }
+        if (part.contains("finish_reason") && !part["finish_reason"].is_null()) {
+            choice.finishReason = part["finish_reason"];
+        }
+    }
+}
+
+void WholeAnswer::takeToolCalls(Choice &choice, const json &calls)
+{
+    for (const auto &call : calls) {
+        const auto index = call.value("index", choice.toolCalls.size());
+        while (choice.toolCalls.size() <= index && choice.toolCalls.size() < 128) {
+            choice.toolCalls.push_back({{"id", ""},
+                                        {"type", "function"},
+                                        {"function", {{"name", ""}, {"arguments", ""}}}});
+        }
+        if (index >= choice.toolCalls.size()) {
+            continue;
+        }
+        auto &whole = choice.toolCalls[index];
+        const auto id = textOf(call, "id");
+        if (!id.empty()) {
+            whole["id"] = id;
+        }
+        const auto function = call.value("function", json::object());
+        for (const auto *member : {"name", "arguments"}) {
+            whole["function"][member] =
+                whole["function"][member].get<std::string>() + textOf(function, member);
+        }
+    }
+}
+
+json WholeAnswer::choiceDocument(int index, const Choice &choice) const
+{
+    json document = {
+        {"index", index}, {"finish_reason", choice.finishReason}, {"logprobs", nullptr}};
+    if (kind_ == ModelCallKind::Completion) {
+        document["text"] = choice.text;
+        return document;
+    }
+    document["message"] = {{"role", choice.role}, {"content", choice.text}};
+    if (!choice.toolCalls.empty()) {
+        document["message"]["tool_calls"] = choice.toolCalls;
+    }
+    return document;
+}
+
+std::string WholeAnswer::body() const
+{
+    json document = head_;
+    document["object"] =
+        kind_ == ModelCallKind::ChatCompletion ? "chat.completion" : "text_completion";
+    document["choices"] = json::array();
+    for (const auto &[index, choice] : choices_) {
+        document["choices"].push_back(choiceDocument(index, choice));
+    }
+    if (!usage_.is_null()) {
+        document["usage"] = usage_;
+    }
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace LaburnumChute::Entry
--- /dev/null
+++ b/Source/Core/Peers/ChannelServer.cpp
@@ -0,0 +1,265 @@
+#include "Peers/ChannelServer.h"
+
+#include <charconv>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Async/Async.h"
+
+namespace LaburnumChute::Peers {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr Common::milliseconds SweepInterval{500};
+constexpr Common::milliseconds AcceptPause{50};
+
+std::size_t sizeOf(const AnswerItem &item)
+{
+    const auto *piece = std::get_if<AnswerPiece>(&item);
+    return piece != nullptr ? piece->bytes.size() : 0;
+}
+
+} // namespace
+
+IncomingCall::IncomingCall(asio::io_context &context, ChannelOptions options, CallId id,
+                           Hello caller, CallRequest request)
+    : options_(options)
+    , id_(id)
+    , caller_(std::move(caller))
+    , request_(std::move(request))
+    , windowSignal_(context)
+{
+}
+
+asio::awaitable<bool> IncomingCall::send(AnswerItem item)
+{
+    while (!gone_ && keptBytes_ >= options_.windowBytes) {
+        boost::system::error_code ignored;
+        windowSignal_.expires_at(Common::Time::max());
+        co_await windowSignal_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (gone_) {
+        co_return false;
+    }
+    const auto bytes = sizeOf(item);
+    keptBytes_ += bytes;
+    ended_ = std::holds_alternative<AnswerEnd>(item) || std::holds_alternative<AnswerFailure>(item);
+    kept_.push_back({nextNumber_, bytes, std::move(item)});
+    ++nextNumber_;
+    if (connection_) {
+        connection_->send(CallItem{id_, kept_.back().number, kept_.back().item});
+    }
+    co_return true;
+}
+
+void IncomingCall::attach(std::shared_ptr<ChannelConnection> connection, std::uint64_t nextItem)
+{
+    connection_ = std::move(connection);
+    consumed(nextItem);
+    for (const auto &kept : kept_) {
+        connection_->send(CallItem{id_, kept.number, kept.item});
+    }
+}
+
+void IncomingCall::detach(Common::Time now)
+{
+    connection_.reset();
+    detachedSince_ = now;
+}
+
+void IncomingCall::consumed(std::uint64_t nextItem)
+{
+    while (!kept_.empty() && kept_.front().number < nextItem) {
+        keptBytes_ -= kept_.front().bytes;
+        kept_.pop_front();
+    }
+    windowSignal_.cancel();
+}
+
+void IncomingCall::markGone()
+{
+    if (gone_) {
+        return;
+    }
+    gone_ = true;
+    kept_.clear();
+    windowSignal_.cancel();
+    if (onGone_) {
+        onGone_();
+    }
+}
+
+ChannelServer::ChannelServer(asio::io_context &context, ChannelOptions options, Hello self,
+                             Handler handler)
+    : context_(context)
+    , options_(options)
+    , self_(std::move(self))
+    , handler_(std::move(handler))
+    , acceptor_(context)
+{
+}
+
+Common::Result<std::string> ChannelServer::listen(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    unsigned short port = 0;
+    if (colon != std::string::npos) {
+        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    }
+    if (!error) {
+        const tcp::endpoint endpoint(ip, port);
+        acceptor_.open(endpoint.protocol(), error);
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+        acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return Common::makeError(Common::ErrorCode::Unavailable,
+                                 "cannot listen on " + address + ": " + error.message());
+    }
+    asio::co_spawn(context_, accept(), asio::detached);
+    asio::co_spawn(context_, sweep(), asio::detached);
+    return ip.to_string() + ":" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+asio::awaitable<void> ChannelServer::accept()
+{
+    while (acceptor_.is_open()) {
+        boost::system::error_code error;
+        auto socket =
+            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_await Async::sleepFor(AcceptPause);
+            continue;
+        }
+        adopt(std::move(socket));
+    }
+}
+
+void ChannelServer::adopt(tcp::socket socket)
+{
+    const auto peer = std::make_shared<Peer>();
+    peer->connection = std::make_shared<ChannelConnection>(std::move(socket), options_);
+    ChannelConnection::Handlers handlers;
+    handlers.frame = [this, peer](Frame frame) { receive(*peer, std::move(frame)); };
+    handlers.closed = [this, peer](const std::string &) { connectionClosed(*peer); };
+    peer->connection->start(std::move(handlers));
+    peer->connection->send(self_);
+}
+
+ChannelServer::CallKey ChannelServer::keyOf(const Peer &peer, CallId call) const
+{
+    return {peer.hello.instance, peer.hello.incarnation, call};
+}
+
+void ChannelServer::receive(Peer &peer, Frame frame)
+{
+    if (const auto *hello = std::get_if<Hello>(&frame)) {
+        peer.hello = *hello;
+        peer.greeted = true;
+        return;
+    }
+    if (!peer.greeted) {
+        peer.connection->close("the peer did not say who it is");
+        return;
+    }
+    if (auto *open = std::get_if<OpenCall>(&frame)) {
+        openCall(peer, std::move(*open));
+        return;
+    }
+    if (const auto *resume = std::get_if<ResumeCall>(&frame)) {
+        resumeCall(peer, *resume);
+        return;
+    }
+    if (const auto *cancel = std::get_if<CancelCall>(&frame)) {
+        const auto found = calls_.find(keyOf(peer, cancel->call));
+        if (found != calls_.end()) {
+            found->second->markGone();
+        }
+        return;
+    }
+    if (const auto *progress = std::get_if<Consumed>(&frame)) {
+        const auto found = calls_.find(keyOf(peer, progress->call));
+        if (found != calls_.end()) {
+            found->second->consumed(progress->nextItem);
+        }
+    }
+}
+
+void ChannelServer::openCall(const Peer &peer, OpenCall open)
+{
+    const auto key = keyOf(peer, open.call);
+    if (calls_.count(key) > 0) {
+        return;
+    }
+    const auto call = std::make_shared<IncomingCall>(context_, options_, open.call, peer.hello,
+                                                     std::move(open.request));
+    call->connection_ = peer.connection;
+    calls_[key] = call;
+    callCount_ = static_cast<std::int64_t>(calls_.size());
+    asio::co_spawn(context_, run(key, call), asio::detached);
+}
+
+void ChannelServer::resumeCall(const Peer &peer, const ResumeCall &resume)
+{
+    const auto found = calls_.find(keyOf(peer, resume.call));
+    if (found != calls_.end()) {
+        found->second->attach(peer.connection, resume.nextItem);
+        return;
+    }
+    // The call may have run here and been forgotten, or this may be another life of the instance.
+    AnswerFailure failure;
+    failure.status = 503;
+    failure.code = Common::ErrorCode::Unavailable;
+    failure.run = Common::RunState::Unknown;
+    failure.detail = "the call is not known here any more";
+    peer.connection->send(CallItem{resume.call, resume.nextItem, failure});
+}
+
+asio::awaitable<void> ChannelServer::run(CallKey key, std::shared_ptr<IncomingCall> call)
+{
+    co_await handler_(call);
+    // The end may still have to be sent again.
+    const auto giveUp = std::chrono::steady_clock::now() + options_.resumeWindow;
+    while (!call->gone() && !call->finished() && std::chrono::steady_clock::now() < giveUp) {
+        co_await Async::sleepFor(SweepInterval);
+    }
+    calls_.erase(key);
+    callCount_ = static_cast<std::int64_t>(calls_.size());
+}
+
+void ChannelServer::connectionClosed(const Peer &peer)
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto &entry : calls_) {
+        if (entry.second->connection_ == peer.connection) {
+            entry.second->detach(now);
+        }
+    }
+}
+
+asio::awaitable<void> ChannelServer::sweep()
+{
+    while (true) {
+        co_await Async::sleepFor(SweepInterval);
+        const auto now = std::chrono::steady_clock::now();
+        const auto calls = calls_;
+        for (const auto &entry : calls) {
+            auto &call = *entry.second;
+            if (!call.connection_ && now - call.detachedSince_ > options_.resumeWindow) {
+                call.markGone();
+            }
+        }
+    }
+}
+
+} // namespace LaburnumChute::Peers
--- /dev/null
+++ b/Source/Core/Peers/ChannelServer.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Common/Common.h"
+#include "Peers/ChannelConnection.h"
+#include "Peers/ChannelFrames.h"
+
+namespace LaburnumChute::Peers {
+
+/// The called end of a call. Lives on the server's context; keeps the parts of the answer that the
+/// caller has not consumed, for a resumption.
+class IncomingCall
+{
+public:
+    IncomingCall(asio::io_context &context, ChannelOptions options, CallId id, Hello caller,
+                 CallRequest request);
+
+    const CallRequest &request() const
+    {
+        return request_;
+    }
+    const Hello &caller() const
+    {
+        return caller_;
+    }
+
+    /// Called once, when the caller has cancelled the call or has been away for too long.
+    void onGone(std::function<void()> callback)
+    {
+        onGone_ = std::move(callback);
+    }
+    bool gone() const
+    {
+        return gone_;
+    }
+
+    /// Sends a part, waiting while the window is full. False when the caller is gone.
+    asio::awaitable<bool> send(AnswerItem item);
+
+private:
+    friend class ChannelServer;
+
+    struct Kept
+    {
+        std::uint64_t number = 0;
+        std::size_t bytes = 0;
+        AnswerItem item;
+    };
+
+    void attach(std::shared_ptr<ChannelConnection> connection, std::uint64_t nextItem);
+    void detach(Common::Time now);
+    void consumed(std::uint64_t nextItem);
+    void markGone();
+    bool finished() const
+    {
+        return ended_ && kept_.empty();
+    }
+
+    ChannelOptions options_;
+    CallId id_;
+    Hello caller_;
+    CallRequest request_;
+    std::shared_ptr<ChannelConnection> connection_;
+    std::function<void()> onGone_;
+    asio::steady_timer windowSignal_;
+    std::deque<Kept> kept_;
+    std::size_t keptBytes_ = 0;
+    std::uint64_t nextNumber_ = 0;
+    Common::Time detachedSince_;
+    bool ended_ = false;
+    bool gone_ = false;
+};
+
+/// Accepts the connections of peers and hands each call to a handler coroutine. All state lives on
+/// the context's one thread.
+class ChannelServer
+{
+public:
+    using Handler = std::function<asio::awaitable<void>(std::shared_ptr<IncomingCall>)>;
+
+    ChannelServer(asio::io_context &context, ChannelOptions options, Hello self, Handler handler);
+
+    /// Binds "ip:port" (port 0: any) and accepts. Returns the address bound.
+    Common::Result<std::string> listen(const std::string &address);
+
+    std::int64_t calls() const
+    {
+        return callCount_;
+    }
+
+private:
+    /// The caller's life and its number for the call.
+    struct CallKey
+    {
+        Common::InstanceId instance;
+        Common::Incarnation incarnation = 0;
+        CallId call = 0;
+
+        auto operator<=>(const CallKey &) const = default;
+    };
+    struct Peer
+    {
+        std::shared_ptr<ChannelConnection> connection;
+        Hello hello;
+        bool greeted = false;
+    };
+
+    asio::awaitable<void> accept();
+    void adopt(asio::ip::tcp::socket socket);
+    void receive(Peer &peer, Frame frame);
+    void openCall(const Peer &peer, OpenCall open);
+    void resumeCall(const Peer &peer, const ResumeCall &resume);
+    asio::awaitable<void> run(CallKey key, std::shared_ptr<IncomingCall> call);
+    void connectionClosed(const Peer &peer);
+    asio::awaitable<void> sweep();
+    CallKey keyOf(const Peer &peer, CallId call) const;
+
+    asio::io_context &context_;
+    ChannelOptions options_;
+    Hello self_;
+    Handler handler_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::map<CallKey, std::shared_ptr<IncomingCall>> calls_;
+    std::atomic<std::int64_t> callCount_{0};
+};
+
+} // namespace LaburnumChute::Peers
--- a/Tools/build.sh
+++ b/Tools/build.sh
@@ -6,6 +6,7 @@
 shift || true
 # Worktrees share compiled objects: paths are taken relative to the checkout.
 export CCACHE_BASEDIR="$root" CCACHE_NOHASHDIR=1 CCACHE_MAXSIZE=5G
-cmake -S "$root" -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Release "$@" >"$build.configure.log" 2>&1 \
-    || { cat "$build.configure.log"; exit 1; }
+mkdir -p "$build"
+cmake -S "$root" -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Release "$@" >"$build/configure.log" 2>&1 \
+    || { cat "$build/configure.log"; exit 1; }
 cmake --build "$build" -- ${BUILD_JOBS:+-j "$BUILD_JOBS"}
