Add the library Ledger: keys, commands and refusals of what may run once

Cause: a request that is not repeatable must run at most once although no instance keeps anything over a restart. Only the incarnation that minted a key may run under it, so its own records suffice.

Ruled out: a record for each key that was given out. A key carries a seal under a secret of the incarnation and its issue time, so that unused keys cost no memory and an altered one is not taken for fresh.

Ruled out: reports by key alone. A late "not started" of an earlier sending would release a key whose next sending is under way; reports carry the number of their sending.

Before: no library.

--- /dev/null
+++ b/Source/Core/Ledger/DuplicateHints.cpp
@@ -0,0 +1,63 @@
+#include "Ledger/DuplicateHints.h"
+
+namespace LaburnumChute::Ledger {
+
+DuplicateHints::DuplicateHints(Common::Duration window, std::size_t limit)
+    : window_(window)
+    , limit_(limit)
+{
+}
+
+void DuplicateHints::note(const DuplicateHint &hint, Common::Time now)
+{
+    if (hint.withdrawn) {
+        withdraw(hint);
+        return;
+    }
+    if (window_ <= Common::Duration::zero() || limit_ == 0) {
+        return;
+    }
+    // Void arrivals count too: withdrawn orders must not make the queue grow without bound.
+    while (arrivals_.size() >= limit_) {
+        dropOldest();
+    }
+    entries_[hint.orderFingerprint] = Entry{hint.key, now};
+    arrivals_.push_back(Arrival{hint.orderFingerprint, now});
+}
+
+void DuplicateHints::tick(Common::Time now)
+{
+    while (!arrivals_.empty() && arrivals_.front().seenAt + window_ <= now) {
+        dropOldest();
+    }
+}
+
+std::optional<IdempotencyKey> DuplicateHints::earlierKey(std::uint64_t orderFingerprint,
+                                                         Common::Time now) const
+{
+    const auto found = entries_.find(orderFingerprint);
+    if (found == entries_.end() || found->second.seenAt + window_ <= now) {
+        return std::nullopt;
+    }
+    return found->second.key;
+}
+
+void DuplicateHints::withdraw(const DuplicateHint &hint)
+{
+    const auto found = entries_.find(hint.orderFingerprint);
+    if (found != entries_.end() && found->second.key == hint.key) {
+        entries_.erase(found);
+    }
+}
+
+void DuplicateHints::dropOldest()
+{
+    const auto oldest = arrivals_.front();
+    arrivals_.pop_front();
+    const auto found = entries_.find(oldest.orderFingerprint);
+    if (found != entries_.end() && found->second.seenAt == oldest.seenAt) {
+        entries_.erase(found);
+    }
+}
+
+} // namespace LaburnumChute::Ledger
--- /dev/null
+++ b/Source/Core/Ledger/Ledger.cpp
@@ -0,0 +1,412 @@
+#include "Ledger/Ledger.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/Log.h"
+
+namespace LaburnumChute::Ledger {
+
+namespace {
+
+using Common::ErrorCode;
+using Common::RunState;
+
+std::size_t sizeOf(const KeptAnswer &answer)
+{
+    return answer.body.size() + answer.contentType.size();
+}
+
+Refused refuse(RunState run, RefusalReason reason)
+{
+    return Refused{run, reason, std::nullopt};
+}
+
+tl::unexpected<Common::Error> staleReport()
+{
+    return Common::makeError(ErrorCode::Conflict, "the attempt does not hold its key any more");
+}
+
+} // namespace
+
+Ledger::Ledger(LedgerOptions options, LedgerIdentity identity)
+    : options_(options)
+    , identity_(std::move(identity))
+    , hints_(options.duplicateWindow, options.maxDuplicateHints)
+{
+}
+
+Common::Result<IdempotencyKey> Ledger::mint(const Common::CustomerName &customer, Common::Time now)
+{
+    if (closed_) {
+        return Common::makeError(ErrorCode::Unavailable, "this instance is shutting down");
+    }
+    if (!hasRoom()) {
+        return Common::makeError(ErrorCode::Overloaded, "no room for another idempotency key");
+    }
+    IdempotencyKey key;
+    key.owner = identity_.instance;
+    key.incarnation = identity_.incarnation;
+    key.customer = customer;
+    key.sequence = ++lastSequence_;
+    key.issuedAfter = std::chrono::floor<Common::milliseconds>(now - identity_.start);
+    key.seal = key.expectedSeal(identity_.secret);
+    ++counts_.minted;
+    return key;
+}
+
+BeginOutcome Ledger::begin(const Submission &submission, Common::Time now)
+{
+    auto outcome = judge(submission, now);
+    if (std::holds_alternative<ReplayAnswer>(outcome)) {
+        ++counts_.replayed;
+    }
+    if (const auto *refused = std::get_if<Refused>(&outcome)) {
+        ++counts_.refused;
+        Common::log(Common::LogType::Ledger, Common::LogLevel::Debug, "refused {}: {}",
+                    submission.key.text(), toString(refused->reason));
+    }
+    return outcome;
+}
+
+BeginOutcome Ledger::judge(const Submission &submission, Common::Time now)
+{
+    const auto &key = submission.key;
+    if (key.customer != submission.customer) {
+        return refuse(RunState::NotRun, RefusalReason::OtherCustomer);
+    }
+    if (key.owner != identity_.instance) {
+        return OwnedElsewhere{key.owner, key.incarnation};
+    }
+    // A replaced instance remembers nothing of its predecessor's keys. Saying "not run" here is the
+    // fault that this library exists to prevent: the predecessor may have run the request.
+    if (key.incarnation != identity_.incarnation) {
+        return refuse(RunState::Unknown, RefusalReason::IncarnationGone);
+    }
+    if (!minted(key)) {
+        return refuse(RunState::NotRun, RefusalReason::NotMinted);
+    }
+    const auto found = records_.find(key.sequence);
+    if (found != records_.end()) {
+        return judgeKnown(found->second, submission);
+    }
+    return judgeFresh(submission, now);
+}
+
+BeginOutcome Ledger::judgeKnown(const Record &record, const Submission &submission) const
+{
+    if (record.bodyFingerprint != submission.bodyFingerprint) {
+        return refuse(RunState::NotRun, RefusalReason::OtherBody);
+    }
+    switch (record.phase) {
+    case Phase::Waiting:
+    case Phase::Running:
+        return StillRunning{};
+    case Phase::Ran:
+        if (record.answer) {
+            return ReplayAnswer{record.answer};
+        }
+        return refuse(RunState::Ran, RefusalReason::AnswerNotKept);
+    case Phase::Lost:
+        break;
+    }
+    return refuse(RunState::Unknown, RefusalReason::OutcomeUnknown);
+}
+
+BeginOutcome Ledger::judgeFresh(const Submission &submission, Common::Time now)
+{
+    switch (stateOfUnrecorded(submission.key, now)) {
+    case KeyState::Unused:
+        break;
+    case KeyState::Expired:
+        return refuse(RunState::NotRun, RefusalReason::Expired);
+    default:
+        return refuse(RunState::Unknown, RefusalReason::OutcomeUnknown);
+    }
+    if (closed_) {
+        return refuse(RunState::NotRun, RefusalReason::Closing);
+    }
+    // A live record is never dropped to make room: its key would look unused and run again.
+    if (!hasRoom()) {
+        return refuse(RunState::NotRun, RefusalReason::LedgerFull);
+    }
+    const auto earlier = hints_.earlierKey(submission.orderFingerprint, now);
+    if (earlier && *earlier != submission.key && !submission.duplicateIntended) {
+        return Refused{RunState::NotRun, RefusalReason::DuplicateOrder, earlier};
+    }
+    return open(submission, now);
+}
+
+Proceed Ledger::open(const Submission &submission, Common::Time now)
+{
+    Record record;
+    record.key = submission.key;
+    record.bodyFingerprint = submission.bodyFingerprint;
+    record.orderFingerprint = submission.orderFingerprint;
+    record.deadline = submission.deadline;
+    record.attemptNumber = ++lastNumber_;
+    const Attempt attempt{submission.key.sequence, record.attemptNumber};
+    records_.emplace(attempt.sequence, std::move(record));
+    ++openCount_;
+    ++counts_.begun;
+    const DuplicateHint hint{submission.orderFingerprint, submission.key, false};
+    hints_.note(hint, now);
+    hintsToTell_.push_back(hint);
+    return Proceed{attempt};
+}
+
+Common::Result<Dispatch> Ledger::dispatched(const Attempt &attempt, Common::Time now)
+{
+    Record *record = findAttempt(attempt, Phase::Waiting);
+    if (record == nullptr) {
+        return staleReport();
+    }
+    if (record->deadline && *record->deadline <= now) {
+        release(*record, now);
+        return Common::makeError(ErrorCode::DeadlineExceeded,
+                                 "the deadline passed before the request was dispatched");
+    }
+    record->phase = Phase::Running;
+    record->dispatchNumber = ++lastNumber_;
+    ++counts_.dispatched;
+    return Dispatch{attempt, record->dispatchNumber};
+}
+
+Common::Result<void> Ledger::notStarted(const Dispatch &dispatch, Common::Time)
+{
+    Record *record = findDispatch(dispatch);
+    if (record == nullptr) {
+        return staleReport();
+    }
+    record->phase = Phase::Waiting;
+    return {};
+}
+
+Common::Result<void> Ledger::abandonedBeforeDispatch(const Attempt &attempt, Common::Time now)
+{
+    const Record *record = findAttempt(attempt, Phase::Waiting);
+    if (record == nullptr) {
+        return staleReport();
+    }
+    release(*record, now);
+    return {};
+}
+
+Common::Result<void> Ledger::finished(const Dispatch &dispatch, KeptAnswer answer, Common::Time now)
+{
+    Record *record = findDispatch(dispatch);
+    if (record == nullptr) {
+        return staleReport();
+    }
+    record->phase = Phase::Ran;
+    ++counts_.finished;
+    settle(*record, now);
+    keep(*record, std::move(answer));
+    return {};
+}
+
+Common::Result<void> Ledger::lost(const Dispatch &dispatch, Common::Time now)
+{
+    Record *record = findDispatch(dispatch);
+    if (record == nullptr) {
+        return staleReport();
+    }
+    record->phase = Phase::Lost;
+    ++counts_.lost;
+    settle(*record, now);
+    return {};
+}
+
+void Ledger::learn(const DuplicateHint &hint, Common::Time now)
+{
+    hints_.note(hint, now);
+}
+
+std::vector<DuplicateHint> Ledger::takeHints()
+{
+    return std::exchange(hintsToTell_, {});
+}
+
+void Ledger::close()
+{
+    closed_ = true;
+}
+
+void Ledger::tick(Common::Time now)
+{
+    while (!dropTimes_.empty() && dropTimes_.begin()->first <= now) {
+        const auto sequence = dropTimes_.begin()->second;
+        dropTimes_.erase(dropTimes_.begin());
+        const auto found = records_.find(sequence);
+        if (found->second.answer) {
+            keptBytes_ -= sizeOf(*found->second.answer);
+        }
+        records_.erase(found);
+    }
+    hints_.tick(now);
+}
+
+void Ledger::release(const Record &record, Common::Time now)
+{
+    const DuplicateHint hint{record.orderFingerprint, record.key, true};
+    hints_.note(hint, now);
+    hintsToTell_.push_back(hint);
+    --openCount_;
+    records_.erase(record.key.sequence);
+}
+
+void Ledger::settle(const Record &record, Common::Time now)
+{
+    --openCount_;
+    // Not before the key counts as forgotten: stateOfUnrecorded() takes a key without a record for
+    // one that was not used.
+    const auto forgottenAt = issuedAt(record.key) + options_.keyLifetime + options_.keptAnswerTime;
+    dropTimes_.emplace(std::max(now + options_.keptAnswerTime, forgottenAt), record.key.sequence);
+}
+
+void Ledger::keep(Record &record, KeptAnswer answer)
+{
+    const auto bytes = sizeOf(answer);
+    if (bytes > options_.maxKeptAnswerBytes) {
+        return;
+    }
+    while (keptBytes_ + bytes > options_.maxKeptAnswerBytes) {
+        const auto found = records_.find(keptOrder_.front());
+        keptOrder_.pop_front();
+        if (found != records_.end() && found->second.answer) {
+            keptBytes_ -= sizeOf(*found->second.answer);
+            found->second.answer.reset();
+        }
+    }
+    record.answer = std::make_shared<const KeptAnswer>(std::move(answer));
+    keptOrder_.push_back(record.key.sequence);
+    keptBytes_ += bytes;
+}
+
+KeyState Ledger::state(const IdempotencyKey &key, Common::Time now) const
+{
+    if (key.owner != identity_.instance) {
+        return KeyState::Elsewhere;
+    }
+    if (key.incarnation != identity_.incarnation) {
+        return KeyState::Forgotten;
+    }
+    if (!minted(key)) {
+        return KeyState::NotMinted;
+    }
+    const auto found = records_.find(key.sequence);
+    if (found == records_.end()) {
+        return stateOfUnrecorded(key, now);
+    }
+    switch (found->second.phase) {
+    case Phase::Waiting:
+        return KeyState::Waiting;
+    case Phase::Running:
+        return KeyState::Running;
+    case Phase::Ran:
+        return KeyState::Ran;
+    case Phase::Lost:
+        break;
+    }
+    return KeyState::Lost;
+}
+
+RunState Ledger::claim(const IdempotencyKey &key, Common::Time now) const
+{
+    switch (state(key, now)) {
+    case KeyState::Unused:
+    case KeyState::Expired:
+    case KeyState::NotMinted:
+        return RunState::NotRun;
+    case KeyState::Ran:
+        return RunState::Ran;
+    case KeyState::Waiting:
+    case KeyState::Running:
+    case KeyState::Lost:
+    case KeyState::Forgotten:
+    case KeyState::Elsewhere:
+        break;
+    }
+    return RunState::Unknown;
+}
+
+Common::Duration Ledger::remainingLifetime(const IdempotencyKey &key, Common::Time now) const
+{
+    if (!ownKey(key) || !minted(key)) {
+        return Common::Duration::zero();
+    }
+    return std::max(issuedAt(key) + options_.keyLifetime - now, Common::Duration::zero());
+}
+
+nlohmann::json Ledger::dump(Common::Time) const
+{
+    return {{"instance", identity_.instance.text()},
+            {"incarnation", identity_.incarnation},
+            {"closed", closed_},
+            {"records", records_.size()},
+            {"open", openCount_},
+            {"kept_answer_bytes", keptBytes_},
+            {"duplicate_hints", hints_.size()},
+            {"minted", counts_.minted},
+            {"begun", counts_.begun},
+            {"dispatched", counts_.dispatched},
+            {"finished", counts_.finished},
+            {"lost", counts_.lost},
+            {"replayed", counts_.replayed},
+            {"refused", counts_.refused}};
+}
+
+Ledger::Record *Ledger::findAttempt(const Attempt &attempt, Phase phase)
+{
+    const auto found = records_.find(attempt.sequence);
+    if (found == records_.end() || found->second.attemptNumber != attempt.number
+        || found->second.phase != phase) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+Ledger::Record *Ledger::findDispatch(const Dispatch &dispatch)
+{
+    Record *record = findAttempt(dispatch.attempt, Phase::Running);
+    if (record == nullptr || record->dispatchNumber != dispatch.number) {
+        return nullptr;
+    }
+    return record;
+}
+
+bool Ledger::ownKey(const IdempotencyKey &key) const
+{
+    return key.owner == identity_.instance && key.incarnation == identity_.incarnation;
+}
+
+bool Ledger::minted(const IdempotencyKey &key) const
+{
+    return key.sequence >= 1 && key.sequence <= lastSequence_
+           && key.seal == key.expectedSeal(identity_.secret);
+}
+
+Common::Time Ledger::issuedAt(const IdempotencyKey &key) const
+{
+    return identity_.start + key.issuedAfter;
+}
+
+KeyState Ledger::stateOfUnrecorded(const IdempotencyKey &key, Common::Time now) const
+{
+    const auto expiresAt = issuedAt(key) + options_.keyLifetime;
+    if (now < expiresAt) {
+        return KeyState::Unused;
+    }
+    if (now < expiresAt + options_.keptAnswerTime) {
+        return KeyState::Expired;
+    }
+    return KeyState::Forgotten;
+}
+
+bool Ledger::hasRoom() const
+{
+    return records_.size() < options_.maxRecords;
+}
+
+} // namespace LaburnumChute::Ledger
