--- a/Source/Core/Async/Async.h
+++ b/Source/Core/Async/Async.h
@@ -4,3 +4,4 @@
 
 #include "Async/AsyncQueue.h"
 #include "Async/IoPool.h"
+#include "Async/RunOn.h"
--- a/Source/Core/Async/IoPool.cpp
+++ b/Source/Core/Async/IoPool.cpp
@@ -2,6 +2,12 @@
 
 namespace LaburnumChute::Async {
 
+namespace {
+
+thread_local std::size_t indexOfThread = 0;
+
+} // namespace
+
 IoPool::IoPool(std::size_t threads)
 {
     for (std::size_t index = 0; index < threads; ++index) {
@@ -17,8 +23,11 @@
 
 void IoPool::start()
 {
-    for (auto &context : contexts_) {
-        threads_.emplace_back([&context] { context->run(); });
+    for (std::size_t index = 0; index < contexts_.size(); ++index) {
+        threads_.emplace_back([this, index] {
+            indexOfThread = index;
+            contexts_[index]->run();
+        });
     }
 }
 
@@ -33,6 +42,11 @@
     threads_.clear();
 }
 
+std::size_t IoPool::currentIndex()
+{
+    return indexOfThread;
+}
+
 boost::asio::io_context &IoPool::next()
 {
     return *contexts_[turn_.fetch_add(1, std::memory_order_relaxed) % contexts_.size()];
--- a/Source/Core/Async/IoPool.h
+++ b/Source/Core/Async/IoPool.h
@@ -32,6 +32,8 @@
     {
         return *contexts_.at(index);
     }
+    /// The index of the context whose thread calls this; 0 on other threads.
+    static std::size_t currentIndex();
     /// The contexts in turn.
     boost::asio::io_context &next();
 
--- a/Source/Core/Endpoints/ConnectionPool.cpp
+++ b/Source/Core/Endpoints/ConnectionPool.cpp
@@ -62,7 +62,7 @@
     if (!target) {
         co_return tl::unexpected(target.error());
     }
-    auto connection = std::make_unique<Connection>(co_await asio::this_coro::executor);
+    auto connection = std::make_unique<Connection>(executor_);
     boost::system::error_code error;
     connection->stream.expires_after(options_.connectTimeout);
     co_await connection->stream.async_connect(*target,
--- a/Source/Core/Endpoints/ConnectionPool.h
+++ b/Source/Core/Endpoints/ConnectionPool.h
@@ -48,11 +48,17 @@
 class ConnectionPool
 {
 public:
-    explicit ConnectionPool(ConnectionPoolOptions options)
+    ConnectionPool(ConnectionPoolOptions options, asio::any_io_executor executor)
         : options_(options)
+        , executor_(std::move(executor))
     {
     }
 
+    const asio::any_io_executor &executor() const
+    {
+        return executor_;
+    }
+
     /// An idle connection that the other side has not closed, else a new one. The error says that
     /// no connection came about, so that nothing can have been sent.
     asio::awaitable<Common::Result<ConnectionPtr>> acquire(std::string address);
@@ -72,6 +78,7 @@
     };
 
     ConnectionPoolOptions options_;
+    asio::any_io_executor executor_;
     std::map<std::string, std::vector<Idle>> idle_;
 };
 
--- a/Source/Core/Endpoints/EndpointStream.cpp
+++ b/Source/Core/Endpoints/EndpointStream.cpp
@@ -1,5 +1,7 @@
 #include "Endpoints/EndpointStream.h"
 
+#include <limits>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -55,8 +57,10 @@
 
 asio::awaitable<EndpointResult<void>> EndpointStream::send(bool freshOnly)
 {
-    auto connection = freshOnly ? co_await pool_->connect(request_.address)
-                                : co_await pool_->acquire(request_.address);
+    // gcc 12 makes wrong code of co_await inside a conditional expression.
+    auto connecting =
+        freshOnly ? pool_->connect(request_.address) : pool_->acquire(request_.address);
+    auto connection = co_await std::move(connecting);
     if (!connection) {
         co_return tl::unexpected(
             failure(Common::RunState::NotRun, connection.error().message, true));
@@ -89,7 +93,7 @@
 {
     parser_.emplace();
     parser_->header_limit(options_.headerLimitBytes);
-    parser_->body_limit(boost::none);
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     connection_->stream.expires_after(timeout);
     boost::system::error_code error;
     co_await http::async_read_header(connection_->stream, connection_->buffer, *parser_,
--- a/Source/Core/Entry/Exchange.cpp
+++ b/Source/Core/Entry/Exchange.cpp
@@ -184,7 +184,10 @@
     }
     const bool sent = co_await sendPiece("event: error\ndata: " + body + "\n\n");
     closeAfterwards();
-    co_return sent &&co_await endBody();
+    if (!sent) {
+        co_return false;
+    }
+    co_return co_await endBody();
 }
 
 asio::awaitable<bool> Exchange::startBody(unsigned status, Common::Headers headers)
--- /dev/null
+++ b/Source/Core/Gateway/CallRunner.cpp
@@ -0,0 +1,679 @@
+#include "Gateway/CallRunner.h"
+
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace LaburnumChute::Gateway {
+
+namespace {
+
+namespace D = LaburnumChute::Decisions;
+namespace L = LaburnumChute::Ledger;
+
+constexpr std::size_t KeptAnswerLimitBytes = 1024 * 1024;
+constexpr std::string_view KeysPath = "/v1/idempotency-keys";
+
+void logRequest(Common::LogLevel level, const Common::RequestId &request, const std::string &text)
+{
+    Common::logRequest(Common::LogType::Gateway, level, request, "{}", text);
+}
+
+unsigned statusOf(D::RefusalReason reason)
+{
+    switch (reason) {
+    case D::RefusalReason::CustomerShare:
+        return 429;
+    case D::RefusalReason::Residency:
+        return 403;
+    case D::RefusalReason::Quarantined:
+        return 422;
+    case D::RefusalReason::Failed:
+        return 502;
+    case D::RefusalReason::TimedOut:
+        return 504;
+    case D::RefusalReason::Overloaded:
+    case D::RefusalReason::DeadlineTooClose:
+    case D::RefusalReason::NoEndpoint:
+        return 503;
+    }
+    return 503;
+}
+
+Common::ErrorCode codeOf(D::RefusalReason reason)
+{
+    switch (reason) {
+    case D::RefusalReason::Residency:
+        return Common::ErrorCode::ResidencyRefused;
+    case D::RefusalReason::Quarantined:
+        return Common::ErrorCode::Conflict;
+    case D::RefusalReason::TimedOut:
+        return Common::ErrorCode::DeadlineExceeded;
+    case D::RefusalReason::Failed:
+    case D::RefusalReason::NoEndpoint:
+        return Common::ErrorCode::Unavailable;
+    case D::RefusalReason::Overloaded:
+    case D::RefusalReason::CustomerShare:
+    case D::RefusalReason::DeadlineTooClose:
+        return Common::ErrorCode::Overloaded;
+    }
+    return Common::ErrorCode::Unavailable;
+}
+
+unsigned statusOf(L::RefusalReason reason)
+{
+    switch (reason) {
+    case L::RefusalReason::OtherBody:
+        return 422;
+    case L::RefusalReason::LedgerFull:
+    case L::RefusalReason::Closing:
+        return 503;
+    case L::RefusalReason::OwnerUnreachable:
+        return 503;
+    default:
+        return 409;
+    }
+}
+
+Entry::Problem problemOf(const Peers::AnswerFailure &failure)
+{
+    Entry::Problem problem;
+    problem.status = failure.status;
+    problem.code = failure.code;
+    problem.detail = failure.detail;
+    problem.run = failure.run;
+    if (failure.retryAfterMs > 0) {
+        problem.retryAfter = Common::milliseconds(failure.retryAfterMs);
+    }
+    auto extra = nlohmann::json::parse(failure.extra, nullptr, false);
+    if (extra.is_object()) {
+        problem.extra = std::move(extra);
+    }
+    return problem;
+}
+
+D::Outcome outcomeOf(const Endpoints::EndpointFailure &failure)
+{
+    if (failure.runState == Common::RunState::NotRun) {
+        return D::Outcome::NotStarted;
+    }
+    return failure.endpointGone ? D::Outcome::EndpointDied : D::Outcome::Failed;
+}
+
+/// One of the instances of the region; which one does not matter, since the region's endpoints are
+/// the same for all of them.
+const PeerEntry *pickPeer(const RoutingTable &table, const Common::RegionName &region)
+{
+    std::vector<const PeerEntry *> candidates;
+    for (const auto &entry : table.peers) {
+        const auto &peer = entry.second;
+        if (peer.region == region && peer.usable && peer.channel) {
+            candidates.push_back(&peer);
+        }
+    }
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    thread_local std::mt19937_64 generator{std::random_device{}()};
+    std::uniform_int_distribution<std::size_t> choice(0, candidates.size() - 1);
+    return candidates[choice(generator)];
+}
+
+} // namespace
+
+RequestMetrics::RequestMetrics(Common::MetricsRegistry &registry)
+    : completed(registry.counter("laburnumchute_requests_total", "Requests by how they ended",
+                                 {{"end", "completed"}}))
+    , cancelled(registry.counter("laburnumchute_requests_total", "Requests by how they ended",
+                                 {{"end", "cancelled"}}))
+    , refused(registry.counter("laburnumchute_requests_total", "Requests by how they ended",
+                               {{"end", "refused"}}))
+    , failed(registry.counter("laburnumchute_requests_total", "Requests by how they ended",
+                              {{"end", "failed"}}))
+    , cancelsConfirmed(registry.counter("laburnumchute_engine_cancels_total",
+                                        "Cancellations sent to engines", {{"confirmed", "true"}}))
+    , cancelsUnconfirmed(registry.counter("laburnumchute_engine_cancels_total",
+                                          "Cancellations sent to engines",
+                                          {{"confirmed", "false"}}))
+    , resumptions(registry.counter("laburnumchute_stream_resumptions_total",
+                                   "Streams continued on a fresh connection"))
+    , away(registry.counter("laburnumchute_requests_away_total",
+                            "Requests sent away from their home region"))
+    , firstToken(registry.histogram("laburnumchute_first_token_seconds",
+                                    "Time from a request's arrival to its first answer byte"))
+{
+}
+
+CallRunner::CallRunner(const RunnerContext &context,
+                       std::shared_ptr<Endpoints::ConnectionPool> pool, Arrival arrival,
+                       CallPlan plan, Responder responder)
+    : context_(context)
+    , pool_(std::move(pool))
+    , arrival_(std::move(arrival))
+    , plan_(std::move(plan))
+    , responder_(std::move(responder))
+    , table_(context.table.share())
+    , startedAt_(std::chrono::steady_clock::now())
+{
+}
+
+asio::awaitable<void> CallRunner::run()
+{
+    const auto self = shared_from_this();
+    responder_.onGone([weak = weak_from_this()] {
+        if (const auto runner = weak.lock()) {
+            runner->callerGone();
+        }
+    });
+    if (plan_.once) {
+        const bool proceed = co_await beginOnce();
+        if (!proceed) {
+            co_return;
+        }
+    }
+    const auto executor = co_await asio::this_coro::executor;
+    const Dispatcher::Decisions decisions(executor);
+    ticket_ = context_.dispatcher.submit({plan_.facts, plan_.callerId}, decisions, executor,
+                                         [weak = weak_from_this()] {
+                                             if (const auto runner = weak.lock()) {
+                                                 runner->abandon();
+                                             }
+                                         });
+    if (callerGone_) {
+        ticket_->cancel();
+    }
+    auto step = Step::Continue;
+    while (step == Step::Continue) {
+        const auto effect = co_await decisions.pop();
+        step = co_await handle(*effect);
+    }
+    if (ledgerAttempt_ && !ledgerDispatch_) {
+        co_await context_.ledger.abandonedBeforeDispatch(*ledgerAttempt_);
+    }
+}
+
+asio::awaitable<CallRunner::Step> CallRunner::handle(const D::Effect &effect)
+{
+    if (const auto *dispatch = std::get_if<D::Dispatch>(&effect)) {
+        co_return co_await runAtEndpoint(*dispatch);
+    }
+    if (const auto *forward = std::get_if<D::Forward>(&effect)) {
+        co_return co_await runAtRegion(*forward);
+    }
+    if (const auto *refusal = std::get_if<D::Refuse>(&effect)) {
+        co_await refuse(*refusal);
+        co_return Step::Ended;
+    }
+    // Dropped: the caller has left, or has replaced this request by another one.
+    context_.metrics.cancelled.add();
+    if (!callerGone_) {
+        Entry::Problem problem;
+        problem.status = 409;
+        problem.code = Common::ErrorCode::Cancelled;
+        problem.detail = "a later request has superseded this one";
+        co_await answerProblem(std::move(problem));
+    }
+    co_return Step::Ended;
+}
+
+asio::awaitable<bool> CallRunner::beginOnce()
+{
+    const auto key = L::IdempotencyKey::parse(plan_.once->key);
+    if (!key) {
+        co_await offerKey("the request is not repeatable and needs a key that this system issued");
+        co_return false;
+    }
+    L::Submission submission;
+    submission.key = *key;
+    submission.customer = plan_.customer;
+    submission.bodyFingerprint = plan_.once->bodyFingerprint;
+    submission.orderFingerprint = plan_.once->orderFingerprint;
+    submission.duplicateIntended = plan_.once->duplicateIntended;
+    submission.deadline = plan_.deadline;
+    const auto outcome = co_await context_.ledger.begin(submission);
+    if (const auto *proceed = std::get_if<L::Proceed>(&outcome)) {
+        ledgerAttempt_ = proceed->attempt;
+        co_return true;
+    }
+    if (const auto *replay = std::get_if<L::ReplayAnswer>(&outcome)) {
+        Common::Headers headers = {{"Content-Type", replay->answer->contentType},
+                                   {"Laburnumchute-Replayed", "true"}};
+        co_await responder_.whole(static_cast<unsigned>(replay->answer->status), std::move(headers),
+                                  replay->answer->body);
+    } else if (std::holds_alternative<L::StillRunning>(outcome)) {
+        Entry::Problem problem;
+        problem.status = 409;
+        problem.code = Common::ErrorCode::Conflict;
+        problem.detail = "a request with this key is still running";
+        problem.run = Common::RunState::Unknown;
+        problem.retryAfter = Common::seconds(1);
+        co_await answerProblem(std::move(problem));
+    } else if (const auto *refused = std::get_if<L::Refused>(&outcome)) {
+        co_await refuseOnce(*refused);
+    } else {
+        co_await runAtOwner(std::get<L::OwnedElsewhere>(outcome));
+    }
+    co_return false;
+}
+
+asio::awaitable<void> CallRunner::offerKey(std::string detail)
+{
+    const auto minted = co_await context_.ledger.mint(plan_.customer);
+    Entry::Problem problem;
+    problem.status = 428;
+    problem.code = Common::ErrorCode::InvalidArgument;
+    problem.detail = "Idempotency-Key: " + std::move(detail) + "; see " + std::string(KeysPath);
+    if (minted.key) {
+        problem.extra["idempotency_key"] = minted.key->text();
+    }
+    co_await answerProblem(std::move(problem));
+}
+
+asio::awaitable<void> CallRunner::refuseOnce(const L::Refused &refused)
+{
+    Entry::Problem problem;
+    problem.status = statusOf(refused.reason);
+    problem.code = Common::ErrorCode::Conflict;
+    problem.detail = "Idempotency-Key: " + std::string(L::toString(refused.reason));
+    problem.run = refused.run;
+    if (refused.earlierKey) {
+        problem.extra["earlier_idempotency_key"] = refused.earlierKey->text();
+    }
+    if (problem.status == 503) {
+        problem.retryAfter = Common::seconds(1);
+    }
+    co_await answerProblem(std::move(problem));
+}
+
+asio::awaitable<void> CallRunner::answerProblem(Entry::Problem problem)
+{
+    logRequest(Common::LogLevel::Info, plan_.callerId,
+               fmt::format("answered {} ({}): {}", problem.status, Common::toString(problem.run),
+                           problem.detail));
+    co_await responder_.problem(std::move(problem));
+}
+
+asio::awaitable<void> CallRunner::refuse(const D::Refuse &refusal)
+{
+    context_.metrics.refused.add();
+    Entry::Problem problem;
+    problem.status = statusOf(refusal.reason);
+    problem.code = codeOf(refusal.reason);
+    problem.detail = std::string(D::toString(refusal.reason));
+    problem.run = refusal.run;
+    if (refusal.retryAfter > Common::Duration::zero()) {
+        problem.retryAfter = refusal.retryAfter;
+    }
+    co_await answerProblem(std::move(problem));
+}
+
+Endpoints::EndpointRequest CallRunner::endpointRequest(const EndpointEntry &endpoint) const
+{
+    Endpoints::EndpointRequest request;
+    request.endpoint = endpoint.id;
+    request.address = endpoint.address;
+    request.request = plan_.facts.id;
+    request.method = plan_.method;
+    request.target = plan_.target;
+    request.headers = plan_.headers;
+    if (plan_.once) {
+        request.headers.push_back({"Idempotency-Key", plan_.once->key});
+    }
+    request.body = plan_.body;
+    request.eventStream = plan_.model.has_value();
+    request.mayReuseConnection = plan_.facts.repeatable;
+    return request;
+}
+
+asio::awaitable<CallRunner::Step> CallRunner::runAtEndpoint(const D::Dispatch &dispatch)
+{
+    const auto &endpoint = dispatch.endpoint;
+    const auto table = context_.table.share();
+    const auto found = table->endpoints.find(endpoint);
+    if (found == table->endpoints.end() || (callerGone_ && mayAbandon())) {
+        ticket_->finished(endpoint, callerGone_ ? D::Outcome::Cancelled : D::Outcome::NotStarted);
+        co_return callerGone_ ? Step::Ended : Step::Continue;
+    }
+    if (ledgerAttempt_) {
+        const auto permitted = co_await context_.ledger.dispatched(*ledgerAttempt_);
+        if (!permitted) {
+            ledgerAttempt_.reset();
+            ticket_->finished(endpoint, D::Outcome::Cancelled);
+            co_await answerProblem(Entry::problemOf(permitted.error(), Common::RunState::NotRun));
+            co_return Step::Ended;
+        }
+        ledgerDispatch_ = *permitted;
+    }
+    stream_ = std::make_unique<Endpoints::EndpointStream>(endpointRequest(found->second), pool_,
+                                                          context_.streamOptions);
+    auto head = co_await stream_->open();
+    if (!head) {
+        co_return co_await endpointFailed(head.error(), endpoint);
+    }
+    co_return co_await passAnswer(std::move(*head), endpoint);
+}
+
+asio::awaitable<CallRunner::Step> CallRunner::passAnswer(Endpoints::ResponseHead head,
+                                                         const Common::EndpointId &endpoint)
+{
+    const bool isStream = head.header("Content-Type").rfind("text/event-stream", 0) == 0;
+    if (plan_.model && isStream && !plan_.stream) {
+        whole_.emplace(*plan_.model);
+    }
+    kept_ = {static_cast<int>(head.status), head.header("Content-Type"), {}};
+    bool headSent = false;
+    std::uint64_t reported = 0;
+    while (true) {
+        auto piece = co_await stream_->next();
+        if (!piece) {
+            co_return co_await endpointFailed(piece.error(), endpoint);
+        }
+        if (!firstTokenSeen_) {
+            firstTokenSeen_ = true;
+            ticket_->firstToken(endpoint);
+            context_.metrics.firstToken.record(std::chrono::steady_clock::now() - startedAt_);
+        }
+        if (!headSent && !callerGone_) {
+            headSent = true;
+            co_await sendHead(head);
+        }
+        if (piece->last) {
+            co_return co_await completeAtEndpoint(endpoint);
+        }
+        constexpr std::uint64_t ReportEvery = 32;
+        if (stream_->events() >= reported + ReportEvery) {
+            reported = stream_->events();
+            ticket_->progress(endpoint, static_cast<std::int64_t>(reported));
+        }
+        co_await passPiece(std::move(piece->bytes));
+    }
+}
+
+asio::awaitable<bool> CallRunner::sendHead(const Endpoints::ResponseHead &head)
+{
+    if (whole_) {
+        co_return true;
+    }
+    Common::Headers headers;
+    for (const auto &header : head.headers) {
+        const bool hopByHop = Common::sameHeaderName(header.name, "Connection")
+                              || Common::sameHeaderName(header.name, "Transfer-Encoding")
+                              || Common::sameHeaderName(header.name, "Content-Length")
+                              || Common::sameHeaderName(header.name, "Keep-Alive")
+                              || Common::sameHeaderName(header.name, "X-Request-Id");
+        if (!hopByHop) {
+            headers.push_back(header);
+        }
+    }
+    co_return co_await responder_.head(head.status, std::move(headers));
+}
+
+asio::awaitable<bool> CallRunner::passPiece(std::string bytes)
+{
+    if (ledgerDispatch_ && kept_.body.size() + bytes.size() <= KeptAnswerLimitBytes) {
+        kept_.body += bytes;
+    }
+    if (whole_) {
+        const auto fed = whole_->feed(bytes);
+        if (!fed) {
+            logRequest(Common::LogLevel::Warning, plan_.callerId, fed.error().message);
+        }
+        co_return fed.has_value();
+    }
+    if (callerGone_) {
+        co_return false;
+    }
+    co_return co_await responder_.piece(std::move(bytes));
+}
+
+asio::awaitable<bool> CallRunner::sendEnd()
+{
+    if (callerGone_) {
+        co_return false;
+    }
+    if (whole_) {
+        Common::Headers headers = {{"Content-Type", "application/json"}};
+        co_return co_await responder_.whole(200, std::move(headers), whole_->body());
+    }
+    co_return co_await responder_.end();
+}
+
+asio::awaitable<CallRunner::Step> CallRunner::completeAtEndpoint(const Common::EndpointId &endpoint)
+{
+    context_.metrics.resumptions.add(static_cast<std::uint64_t>(stream_->resumptions()));
+    ticket_->finished(endpoint, D::Outcome::Completed);
+    if (ledgerDispatch_) {
+        if (whole_) {
+            kept_.contentType = "application/json";
+            kept_.body = whole_->body();
+        }
+        co_await context_.ledger.finished(*ledgerDispatch_, kept_);
+    }
+    const bool delivered = co_await sendEnd();
+    (delivered ? context_.metrics.completed : context_.metrics.cancelled).add();
+    co_return Step::Ended;
+}
+
+asio::awaitable<CallRunner::Step> CallRunner::endpointFailed(Endpoints::EndpointFailure failure,
+                                                             const Common::EndpointId &endpoint)
+{
+    context_.metrics.resumptions.add(static_cast<std::uint64_t>(stream_->resumptions()));
+    const bool notRun = failure.runState == Common::RunState::NotRun;
+    if (ledgerDispatch_) {
+        auto recording = notRun ? context_.ledger.notStarted(*ledgerDispatch_)
+                                : context_.ledger.lost(*ledgerDispatch_);
+        co_await std::move(recording);
+        if (notRun) {
+            ledgerDispatch_.reset();
+        }
+    }
+    if (stream_->aborted()) {
+        context_.metrics.cancelled.add();
+        ticket_->finished(endpoint, D::Outcome::Cancelled);
+        if (!callerGone_) {
+            Entry::Problem problem;
+            problem.status = 409;
+            problem.code = Common::ErrorCode::Cancelled;
+            problem.detail = "the request was superseded or withdrawn";
+            problem.run = Common::RunState::Unknown;
+            co_await answerProblem(std::move(problem));
+        }
+        co_return Step::Ended;
+    }
+    logRequest(Common::LogLevel::Warning, plan_.callerId,
+               fmt::format("failed on {} ({}): {}", endpoint, Common::toString(failure.runState),
+                           failure.message));
+    ticket_->finished(endpoint, outcomeOf(failure));
+    if (!responder_.started()) {
+        whole_.reset();
+        co_return Step::Continue;
+    }
+    // A part of the answer is with the caller already; another endpoint would begin anew.
+    context_.metrics.failed.add();
+    Entry::Problem problem;
+    problem.status = 502;
+    problem.code = Common::ErrorCode::Unavailable;
+    problem.detail = failure.message;
+    problem.run = Common::RunState::Unknown;
+    co_await answerProblem(std::move(problem));
+    co_return Step::Ended;
+}
+
+Peers::ForwardedRequest CallRunner::makeForwarded(bool toKeyOwner) const
+{
+    Peers::ForwardedRequest request;
+    request.request = plan_.callerId;
+    request.customer = plan_.customer;
+    request.method = arrival_.method;
+    request.target = arrival_.target;
+    request.headers = arrival_.headers;
+    request.body = arrival_.body;
+    request.fromRegion = context_.home;
+    if (arrival_.forwarded) {
+        request.visited = arrival_.forwarded->visited;
+    }
+    request.visited.push_back(context_.self);
+    const auto left = std::chrono::duration_cast<Common::milliseconds>(
+        plan_.deadline - std::chrono::steady_clock::now());
+    request.deadlineMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
+    request.toKeyOwner = toKeyOwner;
+    return request;
+}
+
+asio::awaitable<std::optional<Peers::AnswerFailure>> CallRunner::passFrom(const PeerEntry &peer,
+                                                                          bool toKeyOwner)
+{
+    outgoing_ = peer.channel->open(makeForwarded(toKeyOwner), co_await asio::this_coro::executor);
+    Common::Headers headers;
+    std::string wholeBody;
+    std::optional<unsigned> wholeStatus;
+    while (true) {
+        auto item = co_await outgoing_->next();
+        if (callerGone_ || !item) {
+            co_return std::nullopt;
+        }
+        if (auto *failure = std::get_if<Peers::AnswerFailure>(&*item)) {
+            co_return std::move(*failure);
+        }
+        if (auto *head = std::get_if<Peers::AnswerHead>(&*item)) {
+            if (ticket_) {
+                ticket_->firstToken({});
+            }
+            context_.metrics.firstToken.record(std::chrono::steady_clock::now() - startedAt_);
+            if (Common::findHeader(head->headers, "Content-Length") != nullptr) {
+                wholeStatus = head->status;
+                headers = std::move(head->headers);
+                std::erase_if(headers, [](const Common::Header &header) {
+                    return Common::sameHeaderName(header.name, "Content-Length");
+                });
+                continue;
+            }
+            co_await responder_.head(head->status, std::move(head->headers));
+        } else if (auto *piece = std::get_if<Peers::AnswerPiece>(&*item)) {
+            if (wholeStatus) {
+                wholeBody += piece->bytes;
+            } else {
+                co_await responder_.piece(std::move(piece->bytes));
+            }
+        } else {
+            auto sending = wholeStatus
+                               ? responder_.whole(*wholeStatus, headers, std::move(wholeBody))
+                               : responder_.end();
+            const bool sent = co_await std::move(sending);
+            (sent ? context_.metrics.completed : context_.metrics.cancelled).add();
+            co_return std::nullopt;
+        }
+    }
+}
+
+asio::awaitable<CallRunner::Step> CallRunner::runAtRegion(const D::Forward &forward)
+{
+    const auto table = context_.table.share();
+    const auto *peer = pickPeer(*table, forward.region);
+    if (peer == nullptr) {
+        ticket_->finished({}, D::Outcome::NotStarted);
+        co_return Step::Continue;
+    }
+    context_.metrics.away.add();
+    logRequest(Common::LogLevel::Debug, plan_.callerId, "forwarded to " + peer->id.text());
+    auto failure = co_await passFrom(*peer, false);
+    if (!failure) {
+        ticket_->finished({}, callerGone_ ? D::Outcome::Cancelled : D::Outcome::Completed);
+        co_return Step::Ended;
+    }
+    if (responder_.started()) {
+        ticket_->finished({}, D::Outcome::Failed);
+        co_await answerProblem(problemOf(*failure));
+        co_return Step::Ended;
+    }
+    const bool notRun = failure->run == Common::RunState::NotRun;
+    ticket_->finished({}, notRun ? D::Outcome::NotStarted : D::Outcome::Failed);
+    co_return Step::Continue;
+}
+
+asio::awaitable<void> CallRunner::runAtOwner(L::OwnedElsewhere owned)
+{
+    const auto table = context_.table.share();
+    const auto *peer = table->peer(owned.owner);
+    L::Refused refused;
+    refused.run = L::OwnerUnreachableClaim;
+    refused.reason = L::RefusalReason::OwnerUnreachable;
+    if (peer != nullptr && peer->incarnation > owned.incarnation) {
+        refused.reason = L::RefusalReason::IncarnationGone;
+        co_await refuseOnce(refused);
+        co_return;
+    }
+    const auto &allowed = plan_.facts.allowedRegions;
+    if (peer != nullptr
+        && std::find(allowed.begin(), allowed.end(), peer->region) == allowed.end()) {
+        Entry::Problem problem;
+        problem.status = 421;
+        problem.code = Common::ErrorCode::ResidencyRefused;
+        problem.detail =
+            "Idempotency-Key: its owner is in a region that the residency rule forbids";
+        problem.run = Common::RunState::Unknown;
+        problem.extra["entry"] = peer->httpAddress;
+        co_await answerProblem(std::move(problem));
+        co_return;
+    }
+    if (peer == nullptr || !peer->channel || arrival_.forwarded) {
+        co_await refuseOnce(refused);
+        co_return;
+    }
+    auto failure = co_await passFrom(*peer, true);
+    if (!failure) {
+        co_return;
+    }
+    auto problem = problemOf(*failure);
+    if (failure->code == Common::ErrorCode::Unavailable
+        && failure->run == Common::RunState::NotRun) {
+        // This sending did not reach the owner, but an earlier one under the key may have.
+        problem.run = L::OwnerUnreachableClaim;
+    }
+    co_await answerProblem(std::move(problem));
+}
+
+void CallRunner::callerGone()
+{
+    callerGone_ = true;
+    if (ticket_) {
+        ticket_->cancel();
+    }
+    if (outgoing_ && !plan_.once) {
+        outgoing_->cancel();
+    }
+    abandon();
+}
+
+void CallRunner::abandon()
+{
+    // An order that is under way is seen through: its caller will ask what became of it.
+    if (!stream_ || stream_->aborted() || !mayAbandon()) {
+        return;
+    }
+    stream_->abort();
+    cancelRemotely();
+}
+
+void CallRunner::cancelRemotely()
+{
+    if (!plan_.model) {
+        return;
+    }
+    // Engines notice a closed connection late; until then they generate for nobody.
+    auto cancel = [](std::shared_ptr<Endpoints::ConnectionPool> pool, std::string address,
+                     Common::RequestId request, Common::Duration timeout,
+                     RequestMetrics &metrics) -> asio::awaitable<void> {
+        const bool confirmed = co_await Endpoints::cancelAtEndpoint(
+            std::move(pool), std::move(address), std::move(request), timeout);
+        (confirmed ? metrics.cancelsConfirmed : metrics.cancelsUnconfirmed).add();
+    };
+    const auto &request = stream_->request();
+    asio::co_spawn(
+        pool_->executor(),
+        cancel(pool_, request.address, request.request, context_.cancelTimeout, context_.metrics),
+        asio::detached);
+}
+
+} // namespace LaburnumChute::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/CallRunner.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "Common/Common.h"
+#include "Decisions/Decisions.h"
+#include "Endpoints/Endpoints.h"
+#include "Entry/Entry.h"
+#include "Gateway/CallPlan.h"
+#include "Gateway/Dispatcher.h"
+#include "Gateway/LedgerDesk.h"
+#include "Gateway/Responder.h"
+#include "Gateway/RoutingTable.h"
+
+namespace LaburnumChute::Gateway {
+
+/// Measures of the path of a request.
+struct RequestMetrics
+{
+    explicit RequestMetrics(Common::MetricsRegistry &registry);
+
+    Common::Counter &completed;
+    Common::Counter &cancelled;
+    Common::Counter &refused;
+    Common::Counter &failed;
+    Common::Counter &cancelsConfirmed;
+    Common::Counter &cancelsUnconfirmed;
+    Common::Counter &resumptions;
+    Common::Counter &away;
+    Common::DurationHistogram &firstToken;
+};
+
+/// What runners share.
+struct RunnerContext
+{
+    Common::InstanceId self;
+    Common::RegionName home;
+    Dispatcher &dispatcher;
+    LedgerDesk &ledger;
+    const RoutingTableCell &table;
+    RequestMetrics &metrics;
+    Endpoints::EndpointStreamOptions streamOptions;
+    Common::Duration cancelTimeout;
+};
+
+/// Carries one planned request through: waits for decisions, sends it to an endpoint or another
+/// region, passes the answer back. Lives on the thread of its responder.
+class CallRunner : public std::enable_shared_from_this<CallRunner>
+{
+public:
+    CallRunner(const RunnerContext &context, std::shared_ptr<Endpoints::ConnectionPool> pool,
+               Arrival arrival, CallPlan plan, Responder responder);
+
+    asio::awaitable<void> run();
+
+private:
+    /// How an endpoint's or a region's try went on for the loop in run().
+    enum class Step { Ended, Continue };
+
+    asio::awaitable<bool> beginOnce();
+    asio::awaitable<Step> handle(const Decisions::Effect &effect);
+    asio::awaitable<Step> runAtEndpoint(const Decisions::Dispatch &dispatch);
+    asio::awaitable<Step> passAnswer(Endpoints::ResponseHead head,
+                                     const Common::EndpointId &endpoint);
+    asio::awaitable<Step> endpointFailed(Endpoints::EndpointFailure failure,
+                                         const Common::EndpointId &endpoint);
+    asio::awaitable<Step> completeAtEndpoint(const Common::EndpointId &endpoint);
+    asio::awaitable<bool> passPiece(std::string bytes);
+    asio::awaitable<bool> sendHead(const Endpoints::ResponseHead &head);
+    asio::awaitable<bool> sendEnd();
+
+    asio::awaitable<Step> runAtRegion(const Decisions::Forward &forward);
+    asio::awaitable<void> runAtOwner(Ledger::OwnedElsewhere owned);
+    /// Forwards the request and passes the answer on; the failure when nothing was passed on.
+    asio::awaitable<std::optional<Peers::AnswerFailure>> passFrom(const PeerEntry &peer,
+                                                                  bool toKeyOwner);
+    Peers::ForwardedRequest makeForwarded(bool toKeyOwner) const;
+
+    asio::awaitable<void> refuse(const Decisions::Refuse &refusal);
+    asio::awaitable<void> refuseOnce(const Ledger::Refused &refused);
+    asio::awaitable<void> answerProblem(Entry::Problem problem);
+    asio::awaitable<void> offerKey(std::string detail);
+
+    void callerGone();
+    /// Takes the request off its endpoint, unless it must not be stopped half-way.
+    void abandon();
+    void cancelRemotely();
+    Endpoints::EndpointRequest endpointRequest(const EndpointEntry &endpoint) const;
+    bool mayAbandon() const
+    {
+        return !ledgerDispatch_;
+    }
+
+    const RunnerContext &context_;
+    std::shared_ptr<Endpoints::ConnectionPool> pool_;
+    Arrival arrival_;
+    CallPlan plan_;
+    Responder responder_;
+    std::shared_ptr<const RoutingTable> table_;
+    std::unique_ptr<Dispatcher::Ticket> ticket_;
+    std::unique_ptr<Endpoints::EndpointStream> stream_;
+    std::unique_ptr<Peers::OutgoingCall> outgoing_;
+    std::optional<Ledger::Attempt> ledgerAttempt_;
+    std::optional<Ledger::Dispatch> ledgerDispatch_;
+    std::optional<Entry::WholeAnswer> whole_;
+    Ledger::KeptAnswer kept_;
+    Common::Time startedAt_;
+    bool firstTokenSeen_ = false;
+    bool callerGone_ = false;
+};
+
+} // namespace LaburnumChute::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/EndpointMonitor.cpp
@@ -0,0 +1,195 @@
+#include "Gateway/EndpointMonitor.h"
+
+#include <charconv>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+namespace LaburnumChute::Gateway {
+
+namespace {
+
+namespace D = LaburnumChute::Decisions;
+using nlohmann::json;
+
+constexpr std::size_t ReportLimitBytes = 256 * 1024;
+
+template <typename Number>
+Number numberOf(const json &document, const char *member)
+{
+    const auto found = document.find(member);
+    return found != document.end() && found->is_number() ? found->get<Number>() : Number();
+}
+
+Common::Duration millisecondsOf(const json &document, const char *member)
+{
+    return std::chrono::duration_cast<Common::Duration>(
+        std::chrono::duration<double, std::milli>(numberOf<double>(document, member)));
+}
+
+D::LoadReport reportOf(const json &document)
+{
+    D::LoadReport report;
+    report.running = numberOf<std::int64_t>(document, "running");
+    report.waiting = numberOf<std::int64_t>(document, "waiting");
+    report.batchLimit = numberOf<std::int64_t>(document, "batch_limit")
+                        + numberOf<std::int64_t>(document, "workers");
+    report.kvUsedTokens = numberOf<std::int64_t>(document, "kv_used_tokens");
+    report.kvLimitTokens = numberOf<std::int64_t>(document, "kv_limit_tokens");
+    report.stepTime = millisecondsOf(document, "step_ms");
+    report.prefillTokensPerSecond = numberOf<double>(document, "prefill_tokens_per_second");
+    report.age = millisecondsOf(document, "age_ms");
+    return report;
+}
+
+struct CacheEvent
+{
+    D::CacheOperation operation = D::CacheOperation::Stored;
+    std::uint64_t prefix = 0;
+    std::int64_t tokens = 0;
+};
+
+std::optional<CacheEvent> cacheEventOf(const json &document)
+{
+    const auto prefix = document.is_object() ? document.value("prefix", json()) : json();
+    if (!prefix.is_string()) {
+        return std::nullopt;
+    }
+    CacheEvent event;
+    const auto text = prefix.get<std::string>();
+    const auto *end = text.data() + text.size();
+    if (std::from_chars(text.data(), end, event.prefix, 16).ptr != end) {
+        return std::nullopt;
+    }
+    event.tokens = numberOf<std::int64_t>(document, "tokens");
+    event.operation = document.value("op", json()) == "evicted" ? D::CacheOperation::Evicted
+                                                                : D::CacheOperation::Stored;
+    return event;
+}
+
+} // namespace
+
+EndpointMonitor::EndpointMonitor(asio::io_context &context, EndpointMonitorOptions options,
+                                 Endpoints::ConnectionPoolOptions poolOptions,
+                                 Dispatcher &dispatcher)
+    : context_(context)
+    , options_(options)
+    , pool_(std::make_shared<Endpoints::ConnectionPool>(poolOptions, context.get_executor()))
+    , dispatcher_(dispatcher)
+{
+}
+
+void EndpointMonitor::watch(std::vector<Platform::ListedEndpoint> endpoints)
+{
+    asio::post(context_, [this, endpoints = std::move(endpoints)] {
+        std::map<Common::EndpointId, std::shared_ptr<Watched>> next;
+        for (const auto &endpoint : endpoints) {
+            const auto known = watched_.find(endpoint.id);
+            const bool same =
+                known != watched_.end() && known->second->endpoint.http == endpoint.http;
+            next[endpoint.id] =
+                same ? known->second : std::make_shared<Watched>(Watched{endpoint, 0, false});
+            if (!same) {
+                asio::co_spawn(context_, poll(next[endpoint.id]), asio::detached);
+            }
+        }
+        for (const auto &entry : watched_) {
+            const auto kept = next.find(entry.first);
+            entry.second->stopped = kept == next.end() || kept->second != entry.second;
+        }
+        watched_ = std::move(next);
+    });
+}
+
+asio::awaitable<void> EndpointMonitor::poll(std::shared_ptr<Watched> watched)
+{
+    auto nextCacheEvents = std::chrono::steady_clock::now();
+    while (!watched->stopped) {
+        co_await readLoad(watched);
+        const bool engine = watched->endpoint.kind == Platform::EndpointKind::Engine;
+        if (engine && std::chrono::steady_clock::now() >= nextCacheEvents) {
+            nextCacheEvents = std::chrono::steady_clock::now() + options_.cacheEventInterval;
+            co_await readCacheEvents(watched);
+        }
+        co_await Async::sleepFor(options_.loadInterval);
+    }
+}
+
+asio::awaitable<Common::Result<std::string>> EndpointMonitor::get(const Watched &watched,
+                                                                  std::string target)
+{
+    Endpoints::EndpointRequest request;
+    request.endpoint = watched.endpoint.id;
+    request.address = watched.endpoint.http;
+    request.request = Common::RequestId("load-report");
+    request.method = "GET";
+    request.target = std::move(target);
+    Endpoints::EndpointStreamOptions streamOptions;
+    streamOptions.serviceTimeout = options_.timeout;
+    Endpoints::EndpointStream stream(std::move(request), pool_, streamOptions);
+    const auto head = co_await stream.open();
+    if (!head) {
+        co_return Common::makeError(head.error().code, head.error().message);
+    }
+    std::string body;
+    while (body.size() <= ReportLimitBytes) {
+        auto piece = co_await stream.next();
+        if (!piece) {
+            co_return Common::makeError(piece.error().code, piece.error().message);
+        }
+        body += piece->bytes;
+        if (piece->last) {
+            co_return body;
+        }
+    }
+    co_return Common::makeError(Common::ErrorCode::TooLarge, "the report is too large");
+}
+
+asio::awaitable<void> EndpointMonitor::readLoad(std::shared_ptr<Watched> watched)
+{
+    const bool engine = watched->endpoint.kind == Platform::EndpointKind::Engine;
+    const auto body = co_await get(*watched, engine ? "/v1/load" : "/load");
+    if (!body) {
+        Common::log(Common::LogType::Endpoints, Common::LogLevel::Debug, "no load report: {}",
+                    body.error().message);
+        co_return;
+    }
+    const auto document = json::parse(*body, nullptr, false);
+    if (!document.is_object()) {
+        co_return;
+    }
+    dispatcher_.command([id = watched->endpoint.id,
+                         report = reportOf(document)](D::Scheduler &scheduler, Common::Time now) {
+        return scheduler.reportLoad(id, report, now);
+    });
+}
+
+asio::awaitable<void> EndpointMonitor::readCacheEvents(std::shared_ptr<Watched> watched)
+{
+    const auto body =
+        co_await get(*watched, fmt::format("/v1/cache-events?after={}", watched->lastCacheEvent));
+    const auto document = body ? json::parse(*body, nullptr, false) : json();
+    if (!document.is_object() || !document.contains("events") || !document["events"].is_array()) {
+        co_return;
+    }
+    std::vector<CacheEvent> events;
+    for (const auto &entry : document["events"]) {
+        if (const auto event = cacheEventOf(entry)) {
+            events.push_back(*event);
+        }
+    }
+    watched->lastCacheEvent = numberOf<std::uint64_t>(document, "latest");
+    dispatcher_.command([id = watched->endpoint.id,
+                         events = std::move(events)](D::Scheduler &scheduler, Common::Time now) {
+        D::Effects effects;
+        for (const auto &event : events) {
+            auto more = scheduler.cacheEvent(id, event.operation, event.prefix, event.tokens, now);
+            effects.insert(effects.end(), more.begin(), more.end());
+        }
+        return effects;
+    });
+}
+
+} // namespace LaburnumChute::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -0,0 +1,355 @@
+#include "Gateway/Gateway.h"
+
+#include <random>
+#include <sstream>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace LaburnumChute::Gateway {
+
+namespace {
+
+namespace D = LaburnumChute::Decisions;
+namespace L = LaburnumChute::Ledger;
+using nlohmann::json;
+
+constexpr Common::LogType Part = Common::LogType::Gateway;
+constexpr std::size_t InnerThreads = 2;
+constexpr std::size_t ControlContext = 0;
+constexpr std::size_t ChannelContext = 1;
+constexpr Common::milliseconds HousekeepingInterval{1000};
+constexpr Common::milliseconds QuietInterval{50};
+constexpr Common::milliseconds HandoverTimeout{2000};
+constexpr const char *HandoverSubject = "ledger-handover";
+constexpr const char *HintsSubject = "order-hints";
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+Common::Incarnation newIncarnation()
+{
+    return Common::toUnixMilliseconds(std::chrono::system_clock::now());
+}
+
+template <typename Value>
+std::string encode(const Value &value)
+{
+    std::ostringstream stream(std::ios::binary);
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(value);
+    return stream.str();
+}
+
+template <typename Value>
+Common::Result<Value> decode(const std::string &bytes)
+{
+    std::istringstream stream(bytes, std::ios::binary);
+    try {
+        cereal::PortableBinaryInputArchive archive(stream);
+        Value value;
+        archive(value);
+        return value;
+    } catch (const std::exception &error) {
+        return Common::makeError(Common::ErrorCode::ProtocolViolation, error.what());
+    }
+}
+
+D::Scheduler makeScheduler(const GatewayOptions &options)
+{
+    return D::Scheduler(options.scheduler, options.instance, options.region, randomNumber());
+}
+
+L::Ledger makeLedger(const GatewayOptions &options, Common::Incarnation incarnation)
+{
+    L::LedgerIdentity identity;
+    identity.instance = options.instance;
+    identity.incarnation = incarnation;
+    identity.secret = randomNumber();
+    identity.start = std::chrono::steady_clock::now();
+    return L::Ledger(L::LedgerOptions(), identity);
+}
+
+} // namespace
+
+Gateway::Gateway(GatewayOptions options)
+    : options_(std::move(options))
+    , incarnation_(newIncarnation())
+    , table_(std::make_shared<const RoutingTable>())
+    , callers_(static_cast<std::size_t>(options_.threads))
+    , inner_(InnerThreads)
+    , channelPool_(std::make_shared<Endpoints::ConnectionPool>(
+          options_.pool, inner_.at(ChannelContext).get_executor()))
+    , requestMetrics_(metrics_)
+    , dispatcher_(inner_.at(ControlContext), makeScheduler(options_), metrics_)
+    , ledger_(inner_.at(ControlContext), makeLedger(options_, incarnation_))
+    , monitor_(inner_.at(ChannelContext),
+               EndpointMonitorOptions{options_.loadInterval, options_.cacheEventInterval,
+                                      Common::milliseconds(1000)},
+               options_.pool, dispatcher_)
+    , runnerContext_{options_.instance, options_.region, dispatcher_,           ledger_, table_,
+                     requestMetrics_,   options_.stream, options_.cancelTimeout}
+    , requests_(
+          runnerContext_, [this] { return poolOfThread(); }, options_.adviceLifetime)
+    , signals_(inner_.at(ControlContext), SIGTERM, SIGINT)
+{
+    for (std::size_t index = 0; index < callers_.size(); ++index) {
+        pools_.push_back(std::make_shared<Endpoints::ConnectionPool>(
+            options_.pool, callers_.at(index).get_executor()));
+    }
+}
+
+Gateway::~Gateway()
+{
+    callers_.stop();
+    inner_.stop();
+}
+
+std::shared_ptr<Endpoints::ConnectionPool> Gateway::poolOfThread() const
+{
+    return pools_.at(Async::IoPool::currentIndex());
+}
+
+void Gateway::buildServers()
+{
+    callerServer_ = std::make_unique<Entry::HttpServer>(
+        callers_, options_.http,
+        [this](Entry::Exchange &exchange) { return requests_.serve(exchange); });
+    OperatorHandler::Actions actions;
+    actions.dump = [this] { return dump(); };
+    actions.configurationContent = [this] { return cluster_->node().configuration().content; };
+    actions.drain = [this] { beginDrain(); };
+    operators_ = std::make_unique<OperatorHandler>(inner_.at(ControlContext), dispatcher_, table_,
+                                                   metrics_, std::move(actions));
+    operatorServer_ = std::make_unique<Entry::HttpServer>(
+        callers_, options_.http,
+        [this](Entry::Exchange &exchange) { return operators_->serve(exchange); });
+    channelServer_ = std::make_unique<Peers::ChannelServer>(
+        inner_.at(ChannelContext), options_.channel, Peers::Hello{options_.instance, incarnation_},
+        [this](std::shared_ptr<Peers::IncomingCall> call) { return servePeer(std::move(call)); });
+}
+
+Common::Result<void> Gateway::buildCluster(Cluster::MemberInfo self)
+{
+    const auto local = Peers::parseUdpAddress(Cluster::Address(options_.gossipAddress));
+    if (!local) {
+        return tl::unexpected(local.error());
+    }
+    auto socket = std::make_unique<Peers::GossipSocket>(
+        inner_.at(ControlContext).get_executor(),
+        [this](const Cluster::Address &from, const Cluster::GossipMessage &message) {
+            cluster_->receive(from, message);
+        });
+    if (auto opened = socket->open(*local); !opened) {
+        return opened;
+    }
+    std::ostringstream bound;
+    bound << socket->localEndpoint();
+    self.gossipAddress = Cluster::Address(bound.str());
+
+    ClusterRunnerOptions clusterOptions;
+    clusterOptions.configurationService = options_.configurationService;
+    clusterOptions.instanceList = options_.instanceList;
+    clusterOptions.instanceListInterval = options_.instanceListInterval;
+    clusterOptions.channel = options_.channel;
+    cluster_ = std::make_unique<ClusterRunner>(inner_.at(ControlContext), inner_.at(ChannelContext),
+                                               clusterOptions, self, std::move(socket), table_,
+                                               dispatcher_, metrics_);
+    return {};
+}
+
+Common::Result<std::string> Gateway::start()
+{
+    buildServers();
+    const auto http = callerServer_->listen(options_.httpAddress);
+    const auto operators = operatorServer_->listen(options_.operatorAddress);
+    const auto channel = channelServer_->listen(options_.channelAddress);
+    for (const auto *bound : {&http, &operators, &channel}) {
+        if (!*bound) {
+            return tl::unexpected(bound->error());
+        }
+    }
+    Cluster::MemberInfo self;
+    self.id = options_.instance;
+    self.region = options_.region;
+    self.failureDomain = options_.failureDomain;
+    self.incarnation = incarnation_;
+    self.httpAddress = Cluster::Address(*http);
+    self.channelAddress = Cluster::Address(*channel);
+    if (const auto built = buildCluster(self); !built) {
+        return tl::unexpected(built.error());
+    }
+    auto &control = inner_.at(ControlContext);
+    asio::post(control, [this] {
+        cluster_->start([this](const RoutingTable &) {
+            std::vector<Platform::ListedEndpoint> endpoints;
+            for (const auto &endpoint : cluster_->listedEndpoints()) {
+                if (endpoint.region == options_.region) {
+                    endpoints.push_back(endpoint);
+                }
+            }
+            monitor_.watch(std::move(endpoints));
+        });
+    });
+    asio::co_spawn(control, waitForSignal(), asio::detached);
+    asio::co_spawn(control, housekeeping(), asio::detached);
+    callers_.start();
+    inner_.start();
+    Common::log(Part, Common::LogLevel::Info, "instance {} of region {} serves callers at {}",
+                options_.instance, options_.region, *http);
+    const json line = {{"instance", options_.instance.text()},
+                       {"http", *http},
+                       {"operator", *operators},
+                       {"gossip", cluster_->node().self().gossipAddress.text()},
+                       {"channel", *channel}};
+    return line.dump();
+}
+
+void Gateway::run()
+{
+    stopped_.get_future().wait();
+    callers_.stop();
+    inner_.stop();
+}
+
+asio::awaitable<void> Gateway::waitForSignal()
+{
+    boost::system::error_code error;
+    co_await signals_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    beginDrain();
+}
+
+void Gateway::beginDrain()
+{
+    if (!draining_.exchange(true)) {
+        asio::co_spawn(inner_.at(ControlContext), drain(), asio::detached);
+    }
+}
+
+bool Gateway::quiet() const
+{
+    return callerServer_->exchanges() == 0 && channelServer_->calls() == 0;
+}
+
+asio::awaitable<void> Gateway::drain()
+{
+    // Callers keep the advice of /v1/entries for its lifetime, and other instances learn of the
+    // leaving within seconds; until then requests still arrive and are served. Closing the
+    // listener first would turn them away.
+    Common::log(Part, Common::LogLevel::Info, "this instance leaves");
+    cluster_->announceLeaving();
+    ledger_.ledger().close();
+    co_await Async::sleepFor(options_.drainNotice);
+    callerServer_->drain();
+    callerServer_->stopAccepting();
+    const auto giveUp = std::chrono::steady_clock::now() + options_.drainTimeout;
+    while (!quiet() && std::chrono::steady_clock::now() < giveUp) {
+        co_await Async::sleepFor(QuietInterval);
+    }
+    co_await handOverLedger();
+    Common::log(Part, Common::LogLevel::Info, "stopped with {} requests in flight",
+                callerServer_->exchanges() + channelServer_->calls());
+    stopped_.set_value();
+}
+
+asio::awaitable<void> Gateway::handOverLedger()
+{
+    const auto table = table_.share();
+    std::vector<Common::InstanceId> candidates;
+    for (const auto &entry : table->peers) {
+        if (entry.second.usable && entry.second.channel && entry.second.region == options_.region) {
+            candidates.push_back(entry.first);
+        }
+    }
+    const auto successor = L::successorOf(options_.instance, incarnation_, candidates);
+    const auto handover = ledger_.ledger().handOver(std::chrono::steady_clock::now());
+    if (!successor || !handover || handover->records.empty()) {
+        co_return;
+    }
+    const auto call =
+        table->peer(*successor)
+            ->channel->open(Peers::InternalRequest{HandoverSubject, encode(*handover)},
+                            inner_.at(ControlContext).get_executor());
+    const auto answer = co_await call->next(std::chrono::steady_clock::now() + HandoverTimeout);
+    const bool taken = answer && std::holds_alternative<Peers::AnswerHead>(*answer);
+    Common::log(Part, Common::LogLevel::Info, "handed {} records over to {}: {}",
+                handover->records.size(), *successor, taken ? "taken" : "not confirmed");
+}
+
+asio::awaitable<void> Gateway::servePeer(std::shared_ptr<Peers::IncomingCall> call)
+{
+    if (std::holds_alternative<Peers::InternalRequest>(call->request())) {
+        co_await serveInternal(std::move(call));
+    } else {
+        co_await requests_.serveForwarded(std::move(call), channelPool_);
+    }
+}
+
+asio::awaitable<void> Gateway::serveInternal(std::shared_ptr<Peers::IncomingCall> call)
+{
+    const auto &request = std::get<Peers::InternalRequest>(call->request());
+    const auto handover = decode<L::Handover>(request.body);
+    Common::Result<void> adopted =
+        Common::makeError(Common::ErrorCode::InvalidArgument, "the subject is not known");
+    if (request.subject == HandoverSubject && handover) {
+        adopted = co_await ledger_.adopt(*handover);
+    }
+    if (adopted) {
+        co_await call->send(Peers::AnswerHead{200, {}});
+        co_await call->send(Peers::AnswerEnd());
+    } else {
+        Peers::AnswerFailure failure;
+        failure.code = adopted.error().code;
+        failure.run = Common::RunState::NotRun;
+        failure.detail = adopted.error().message;
+        co_await call->send(std::move(failure));
+    }
+}
+
+asio::awaitable<void> Gateway::housekeeping()
+{
+    while (true) {
+        co_await Async::sleepFor(HousekeepingInterval);
+        const auto now = std::chrono::steady_clock::now();
+        ledger_.ledger().tick(now);
+        for (std::size_t index = 0; index < pools_.size(); ++index) {
+            asio::post(callers_.at(index), [pool = pools_[index], now] { pool->expire(now); });
+        }
+        asio::post(inner_.at(ChannelContext), [pool = channelPool_, now] { pool->expire(now); });
+    }
+}
+
+json Gateway::dump() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto table = table_.share();
+    json peers = json::object();
+    for (const auto &entry : table->peers) {
+        peers[entry.first.text()] = {{"region", entry.second.region.text()},
+                                     {"usable", entry.second.usable},
+                                     {"incarnation", entry.second.incarnation}};
+    }
+    return {{"instance", options_.instance.text()},
+            {"region", options_.region.text()},
+            {"incarnation", incarnation_},
+            {"draining", draining_.load()},
+            {"connections", callerServer_->connections()},
+            {"requests_in_flight", callerServer_->exchanges()},
+            {"forwarded_in_flight", channelServer_->calls()},
+            {"peers", peers},
+            {"platform", cluster_->dump()},
+            {"decisions", dispatcher_.scheduler().dump(now)},
+            {"ledger", ledger_.ledger().dump(now)}};
+}
+
+} // namespace LaburnumChute::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/Gateway.h
@@ -0,0 +1,81 @@
+#pragma once
+
+// Public header of the library Gateway: one entry instance, put together from all other libraries.
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "Async/Async.h"
+#include "Common/Common.h"
+#include "Gateway/CallRunner.h"
+#include "Gateway/ClusterRunner.h"
+#include "Gateway/Dispatcher.h"
+#include "Gateway/EndpointMonitor.h"
+#include "Gateway/GatewayOptions.h"
+#include "Gateway/LedgerDesk.h"
+#include "Gateway/OperatorHandler.h"
+#include "Gateway/RequestHandler.h"
+#include "Gateway/RoutingTable.h"
+
+namespace LaburnumChute::Gateway {
+
+/// One entry instance: owns the threads, builds the parts, and shuts them down.
+class Gateway
+{
+public:
+    explicit Gateway(GatewayOptions options);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    /// Binds all addresses and starts serving. Returns the addresses bound, as one JSON line.
+    Common::Result<std::string> start();
+    /// Serves until SIGTERM or SIGINT, or an operator's drain, then shuts down without cutting off
+    /// a request in flight, within the drain timeout.
+    void run();
+
+private:
+    asio::awaitable<void> waitForSignal();
+    asio::awaitable<void> drain();
+    void beginDrain();
+    bool quiet() const;
+    asio::awaitable<void> handOverLedger();
+    asio::awaitable<void> housekeeping();
+    asio::awaitable<void> serveInternal(std::shared_ptr<Peers::IncomingCall> call);
+    asio::awaitable<void> servePeer(std::shared_ptr<Peers::IncomingCall> call);
+    std::shared_ptr<Endpoints::ConnectionPool> poolOfThread() const;
+    nlohmann::json dump() const;
+    Common::Result<void> buildCluster(Cluster::MemberInfo self);
+    void buildServers();
+
+    GatewayOptions options_;
+    Common::Incarnation incarnation_;
+    Common::MetricsRegistry metrics_;
+    RoutingTableCell table_;
+    Async::IoPool callers_;
+    /// One thread for all decisions and the cluster, one for the channels between instances.
+    Async::IoPool inner_;
+    std::vector<std::shared_ptr<Endpoints::ConnectionPool>> pools_;
+    std::shared_ptr<Endpoints::ConnectionPool> channelPool_;
+    RequestMetrics requestMetrics_;
+    Dispatcher dispatcher_;
+    LedgerDesk ledger_;
+    EndpointMonitor monitor_;
+    RunnerContext runnerContext_;
+    RequestHandler requests_;
+    std::unique_ptr<OperatorHandler> operators_;
+    std::unique_ptr<Entry::HttpServer> callerServer_;
+    std::unique_ptr<Entry::HttpServer> operatorServer_;
+    std::unique_ptr<Peers::ChannelServer> channelServer_;
+    std::unique_ptr<ClusterRunner> cluster_;
+    std::atomic<bool> draining_{false};
+    std::promise<void> stopped_;
+    asio::signal_set signals_;
+};
+
+} // namespace LaburnumChute::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/GatewayOptions.cpp
@@ -0,0 +1,269 @@
+#include "Gateway/GatewayOptions.h"
+
+namespace LaburnumChute::Gateway {
+
+namespace {
+
+using Common::milliseconds;
+using Common::Setting;
+
+constexpr const char *Identity = "identity";
+constexpr const char *Addresses = "addresses";
+constexpr const char *Platform = "platform";
+constexpr const char *Callers = "callers";
+constexpr const char *EndpointsPart = "endpoints";
+constexpr const char *Logs = "logs";
+constexpr const char *Shutdown = "shutdown";
+constexpr const char *DecisionsPart = "decisions";
+
+constexpr const char *AnyName = "a name";
+constexpr const char *AnyAddress = "an address of the form ip:port";
+constexpr const char *AnyDuration = "a duration above zero such as 250ms or 2s";
+
+bool isAddress(const std::string &text)
+{
+    return text.empty() || Endpoints::parseAddress(text).has_value();
+}
+
+bool isPositive(const milliseconds &time)
+{
+    return time.count() > 0;
+}
+
+const Setting<std::string> InstanceIdSetting{"instance-id", Identity, "", "Name of this instance",
+                                             AnyName};
+const Setting<std::string> RegionSetting{"region", Identity, "", "Region it runs in", AnyName};
+const Setting<std::string> DomainSetting{"failure-domain", Identity, "",
+                                         "Failure domain it runs in", AnyName};
+
+const Setting<std::string> HttpSetting{"http-address",   Addresses,
+                                       "127.0.0.1:8080", "Where callers are served",
+                                       AnyAddress,       &isAddress};
+const Setting<std::string> OperatorSetting{"operator-address", Addresses,
+                                           "127.0.0.1:8081",   "Where operators are answered",
+                                           AnyAddress,         &isAddress};
+const Setting<std::string> GossipSetting{"gossip-address", Addresses,
+                                         "127.0.0.1:8082", "UDP address for other instances",
+                                         AnyAddress,       &isAddress};
+const Setting<std::string> ChannelSetting{"channel-address", Addresses,
+                                          "127.0.0.1:8083",  "TCP address for other instances",
+                                          AnyAddress,        &isAddress};
+
+const Setting<std::string> ConfigurationSetting{"configuration-service",
+                                                Platform,
+                                                "",
+                                                "Address of the configuration service",
+                                                AnyAddress,
+                                                &isAddress};
+const Setting<std::string> InstanceListSetting{
+    "instance-list", Platform, "", "Address of the instance list", AnyAddress, &isAddress};
+const Setting<std::string> WeightStoreSetting{
+    "weight-store", Platform, "", "Address of the weight store", AnyAddress, &isAddress};
+const Setting<milliseconds> ListIntervalSetting{"instance-list-interval",
+                                                Platform,
+                                                milliseconds(1000),
+                                                "Time between reads of the instance list",
+                                                AnyDuration,
+                                                &isPositive};
+
+const Setting<milliseconds> IdleSetting{
+    "caller-idle-timeout", Callers,
+    milliseconds(60000),   "Time for a caller to send its next request",
+    AnyDuration,           &isPositive};
+const Setting<milliseconds> BodySetting{"caller-body-timeout", Callers,
+                                        milliseconds(15000),   "Time for a caller to send a body",
+                                        AnyDuration,           &isPositive};
+const Setting<milliseconds> WriteSetting{"caller-write-timeout",
+                                         Callers,
+                                         milliseconds(30000),
+                                         "Time for a caller to take what was written",
+                                         AnyDuration,
+                                         &isPositive};
+const Setting<std::int64_t> BodyLimitSetting{
+    "caller-body-limit",
+    Callers,
+    4194304,
+    "Bytes of a request's body",
+    "a whole number from 1 to 8000000",
+    [](const std::int64_t &v) { return v > 0 && v <= 8000000; }};
+const Setting<std::int64_t> ConnectionLimitSetting{"caller-connection-limit",
+                                                   Callers,
+                                                   20000,
+                                                   "Connections of callers at once",
+                                                   "a whole number above 0",
+                                                   [](const std::int64_t &v) { return v > 0; }};
+const Setting<milliseconds> AdviceSetting{
+    "advice-lifetime",  Callers,
+    milliseconds(5000), "How long callers may keep the answer of /v1/entries",
+    AnyDuration,        &isPositive};
+
+const Setting<milliseconds> SilenceSetting{
+    "engine-silence-timeout",
+    EndpointsPart,
+    milliseconds(3000),
+    "Silence of an engine before a fresh connection is tried",
+    AnyDuration,
+    &isPositive};
+const Setting<milliseconds> ServiceTimeoutSetting{
+    "service-timeout",   EndpointsPart,
+    milliseconds(30000), "Longest wait for a plain service's answer",
+    AnyDuration,         &isPositive};
+const Setting<milliseconds> ConnectSetting{"endpoint-connect-timeout",
+                                           EndpointsPart,
+                                           milliseconds(1000),
+                                           "Time for a connection to an endpoint",
+                                           AnyDuration,
+                                           &isPositive};
+const Setting<milliseconds> CancelSetting{
+    "cancel-timeout",   EndpointsPart,
+    milliseconds(1000), "Wait for an engine to confirm a cancellation",
+    AnyDuration,        &isPositive};
+const Setting<milliseconds> LoadSetting{
+    "load-interval", EndpointsPart, milliseconds(250), "Time between load reports of one endpoint",
+    AnyDuration,     &isPositive};
+const Setting<milliseconds> CacheSetting{"cache-event-interval",
+                                         EndpointsPart,
+                                         milliseconds(500),
+                                         "Time between reads of one engine's cache events",
+                                         AnyDuration,
+                                         &isPositive};
+
+const Setting<std::string> LogLevelSetting{
+    "log-level",
+    Logs,
+    "info",
+    "Least level that is logged",
+    "debug, info, warning, error or off",
+    [](const std::string &v) { return Common::parseLogLevel(v).has_value(); }};
+const Setting<std::string> LogFormatSetting{
+    "log-format",    Logs,
+    "human",         "Form of log lines",
+    "human or json", [](const std::string &v) { return v == "human" || v == "json"; }};
+
+const Setting<milliseconds> DrainNoticeSetting{
+    "drain-notice",
+    Shutdown,
+    milliseconds(6000),
+    "Time in which callers move away before connections are closed after their answer",
+    AnyDuration,
+    &isPositive};
+const Setting<milliseconds> DrainTimeoutSetting{
+    "drain-timeout", Shutdown,   milliseconds(120000), "Longest wait for requests in flight",
+    AnyDuration,     &isPositive};
+
+const Setting<std::int64_t> ThreadsSetting{"threads",
+                                           "process",
+                                           2,
+                                           "Threads that serve requests",
+                                           "a whole number from 1 to 64",
+                                           [](const std::int64_t &v) { return v > 0 && v <= 64; }};
+
+const Setting<std::string> PolicySetting{
+    "routing-policy",
+    DecisionsPart,
+    "expected-cost",
+    "How an endpoint is chosen; all but the first are baselines that send at once",
+    "expected-cost, round-robin, least-in-flight or random-of-two",
+    [](const std::string &v) {
+        return v == "expected-cost" || v == "round-robin" || v == "least-in-flight"
+               || v == "random-of-two";
+    }};
+
+Decisions::SchedulerOptions schedulerOptions(const std::string &policy)
+{
+    if (policy == "round-robin") {
+        return Decisions::baselineOptions(Decisions::RoundRobinPolicy{});
+    }
+    if (policy == "least-in-flight") {
+        return Decisions::baselineOptions(Decisions::LeastInFlightPolicy{});
+    }
+    if (policy == "random-of-two") {
+        return Decisions::baselineOptions(Decisions::RandomOfTwoPolicy{});
+    }
+    Decisions::SchedulerOptions options;
+    // A second try beside a running one is not carried out by the runner yet.
+    options.retry.hedgeAfter = 0;
+    return options;
+}
+
+Common::Result<void> requireText(const Common::Settings &settings,
+                                 const Setting<std::string> &setting)
+{
+    if (settings.get(setting).empty()) {
+        return Common::makeError(Common::ErrorCode::InvalidArgument,
+                                 std::string("--") + setting.name
+                                     + ": the value is missing; expected " + setting.expected);
+    }
+    return {};
+}
+
+} // namespace
+
+void declareGatewaySettings(Common::Settings &settings)
+{
+    for (const auto *setting : {&InstanceIdSetting, &RegionSetting, &DomainSetting, &HttpSetting,
+                                &OperatorSetting, &GossipSetting, &ChannelSetting,
+                                &ConfigurationSetting, &InstanceListSetting, &WeightStoreSetting}) {
+        settings.declare(*setting);
+    }
+    settings.declare(ListIntervalSetting);
+    for (const auto *setting : {&IdleSetting, &BodySetting, &WriteSetting, &AdviceSetting}) {
+        settings.declare(*setting);
+    }
+    settings.declare(BodyLimitSetting);
+    settings.declare(ConnectionLimitSetting);
+    for (const auto *setting : {&SilenceSetting, &ServiceTimeoutSetting, &ConnectSetting,
+                                &CancelSetting, &LoadSetting, &CacheSetting}) {
+        settings.declare(*setting);
+    }
+    settings.declare(LogLevelSetting);
+    settings.declare(LogFormatSetting);
+    settings.declare(DrainNoticeSetting);
+    settings.declare(DrainTimeoutSetting);
+    settings.declare(ThreadsSetting);
+    settings.declare(PolicySetting);
+}
+
+Common::Result<GatewayOptions> readGatewayOptions(const Common::Settings &settings)
+{
+    for (const auto *setting : {&InstanceIdSetting, &RegionSetting, &DomainSetting,
+                                &ConfigurationSetting, &InstanceListSetting}) {
+        if (const auto given = requireText(settings, *setting); !given) {
+            return tl::unexpected(given.error());
+        }
+    }
+    GatewayOptions options;
+    options.instance = Common::InstanceId(settings.get(InstanceIdSetting));
+    options.region = Common::RegionName(settings.get(RegionSetting));
+    options.failureDomain = Common::FailureDomainName(settings.get(DomainSetting));
+    options.httpAddress = settings.get(HttpSetting);
+    options.operatorAddress = settings.get(OperatorSetting);
+    options.gossipAddress = settings.get(GossipSetting);
+    options.channelAddress = settings.get(ChannelSetting);
+    options.configurationService = settings.get(ConfigurationSetting);
+    options.instanceList = settings.get(InstanceListSetting);
+    options.weightStore = settings.get(WeightStoreSetting);
+    options.threads = settings.get(ThreadsSetting);
+    options.logLevel = *Common::parseLogLevel(settings.get(LogLevelSetting));
+    options.logFormat = settings.get(LogFormatSetting) == "json" ? Common::LogFormat::Json
+                                                                 : Common::LogFormat::Human;
+    options.instanceListInterval = settings.get(ListIntervalSetting);
+    options.loadInterval = settings.get(LoadSetting);
+    options.cacheEventInterval = settings.get(CacheSetting);
+    options.adviceLifetime = settings.get(AdviceSetting);
+    options.drainNotice = settings.get(DrainNoticeSetting);
+    options.drainTimeout = settings.get(DrainTimeoutSetting);
+    options.cancelTimeout = settings.get(CancelSetting);
+    options.http.idleTimeout = settings.get(IdleSetting);
+    options.http.bodyTimeout = settings.get(BodySetting);
+    options.http.writeTimeout = settings.get(WriteSetting);
+    options.http.bodyLimitBytes = static_cast<std::uint64_t>(settings.get(BodyLimitSetting));
+    options.http.connectionLimit = settings.get(ConnectionLimitSetting);
+    options.stream.silenceTimeout = settings.get(SilenceSetting);
+    options.stream.serviceTimeout = settings.get(ServiceTimeoutSetting);
+    options.pool.connectTimeout = settings.get(ConnectSetting);
+    options.scheduler = schedulerOptions(settings.get(PolicySetting));
+    return options;
+}
+
+} // namespace LaburnumChute::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/GatewayOptions.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <string>
+
+#include "Common/Common.h"
+#include "Decisions/Decisions.h"
+#include "Endpoints/Endpoints.h"
+#include "Entry/Entry.h"
+#include "Peers/Peers.h"
+
+namespace LaburnumChute::Gateway {
+
+/// All that a gateway instance is told by its settings.
+struct GatewayOptions
+{
+    Common::InstanceId instance;
+    Common::RegionName region;
+    Common::FailureDomainName failureDomain;
+    /// Where to listen, "ip:port"; port 0 takes a free one.
+    std::string httpAddress;
+    std::string operatorAddress;
+    std::string gossipAddress;
+    std::string channelAddress;
+    /// Services of the platform.
+    std::string configurationService;
+    std::string instanceList;
+    std::string weightStore;
+    std::int64_t threads = 0;
+    Common::LogLevel logLevel = Common::LogLevel::Info;
+    Common::LogFormat logFormat = Common::LogFormat::Human;
+
+    Common::milliseconds instanceListInterval{0};
+    Common::milliseconds loadInterval{0};
+    Common::milliseconds cacheEventInterval{0};
+    Common::milliseconds adviceLifetime{0};
+    Common::milliseconds drainNotice{0};
+    Common::milliseconds drainTimeout{0};
+    Common::milliseconds cancelTimeout{0};
+
+    Entry::HttpServerOptions http;
+    Endpoints::EndpointStreamOptions stream;
+    Endpoints::ConnectionPoolOptions pool;
+    Peers::ChannelOptions channel;
+    Decisions::SchedulerOptions scheduler;
+};
+
+/// Declares the settings of the verb "gateway".
+void declareGatewaySettings(Common::Settings &settings);
+
+/// The options that the parsed settings give; an error names the setting that is missing or wrong.
+Common::Result<GatewayOptions> readGatewayOptions(const Common::Settings &settings);
+
+} // namespace LaburnumChute::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/LedgerDesk.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "Async/Async.h"
+#include "Common/Common.h"
+#include "Ledger/Ledger.h"
+
+namespace LaburnumChute::Gateway {
+
+namespace asio = boost::asio;
+
+/// A fresh idempotency key and how long it may be used.
+struct MintedKey
+{
+    Common::Result<Ledger::IdempotencyKey> key;
+    Common::Duration lifetime{};
+};
+
+/// The one ledger of the instance, on the control context, asked from the threads of requests. Each
+/// function returns at once what is to be awaited; see Ledger::Ledger for what it does.
+///
+/// The functions are no coroutines themselves: gcc 12 destroys the captures of a closure twice when
+/// the closure is a temporary of a co_await expression.
+class LedgerDesk
+{
+public:
+    LedgerDesk(asio::io_context &control, Ledger::Ledger ledger);
+
+    asio::awaitable<MintedKey> mint(const Common::CustomerName &customer);
+    asio::awaitable<Ledger::BeginOutcome> begin(const Ledger::Submission &submission);
+    asio::awaitable<Common::Result<Ledger::Dispatch>> dispatched(const Ledger::Attempt &attempt);
+    asio::awaitable<Common::Result<void>> notStarted(const Ledger::Dispatch &dispatch);
+    asio::awaitable<Common::Result<void>> abandonedBeforeDispatch(const Ledger::Attempt &attempt);
+    asio::awaitable<Common::Result<void>> finished(const Ledger::Dispatch &dispatch,
+                                                   const Ledger::KeptAnswer &answer);
+    asio::awaitable<Common::Result<void>> lost(const Ledger::Dispatch &dispatch);
+    asio::awaitable<Ledger::KeyState> state(const Ledger::IdempotencyKey &key);
+    asio::awaitable<Common::Result<void>> adopt(const Ledger::Handover &handover);
+
+    /// Only from the control context.
+    Ledger::Ledger &ledger()
+    {
+        return ledger_;
+    }
+    const Ledger::Ledger &ledger() const
+    {
+        return ledger_;
+    }
+
+private:
+    template <typename Function>
+    auto ask(Function function)
+    {
+        return Async::runOn(control_, [this, function = std::move(function)]() mutable {
+            return function(ledger_, std::chrono::steady_clock::now());
+        });
+    }
+
+    asio::io_context &control_;
+    Ledger::Ledger ledger_;
+};
+
+} // namespace LaburnumChute::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/RequestHandler.cpp
@@ -0,0 +1,284 @@
+#include "Gateway/RequestHandler.h"
+
+#include <nlohmann/json.hpp>
+
+namespace LaburnumChute::Gateway {
+
+namespace {
+
+using nlohmann::json;
+namespace L = LaburnumChute::Ledger;
+
+constexpr std::string_view ChatPath = "/v1/chat/completions";
+constexpr std::string_view CompletionsPath = "/v1/completions";
+constexpr std::string_view ModelsPath = "/v1/models";
+constexpr std::string_view EntriesPath = "/v1/entries";
+constexpr std::string_view KeysPath = "/v1/idempotency-keys";
+constexpr std::string_view ServicesPrefix = "/services/";
+
+/// An instance of another region serves the caller too, but over the long link; a tenth of the
+/// weight leaves it as the way out when the own region's instances are gone.
+constexpr double HomeWeight = 1.0;
+constexpr double AwayWeight = 0.1;
+
+std::string_view pathOf(const std::string &target)
+{
+    return std::string_view(target).substr(0, target.find('?'));
+}
+
+Entry::Problem notFound(const std::string &target)
+{
+    Entry::Problem problem;
+    problem.status = 404;
+    problem.code = Common::ErrorCode::NotFound;
+    problem.detail = "there is nothing at " + target;
+    return problem;
+}
+
+Entry::Problem wrongMethod(std::string_view expected)
+{
+    Entry::Problem problem;
+    problem.status = 405;
+    problem.code = Common::ErrorCode::InvalidArgument;
+    problem.detail = "the method is not allowed here; expected " + std::string(expected);
+    return problem;
+}
+
+asio::awaitable<void> sendJson(Entry::Exchange &exchange, unsigned status, const json &document)
+{
+    Common::Headers headers = {{"Content-Type", "application/json"}};
+    co_await exchange.sendWhole(status, std::move(headers), document.dump());
+}
+
+// gcc 12 cannot compile nested initializer lists inside a coroutine; so documents are made here.
+
+json modelList(const RoutingTable &table)
+{
+    json data = json::array();
+    if (table.configuration) {
+        for (const auto &entry : table.configuration->tables().models) {
+            data.push_back({{"id", entry.first.text()},
+                            {"object", "model"},
+                            {"created", 0},
+                            {"owned_by", "laburnumchute"}});
+        }
+    }
+    return {{"object", "list"}, {"data", data}};
+}
+
+json entryAdvice(const RoutingTable &table, const Common::RegionName &home,
+                 Common::milliseconds lifetime)
+{
+    json entries = json::array();
+    for (const auto &entry : table.peers) {
+        const auto &peer = entry.second;
+        if (!peer.usable || peer.httpAddress.empty()) {
+            continue;
+        }
+        entries.push_back({{"id", peer.id.text()},
+                           {"region", peer.region.text()},
+                           {"address", peer.httpAddress},
+                           {"weight", peer.region == home ? HomeWeight : AwayWeight}});
+    }
+    return {{"lifetime_ms", lifetime.count()}, {"entries", entries}};
+}
+
+json mintedDocument(const MintedKey &minted, const Common::InstanceId &self)
+{
+    const auto lifetime = std::chrono::duration_cast<Common::milliseconds>(minted.lifetime);
+    return {
+        {"key", minted.key->text()}, {"entry", self.text()}, {"expires_in_ms", lifetime.count()}};
+}
+
+json keyDocument(const std::string &key, std::string_view state)
+{
+    return {{"key", key}, {"state", state}};
+}
+
+json foreignKeyDocument(const std::string &text, const L::IdempotencyKey &key,
+                        const RoutingTable &table)
+{
+    auto document = keyDocument(text, "unknown");
+    document["owner"] = key.owner.text();
+    const auto *owner = table.peer(key.owner);
+    if (owner != nullptr && owner->usable && owner->incarnation <= key.incarnation) {
+        document["entry"] = owner->httpAddress;
+    }
+    return document;
+}
+
+bool isLoop(const Peers::ForwardedRequest &forwarded, const Common::InstanceId &self)
+{
+    const auto &visited = forwarded.visited;
+    return visited.size() != 1 || visited.front() == self;
+}
+
+} // namespace
+
+RequestHandler::RequestHandler(const RunnerContext &context, PoolOfThread poolOfThread,
+                               Common::milliseconds adviceLifetime)
+    : context_(context)
+    , poolOfThread_(std::move(poolOfThread))
+    , adviceLifetime_(adviceLifetime)
+    , planner_(context.home)
+{
+}
+
+asio::awaitable<void> RequestHandler::serve(Entry::Exchange &exchange)
+{
+    const auto &request = exchange.request();
+    const auto path = pathOf(request.target);
+    if (path == ChatPath || path == CompletionsPath) {
+        if (request.method != "POST") {
+            co_await exchange.sendProblem(wrongMethod("POST"));
+            co_return;
+        }
+    } else if (path == ModelsPath) {
+        co_return co_await serveModels(exchange);
+    } else if (path == EntriesPath) {
+        co_return co_await serveEntries(exchange);
+    } else if (path.substr(0, KeysPath.size()) == KeysPath) {
+        co_return co_await serveKeys(exchange);
+    } else if (path.substr(0, ServicesPrefix.size()) != ServicesPrefix) {
+        co_await exchange.sendProblem(notFound(request.target));
+        co_return;
+    }
+    Arrival arrival;
+    arrival.id = exchange.id();
+    arrival.method = request.method;
+    arrival.target = request.target;
+    arrival.headers = request.headers;
+    arrival.body = request.body;
+    co_await serveCall(std::move(arrival), Responder(exchange), poolOfThread_());
+}
+
+asio::awaitable<void>
+RequestHandler::serveForwarded(std::shared_ptr<Peers::IncomingCall> call,
+                               std::shared_ptr<Endpoints::ConnectionPool> pool)
+{
+    const auto &forwarded = std::get<Peers::ForwardedRequest>(call->request());
+    Responder responder(call);
+    if (isLoop(forwarded, context_.self)) {
+        // Views of who is where differ between instances; a request that follows them could come
+        // back to where it was, and go round until its deadline.
+        Entry::Problem problem;
+        problem.status = 508;
+        problem.code = Common::ErrorCode::ProtocolViolation;
+        problem.detail = "the request has been forwarded before";
+        co_await responder.problem(std::move(problem));
+        co_return;
+    }
+    Arrival arrival;
+    arrival.id = forwarded.request;
+    arrival.method = forwarded.method;
+    arrival.target = forwarded.target;
+    arrival.headers = forwarded.headers;
+    arrival.body = forwarded.body;
+    arrival.forwarded = forwarded;
+    co_await serveCall(std::move(arrival), std::move(responder), std::move(pool));
+}
+
+PlanResult RequestHandler::plan(const Arrival &arrival, const RoutingTable &table) const
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto path = pathOf(arrival.target);
+    if (path.substr(0, ServicesPrefix.size()) == ServicesPrefix) {
+        return planner_.planServiceCall(arrival, table, now);
+    }
+    const auto kind =
+        path == ChatPath ? Entry::ModelCallKind::ChatCompletion : Entry::ModelCallKind::Completion;
+    return planner_.planModelCall(kind, arrival, table, now);
+}
+
+asio::awaitable<void> RequestHandler::serveCall(Arrival arrival, Responder responder,
+                                                std::shared_ptr<Endpoints::ConnectionPool> pool)
+{
+    const auto table = context_.table.share();
+    auto planned = plan(arrival, *table);
+    if (!planned) {
+        Common::logRequest(Common::LogType::Entry, Common::LogLevel::Info, arrival.id,
+                           "refused: {}", planned.error().detail);
+        co_await responder.problem(planned.error());
+        co_return;
+    }
+    const auto runner = std::make_shared<CallRunner>(context_, std::move(pool), std::move(arrival),
+                                                     std::move(*planned), std::move(responder));
+    co_await runner->run();
+}
+
+asio::awaitable<void> RequestHandler::serveModels(Entry::Exchange &exchange)
+{
+    const auto table = context_.table.share();
+    co_await sendJson(exchange, 200, modelList(*table));
+}
+
+asio::awaitable<void> RequestHandler::serveEntries(Entry::Exchange &exchange)
+{
+    const auto table = context_.table.share();
+    co_await sendJson(exchange, 200, entryAdvice(*table, context_.home, adviceLifetime_));
+}
+
+asio::awaitable<void> RequestHandler::serveKeys(Entry::Exchange &exchange)
+{
+    const auto &request = exchange.request();
+    const auto path = pathOf(request.target);
+    if (path.size() > KeysPath.size() + 1) {
+        if (request.method != "GET") {
+            co_await exchange.sendProblem(wrongMethod("GET"));
+            co_return;
+        }
+        co_await keyState(exchange, std::string(path.substr(KeysPath.size() + 1)));
+        co_return;
+    }
+    if (request.method != "POST") {
+        co_await exchange.sendProblem(wrongMethod("POST"));
+        co_return;
+    }
+    co_await mintKey(exchange);
+}
+
+asio::awaitable<void> RequestHandler::mintKey(Entry::Exchange &exchange)
+{
+    const auto table = context_.table.share();
+    const auto headers = Entry::parseCallerHeaders(exchange.request().headers);
+    if (!headers || !table->configuration) {
+        const auto error =
+            headers ? Common::Error{Common::ErrorCode::Unavailable, "no configuration is known yet"}
+                    : headers.error();
+        co_await exchange.sendProblem(Entry::problemOf(error, Common::RunState::NotRun));
+        co_return;
+    }
+    const auto customer = authenticate(*table->configuration, *headers);
+    if (!customer) {
+        auto problem = Entry::problemOf(customer.error(), Common::RunState::NotRun);
+        problem.status = 401;
+        co_await exchange.sendProblem(std::move(problem));
+        co_return;
+    }
+    const auto minted = co_await context_.ledger.mint(*customer);
+    if (!minted.key) {
+        auto problem = Entry::problemOf(minted.key.error(), Common::RunState::NotRun);
+        problem.retryAfter = Common::seconds(1);
+        co_await exchange.sendProblem(std::move(problem));
+        co_return;
+    }
+    co_await sendJson(exchange, 201, mintedDocument(minted, context_.self));
+}
+
+asio::awaitable<void> RequestHandler::keyState(Entry::Exchange &exchange, std::string keyText)
+{
+    const auto key = L::IdempotencyKey::parse(keyText);
+    if (!key) {
+        co_await exchange.sendProblem(Entry::problemOf(key.error(), Common::RunState::NotRun));
+        co_return;
+    }
+    const auto state = co_await context_.ledger.state(*key);
+    if (state != L::KeyState::Elsewhere) {
+        co_await sendJson(exchange, 200, keyDocument(keyText, L::toString(state)));
+        co_return;
+    }
+    const auto table = context_.table.share();
+    co_await sendJson(exchange, 200, foreignKeyDocument(keyText, *key, *table));
+}
+
+} // namespace LaburnumChute::Gateway
--- a/Source/Core/Peers/ChannelClient.cpp
+++ b/Source/Core/Peers/ChannelClient.cpp
@@ -90,6 +90,7 @@
     if (!ended_) {
         ended_ = true;
         client_->cancel(id_);
+        items_.close();
     }
 }
 
--- a/Source/Core/Peers/ChannelServer.h
+++ b/Source/Core/Peers/ChannelServer.h
@@ -106,7 +106,7 @@
         Common::Incarnation incarnation = 0;
         CallId call = 0;
 
-        auto operator<=>(const CallKey &) const = default;
+        auto operator<=>(const CallKey &) const = default; // NOLINT(modernize-use-nullptr)
     };
     struct Peer
     {
--- /dev/null
+++ b/Source/Core/Platform/HttpClient.cpp
@@ -0,0 +1,96 @@
+#include "Platform/HttpClient.h"
+
+#include <charconv>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace LaburnumChute::Platform {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr int HttpVersion = 11;
+
+Common::Result<tcp::endpoint> parseEndpoint(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    unsigned short port = 0;
+    const auto *start = address.data() + std::min(address.size(), colon + 1);
+    const auto *end = address.data() + address.size();
+    if (error || colon == std::string::npos || std::from_chars(start, end, port).ptr != end) {
+        return Common::makeError(Common::ErrorCode::InvalidArgument,
+                                 "\"" + address + "\" is no address of the form ip:port");
+    }
+    return tcp::endpoint(ip, port);
+}
+
+http::request<http::string_body> makeMessage(const HttpQuery &query)
+{
+    http::request<http::string_body> message(http::string_to_verb(query.method), query.target,
+                                             HttpVersion);
+    message.set(http::field::host, query.address);
+    message.set(http::field::connection, "close");
+    for (const auto &header : query.headers) {
+        message.insert(header.name, header.value);
+    }
+    message.body() = query.body;
+    message.prepare_payload();
+    return message;
+}
+
+auto unavailable(const HttpQuery &query, const boost::system::error_code &error)
+{
+    const auto code = error == http::error::body_limit ? Common::ErrorCode::TooLarge
+                                                       : Common::ErrorCode::Unavailable;
+    return Common::makeError(code, query.address + query.target + ": " + error.message());
+}
+
+} // namespace
+
+asio::awaitable<Common::Result<HttpAnswer>> fetch(HttpQuery query)
+{
+    const auto endpoint = parseEndpoint(query.address);
+    if (!endpoint) {
+        co_return tl::unexpected(endpoint.error());
+    }
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    boost::system::error_code error;
+    stream.expires_after(query.timeout);
+    co_await stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return unavailable(query, error);
+    }
+    const auto message = makeMessage(query);
+    co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return unavailable(query, error);
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(query.bodyLimitBytes);
+    co_await http::async_read(stream, buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return unavailable(query, error);
+    }
+    HttpAnswer answer;
+    answer.status = parser.get().result_int();
+    for (const auto &field : parser.get()) {
+        answer.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    answer.body = std::move(parser.get().body());
+    co_return answer;
+}
+
+} // namespace LaburnumChute::Platform
--- /dev/null
+++ b/Source/Core/Platform/Platform.h
@@ -0,0 +1,9 @@
+#pragma once
+
+// Public header of the library Platform: readers of the platform's services, which this system only
+// ever reads. See docs/PROTOCOLS.md.
+
+#include "Platform/ConfigurationReader.h"
+#include "Platform/HttpClient.h"
+#include "Platform/InstanceListReader.h"
+#include "Platform/WeightStoreReader.h"
--- /dev/null
+++ b/Source/Core/Platform/WeightStoreReader.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "Common/Common.h"
+#include "Platform/HttpClient.h"
+
+namespace LaburnumChute::Platform {
+
+struct WeightStoreLimits
+{
+    double loadsPerMinute = 0;
+    double megabitsPerSecond = 0;
+};
+
+/// Reads what the weight store allows. The weights themselves are fetched by the engines.
+class WeightStoreReader
+{
+public:
+    explicit WeightStoreReader(std::string address)
+        : address_(std::move(address))
+    {
+    }
+
+    asio::awaitable<Common::Result<WeightStoreLimits>> readLimits() const;
+
+private:
+    std::string address_;
+};
+
+} // namespace LaburnumChute::Platform
--- /dev/null
+++ b/Source/UnitTests/Entry/WholeAnswerTest.cpp
@@ -0,0 +1,50 @@
+#include <gtest/gtest.h>
+
+#include "Entry/Entry.h"
+
+namespace LaburnumChute::Entry {
+
+namespace {
+
+using nlohmann::json;
+
+TEST(WholeAnswerTest, ChunksBecomeOneChatCompletion)
+{
+    WholeAnswer answer(ModelCallKind::ChatCompletion);
+    ASSERT_TRUE(
+        answer.feed("id: 1\ndata: {\"id\":\"chatcmpl-1\",\"model\":\"m\",\"choices\":[{\"index\":0,"
+                    "\"delta\":{\"role\":\"assistant\",\"content\":\"For \"}}]}\n\n"));
+    ASSERT_TRUE(answer.feed("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"Aiko\"},"
+                            "\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"));
+    const auto document = json::parse(answer.body());
+    EXPECT_EQ(document["object"], "chat.completion");
+    EXPECT_EQ(document["id"], "chatcmpl-1");
+    EXPECT_EQ(document["choices"][0]["message"]["content"], "For Aiko");
+    EXPECT_EQ(document["choices"][0]["finish_reason"], "stop");
+}
+
+TEST(WholeAnswerTest, ArgumentsOfToolCallsAreJoined)
+{
+    WholeAnswer answer(ModelCallKind::ChatCompletion);
+    ASSERT_TRUE(
+        answer.feed("data: {\"choices\":[{\"index\":0,\"delta\":{\"tool_calls\":[{\"index\":"
+                    "0,\"id\":\"t\",\"function\":{\"name\":\"ticket\",\"arguments\":\"{\"}}]"
+                    "}}]}\n\n"));
+    ASSERT_TRUE(
+        answer.feed("data: {\"choices\":[{\"index\":0,\"delta\":{\"tool_calls\":[{\"index\":"
+                    "0,\"function\":{\"arguments\":\"}\"}}]}}]}\n\n"));
+    const auto call =
+        json::parse(answer.body())["choices"][0]["message"]["tool_calls"][0]["function"];
+    EXPECT_EQ(call["name"], "ticket");
+    EXPECT_EQ(call["arguments"], "{}");
+}
+
+TEST(WholeAnswerTest, EventThatIsNoObjectIsAnError)
+{
+    WholeAnswer answer(ModelCallKind::Completion);
+    EXPECT_FALSE(answer.feed("data: 7\n\n"));
+}
+
+} // namespace
+
+} // namespace LaburnumChute::Entry
