--- /dev/null
+++ b/Source/Core/Ledger/Ledger.cpp
@@ -0,0 +1,468 @@
+#include "Ledger/Ledger.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace LaburnumChute::Ledger {
+
+namespace {
+
+using Common::ErrorCode;
+using Common::RunState;
+
+Refused refuse(RunState run, RefusalReason reason)
+{
+    return Refused{run, reason, std::nullopt};
+}
+
+tl::unexpected<Common::Error> staleReport()
+{
+    return Common::makeError(ErrorCode::Conflict, "the attempt does not hold its key any more");
+}
+
+} // namespace
+
+Ledger::Ledger(LedgerOptions options, LedgerIdentity identity)
+    : options_(options)
+    , identity_(std::move(identity))
+    , hints_(options.duplicateWindow, options.maxDuplicateHints)
+    , adopted_(options.keptAnswerTime, options.maxAdoptedRecords, options.maxAdoptedAnswerBytes)
+{
+}
+
+Common::Result<IdempotencyKey> Ledger::mint(const Common::CustomerName &customer, Common::Time now)
+{
+    if (closed_) {
+        return Common::makeError(ErrorCode::Unavailable, "this instance is shutting down");
+    }
+    if (!hasRoom()) {
+        return Common::makeError(ErrorCode::Overloaded, "no room for another idempotency key");
+    }
+    IdempotencyKey key;
+    key.owner = identity_.instance;
+    key.incarnation = identity_.incarnation;
+    key.customer = customer;
+    key.sequence = ++lastSequence_;
+    key.issuedAfter = std::chrono::floor<Common::milliseconds>(now - identity_.start);
+    key.seal = key.expectedSeal(identity_.secret);
+    ++counts_.minted;
+    return key;
+}
+
+BeginOutcome Ledger::begin(const Submission &submission, Common::Time now)
+{
+    auto outcome = judge(submission, now);
+    if (std::holds_alternative<ReplayAnswer>(outcome)) {
+        ++counts_.replayed;
+    }
+    if (std::holds_alternative<Refused>(outcome)) {
+        ++counts_.refused;
+    }
+    return outcome;
+}
+
+BeginOutcome Ledger::judge(const Submission &submission, Common::Time now)
+{
+    const auto &key = submission.key;
+    if (key.customer != submission.customer) {
+        return refuse(RunState::NotRun, RefusalReason::OtherCustomer);
+    }
+    if (!ownKey(key)) {
+        return judgeForeign(submission);
+    }
+    // Nobody who was given a key comes here. Were two processes ever to start under one instance id
+    // in one millisecond, the key may be the other one's, so that "not run" would be a guess.
+    if (!minted(key)) {
+        return refuse(RunState::Unknown, RefusalReason::NotMinted);
+    }
+    const auto found = records_.find(key.sequence);
+    if (found != records_.end()) {
+        return judgeKnown(found->second, submission);
+    }
+    return judgeFresh(submission, now);
+}
+
+BeginOutcome Ledger::judgeForeign(const Submission &submission) const
+{
+    const auto &key = submission.key;
+    if (auto outcome = adopted_.judge(submission)) {
+        return *std::move(outcome);
+    }
+    // A replaced instance remembers nothing of its predecessor's keys. Saying "not run" here is the
+    // fault that this library exists to prevent: the predecessor may have run the request.
+    if (key.owner == identity_.instance) {
+        return refuse(RunState::Unknown, RefusalReason::IncarnationGone);
+    }
+    return OwnedElsewhere{key.owner, key.incarnation};
+}
+
+BeginOutcome Ledger::judgeKnown(const Record &record, const Submission &submission) const
+{
+    if (record.bodyFingerprint != submission.bodyFingerprint) {
+        return refuse(RunState::NotRun, RefusalReason::OtherBody);
+    }
+    switch (record.phase) {
+    case Phase::Waiting:
+    case Phase::Running:
+        return StillRunning{};
+    case Phase::Ran:
+        if (record.answer) {
+            return ReplayAnswer{record.answer};
+        }
+        return refuse(RunState::Ran, RefusalReason::AnswerNotKept);
+    case Phase::Lost:
+        break;
+    }
+    return refuse(RunState::Unknown, RefusalReason::OutcomeUnknown);
+}
+
+BeginOutcome Ledger::judgeFresh(const Submission &submission, Common::Time now)
+{
+    switch (stateOfUnrecorded(submission.key, now)) {
+    case KeyState::Unused:
+        break;
+    case KeyState::Expired:
+        return refuse(RunState::NotRun, RefusalReason::Expired);
+    default:
+        return refuse(RunState::Unknown, RefusalReason::OutcomeUnknown);
+    }
+    if (closed_) {
+        return refuse(RunState::NotRun, RefusalReason::Closing);
+    }
+    // A live record is never dropped to make room: its key would look unused and run again.
+    if (!hasRoom()) {
+        return refuse(RunState::NotRun, RefusalReason::LedgerFull);
+    }
+    const auto earlier = hints_.earlierKey(submission.orderFingerprint, now);
+    if (earlier && *earlier != submission.key && !submission.duplicateIntended) {
+        return Refused{RunState::NotRun, RefusalReason::DuplicateOrder, earlier};
+    }
+    return open(submission, now);
+}
+
+Proceed Ledger::open(const Submission &submission, Common::Time now)
+{
+    Record record;
+    record.key = submission.key;
+    record.bodyFingerprint = submission.bodyFingerprint;
+    record.orderFingerprint = submission.orderFingerprint;
+    record.deadline = submission.deadline;
+    record.attemptNumber = ++lastNumber_;
+    const Attempt attempt{submission.key.sequence, record.attemptNumber};
+    records_.emplace(attempt.sequence, std::move(record));
+    ++openCount_;
+    ++counts_.begun;
+    const DuplicateHint hint{submission.orderFingerprint, submission.key, false};
+    hints_.note(hint, now);
+    hintsToTell_.push_back(hint);
+    return Proceed{attempt};
+}
+
+Common::Result<Dispatch> Ledger::dispatched(const Attempt &attempt, Common::Time now)
+{
+    Record *record = findAttempt(attempt, Phase::Waiting);
+    if (record == nullptr) {
+        return staleReport();
+    }
+    if (record->deadline && *record->deadline <= now) {
+        release(*record, now);
+        return Common::makeError(ErrorCode::DeadlineExceeded,
+                                 "the deadline passed before the request was dispatched");
+    }
+    record->phase = Phase::Running;
+    record->dispatchNumber = ++lastNumber_;
+    ++counts_.dispatched;
+    return Dispatch{attempt, record->dispatchNumber};
+}
+
+Common::Result<void> Ledger::notStarted(const Dispatch &dispatch, Common::Time)
+{
+    Record *record = findDispatch(dispatch);
+    if (record == nullptr) {
+        return staleReport();
+    }
+    record->phase = Phase::Waiting;
+    return {};
+}
+
+Common::Result<void> Ledger::abandonedBeforeDispatch(const Attempt &attempt, Common::Time now)
+{
+    const Record *record = findAttempt(attempt, Phase::Waiting);
+    if (record == nullptr) {
+        return staleReport();
+    }
+    release(*record, now);
+    return {};
+}
+
+Common::Result<void> Ledger::finished(const Dispatch &dispatch, KeptAnswer answer, Common::Time now)
+{
+    Record *record = findDispatch(dispatch);
+    if (record == nullptr) {
+        return staleReport();
+    }
+    record->phase = Phase::Ran;
+    ++counts_.finished;
+    settle(*record, now);
+    keep(*record, std::move(answer));
+    return {};
+}
+
+Common::Result<void> Ledger::lost(const Dispatch &dispatch, Common::Time now)
+{
+    Record *record = findDispatch(dispatch);
+    if (record == nullptr) {
+        return staleReport();
+    }
+    record->phase = Phase::Lost;
+    ++counts_.lost;
+    settle(*record, now);
+    return {};
+}
+
+void Ledger::learn(const DuplicateHint &hint, Common::Time now)
+{
+    hints_.note(hint, now);
+}
+
+std::vector<DuplicateHint> Ledger::takeHints()
+{
+    return std::exchange(hintsToTell_, {});
+}
+
+void Ledger::close()
+{
+    closed_ = true;
+}
+
+void Ledger::tick(Common::Time now)
+{
+    while (!dropTimes_.empty() && dropTimes_.begin()->first <= now) {
+        const auto sequence = dropTimes_.begin()->second;
+        dropTimes_.erase(dropTimes_.begin());
+        const auto found = records_.find(sequence);
+        if (found->second.answer) {
+            keptBytes_ -= sizeOf(*found->second.answer);
+        }
+        records_.erase(found);
+    }
+    while (!keptOrder_.empty() && !records_.contains(keptOrder_.back())) {
+        keptOrder_.pop_back();
+    }
+    hints_.tick(now);
+    adopted_.tick(now);
+}
+
+Common::Result<Handover> Ledger::handOver(Common::Time now)
+{
+    // Before close() a key that the handover does not list could still be used here, and the
+    // successor would say "not run" of a request that runs.
+    if (!closed_) {
+        return Common::makeError(ErrorCode::Conflict, "only a closed ledger can be handed over");
+    }
+    Handover handover;
+    handover.owner = identity_.instance;
+    handover.incarnation = identity_.incarnation;
+    handover.revision = ++lastRevision_;
+    handover.secret = identity_.secret;
+    handover.lastSequence = lastSequence_;
+    handover.forgottenUpTo = std::chrono::ceil<Common::milliseconds>(
+        now - identity_.start - options_.keyLifetime - options_.keptAnswerTime);
+    for (const auto &[sequence, record] : records_) {
+        const bool ran = record.phase == Phase::Ran;
+        handover.records.push_back({sequence, record.bodyFingerprint, ran, std::nullopt});
+    }
+    addYoungestAnswers(handover);
+    return handover;
+}
+
+void Ledger::addYoungestAnswers(Handover &handover) const
+{
+    std::unordered_map<std::uint64_t, HandedRecord *> handed;
+    for (auto &record : handover.records) {
+        handed.emplace(record.sequence, &record);
+    }
+    std::size_t bytes = 0;
+    for (const auto sequence : keptOrder_) {
+        const auto found = records_.find(sequence);
+        if (found == records_.end() || !found->second.answer) {
+            continue;
+        }
+        bytes += sizeOf(*found->second.answer);
+        if (bytes > options_.maxHandoverAnswerBytes) {
+            return;
+        }
+        handed.at(sequence)->answer = *found->second.answer;
+    }
+}
+
+Common::Result<void> Ledger::adopt(Handover handover, Common::Time now)
+{
+    return adopted_.adopt(std::move(handover), now);
+}
+
+void Ledger::release(const Record &record, Common::Time now)
+{
+    const DuplicateHint hint{record.orderFingerprint, record.key, true};
+    hints_.note(hint, now);
+    hintsToTell_.push_back(hint);
+    --openCount_;
+    records_.erase(record.key.sequence);
+}
+
+void Ledger::settle(const Record &record, Common::Time now)
+{
+    --openCount_;
+    // Not before the key counts as forgotten: stateOfUnrecorded() takes a key without a record for
+    // one that was not used.
+    const auto forgottenAt = issuedAt(record.key) + options_.keyLifetime + options_.keptAnswerTime;
+    dropTimes_.emplace(std::max(now + options_.keptAnswerTime, forgottenAt), record.key.sequence);
+}
+
+void Ledger::keep(Record &record, KeptAnswer answer)
+{
+    const auto bytes = sizeOf(answer);
+    if (bytes > options_.maxKeptAnswerBytes) {
+        return;
+    }
+    while (keptBytes_ + bytes > options_.maxKeptAnswerBytes) {
+        const auto found = records_.find(keptOrder_.back());
+        keptOrder_.pop_back();
+        if (found != records_.end() && found->second.answer) {
+            keptBytes_ -= sizeOf(*found->second.answer);
+            found->second.answer.reset();
+        }
+    }
+    record.answer = std::make_shared<const KeptAnswer>(std::move(answer));
+    keptOrder_.push_front(record.key.sequence);
+    keptBytes_ += bytes;
+}
+
+KeyState Ledger::state(const IdempotencyKey &key, Common::Time now) const
+{
+    if (!ownKey(key)) {
+        const auto foreign =
+            key.owner == identity_.instance ? KeyState::Forgotten : KeyState::Elsewhere;
+        return adopted_.state(key).value_or(foreign);
+    }
+    if (!minted(key)) {
+        return KeyState::NotMinted;
+    }
+    const auto found = records_.find(key.sequence);
+    if (found == records_.end()) {
+        return stateOfUnrecorded(key, now);
+    }
+    switch (found->second.phase) {
+    case Phase::Waiting:
+        return KeyState::Waiting;
+    case Phase::Running:
+        return KeyState::Running;
+    case Phase::Ran:
+        return KeyState::Ran;
+    case Phase::Lost:
+        break;
+    }
+    return KeyState::Lost;
+}
+
+RunState Ledger::claim(const IdempotencyKey &key, Common::Time now) const
+{
+    switch (state(key, now)) {
+    case KeyState::Unused:
+    case KeyState::Expired:
+        return RunState::NotRun;
+    case KeyState::Ran:
+        return RunState::Ran;
+    case KeyState::Waiting:
+    case KeyState::Running:
+    case KeyState::Lost:
+    case KeyState::Forgotten:
+    case KeyState::NotMinted:
+    case KeyState::Elsewhere:
+        break;
+    }
+    return RunState::Unknown;
+}
+
+Common::Duration Ledger::remainingLifetime(const IdempotencyKey &key, Common::Time now) const
+{
+    if (!ownKey(key) || !minted(key)) {
+        return Common::Duration::zero();
+    }
+    return std::max(issuedAt(key) + options_.keyLifetime - now, Common::Duration::zero());
+}
+
+nlohmann::json Ledger::dump(Common::Time) const
+{
+    return {{"instance", identity_.instance.text()},
+            {"incarnation", identity_.incarnation},
+            {"closed", closed_},
+            {"records", records_.size()},
+            {"open", openCount_},
+            {"kept_answer_bytes", keptBytes_},
+            {"duplicate_hints", hints_.size()},
+            {"adopted_records", adopted_.recordCount()},
+            {"adopted_answer_bytes", adopted_.answerBytes()},
+            {"minted", counts_.minted},
+            {"begun", counts_.begun},
+            {"dispatched", counts_.dispatched},
+            {"finished", counts_.finished},
+            {"lost", counts_.lost},
+            {"replayed", counts_.replayed},
+            {"refused", counts_.refused}};
+}
+
+Ledger::Record *Ledger::findAttempt(const Attempt &attempt, Phase phase)
+{
+    const auto found = records_.find(attempt.sequence);
+    if (found == records_.end() || found->second.attemptNumber != attempt.number
+        || found->second.phase != phase) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+Ledger::Record *Ledger::findDispatch(const Dispatch &dispatch)
+{
+    Record *record = findAttempt(dispatch.attempt, Phase::Running);
+    if (record == nullptr || record->dispatchNumber != dispatch.number) {
+        return nullptr;
+    }
+    return record;
+}
+
+bool Ledger::ownKey(const IdempotencyKey &key) const
+{
+    return key.owner == identity_.instance && key.incarnation == identity_.incarnation;
+}
+
+bool Ledger::minted(const IdempotencyKey &key) const
+{
+    return key.sequence >= 1 && key.sequence <= lastSequence_
+           && key.seal == key.expectedSeal(identity_.secret);
+}
+
+Common::Time Ledger::issuedAt(const IdempotencyKey &key) const
+{
+    return identity_.start + key.issuedAfter;
+}
+
+KeyState Ledger::stateOfUnrecorded(const IdempotencyKey &key, Common::Time now) const
+{
+    const auto expiresAt = issuedAt(key) + options_.keyLifetime;
+    if (now < expiresAt) {
+        return KeyState::Unused;
+    }
+    if (now < expiresAt + options_.keptAnswerTime) {
+        return KeyState::Expired;
+    }
+    return KeyState::Forgotten;
+}
+
+bool Ledger::hasRoom() const
+{
+    return records_.size() < options_.maxRecords;
+}
+
+} // namespace LaburnumChute::Ledger
