--- a/Source/Core/Cluster/ClusterNode.h
+++ b/Source/Core/Cluster/ClusterNode.h
@@ -31,7 +31,7 @@
 {
 public:
     /// The seed is for the choice of peers; two nodes need different ones.
-    ClusterNode(const ClusterOptions &options, MemberInfo self, std::uint64_t seed,
+    ClusterNode(const ClusterOptions &options, const MemberInfo &self, std::uint64_t seed,
                 Common::Time now);
     ~ClusterNode();
     ClusterNode(ClusterNode &&) noexcept;
--- a/Source/Core/Cluster/Codec.cpp
+++ b/Source/Core/Cluster/Codec.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstring>
-#include <limits>
 #include <sstream>
 
 #include <cereal/archives/portable_binary.hpp>
@@ -55,6 +54,47 @@
     }
 }
 
+/// Counts the bytes that cereal's portable binary archive would write.
+class SizeArchive
+{
+public:
+    using is_loading = std::false_type;
+
+    template <typename... T>
+    void operator()(T &&...items)
+    {
+        (add(items), ...);
+    }
+    std::size_t size() const
+    {
+        return size_;
+    }
+
+private:
+    template <typename T>
+    void add(T &item)
+    {
+        if constexpr (std::is_arithmetic_v<T> || std::is_enum_v<T>) {
+            size_ += sizeof(T);
+        } else {
+            serialize(*this, item);
+        }
+    }
+    template <typename T>
+    void add(cereal::BinaryData<T> &data)
+    {
+        size_ += data.size;
+    }
+    template <typename... T>
+    void add(std::variant<T...> &body)
+    {
+        size_ += sizeof(std::int32_t);
+        std::visit([this](auto &alternative) { add(alternative); }, body);
+    }
+
+    std::size_t size_ = 0;
+};
+
 } // namespace
 
 template <typename Archive>
@@ -206,6 +246,40 @@
     archive(message.body);
 }
 
+namespace {
+
+template <typename T>
+std::size_t sizeOf(const T &item)
+{
+    SizeArchive archive;
+    // Serialization of this library reads only, but cereal's form of it takes a reference.
+    archive(const_cast<T &>(item)); // NOLINT(cppcoreguidelines-pro-type-const-cast)
+    return archive.size();
+}
+
+} // namespace
+
+std::size_t encodedSize(const GossipMessage &message)
+{
+    constexpr std::size_t EndianMark = 1;
+    return HeaderBytes + EndianMark + sizeOf(message);
+}
+
+std::size_t encodedSize(const MemberClaim &claim)
+{
+    return sizeOf(claim);
+}
+
+std::size_t encodedSize(const Notice &notice)
+{
+    return sizeOf(notice);
+}
+
+std::size_t encodedSize(const RegionSummary &summary)
+{
+    return sizeOf(summary);
+}
+
 std::string encode(const GossipMessage &message)
 {
     std::ostringstream stream;
--- a/Source/Core/Cluster/Codec.h
+++ b/Source/Core/Cluster/Codec.h
@@ -17,4 +17,11 @@
 /// holds.
 Common::Result<GossipMessage> decode(std::string_view datagram);
 
+/// Bytes of the datagram that encode() would make.
+std::size_t encodedSize(const GossipMessage &message);
+/// Bytes that one of these adds to a datagram.
+std::size_t encodedSize(const MemberClaim &claim);
+std::size_t encodedSize(const Notice &notice);
+std::size_t encodedSize(const RegionSummary &summary);
+
 } // namespace LaburnumChute::Cluster
--- a/Source/Core/Cluster/Effects.h
+++ b/Source/Core/Cluster/Effects.h
@@ -20,6 +20,21 @@
     MemberView member;
 };
 
+/// Another process lives under this instance's id with a higher incarnation. This one was paused or
+/// cut off while the platform replaced it, and must not do work that may run only once any more. (A
+/// fresh instance that hears this has a clock that runs behind its predecessor's: it may start
+/// again with an incarnation above this one.)
+struct SelfSuperseded
+{
+    Common::Incarnation by = 0;
+};
+
+/// This process was paused, so that what it believes of others may be old.
+struct ResumedAfterPause
+{
+    Common::milliseconds pause{0};
+};
+
 /// Whether this version may be put in force is to be answered by configurationJudged().
 struct ValidateConfiguration
 {
@@ -77,9 +92,10 @@
     RegionSummary summary;
 };
 
-using Effect = std::variant<SendGossip, MemberChanged, ValidateConfiguration, ConfigurationAdopted,
-                            ConfigurationRejected, ConfigurationConflict, ReadConfiguration,
-                            StopReadingConfiguration, NoticeReceived, RegionChanged>;
+using Effect = std::variant<SendGossip, MemberChanged, SelfSuperseded, ResumedAfterPause,
+                            ValidateConfiguration, ConfigurationAdopted, ConfigurationRejected,
+                            ConfigurationConflict, ReadConfiguration, StopReadingConfiguration,
+                            NoticeReceived, RegionChanged>;
 using Effects = std::vector<Effect>;
 
 } // namespace LaburnumChute::Cluster
--- /dev/null
+++ b/Source/Core/Cluster/NodeParts.cpp
@@ -0,0 +1,281 @@
+#include "Cluster/NodeParts.h"
+
+#include <algorithm>
+
+#include "Cluster/Codec.h"
+#include "Cluster/Rendezvous.h"
+
+namespace LaburnumChute::Cluster {
+
+namespace {
+
+/// How many joinHolds a new instance waits in all for the platform's list.
+constexpr int HoldsWithoutSeeds = 5;
+constexpr Common::milliseconds LeaveLifetime{10 * 60 * 1000};
+
+} // namespace
+
+ClusterNode::Parts::Parts(const ClusterOptions &clusterOptions, const MemberInfo &self,
+                          std::uint64_t seed, Common::Time now)
+    : options(clusterOptions)
+    , membership(options, self)
+    , detector(options, now)
+    , notices(options.maxNotices)
+    , directory(options, self.region)
+    , store(options.historyBytes)
+    , fetch(options)
+    , watch(options)
+    , lastInput(now)
+    , random_(seed)
+{
+    directory.heard(self.id, self.incarnation);
+    // Instances that start together shall not all speak at the same moment afterwards.
+    std::uniform_int_distribution<int> phase(0, 999);
+    const auto later = [&] { return now + Common::milliseconds(phase(random_)); };
+    timers_ = {now,
+               later(),
+               later(),
+               later(),
+               later(),
+               later(),
+               now + options.joinHold * HoldsWithoutSeeds};
+}
+
+Effects ClusterNode::Parts::takeEffects()
+{
+    return std::exchange(effects_, {});
+}
+
+const ClusterNode::Parts::Roles &ClusterNode::Parts::roles()
+{
+    if (roles_.changes == membership.changes()) {
+        return roles_;
+    }
+    const MemberInfo &self = membership.self();
+    const std::string &region = self.region.text();
+    const auto isAmong = [&](const std::vector<Common::InstanceId> &chosen) {
+        return std::find(chosen.begin(), chosen.end(), self.id) != chosen.end();
+    };
+    roles_.changes = membership.changes();
+    roles_.peers = membership.peers();
+    roles_.eligible = membership.eligible();
+    const auto bridges = chooseByRendezvous(roles_.eligible, "bridge/" + region, options.bridges);
+    roles_.bridge = isAmong(bridges);
+    roles_.summaryMaker = bridges.empty() ? self.id : bridges.front();
+    const auto watchers = watchersPerRegion(options, directory.otherRegions().size() + 1);
+    roles_.watcher =
+        isAmong(chooseByRendezvous(roles_.eligible, "configuration-watch/" + region, watchers));
+    return roles_;
+}
+
+void ClusterNode::Parts::updateSeeds(const std::vector<Seed> &seeds)
+{
+    if (!directory.seedsKnown() && !seeds.empty()) {
+        timers_.holdEnds = std::min(timers_.holdEnds, lastInput + options.joinHold);
+    }
+    directory.setSeeds(seeds);
+    std::set<Common::InstanceId> leaving;
+    for (const Seed &seed : seeds) {
+        if (seed.leaving) {
+            leaving.insert(seed.id);
+        }
+    }
+    membership.setListedLeaving(leaving, effects_);
+    roles_.changes = ~0ull;
+}
+
+void ClusterNode::Parts::configurationRead(const ConfigurationVersion &version, Common::Time now)
+{
+    const bool news = version.number > store.newestMet();
+    store.offer(version, {}, effects_);
+    if (news) {
+        watch.succeeded(now);
+    } else {
+        watch.failed(now);
+    }
+}
+
+void ClusterNode::Parts::configurationUnchanged(Common::Time now)
+{
+    watch.succeeded(now);
+}
+
+void ClusterNode::Parts::configurationReadFailed(Common::Time now)
+{
+    watch.failed(now);
+}
+
+void ClusterNode::Parts::configurationJudged(Common::ConfigurationNumber number,
+                                             const Common::Result<void> &verdict, Common::Time)
+{
+    const auto before = store.digest();
+    store.judged(number, verdict, effects_);
+    if (store.digest() == before) {
+        return;
+    }
+    // Every message carries the digest; these go out only so that the news does not wait.
+    flood({});
+    if (roles().bridge || roles().watcher) {
+        floodOtherRegions({}, options.bridges, 1);
+    }
+}
+
+void ClusterNode::Parts::announceLeaving(Common::Time now)
+{
+    membership.leave();
+    const MemberInfo &self = membership.self();
+    publishNotice({NoticeKind::InstanceLeaving, self.id.text(), self.region.text(),
+                   self.incarnation, true, LeaveLifetime},
+                  now);
+}
+
+void ClusterNode::Parts::publishNotice(const Notice &notice, Common::Time now)
+{
+    if (!notices.apply(notice, now)) {
+        return;
+    }
+    flood({notice});
+    // Two contacts in each region: one datagram of twenty is lost, and a contact may be gone.
+    floodOtherRegions({notice}, directory.otherRegions().size(), 2);
+}
+
+void ClusterNode::Parts::send(const Address &to, Reach reach, GossipBody body,
+                              std::vector<MemberClaim> firstClaims,
+                              std::vector<Notice> firstNotices)
+{
+    if (to.empty()) {
+        return;
+    }
+    GossipMessage message;
+    message.sender = membership.self().id;
+    message.incarnation = membership.self().incarnation;
+    message.region = membership.self().region;
+    message.configuration = store.digest();
+    message.noticesHash = notices.hash();
+    message.body = std::move(body);
+    message.claims = std::move(firstClaims);
+    message.notices = std::move(firstNotices);
+    std::size_t size = encodedSize(message);
+    if (reach == Reach::OwnRegion && size < MaxDatagramBytes) {
+        const auto claims = membership.takeClaims(MaxDatagramBytes - size);
+        message.claims.insert(message.claims.end(), claims.begin(), claims.end());
+        size = encodedSize(message);
+    }
+    ++traffic.messagesSent;
+    traffic.bytesSent += size;
+    effects_.push_back(SendGossip{to, std::move(message)});
+}
+
+std::optional<Address> ClusterNode::Parts::memberAddress(const Common::InstanceId &id) const
+{
+    const auto view = membership.view(id);
+    return view ? std::optional(directory.gossipAddress(view->info)) : std::nullopt;
+}
+
+void ClusterNode::Parts::sendToMember(const Common::InstanceId &id, GossipBody body,
+                                      std::vector<MemberClaim> firstClaims)
+{
+    const auto address = memberAddress(id);
+    if (address) {
+        send(*address, Reach::OwnRegion, std::move(body), std::move(firstClaims));
+    }
+}
+
+const Common::InstanceId *ClusterNode::Parts::randomPeer()
+{
+    const auto &peers = roles().peers;
+    if (peers.empty()) {
+        return nullptr;
+    }
+    std::uniform_int_distribution<std::size_t> index(0, peers.size() - 1);
+    return &peers[index(random_)];
+}
+
+void ClusterNode::Parts::flood(const std::vector<Notice> &news)
+{
+    std::vector<Common::InstanceId> chosen;
+    const auto &peers = roles().peers;
+    std::sample(peers.begin(), peers.end(), std::back_inserter(chosen), options.floodFanout,
+                random_);
+    for (const Common::InstanceId &id : chosen) {
+        const auto address = memberAddress(id);
+        if (address) {
+            send(*address, Reach::OwnRegion, Carrier{}, {}, news);
+        }
+    }
+}
+
+void ClusterNode::Parts::floodOtherRegions(const std::vector<Notice> &news, std::size_t regions,
+                                           std::size_t contacts)
+{
+    const auto others = directory.otherRegions();
+    std::vector<Common::RegionName> chosen;
+    std::sample(others.begin(), others.end(), std::back_inserter(chosen), regions, random_);
+    for (const Common::RegionName &region : chosen) {
+        for (std::size_t i = 0; i < contacts; ++i) {
+            const auto address = directory.contact(region, random_);
+            if (address) {
+                send(*address, Reach::OtherRegion, Carrier{}, {}, news);
+            }
+        }
+    }
+}
+
+MemberView ClusterNode::Parts::listed(MemberView view) const
+{
+    view.info = directory.withListedAddresses(std::move(view.info));
+    return view;
+}
+
+std::optional<Common::Incarnation>
+ClusterNode::Parts::newestIncarnation(const Common::InstanceId &id) const
+{
+    const auto view = membership.view(id);
+    const auto heard = directory.newestIncarnation(id);
+    if (!view) {
+        return heard;
+    }
+    return std::max(view->info.incarnation, heard.value_or(0));
+}
+
+nlohmann::json ClusterNode::Parts::dump() const
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const MemberView &view : membership.views()) {
+        members.push_back({{"id", view.info.id.text()},
+                           {"state", std::string(toString(view.state))},
+                           {"incarnation", view.info.incarnation},
+                           {"failure_domain", view.info.failureDomain.text()},
+                           {"http", directory.withListedAddresses(view.info).httpAddress.text()}});
+    }
+    nlohmann::json regions = nlohmann::json::array();
+    for (const RegionSummary &summary : directory.summaries()) {
+        regions.push_back({{"region", summary.region.text()},
+                           {"version", summary.version},
+                           {"alive_members", summary.aliveMembers}});
+    }
+    nlohmann::json configuration = {{"number", store.current().number},
+                                    {"hash", store.digest().hash},
+                                    {"held", store.held()},
+                                    {"conflicts", store.conflicts()},
+                                    {"stale_offers", store.staleOffers()},
+                                    {"watcher", roles_.watcher},
+                                    {"reads", watch.reads()},
+                                    {"failed_reads", watch.failures()}};
+    nlohmann::json control = {{"messages_sent", traffic.messagesSent},
+                              {"bytes_sent", traffic.bytesSent},
+                              {"messages_received", traffic.messagesReceived},
+                              {"bytes_received", traffic.bytesReceived}};
+    return {{"self", membership.self().id.text()},
+            {"incarnation", membership.self().incarnation},
+            {"leaving", membership.leaving()},
+            {"doubt", detector.doubt()},
+            {"refutations", membership.refutations()},
+            {"pauses", pauses_},
+            {"members", std::move(members)},
+            {"regions", std::move(regions)},
+            {"configuration", std::move(configuration)},
+            {"traffic", std::move(control)}};
+}
+
+} // namespace LaburnumChute::Cluster
--- /dev/null
+++ b/Source/Core/Cluster/NodeParts.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "Cluster/ClusterNode.h"
+#include "Cluster/ConfigurationStore.h"
+#include "Cluster/ConfigurationTransfer.h"
+#include "Cluster/ConfigurationWatch.h"
+#include "Cluster/FailureDetector.h"
+#include "Cluster/Membership.h"
+#include "Cluster/NoticeBoard.h"
+#include "Cluster/RegionDirectory.h"
+
+namespace LaburnumChute::Cluster {
+
+/// Joins the parts of a node: hands them what arrives, and makes messages of what they want to say.
+/// Private to the library.
+class ClusterNode::Parts
+{
+public:
+    Parts(const ClusterOptions &options, const MemberInfo &self, std::uint64_t seed,
+          Common::Time now);
+
+    void receive(const Address &from, const GossipMessage &message, Common::Time now);
+    void tick(Common::Time now, Common::WallTime wallNow);
+    void updateSeeds(const std::vector<Seed> &seeds);
+    void configurationRead(const ConfigurationVersion &version, Common::Time now);
+    void configurationUnchanged(Common::Time now);
+    void configurationReadFailed(Common::Time now);
+    void configurationJudged(Common::ConfigurationNumber number,
+                             const Common::Result<void> &verdict, Common::Time now);
+    void announceLeaving(Common::Time now);
+    void publishNotice(const Notice &notice, Common::Time now);
+    Effects takeEffects();
+
+    MemberView listed(MemberView view) const;
+    std::optional<Common::Incarnation> newestIncarnation(const Common::InstanceId &id) const;
+    nlohmann::json dump() const;
+
+    ClusterOptions options;
+    Membership membership;
+    FailureDetector detector;
+    NoticeBoard notices;
+    RegionDirectory directory;
+    ConfigurationStore store;
+    ConfigurationFetch fetch;
+    ConfigurationSource source;
+    ConfigurationWatch watch;
+    LoadSummary localLoad;
+    ControlTraffic traffic;
+    Common::Time lastInput;
+
+    /// Which duties of its region this instance has; derived from the membership.
+    struct Roles
+    {
+        std::uint64_t changes = ~0ull;
+        std::vector<Common::InstanceId> peers;
+        std::vector<Common::InstanceId> eligible;
+        Common::InstanceId summaryMaker;
+        bool bridge = false;
+        bool watcher = false;
+    };
+    const Roles &roles();
+
+private:
+    enum class Reach { OwnRegion, OtherRegion };
+
+    /// An indirect probe that this instance does for another.
+    struct Relay
+    {
+        Address requester;
+        std::uint32_t sequence = 0;
+        Common::Time expires;
+    };
+    struct Report
+    {
+        LoadSummary load;
+        Common::Time received;
+    };
+    struct Timers
+    {
+        Common::Time join;
+        Common::Time compareMembers;
+        Common::Time exchangeRegions;
+        Common::Time bridge;
+        Common::Time loadReport;
+        Common::Time housekeeping;
+        Common::Time holdEnds;
+    };
+
+    // What arrives; NodeReceive.cpp.
+    void enter(Common::Time now);
+    void takeSender(const Address &from, const GossipMessage &message, Common::Time now);
+    void takeNotices(const GossipMessage &message, Common::Time now);
+    bool learnNotice(const Notice &notice, Common::Time now);
+    void takeConfiguration(const Address &from, const GossipMessage &message, Common::Time now);
+    void handle(const Carrier &, const Address &, const GossipMessage &, Common::Time) { }
+    void handle(const Ping &ping, const Address &from, const GossipMessage &message,
+                Common::Time now);
+    void handle(const Ack &ack, const Address &from, const GossipMessage &message,
+                Common::Time now);
+    void handle(const PingRequest &request, const Address &from, const GossipMessage &message,
+                Common::Time now);
+    void handle(const MembersRequest &request, const Address &from, const GossipMessage &message,
+                Common::Time now);
+    void handle(const MembersPage &page, const Address &from, const GossipMessage &message,
+                Common::Time now);
+    void handle(const LoadReport &report, const Address &from, const GossipMessage &message,
+                Common::Time now);
+    void handle(const RegionsDigest &digest, const Address &from, const GossipMessage &message,
+                Common::Time now);
+    void handle(const RegionsPage &page, const Address &from, const GossipMessage &message,
+                Common::Time now);
+    void handle(const ConfigurationRequest &request, const Address &from,
+                const GossipMessage &message, Common::Time now);
+    void handle(const ConfigurationChunk &chunk, const Address &from, const GossipMessage &message,
+                Common::Time now);
+    Reach reachOf(const GossipMessage &message) const;
+    void settleConfiguration(Common::Time now);
+
+    // What time brings; NodeTick.cpp.
+    void probe(Common::Time now);
+    void join(Common::Time now);
+    void releaseHold(Common::Time now);
+    void compareMembers(Common::Time now);
+    void exchangeRegions(Common::Time now);
+    void exchangeWithOtherRegion(Common::Time now);
+    void reportLoad(Common::Time now, Common::WallTime wallNow);
+    RegionSummary makeSummary(Common::Time now, Common::WallTime wallNow);
+
+    // Sending; NodeParts.cpp.
+    void send(const Address &to, Reach reach, GossipBody body,
+              std::vector<MemberClaim> firstClaims = {}, std::vector<Notice> firstNotices = {});
+    void sendToMember(const Common::InstanceId &id, GossipBody body,
+                      std::vector<MemberClaim> firstClaims = {});
+    void flood(const std::vector<Notice> &news);
+    void floodOtherRegions(const std::vector<Notice> &news, std::size_t regions,
+                           std::size_t contacts);
+    std::optional<Address> memberAddress(const Common::InstanceId &id) const;
+    const Common::InstanceId *randomPeer();
+
+    std::mt19937_64 random_;
+    Effects effects_;
+    Roles roles_;
+    Timers timers_;
+    /// Who was heard, and the newest version they named, until the hold is released.
+    std::set<Common::InstanceId> answered_;
+    Common::ConfigurationNumber newestHeard_ = 0;
+    std::map<std::uint32_t, Relay> relays_;
+    std::map<Common::InstanceId, Report> reports_;
+    std::uint32_t refutationsSeen_ = 0;
+    std::uint64_t pauses_ = 0;
+};
+
+} // namespace LaburnumChute::Cluster
--- /dev/null
+++ b/Source/Core/Cluster/NoticeBoard.cpp
@@ -0,0 +1,113 @@
+#include "Cluster/NoticeBoard.h"
+
+#include <algorithm>
+
+#include "Cluster/Codec.h"
+#include "Common/Hash.h"
+
+namespace LaburnumChute::Cluster {
+
+namespace {
+
+/// A notice with less time left is not passed on: it would expire on the way, and two instances
+/// would hand it to each other for ever.
+constexpr Common::milliseconds LeastLifetime{200};
+constexpr Common::milliseconds MostLifetime{60 * 60 * 1000};
+
+} // namespace
+
+NoticeBoard::NoticeBoard(std::size_t maxNotices)
+    : maxNotices_(maxNotices)
+{
+}
+
+bool NoticeBoard::apply(const Notice &notice, Common::Time now)
+{
+    if (notice.lifetime < LeastLifetime) {
+        return false;
+    }
+    const Key key{notice.kind, notice.subject};
+    const auto it = entries_.find(key);
+    if (it != entries_.end()) {
+        if (it->second.notice.version >= notice.version) {
+            return false;
+        }
+        erase(it);
+    }
+    makeRoom();
+    const auto lifetime = std::min(notice.lifetime, MostLifetime);
+    entries_.emplace(key, Entry{notice, now + lifetime});
+    hash_ ^= hashOf(notice);
+    return true;
+}
+
+void NoticeBoard::expire(Common::Time now)
+{
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        const auto next = std::next(it);
+        if (now >= it->second.expires) {
+            erase(it);
+        }
+        it = next;
+    }
+}
+
+std::vector<Notice> NoticeBoard::all(Common::Time now) const
+{
+    std::vector<Notice> notices;
+    for (const auto &[key, entry] : entries_) {
+        const auto left = std::chrono::duration_cast<Common::milliseconds>(entry.expires - now);
+        if (left >= LeastLifetime) {
+            notices.push_back(entry.notice);
+            notices.back().lifetime = left;
+        }
+    }
+    return notices;
+}
+
+std::vector<Notice> NoticeBoard::sample(std::size_t maxBytes, std::mt19937_64 &random,
+                                        Common::Time now) const
+{
+    std::vector<Notice> notices = all(now);
+    std::shuffle(notices.begin(), notices.end(), random);
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    while (count < notices.size() && bytes + encodedSize(notices[count]) <= maxBytes) {
+        bytes += encodedSize(notices[count]);
+        ++count;
+    }
+    notices.resize(count);
+    return notices;
+}
+
+const Notice *NoticeBoard::find(NoticeKind kind, const std::string &subject) const
+{
+    const auto it = entries_.find({kind, subject});
+    return it == entries_.end() ? nullptr : &it->second.notice;
+}
+
+std::uint64_t NoticeBoard::hashOf(const Notice &notice)
+{
+    const auto seed = notice.version * 4 + static_cast<std::uint64_t>(notice.kind);
+    return Common::stableHash(notice.subject, seed);
+}
+
+void NoticeBoard::erase(std::map<Key, Entry>::iterator it)
+{
+    hash_ ^= hashOf(it->second.notice);
+    entries_.erase(it);
+}
+
+void NoticeBoard::makeRoom()
+{
+    if (entries_.size() < maxNotices_) {
+        return;
+    }
+    const auto first =
+        std::min_element(entries_.begin(), entries_.end(), [](const auto &a, const auto &b) {
+            return a.second.expires < b.second.expires;
+        });
+    erase(first);
+}
+
+} // namespace LaburnumChute::Cluster
--- /dev/null
+++ b/Source/UnitTests/Cluster/MembershipTest.cpp
@@ -0,0 +1,265 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Cluster/MessageBus.h"
+
+using namespace LaburnumChute;
+using namespace LaburnumChute::Cluster;
+using Common::milliseconds;
+using Common::seconds;
+using Testing::MessageBus;
+
+namespace {
+
+void startRegion(MessageBus &bus, const std::string &region, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        bus.start(region);
+    }
+}
+
+std::size_t deathsReported(const MessageBus &bus)
+{
+    std::size_t deaths = 0;
+    for (const auto &process : bus.processes) {
+        for (const MemberChanged &change : process.changes) {
+            deaths += change.member.state == MemberState::Dead ? 1 : 0;
+        }
+    }
+    return deaths;
+}
+
+TEST(MembershipTest, MembersFindEachOtherAndAgree)
+{
+    MessageBus bus(1);
+    startRegion(bus, "sapporo", 4);
+    startRegion(bus, "hakodate", 4);
+    bus.publishSeeds();
+    bus.run(seconds(15));
+    for (const auto &process : bus.processes) {
+        EXPECT_EQ(process.node->members().size(), 4u);
+        EXPECT_EQ(process.node->regions().size(), 2u);
+    }
+    EXPECT_EQ(bus.processes[0].node->orderer("model"), bus.processes[3].node->orderer("model"));
+    EXPECT_LE(bus.largestDatagram, MaxDatagramBytes);
+}
+
+// An instance loses its power. The others send it work until they notice; callers whose requests it
+// held wait for nothing.
+TEST(MembershipTest, DeathIsFoundInSeconds)
+{
+    MessageBus bus(2);
+    bus.loss = 0.05;
+    startRegion(bus, "north", 4);
+    bus.publishSeeds();
+    bus.run(seconds(10));
+    bus.kill(2);
+    const auto found =
+        bus.runUntil([&] { return bus.statesSeen(2, MemberState::Dead) == 3; }, seconds(30));
+    EXPECT_TRUE(found);
+}
+
+// The platform stops a process for a while and lets it go on. What it did not hear meanwhile is its
+// own doing; if it blamed the others it would stop using three healthy instances at once.
+RC_GTEST_PROP(MembershipTest, PausedObserverDeclaresNobodyDead, ())
+{
+    MessageBus bus(*rc::gen::arbitrary<std::uint64_t>());
+    bus.loss = 0.02;
+    startRegion(bus, "north", 4);
+    bus.publishSeeds();
+    bus.run(seconds(10));
+    bus.processes[0].changes.clear();
+    for (int i = 0; i < 3; ++i) {
+        bus.timerFirst = *rc::gen::arbitrary<bool>();
+        bus.pause(0);
+        bus.run(milliseconds(*rc::gen::inRange(100, 12'000)));
+        bus.resume(0);
+        bus.run(milliseconds(*rc::gen::inRange(100, 5'000)));
+    }
+    for (const MemberChanged &change : bus.processes[0].changes) {
+        RC_ASSERT(change.member.state != MemberState::Dead);
+    }
+}
+
+// An observer suspects a member, rightly or not, and is stopped before the answer reaches it. The
+// answer waits unread in its socket when its timers fire; to act on the old suspicion would take a
+// healthy instance out of service.
+TEST(MembershipTest, SuspicionFromBeforeAPauseIsNotCarriedOut)
+{
+    MessageBus bus(7);
+    startRegion(bus, "north", 4);
+    bus.publishSeeds();
+    bus.run(seconds(10));
+    bus.cut = [](std::size_t, std::size_t to) { return to == 0; };
+    const auto suspects = [&] {
+        for (const MemberView &member : bus.processes[0].node->members()) {
+            if (member.state == MemberState::Suspect) {
+                return true;
+            }
+        }
+        return false;
+    };
+    ASSERT_TRUE(bus.runUntil(suspects, seconds(10)));
+    bus.pause(0);
+    bus.cut = [](std::size_t, std::size_t) { return false; };
+    bus.run(seconds(8));
+    bus.processes[0].changes.clear();
+    bus.resume(0);
+    bus.run(seconds(10));
+    for (const MemberChanged &change : bus.processes[0].changes) {
+        EXPECT_NE(change.member.state, MemberState::Dead);
+    }
+}
+
+// A process that was stopped long enough is held to be dead. When it goes on it must come back by
+// itself; without that a pause of ten seconds would cost the instance for the rest of its life.
+TEST(MembershipTest, WokenInstanceRefutesItsDeath)
+{
+    MessageBus bus(3);
+    startRegion(bus, "north", 4);
+    bus.publishSeeds();
+    bus.run(seconds(10));
+    bus.pause(1);
+    ASSERT_TRUE(
+        bus.runUntil([&] { return bus.statesSeen(1, MemberState::Dead) == 3; }, seconds(30)));
+    bus.resume(1);
+    EXPECT_TRUE(
+        bus.runUntil([&] { return bus.statesSeen(1, MemberState::Alive) == 3; }, seconds(10)));
+    EXPECT_EQ(bus.processes[1].pauses, 1);
+}
+
+// The platform replaces a stopped instance under the same name, and the old process wakes up later.
+// The old one must learn that it is no longer the instance; otherwise both would run the same
+// medal order.
+TEST(MembershipTest, ReplacementSupersedesAtOnceAndTheOldProcessLearnsOfIt)
+{
+    MessageBus bus(4);
+    startRegion(bus, "north", 4);
+    bus.publishSeeds();
+    bus.run(seconds(10));
+    bus.pause(1);
+    bus.run(seconds(2));
+    auto old = std::move(bus.processes[1]);
+    bus.start("north", 1);
+    bus.publishSeeds();
+    const auto incarnation = bus.processes[1].info.incarnation;
+    ASSERT_GT(incarnation, old.info.incarnation);
+    EXPECT_TRUE(bus.runUntil(
+        [&] {
+            return bus.processes[0].node->newestIncarnation(old.info.id) == incarnation
+                   && bus.statesSeen(1, MemberState::Alive) == 3;
+        },
+        seconds(5)));
+
+    const Effects woken = old.node->tick(bus.now(), Common::WallTime(seconds(1)));
+    std::optional<Common::Incarnation> supersededBy;
+    for (const Effect &effect : woken) {
+        const auto *send = std::get_if<SendGossip>(&effect);
+        if (send == nullptr || !std::holds_alternative<Ping>(send->message.body)) {
+            continue;
+        }
+        const Effects answers =
+            bus.processes[0].node->receive(old.info.gossipAddress, send->message, bus.now());
+        for (const Effect &answer : answers) {
+            const auto *reply = std::get_if<SendGossip>(&answer);
+            if (reply == nullptr || reply->to != old.info.gossipAddress) {
+                continue;
+            }
+            const auto from = bus.processes[0].info.gossipAddress;
+            for (const Effect &heard : old.node->receive(from, reply->message, bus.now())) {
+                const auto *superseded = std::get_if<SelfSuperseded>(&heard);
+                supersededBy = superseded ? superseded->by : supersededBy;
+            }
+        }
+    }
+    EXPECT_EQ(supersededBy, incarnation);
+}
+
+// A switch forwards what one instance sends but nothing that is sent to it from another. Helpers
+// reach the member, so that it is not given up for one bad path.
+TEST(MembershipTest, OneWayCutBetweenTwoMembersKillsNobody)
+{
+    MessageBus bus(5);
+    startRegion(bus, "central", 5);
+    bus.publishSeeds();
+    bus.run(seconds(10));
+    bus.cut = [](std::size_t from, std::size_t to) { return from == 0 && to == 1; };
+    bus.run(seconds(60));
+    EXPECT_EQ(deathsReported(bus), 0u);
+}
+
+// Half of a region is cut off from the other half for a while, as when a failure domain loses its
+// uplink. Each half gives up the other; when the link is back they must find each other again.
+TEST(MembershipTest, HealedPartitionJoinsAgain)
+{
+    MessageBus bus(6);
+    startRegion(bus, "central", 6);
+    bus.publishSeeds();
+    bus.run(seconds(10));
+    bus.cut = [](std::size_t from, std::size_t to) { return (from < 3) != (to < 3); };
+    bus.run(seconds(60));
+    EXPECT_EQ(bus.statesSeen(0, MemberState::Dead), 3u);
+    bus.cut = [](std::size_t, std::size_t) { return false; };
+    EXPECT_TRUE(bus.runUntil(
+        [&] {
+            for (std::size_t i = 0; i < 6; ++i) {
+                if (bus.statesSeen(i, MemberState::Alive) != 5) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        seconds(30)));
+}
+
+// An instance is to be taken out of service. A peer that goes on naming it to callers sends them to
+// a closed door a moment later.
+TEST(MembershipTest, LeaveReachesAllWithinTwoSecondsInSpiteOfLoss)
+{
+    for (std::uint64_t seed = 0; seed < 10; ++seed) {
+        MessageBus bus(100 + seed);
+        bus.loss = 0.05;
+        startRegion(bus, "sapporo", 30);
+        startRegion(bus, "hakodate", 4);
+        bus.publishSeeds();
+        bus.run(seconds(15));
+        bus.perform(7, bus.processes[7].node->announceLeaving(bus.now()));
+        bus.run(seconds(2));
+        EXPECT_EQ(bus.statesSeen(7, MemberState::Leaving), 29u);
+        for (std::size_t i = 30; i < 34; ++i) {
+            EXPECT_EQ(bus.processes[i].notices.size(), 1u);
+        }
+    }
+}
+
+// The platform's list calls an instance leaving after it has been replaced, since the list lags.
+// The replacement must get work all the same.
+TEST(MembershipTest, ListedLeaveDoesNotHoldForTheReplacement)
+{
+    MemberInfo self;
+    self.id = Common::InstanceId("a");
+    self.region = Common::RegionName("north");
+    MemberInfo other = self;
+    other.id = Common::InstanceId("b");
+    other.incarnation = 5;
+    Common::Time now{seconds(1)};
+    ClusterNode node({}, self, 1, now);
+    const auto tell = [&](Common::Incarnation incarnation) {
+        GossipMessage message;
+        message.sender = other.id;
+        message.region = other.region;
+        message.incarnation = other.incarnation = incarnation;
+        message.claims.push_back({other.id, incarnation, 0, Health::Alive, false, other});
+        node.receive(Address("1.1.1.1:1"), message, now);
+    };
+    tell(5);
+    const Seed leaving{other.id, other.region, {}, {}, Address("9.9.9.9:9"), {}, true};
+    node.updateSeeds({leaving}, now);
+    EXPECT_EQ(node.member(other.id)->state, MemberState::Leaving);
+    EXPECT_EQ(node.member(other.id)->info.gossipAddress, Address("9.9.9.9:9"));
+    tell(6);
+    node.updateSeeds({leaving}, now);
+    EXPECT_EQ(node.member(other.id)->state, MemberState::Alive);
+}
+
+} // namespace
