--- a/Source/StandIns/Engine.cpp
+++ b/Source/StandIns/Engine.cpp
@@ -46,6 +46,7 @@
     , version(json.value("version", "1"))
     , weightStore(json.value("weight_store", ""))
 {
+    adapters = json.value("adapters", adapters);
     queueLimit = json.value("queue_limit", queueLimit);
     defaultMaxTokens = json.value("default_max_tokens", defaultMaxTokens);
     checksFences = json.value("checks_fences", checksFences);
@@ -71,12 +72,15 @@
     , settings_(std::move(settings))
     , scheduler_(settings_.batch)
     , models_(context, settings_.id, settings_.weightStore, settings_.checksFences)
-    , server_(context, [this](ConnectionPointer connection) { return handle(connection); })
+    , server_(context, [this](ConnectionPointer connection) { return handle(std::move(connection)); })
     , work_(context.get_executor())
 {
     for (const auto &model : settings_.models) {
         models_.preload(model, settings_.version);
     }
+    for (const auto &adapter : settings_.adapters) {
+        models_.preloadAdapter(adapter);
+    }
 }
 
 void Engine::start()
--- a/Source/StandIns/Engine.h
+++ b/Source/StandIns/Engine.h
@@ -23,6 +23,7 @@
     std::string id;
     std::string listen;
     std::vector<std::string> models;
+    std::vector<std::string> adapters;
     std::string version;
     std::string weightStore;
     BatchSettings batch;
--- a/Source/StandIns/EngineModels.cpp
+++ b/Source/StandIns/EngineModels.cpp
@@ -25,6 +25,11 @@
     models_[model] = {version, true, 0};
 }
 
+void EngineModels::preloadAdapter(const std::string &adapter)
+{
+    adapters_[adapter] = true;
+}
+
 EngineAnswer EngineModels::order(const nlohmann::json &order)
 {
     const auto fence = order.value("fence", std::uint64_t{0});
--- a/Source/StandIns/EngineModels.h
+++ b/Source/StandIns/EngineModels.h
@@ -30,6 +30,7 @@
 
     /// Puts a model in place without a load, as at the engine's start.
     void preload(const std::string &model, const std::string &version);
+    void preloadAdapter(const std::string &adapter);
     /// Takes an order; a load goes on in the background.
     EngineAnswer order(const nlohmann::json &order);
 
--- a/Source/StandIns/FaultProxy.cpp
+++ b/Source/StandIns/FaultProxy.cpp
@@ -34,11 +34,12 @@
 {
     const auto id = settings.at("id").get<std::string>();
     const auto linkId = settings.at("link").get<std::string>();
+    const LinkEnd end(link(linkId), settings.value("reversed", false));
     if (settings.value("kind", "tcp") == "udp") {
-        udp_[id] = std::make_unique<UdpRelay>(context_, link(linkId), settings);
+        udp_[id] = std::make_unique<UdpRelay>(context_, end, settings);
         return udp_[id]->address();
     }
-    tcp_[id] = {linkId, std::make_unique<TcpRelay>(context_, link(linkId), settings)};
+    tcp_[id] = {linkId, std::make_unique<TcpRelay>(context_, end, settings)};
     return tcp_[id].relay->address();
 }
 
--- a/Source/StandIns/FaultProxy.h
+++ b/Source/StandIns/FaultProxy.h
@@ -22,7 +22,8 @@
     /// Changes a link as Link::change() says, and makes it if it is new. The member "silence_open"
     /// set to true makes the connections that are open now go silent for good; new ones work.
     void setLink(const std::string &id, const nlohmann::json &changes);
-    /// Adds {"id", "kind": "tcp" | "udp", "target": "ip:port", "link"}; its address.
+    /// Adds {"id", "kind": "tcp" | "udp", "target": "ip:port", "link"}; its address. With
+    /// "reversed" set to true the callers of this proxy are at the other end of the link.
     std::string add(const nlohmann::json &settings);
 
     nlohmann::json addresses() const;
--- a/Source/StandIns/HttpServer.cpp
+++ b/Source/StandIns/HttpServer.cpp
@@ -312,7 +312,8 @@
 {
     HttpAnswer answer;
     boost::system::error_code error;
-    Tcp::socket socket(co_await asio::this_coro::executor);
+    const auto executor = co_await asio::this_coro::executor;
+    Tcp::socket socket(executor);
     co_await socket.async_connect(parseEndpoint(address),
                                   asio::redirect_error(asio::use_awaitable, error));
     if (error) {
--- a/Source/StandIns/Link.cpp
+++ b/Source/StandIns/Link.cpp
@@ -39,4 +39,10 @@
     }
 }
 
+LinkEnd::LinkEnd(std::shared_ptr<Link> link, bool reversed)
+    : link_(std::move(link))
+    , reversed_(reversed)
+{
+}
+
 } // namespace LaburnumChute::StandIns
--- a/Source/StandIns/Link.h
+++ b/Source/StandIns/Link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 
 #include <nlohmann/json.hpp>
 
@@ -39,4 +40,28 @@
     void change(const nlohmann::json &changes);
 };
 
+/// A link as one of its two ends uses it: what is forward for one is back for the other.
+class LinkEnd
+{
+public:
+    LinkEnd(std::shared_ptr<Link> link, bool reversed);
+
+    LinkDirection &out() const
+    {
+        return reversed_ ? link_->back : link_->forward;
+    }
+    LinkDirection &in() const
+    {
+        return reversed_ ? link_->forward : link_->back;
+    }
+    bool cut() const
+    {
+        return link_->cut;
+    }
+
+private:
+    std::shared_ptr<Link> link_;
+    bool reversed_;
+};
+
 } // namespace LaburnumChute::StandIns
--- a/Source/StandIns/TcpRelay.cpp
+++ b/Source/StandIns/TcpRelay.cpp
@@ -32,12 +32,11 @@
 {
 }
 
-RelayedConnection::RelayedConnection(Tcp::socket client, std::shared_ptr<Link> link,
-                                     Tcp::endpoint target)
+RelayedConnection::RelayedConnection(Tcp::socket client, LinkEnd link, Tcp::endpoint target)
     : client_(std::move(client))
     , server_(client_.get_executor())
     , link_(std::move(link))
-    , target_(target)
+    , target_(std::move(target))
     , forward_(client_.get_executor())
     , back_(client_.get_executor())
 {
@@ -53,8 +52,8 @@
 asio::awaitable<void> RelayedConnection::connect()
 {
     // The handshake of the real connection takes one round trip.
-    co_await sleepFor(link_->forward.delay + link_->back.delay);
-    while (link_->forward.held || link_->back.held) {
+    co_await sleepFor(link_.out().delay + link_.in().delay);
+    while (link_.out().held || link_.in().held) {
         co_await sleepFor(Poll);
     }
     boost::system::error_code error;
@@ -74,7 +73,7 @@
     auto &from = forward ? client_ : server_;
     auto &to = forward ? server_ : client_;
     auto &way = forward ? forward_ : back_;
-    auto &direction = forward ? link_->forward : link_->back;
+    auto &direction = forward ? link_.out() : link_.in();
     const auto self = shared_from_this();
     asio::co_spawn(
         from.get_executor(),
@@ -173,8 +172,7 @@
     back_.changed.notify();
 }
 
-TcpRelay::TcpRelay(asio::io_context &context, std::shared_ptr<Link> link,
-                   const nlohmann::json &settings)
+TcpRelay::TcpRelay(asio::io_context &context, LinkEnd link, const nlohmann::json &settings)
     : context_(context)
     , link_(std::move(link))
     , endpoint_(parseEndpoint(settings.value("listen", "127.0.0.1:0")))
@@ -221,10 +219,10 @@
 void TcpRelay::linkChanged()
 {
     const bool listening = acceptor_ && acceptor_->is_open();
-    if (!link_->cut && !listening) {
+    if (!link_.cut() && !listening) {
         listen();
     }
-    if (!link_->cut) {
+    if (!link_.cut()) {
         return;
     }
     if (listening) {
--- a/Source/StandIns/TcpRelay.h
+++ b/Source/StandIns/TcpRelay.h
@@ -17,7 +17,7 @@
 class RelayedConnection : public std::enable_shared_from_this<RelayedConnection>
 {
 public:
-    RelayedConnection(Tcp::socket client, std::shared_ptr<Link> link, Tcp::endpoint target);
+    RelayedConnection(Tcp::socket client, LinkEnd link, Tcp::endpoint target);
 
     void start();
     /// From now on nothing passes and neither end is told, as when a box between them has lost
@@ -48,7 +48,7 @@
 
     Tcp::socket client_;
     Tcp::socket server_;
-    std::shared_ptr<Link> link_;
+    LinkEnd link_;
     Tcp::endpoint target_;
     Way forward_;
     Way back_;
@@ -59,7 +59,7 @@
 class TcpRelay
 {
 public:
-    TcpRelay(asio::io_context &context, std::shared_ptr<Link> link, const nlohmann::json &settings);
+    TcpRelay(asio::io_context &context, LinkEnd link, const nlohmann::json &settings);
 
     std::string address() const
     {
@@ -75,7 +75,7 @@
     asio::awaitable<void> accept();
 
     asio::io_context &context_;
-    std::shared_ptr<Link> link_;
+    LinkEnd link_;
     Tcp::endpoint endpoint_;
     Tcp::endpoint target_;
     std::optional<Tcp::acceptor> acceptor_;
--- a/Source/StandIns/UdpRelay.cpp
+++ b/Source/StandIns/UdpRelay.cpp
@@ -16,8 +16,7 @@
 
 } // namespace
 
-UdpRelay::UdpRelay(asio::io_context &context, std::shared_ptr<Link> link,
-                   const nlohmann::json &settings)
+UdpRelay::UdpRelay(asio::io_context &context, LinkEnd link, const nlohmann::json &settings)
     : context_(context)
     , link_(std::move(link))
     , socket_(std::make_shared<Udp::socket>(context,
@@ -47,7 +46,7 @@
         }
         if (!error) {
             const auto end = buffer.begin() + static_cast<std::ptrdiff_t>(count);
-            forward(upstream(client), target_, {buffer.begin(), end}, link_->forward);
+            forward(upstream(client), target_, {buffer.begin(), end}, link_.out());
         }
     }
 }
@@ -77,7 +76,7 @@
         }
         if (!error) {
             const auto end = buffer.begin() + static_cast<std::ptrdiff_t>(count);
-            forward(socket_, client, {buffer.begin(), end}, link_->back);
+            forward(socket_, client, {buffer.begin(), end}, link_.in());
         }
     }
 }
@@ -86,7 +85,7 @@
                        LinkDirection &direction)
 {
     const auto now = std::chrono::steady_clock::now();
-    if (link_->cut || direction.held || direction.backlog(now) > MaxBacklog) {
+    if (link_.cut() || direction.held || direction.backlog(now) > MaxBacklog) {
         return;
     }
     const auto due = direction.send(data.size(), now);
@@ -95,7 +94,7 @@
     const auto link = link_;
     const auto *way = &direction;
     timer->async_wait([link, way, socket, to, timer, kept](boost::system::error_code error) {
-        if (error || link->cut || way->held) {
+        if (error || link.cut() || way->held) {
             return;
         }
         boost::system::error_code ignored;
--- a/Source/StandIns/UdpRelay.h
+++ b/Source/StandIns/UdpRelay.h
@@ -16,7 +16,7 @@
 class UdpRelay
 {
 public:
-    UdpRelay(asio::io_context &context, std::shared_ptr<Link> link, const nlohmann::json &settings);
+    UdpRelay(asio::io_context &context, LinkEnd link, const nlohmann::json &settings);
 
     std::string address() const;
 
@@ -30,7 +30,7 @@
                  LinkDirection &direction);
 
     asio::io_context &context_;
-    std::shared_ptr<Link> link_;
+    LinkEnd link_;
     SocketPointer socket_;
     Udp::endpoint target_;
     std::map<Udp::endpoint, SocketPointer> clients_;
