Tell a superseded or paused instance what has become of it

The cluster says when another process lives under this instance's id, and when this process was paused. Cause: the gateway did not compile against the two new effects.

--- a/Source/Core/Gateway/ClusterRunner.cpp
+++ b/Source/Core/Gateway/ClusterRunner.cpp
@@ -107,9 +107,10 @@
 {
 }
 
-void ClusterRunner::start(TableListener listener)
+void ClusterRunner::start(TableListener listener, SupersededListener superseded)
 {
     listener_ = std::move(listener);
+    superseded_ = std::move(superseded);
     asio::co_spawn(control_, socket_->run(), asio::detached);
     asio::co_spawn(control_, tickLoop(), asio::detached);
     asio::co_spawn(control_, listLoop(), asio::detached);
@@ -305,6 +306,19 @@
     publishTable();
 }
 
+void ClusterRunner::carryOut(const Cluster::SelfSuperseded &effect)
+{
+    Common::log(Part, Common::LogLevel::Error,
+                "incarnation {} of this instance's id lives elsewhere; this one leaves", effect.by);
+    superseded_();
+}
+
+void ClusterRunner::carryOut(const Cluster::ResumedAfterPause &effect)
+{
+    Common::log(Part, Common::LogLevel::Warning, "this process was paused for {} ms",
+                effect.pause.count());
+}
+
 void ClusterRunner::carryOut(const Cluster::ValidateConfiguration &effect)
 {
     const auto parsed = Configuration::parse(effect.content);
--- a/Source/Core/Gateway/ClusterRunner.h
+++ b/Source/Core/Gateway/ClusterRunner.h
@@ -37,13 +37,15 @@
 public:
     /// Told after each new routing table.
     using TableListener = std::function<void(const RoutingTable &)>;
+    /// Told when another process lives under this instance's id.
+    using SupersededListener = std::function<void()>;
 
     ClusterRunner(asio::io_context &control, asio::io_context &channels,
                   ClusterRunnerOptions options, const Cluster::MemberInfo &self,
                   std::unique_ptr<Peers::GossipSocket> socket, RoutingTableCell &table,
                   Dispatcher &dispatcher, Common::MetricsRegistry &metrics);
 
-    void start(TableListener listener);
+    void start(TableListener listener, SupersededListener superseded);
     void receive(const Cluster::Address &from, const Cluster::GossipMessage &message);
     /// Tells all others that this instance leaves.
     void announceLeaving();
@@ -76,6 +78,8 @@
     void carryOut(const Cluster::Effects &effects);
     void carryOut(const Cluster::SendGossip &effect);
     void carryOut(const Cluster::MemberChanged &effect);
+    void carryOut(const Cluster::SelfSuperseded &effect);
+    void carryOut(const Cluster::ResumedAfterPause &effect);
     void carryOut(const Cluster::ValidateConfiguration &effect);
     void carryOut(const Cluster::ConfigurationAdopted &effect);
     void carryOut(const Cluster::ConfigurationRejected &effect);
@@ -105,6 +109,7 @@
     Platform::ConfigurationReader configurationReader_;
     Platform::InstanceListReader listReader_;
     TableListener listener_;
+    SupersededListener superseded_;
     Platform::InstanceList list_;
     std::shared_ptr<const Configuration::Configuration> configuration_;
     Common::ConfigurationNumber number_ = 0;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -191,15 +191,8 @@
     }
     auto &control = inner_.at(ControlContext);
     asio::post(control, [this] {
-        cluster_->start([this](const RoutingTable &) {
-            std::vector<Platform::ListedEndpoint> endpoints;
-            for (const auto &endpoint : cluster_->listedEndpoints()) {
-                if (endpoint.region == options_.region) {
-                    endpoints.push_back(endpoint);
-                }
-            }
-            monitor_.watch(std::move(endpoints));
-        });
+        cluster_->start([this](const RoutingTable &) { watchEndpoints(); },
+                        [this] { beginDrain(); });
     });
     asio::co_spawn(control, waitForSignal(), asio::detached);
     asio::co_spawn(control, housekeeping(), asio::detached);
@@ -215,6 +208,17 @@
     return line.dump();
 }
 
+void Gateway::watchEndpoints()
+{
+    std::vector<Platform::ListedEndpoint> endpoints;
+    for (const auto &endpoint : cluster_->listedEndpoints()) {
+        if (endpoint.region == options_.region) {
+            endpoints.push_back(endpoint);
+        }
+    }
+    monitor_.watch(std::move(endpoints));
+}
+
 void Gateway::run()
 {
     stopped_.get_future().wait();
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -43,6 +43,7 @@
     asio::awaitable<void> waitForSignal();
     asio::awaitable<void> drain();
     void beginDrain();
+    void watchEndpoints();
     bool quiet() const;
     asio::awaitable<void> handOverLedger();
     asio::awaitable<void> housekeeping();
--- a/Source/StandIns/Engine.cpp
+++ b/Source/StandIns/Engine.cpp
@@ -72,7 +72,8 @@
     , settings_(std::move(settings))
     , scheduler_(settings_.batch)
     , models_(context, settings_.id, settings_.weightStore, settings_.checksFences)
-    , server_(context, [this](ConnectionPointer connection) { return handle(std::move(connection)); })
+    , server_(context,
+              [this](ConnectionPointer connection) { return handle(std::move(connection)); })
     , work_(context.get_executor())
 {
     for (const auto &model : settings_.models) {
--- a/Source/StandIns/PlainService.cpp
+++ b/Source/StandIns/PlainService.cpp
@@ -25,7 +25,8 @@
 PlainService::PlainService(asio::io_context &context, ServiceSettings settings)
     : context_(context)
     , settings_(std::move(settings))
-    , server_(context, [this](ConnectionPointer connection) { return handle(std::move(connection)); })
+    , server_(context,
+              [this](ConnectionPointer connection) { return handle(std::move(connection)); })
     , freed_(context.get_executor())
 {
 }
