Let callers name their home region

Cause: a caller that had asked an instance of another region was given advice and residency as if it lived there. Ruled out: the residency bound of the scheduler, whose breaches would also show for callers of the entry's own region.

--- a/Source/Core/Entry/CallerRequest.cpp
+++ b/Source/Core/Entry/CallerRequest.cpp
@@ -150,6 +150,9 @@
     if (const auto id = text(headers, "Laburnumchute-Supersedes")) {
         result.supersedes = Common::RequestId(*id);
     }
+    if (const auto region = text(headers, "Laburnumchute-Home-Region")) {
+        result.homeRegion = Common::RegionName(*region);
+    }
     result.priority = text(headers, "Laburnumchute-Priority");
     result.residency = text(headers, "Laburnumchute-Residency");
     result.conversation = text(headers, "Laburnumchute-Conversation");
--- a/Source/Core/Entry/CallerRequest.h
+++ b/Source/Core/Entry/CallerRequest.h
@@ -20,6 +20,8 @@
     std::optional<Common::milliseconds> deadline;
     std::optional<Common::RequestId> supersedes;
     std::optional<std::string> conversation;
+    /// The region in which the caller is at home; without it, that of the instance it speaks to.
+    std::optional<Common::RegionName> homeRegion;
     std::optional<bool> repeatable;
     std::optional<std::string> idempotencyKey;
     /// The caller says that an order equal to an earlier one is meant as a second one.
--- a/Source/Core/Gateway/CallPlan.cpp
+++ b/Source/Core/Gateway/CallPlan.cpp
@@ -164,7 +164,13 @@
                                           "Laburnumchute-Residency: there is no rule \""
                                               + wantedRule->text() + "\""));
     }
-    const auto callerHome = arrival.forwarded ? arrival.forwarded->fromRegion : home_;
+    const auto entryRegion = arrival.forwarded ? arrival.forwarded->fromRegion : home_;
+    const auto callerHome = draft.headers.homeRegion.value_or(entryRegion);
+    if (configuration.region(callerHome) == nullptr) {
+        return tl::unexpected(makeProblem(400, Common::ErrorCode::InvalidArgument,
+                                          "Laburnumchute-Home-Region: there is no region \""
+                                              + callerHome.text() + "\""));
+    }
     facts.allowedRegions = allowedRegions(
         configuration, *configuration.residencyRule(route.residency), narrower, callerHome);
     facts.arrivedFrom = arrival.forwarded ? arrival.forwarded->fromRegion : Common::RegionName();
--- a/Source/Core/Gateway/RequestHandler.cpp
+++ b/Source/Core/Gateway/RequestHandler.cpp
@@ -107,6 +107,17 @@
     return document;
 }
 
+/// The value of the query "region".
+std::optional<Common::RegionName> regionQuery(const std::string &target)
+{
+    constexpr std::string_view Name = "?region=";
+    const auto start = target.find(Name);
+    if (start == std::string::npos) {
+        return std::nullopt;
+    }
+    return Common::RegionName(target.substr(start + Name.size()));
+}
+
 bool isLoop(const Peers::ForwardedRequest &forwarded, const Common::InstanceId &self)
 {
     const auto &visited = forwarded.visited;
@@ -215,7 +226,8 @@
 asio::awaitable<void> RequestHandler::serveEntries(Entry::Exchange &exchange)
 {
     const auto table = context_.table.share();
-    co_await sendJson(exchange, 200, entryAdvice(*table, context_.home, adviceLifetime_));
+    const auto region = regionQuery(exchange.request().target).value_or(context_.home);
+    co_await sendJson(exchange, 200, entryAdvice(*table, region, adviceLifetime_));
 }
 
 asio::awaitable<void> RequestHandler::serveKeys(Entry::Exchange &exchange)
