Continue a stream on another engine when its engine dies; tell peers of orders

Cause: an engine that went down in mid-stream left its caller with half an answer and an error. The request now goes to another engine; what it repeats is compared with what the caller has, and dropped; a difference ends the stream. Ruled out: appending the half answer to the prompt, which chat engines do not all accept and which makes another tokenization. The order hints of the ledger now travel to the peers over the channel.

--- a/Source/Core/Entry/Entry.h
+++ b/Source/Core/Entry/Entry.h
@@ -7,4 +7,5 @@
 #include "Entry/Exchange.h"
 #include "Entry/HttpServer.h"
 #include "Entry/Problem.h"
+#include "Entry/StreamContinuation.h"
 #include "Entry/WholeAnswer.h"
--- a/Source/Core/Gateway/CallRunner.cpp
+++ b/Source/Core/Gateway/CallRunner.cpp
@@ -12,7 +12,7 @@
 namespace D = LaburnumChute::Decisions;
 namespace L = LaburnumChute::Ledger;
 
-constexpr std::size_t KeptAnswerLimitBytes = 1024 * 1024;
+constexpr unsigned FirstServerError = 500;
 constexpr std::string_view KeysPath = "/v1/idempotency-keys";
 
 void logRequest(Common::LogLevel level, const Common::RequestId &request, const std::string &text)
@@ -351,6 +351,11 @@
     if (!head) {
         co_return co_await endpointFailed(head.error(), endpoint);
     }
+    if (plan_.model && head->status >= FirstServerError) {
+        Endpoints::EndpointFailure failure;
+        failure.message = fmt::format("{} answered {}", endpoint, head->status);
+        co_return co_await endpointFailed(std::move(failure), endpoint);
+    }
     co_return co_await passAnswer(std::move(*head), endpoint);
 }
 
@@ -361,8 +366,10 @@
     if (plan_.model && isStream && !plan_.stream) {
         whole_.emplace(*plan_.model);
     }
+    if (plan_.model && isStream && plan_.stream && !continuation_) {
+        continuation_.emplace();
+    }
     kept_ = {static_cast<int>(head.status), head.header("Content-Type"), {}};
-    bool headSent = false;
     std::uint64_t reported = 0;
     while (true) {
         auto piece = co_await stream_->next();
@@ -374,8 +381,7 @@
             ticket_->firstToken(endpoint);
             context_.metrics.firstToken.record(std::chrono::steady_clock::now() - startedAt_);
         }
-        if (!headSent && !callerGone_) {
-            headSent = true;
+        if (!responder_.started() && !callerGone_) {
             co_await sendHead(head);
         }
         if (piece->last) {
@@ -386,7 +392,12 @@
             reported = stream_->events();
             ticket_->progress(endpoint, static_cast<std::int64_t>(reported));
         }
-        co_await passPiece(std::move(piece->bytes));
+        const auto passed = co_await passPiece(std::move(piece->bytes));
+        if (!passed) {
+            stream_->abort();
+            cancelRemotely();
+            co_return co_await brokenOff(endpoint, passed.error().message);
+        }
     }
 }
 
@@ -409,22 +420,25 @@
     co_return co_await responder_.head(head.status, std::move(headers));
 }
 
-asio::awaitable<bool> CallRunner::passPiece(std::string bytes)
+asio::awaitable<Common::Result<void>> CallRunner::passPiece(std::string bytes)
 {
-    if (ledgerDispatch_ && kept_.body.size() + bytes.size() <= KeptAnswerLimitBytes) {
+    if (ledgerDispatch_) {
         kept_.body += bytes;
     }
     if (whole_) {
-        const auto fed = whole_->feed(bytes);
-        if (!fed) {
-            logRequest(Common::LogLevel::Warning, plan_.callerId, fed.error().message);
+        co_return whole_->feed(bytes);
+    }
+    if (continuation_) {
+        auto fresh = continuation_->feed(bytes);
+        if (!fresh) {
+            co_return tl::unexpected(fresh.error());
         }
-        co_return fed.has_value();
+        bytes = std::move(*fresh);
     }
-    if (callerGone_) {
-        co_return false;
+    if (!callerGone_ && !bytes.empty()) {
+        co_await responder_.piece(std::move(bytes));
     }
-    co_return co_await responder_.piece(std::move(bytes));
+    co_return Common::Result<void>();
 }
 
 asio::awaitable<bool> CallRunner::sendEnd()
@@ -484,17 +498,26 @@
     logRequest(Common::LogLevel::Warning, plan_.callerId,
                fmt::format("failed on {} ({}): {}", endpoint, Common::toString(failure.runState),
                            failure.message));
-    ticket_->finished(endpoint, outcomeOf(failure));
-    if (!responder_.started()) {
-        whole_.reset();
-        co_return Step::Continue;
+    if (callerGone_ || (responder_.started() && !continuation_)) {
+        co_return co_await brokenOff(endpoint, failure.message);
+    }
+    whole_.reset();
+    if (continuation_) {
+        continuation_->restart();
     }
-    // A part of the answer is with the caller already; another endpoint would begin anew.
+    ticket_->finished(endpoint, outcomeOf(failure));
+    co_return Step::Continue;
+}
+
+asio::awaitable<CallRunner::Step> CallRunner::brokenOff(const Common::EndpointId &endpoint,
+                                                        const std::string &detail)
+{
+    ticket_->finished(endpoint, D::Outcome::Failed);
     context_.metrics.failed.add();
     Entry::Problem problem;
     problem.status = 502;
     problem.code = Common::ErrorCode::Unavailable;
-    problem.detail = failure.message;
+    problem.detail = detail;
     problem.run = Common::RunState::Unknown;
     co_await answerProblem(std::move(problem));
     co_return Step::Ended;
--- a/Source/Core/Gateway/CallRunner.h
+++ b/Source/Core/Gateway/CallRunner.h
@@ -69,7 +69,9 @@
     asio::awaitable<Step> endpointFailed(Endpoints::EndpointFailure failure,
                                          const Common::EndpointId &endpoint);
     asio::awaitable<Step> completeAtEndpoint(const Common::EndpointId &endpoint);
-    asio::awaitable<bool> passPiece(std::string bytes);
+    asio::awaitable<Common::Result<void>> passPiece(std::string bytes);
+    /// Ends a call whose answer cannot be completed any more.
+    asio::awaitable<Step> brokenOff(const Common::EndpointId &endpoint, const std::string &detail);
     asio::awaitable<bool> sendHead(const Endpoints::ResponseHead &head);
     asio::awaitable<bool> sendEnd();
 
@@ -107,6 +109,7 @@
     std::optional<Ledger::Attempt> ledgerAttempt_;
     std::optional<Ledger::Dispatch> ledgerDispatch_;
     std::optional<Entry::WholeAnswer> whole_;
+    std::optional<Entry::StreamContinuation> continuation_;
     Ledger::KeptAnswer kept_;
     Common::Time startedAt_;
     bool firstTokenSeen_ = false;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -30,6 +30,11 @@
 constexpr Common::milliseconds HandoverTimeout{2000};
 constexpr const char *HandoverSubject = "ledger-handover";
 constexpr const char *HintsSubject = "order-hints";
+/// A caller takes a second or more to submit an order again; hints that wait a fifth of that travel
+/// together.
+constexpr Common::milliseconds HintInterval{200};
+/// Up to here hints go to all instances, beyond to those of the region alone.
+constexpr std::size_t ToldPeersLimit = 16;
 
 std::uint64_t randomNumber()
 {
@@ -196,6 +201,7 @@
     });
     asio::co_spawn(control, waitForSignal(), asio::detached);
     asio::co_spawn(control, housekeeping(), asio::detached);
+    asio::co_spawn(control, shareOrderHints(), asio::detached);
     callers_.start();
     inner_.start();
     Common::log(Part, Common::LogLevel::Info, "instance {} of region {} serves callers at {}",
@@ -299,24 +305,73 @@
     }
 }
 
-asio::awaitable<void> Gateway::serveInternal(std::shared_ptr<Peers::IncomingCall> call)
+asio::awaitable<Common::Result<void>> Gateway::takeInternal(const Peers::InternalRequest &request)
 {
-    const auto &request = std::get<Peers::InternalRequest>(call->request());
-    const auto handover = decode<L::Handover>(request.body);
-    Common::Result<void> adopted =
-        Common::makeError(Common::ErrorCode::InvalidArgument, "the subject is not known");
-    if (request.subject == HandoverSubject && handover) {
-        adopted = co_await ledger_.adopt(*handover);
+    if (request.subject == HandoverSubject) {
+        const auto handover = decode<L::Handover>(request.body);
+        if (!handover) {
+            co_return tl::unexpected(handover.error());
+        }
+        co_return co_await ledger_.adopt(*handover);
+    }
+    if (request.subject == HintsSubject) {
+        const auto hints = decode<std::vector<L::DuplicateHint>>(request.body);
+        if (!hints) {
+            co_return tl::unexpected(hints.error());
+        }
+        co_return co_await ledger_.learn(*hints);
     }
-    if (adopted) {
+    co_return Common::makeError(Common::ErrorCode::InvalidArgument, "the subject is not known");
+}
+
+asio::awaitable<void> Gateway::serveInternal(std::shared_ptr<Peers::IncomingCall> call)
+{
+    const auto taken = co_await takeInternal(std::get<Peers::InternalRequest>(call->request()));
+    if (taken) {
         co_await call->send(Peers::AnswerHead{200, {}});
         co_await call->send(Peers::AnswerEnd());
-    } else {
-        Peers::AnswerFailure failure;
-        failure.code = adopted.error().code;
-        failure.run = Common::RunState::NotRun;
-        failure.detail = adopted.error().message;
-        co_await call->send(std::move(failure));
+        co_return;
+    }
+    Peers::AnswerFailure failure;
+    failure.code = taken.error().code;
+    failure.run = Common::RunState::NotRun;
+    failure.detail = taken.error().message;
+    co_await call->send(std::move(failure));
+}
+
+void Gateway::tellPeers(const char *subject, const std::string &body)
+{
+    const auto table = table_.share();
+    std::vector<const PeerEntry *> receivers;
+    for (const auto &entry : table->peers) {
+        const auto &peer = entry.second;
+        if (peer.usable && peer.channel) {
+            receivers.push_back(&peer);
+        }
+    }
+    const bool few = receivers.size() <= ToldPeersLimit;
+    for (const auto *peer : receivers) {
+        if (!few && peer->region != options_.region) {
+            continue;
+        }
+        auto wait = [](std::unique_ptr<Peers::OutgoingCall> call) -> asio::awaitable<void> {
+            co_await call->next(std::chrono::steady_clock::now() + HandoverTimeout);
+        };
+        auto &control = inner_.at(ControlContext);
+        auto call =
+            peer->channel->open(Peers::InternalRequest{subject, body}, control.get_executor());
+        asio::co_spawn(control, wait(std::move(call)), asio::detached);
+    }
+}
+
+asio::awaitable<void> Gateway::shareOrderHints()
+{
+    while (true) {
+        co_await Async::sleepFor(HintInterval);
+        const auto hints = ledger_.ledger().takeHints();
+        if (!hints.empty()) {
+            tellPeers(HintsSubject, encode(hints));
+        }
     }
 }
 
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -47,7 +47,11 @@
     bool quiet() const;
     asio::awaitable<void> handOverLedger();
     asio::awaitable<void> housekeeping();
+    /// Tells peers which orders were submitted here, so that they can ask about a second one.
+    asio::awaitable<void> shareOrderHints();
+    void tellPeers(const char *subject, const std::string &body);
     asio::awaitable<void> serveInternal(std::shared_ptr<Peers::IncomingCall> call);
+    asio::awaitable<Common::Result<void>> takeInternal(const Peers::InternalRequest &request);
     asio::awaitable<void> servePeer(std::shared_ptr<Peers::IncomingCall> call);
     std::shared_ptr<Endpoints::ConnectionPool> poolOfThread() const;
     nlohmann::json dump() const;
--- a/Source/Core/Gateway/LedgerDesk.cpp
+++ b/Source/Core/Gateway/LedgerDesk.cpp
@@ -74,4 +74,14 @@
         [handover](L::Ledger &ledger, Common::Time now) { return ledger.adopt(handover, now); });
 }
 
+asio::awaitable<Common::Result<void>> LedgerDesk::learn(const std::vector<L::DuplicateHint> &hints)
+{
+    return ask([hints](L::Ledger &ledger, Common::Time now) {
+        for (const auto &hint : hints) {
+            ledger.learn(hint, now);
+        }
+        return Common::Result<void>();
+    });
+}
+
 } // namespace LaburnumChute::Gateway
--- a/Source/Core/Gateway/LedgerDesk.h
+++ b/Source/Core/Gateway/LedgerDesk.h
@@ -38,6 +38,7 @@
     asio::awaitable<Common::Result<void>> lost(const Ledger::Dispatch &dispatch);
     asio::awaitable<Ledger::KeyState> state(const Ledger::IdempotencyKey &key);
     asio::awaitable<Common::Result<void>> adopt(const Ledger::Handover &handover);
+    asio::awaitable<Common::Result<void>> learn(const std::vector<Ledger::DuplicateHint> &hints);
 
     /// Only from the control context.
     Ledger::Ledger &ledger()
