--- a/Source/Core/Common/Settings.cpp
+++ b/Source/Core/Common/Settings.cpp
@@ -219,6 +219,10 @@
         if (argument.find('=') != std::string::npos) {
             continue;
         }
+        if (info(name).isSwitch) {
+            words.flags.back() += "=true";
+            continue;
+        }
         if (index + 1 == arguments.size()) {
             return makeError(ErrorCode::InvalidArgument,
                              argument + ": the value is missing; expected " + info(name).expected);
--- a/Source/Core/Common/Settings.h
+++ b/Source/Core/Common/Settings.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <vector>
 
 #include "Common/Error.h"
@@ -26,6 +27,8 @@
     std::string defaultText;
     /// What a value must look like, for errors: "a whole number from 1 to 65535".
     std::string expected;
+    /// The name alone means true; a value can only be given after "=".
+    bool isSwitch = false;
 };
 
 /// "listen-port" becomes "LABURNUMCHUTE_LISTEN_PORT".
@@ -66,7 +69,8 @@
     void declare(const Setting<T> &setting)
     {
         declareChecked({setting.name, setting.part, setting.help,
-                        Detail::settingText(setting.defaultValue), setting.expected},
+                        Detail::settingText(setting.defaultValue), setting.expected,
+                        std::is_same_v<T, bool>},
                        [&setting](std::string_view text) {
                            const auto value = Detail::parseSetting(text, static_cast<T *>(nullptr));
                            return value && setting.valid(*value);
--- a/Source/UnitTests/Common/SettingsTest.cpp
+++ b/Source/UnitTests/Common/SettingsTest.cpp
@@ -16,6 +16,8 @@
 const Setting<milliseconds> Patience{"test-patience", Part, milliseconds(1500), "Time to wait",
                                      "a duration such as 250ms or 2s"};
 
+const Setting<bool> Verbose{"test-verbose", Part, false, "Say more", "true or false"};
+
 class SettingsTest : public ::testing::Test
 {
 protected:
@@ -23,6 +25,7 @@
     {
         settings_.declare(Port);
         settings_.declare(Patience);
+        settings_.declare(Verbose);
     }
 
     Settings settings_;
@@ -48,6 +51,16 @@
     EXPECT_EQ(settings_.get(Patience), milliseconds(2500));
 }
 
+TEST_F(SettingsTest, SwitchNeedsNoValueAndTakesNoWord)
+{
+    const auto words = settings_.parse({"--test-verbose", "word"}, {});
+    ASSERT_TRUE(words);
+    EXPECT_EQ(*words, std::vector<std::string>{"word"});
+    EXPECT_TRUE(settings_.get(Verbose));
+    ASSERT_TRUE(settings_.parse({"--test-verbose=false"}, {}));
+    EXPECT_FALSE(settings_.get(Verbose));
+}
+
 TEST_F(SettingsTest, BadValueIsNamedWithWhatWasExpected)
 {
     const auto words = settings_.parse({"--test-port=70000"}, {});
