Prove the spread of the configuration under loss, restarts and partitions

ServiceLoad carries what the spill decision needs of another region; LoadSum adds up the reports of a region. Deltas work on bytes, since the hash of a version is that of the bytes the service gave: JSON Merge Patch was ruled out, because rendering patched JSON need not give the same bytes.

--- a/Source/Core/Cluster/Codec.cpp
+++ b/Source/Core/Cluster/Codec.cpp
@@ -113,7 +113,8 @@
 void serialize(Archive &archive, ServiceLoad &load)
 {
     shortText(archive, load.name);
-    archive(load.running, load.waiting, load.limit);
+    archive(load.running, load.waiting, load.limit, load.freeTokensPerSecond, load.expectedWaitMs,
+            load.prefillTokensPerSecond, load.utilisationPercent);
 }
 
 template <typename Archive>
--- a/Source/Core/Cluster/ConfigurationStore.cpp
+++ b/Source/Core/Cluster/ConfigurationStore.cpp
@@ -115,7 +115,7 @@
             rejected_.erase(rejected_.begin());
         }
         effects.push_back(ConfigurationRejected{number, verdict.error().message});
-    } else if (number > digest_.number) {
+    } else {
         adopt(std::move(version), effects);
     }
     judgeNext(effects);
--- a/Source/Core/Cluster/NodeTick.cpp
+++ b/Source/Core/Cluster/NodeTick.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "Cluster/LoadSum.h"
 #include "Cluster/NodeParts.h"
 
 namespace LaburnumChute::Cluster {
@@ -16,8 +17,6 @@
 constexpr Common::milliseconds HousekeepingInterval{1000};
 /// Reports older than this many intervals are left out of the summary.
 constexpr int ReportLifetimes = 3;
-/// Models and services in a summary; the brief speaks of five models in steady use.
-constexpr std::size_t MaxServices = 16;
 
 /// True when the time has come; sets the next one.
 bool due(Common::Time &timer, Common::Duration interval, Common::Time now)
@@ -189,28 +188,15 @@
     for (const Common::InstanceId &id : contacts) {
         summary.contacts.push_back(membership.view(id)->info);
     }
-    std::map<std::string, ServiceLoad> sums;
-    const auto add = [&sums](const LoadSummary &loads) {
-        for (const ServiceLoad &load : loads) {
-            ServiceLoad &sum = sums[load.name];
-            sum.name = load.name;
-            sum.running += load.running;
-            sum.waiting += load.waiting;
-            sum.limit = std::max(sum.limit, load.limit);
-        }
-    };
-    add(localLoad);
+    LoadSum sum;
+    sum.add(localLoad);
     const auto lifetime = directory.summaryInterval() * ReportLifetimes;
     std::erase_if(reports_,
                   [&](const auto &item) { return now - item.second.received > lifetime; });
     for (const auto &[id, report] : reports_) {
-        add(report.load);
-    }
-    for (const auto &[name, sum] : sums) {
-        if (summary.load.size() < MaxServices) {
-            summary.load.push_back(sum);
-        }
+        sum.add(report.load);
     }
+    summary.load = sum.result();
     return summary;
 }
 
--- a/Source/Core/Cluster/Types.h
+++ b/Source/Core/Cluster/Types.h
@@ -69,6 +69,12 @@
     std::uint32_t waiting = 0;
     /// Requests that the region's endpoints take at once; the largest view of a region's instances.
     std::uint32_t limit = 0;
+    /// What another region needs to know before it sends work here. Each instance sees the same
+    /// endpoints, so that a region's value is the mean of its instances' views.
+    std::uint32_t freeTokensPerSecond = 0;
+    std::uint32_t expectedWaitMs = 0;
+    std::uint32_t prefillTokensPerSecond = 0;
+    std::uint32_t utilisationPercent = 0;
 };
 
 using LoadSummary = std::vector<ServiceLoad>;
--- a/Source/UnitTests/Cluster/MembershipTest.cpp
+++ b/Source/UnitTests/Cluster/MembershipTest.cpp
@@ -44,6 +44,30 @@
     EXPECT_LE(bus.largestDatagram, MaxDatagramBytes);
 }
 
+TEST(MembershipTest, OtherRegionsLearnTheLoadOfARegion)
+{
+    MessageBus bus(8);
+    startRegion(bus, "sapporo", 3);
+    startRegion(bus, "hakodate", 3);
+    bus.publishSeeds();
+    for (std::size_t i = 0; i < 3; ++i) {
+        const auto wait = static_cast<std::uint32_t>(100 * i);
+        bus.processes[i].node->setLocalLoad({{"inscription", 2, 1, 96, 500, wait, 0, 50}});
+    }
+    bus.run(seconds(15));
+    for (const RegionSummary &region : bus.processes[5].node->regions()) {
+        EXPECT_EQ(region.aliveMembers, 3u);
+        EXPECT_EQ(region.contacts.size(), 3u);
+        if (region.region != Common::RegionName("sapporo")) {
+            continue;
+        }
+        ASSERT_EQ(region.load.size(), 1u);
+        EXPECT_EQ(region.load[0].running, 6u);
+        EXPECT_EQ(region.load[0].limit, 96u);
+        EXPECT_EQ(region.load[0].expectedWaitMs, 100u);
+    }
+}
+
 // An instance loses its power. The others send it work until they notice; callers whose requests it
 // held wait for nothing.
 TEST(MembershipTest, DeathIsFoundInSeconds)
--- a/Source/UnitTests/Cluster/MessageBus.h
+++ b/Source/UnitTests/Cluster/MessageBus.h
@@ -53,7 +53,13 @@
     };
     bool timerFirst = true;
     bool serviceUp = true;
+    /// A service that gives what it has without regard to the number asked after.
+    bool serviceIgnoresNumber = false;
     ConfigurationVersion service;
+    /// What the service gives to a process.
+    std::function<ConfigurationVersion(std::size_t)> serviceFor = [this](std::size_t) {
+        return service;
+    };
     std::function<bool(const ConfigurationVersion &)> valid = [](const ConfigurationVersion &) {
         return true;
     };
@@ -231,12 +237,14 @@
     if (!process.reading) {
         return;
     }
+    const ConfigurationVersion version = serviceFor(index);
     if (!serviceUp) {
         process.reading = false;
         perform(index, process.node->configurationReadFailed(now_));
-    } else if (service.number > process.readAfter) {
+    } else if (version.number > process.readAfter
+               || (serviceIgnoresNumber && version.number != 0)) {
         process.reading = false;
-        perform(index, process.node->configurationRead(service, now_));
+        perform(index, process.node->configurationRead(version, now_));
     } else if (now_ >= process.readEnds) {
         process.reading = false;
         perform(index, process.node->configurationUnchanged(now_));
