Give orders to engines by one instance with growing fencing numbers

OrderCoordinator runs on the instance that ClusterNode::orderer() names. Fencing numbers are above all numbers read from engines and above the wall clock, so they grow over replacements without a store.

Tried and taken out: a second reading that must agree before an order goes to an engine without fencing. No test could be made to need it: two orderers in step read the same twice as well; what protects there is that orders name a state, and the check of the engine's count of orders. Also out: raising the number by the one in a refusal, since the next reading brings it.

--- a/Source/Core/Cluster/Cluster.h
+++ b/Source/Core/Cluster/Cluster.h
@@ -6,6 +6,8 @@
 #include "Cluster/ClusterNode.h"
 #include "Cluster/Codec.h"
 #include "Cluster/Effects.h"
+#include "Cluster/EngineOrder.h"
 #include "Cluster/Messages.h"
 #include "Cluster/Options.h"
+#include "Cluster/OrderCoordinator.h"
 #include "Cluster/Types.h"
--- /dev/null
+++ b/Source/Core/Cluster/OrderCoordinator.cpp
@@ -0,0 +1,181 @@
+#include "Cluster/OrderCoordinator.h"
+
+#include <algorithm>
+
+namespace LaburnumChute::Cluster {
+
+OrderCoordinator::OrderCoordinator(const OrderOptions &options)
+    : options_(options)
+{
+}
+
+void OrderCoordinator::setDesired(const std::vector<DesiredEngine> &engines)
+{
+    std::map<Common::EndpointId, Engine> next;
+    for (const DesiredEngine &desired : engines) {
+        const auto known = engines_.find(desired.endpoint);
+        Engine engine = known == engines_.end() ? Engine{} : std::move(known->second);
+        engine.desired = desired;
+        // What is desired may be new, so the next reading comes soon.
+        engine.next = quietUntil_;
+        next.emplace(desired.endpoint, std::move(engine));
+    }
+    engines_ = std::move(next);
+}
+
+void OrderCoordinator::setLoadsPerMinute(double loads)
+{
+    loadsPerMinute_ = loads;
+}
+
+void OrderCoordinator::setOrderer(bool orderer, Common::Time now)
+{
+    if (orderer && !orderer_) {
+        keepQuiet(now);
+    }
+    orderer_ = orderer;
+}
+
+void OrderCoordinator::resumed(Common::Time now)
+{
+    keepQuiet(now);
+}
+
+void OrderCoordinator::keepQuiet(Common::Time now)
+{
+    quietUntil_ = now + options_.quietPeriod;
+    // The former orderer may have used up the store's rate.
+    loadTokens_ = 0;
+    tokensAt_ = now;
+    for (auto &[id, engine] : engines_) {
+        engine.phase = Phase::Idle;
+        engine.next = quietUntil_;
+        engine.ordersExpected.reset();
+    }
+}
+
+OrderEffects OrderCoordinator::tick(Common::Time now)
+{
+    OrderEffects effects;
+    if (!orderer_ || now < quietUntil_) {
+        return effects;
+    }
+    for (auto &[id, engine] : engines_) {
+        if (engine.phase != Phase::Idle && now >= engine.deadline) {
+            becomeUncertain(engine, now);
+        }
+        if (engine.phase == Phase::Idle && now >= engine.next) {
+            engine.phase = Phase::Reading;
+            engine.deadline = now + options_.answerTimeout;
+            effects.push_back(ReadEngineState{id});
+        }
+    }
+    return effects;
+}
+
+OrderEffects OrderCoordinator::stateRead(const Common::EndpointId &endpoint,
+                                         const EngineState &state, Common::Time now,
+                                         Common::WallTime wallNow)
+{
+    highestFence_ = std::max(highestFence_, state.highestFence);
+    const auto it = engines_.find(endpoint);
+    if (it == engines_.end() || it->second.phase != Phase::Reading) {
+        return {};
+    }
+    Engine &engine = it->second;
+    engine.phase = Phase::Idle;
+    engine.next = now + options_.auditInterval;
+    const bool foreign = engine.ordersExpected && *engine.ordersExpected != state.ordersSeen;
+    engine.ordersExpected = state.ordersSeen;
+    engine.deviates = nextOrder(engine.desired, state).has_value();
+    if (!orderer_ || now < quietUntil_) {
+        return {};
+    }
+    if (foreign) {
+        // Two that order the same engine out of different versions of the configuration would undo
+        // each other's work without end, a load each time.
+        engine.next = now + options_.quietPeriod;
+        return {ForeignOrders{endpoint}};
+    }
+    return decide(engine, state, now, wallNow);
+}
+
+OrderEffects OrderCoordinator::decide(Engine &engine, const EngineState &state, Common::Time now,
+                                      Common::WallTime wallNow)
+{
+    const auto order = nextOrder(engine.desired, state);
+    const bool loading = std::any_of(state.models.begin(), state.models.end(),
+                                     [](const auto &model) { return !model.ready; });
+    if (!order) {
+        engine.next = now + (loading ? options_.settleInterval : options_.auditInterval);
+        return {};
+    }
+    if (readsWeights(*order) && !takeLoadToken(now)) {
+        engine.next = now + options_.settleInterval;
+        return {};
+    }
+    highestFence_ = std::max(highestFence_ + 1, Common::toUnixMilliseconds(wallNow));
+    engine.phase = Phase::Ordering;
+    engine.deadline = now + options_.answerTimeout;
+    return {GiveOrder{engine.desired.endpoint, *order, highestFence_}};
+}
+
+bool OrderCoordinator::takeLoadToken(Common::Time now)
+{
+    const double minutes = Common::toSeconds(now - tokensAt_) / 60.0;
+    tokensAt_ = now;
+    loadTokens_ = std::min(options_.loadBurst, loadTokens_ + minutes * loadsPerMinute_);
+    if (loadTokens_ < 1) {
+        return false;
+    }
+    loadTokens_ -= 1;
+    return true;
+}
+
+void OrderCoordinator::stateReadFailed(const Common::EndpointId &endpoint, Common::Time now)
+{
+    const auto it = engines_.find(endpoint);
+    if (it != engines_.end() && it->second.phase == Phase::Reading) {
+        becomeUncertain(it->second, now);
+    }
+}
+
+void OrderCoordinator::orderAnswered(const Common::EndpointId &endpoint, const OrderAnswer &answer,
+                                     Common::Time now)
+{
+    const auto it = engines_.find(endpoint);
+    if (it == engines_.end() || it->second.phase != Phase::Ordering) {
+        return;
+    }
+    Engine &engine = it->second;
+    engine.phase = Phase::Idle;
+    engine.next = now + options_.settleInterval;
+    if (std::holds_alternative<OrderAccepted>(answer) && engine.ordersExpected) {
+        ++*engine.ordersExpected;
+        return;
+    }
+    if (std::holds_alternative<OrderUncertain>(answer)) {
+        engine.phase = Phase::Ordering;
+        becomeUncertain(engine, now);
+        return;
+    }
+    // Another orderer is further on. To outbid it at once would start a race of numbers.
+    engine.ordersExpected.reset();
+    engine.next = now + options_.quietPeriod;
+}
+
+void OrderCoordinator::becomeUncertain(Engine &engine, Common::Time now)
+{
+    const bool mayArriveLate = engine.phase == Phase::Ordering && !engine.desired.checksFences;
+    engine.phase = Phase::Idle;
+    engine.ordersExpected.reset();
+    engine.next = now + (mayArriveLate ? options_.quietPeriod : options_.settleInterval);
+}
+
+std::size_t OrderCoordinator::deviating() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        engines_.begin(), engines_.end(), [](const auto &item) { return item.second.deviates; }));
+}
+
+} // namespace LaburnumChute::Cluster
--- /dev/null
+++ b/Source/UnitTests/Cluster/OrdersTest.cpp
@@ -0,0 +1,267 @@
+#include <algorithm>
+#include <map>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Cluster/OrderCoordinator.h"
+
+using namespace LaburnumChute;
+using namespace LaburnumChute::Cluster;
+using Common::milliseconds;
+using Common::seconds;
+
+namespace {
+
+const Common::EndpointId Runner("runner-1");
+const Common::ModelName Inscription("inscription");
+
+/// An engine that loads in four seconds and, if told so, checks fencing numbers.
+struct FakeEngine
+{
+    bool checksFences = false;
+    EngineState state;
+    Common::Time loadEnds;
+    int loads = 0;
+    /// An unload left it without any model that is ready.
+    bool servedNothing = false;
+
+    OrderAnswer give(const EngineOrder &order, std::uint64_t fence, Common::Time now)
+    {
+        ++state.ordersSeen;
+        if (checksFences && fence <= state.highestFence) {
+            return OrderFenced{};
+        }
+        state.highestFence = std::max(state.highestFence, fence);
+        const ModelVersion version{order.model, order.version};
+        if (order.action == OrderAction::LoadModel) {
+            ++loads;
+            state.models.push_back({version, false});
+            loadEnds = now + seconds(4);
+        } else if (order.action == OrderAction::UnloadModel) {
+            std::erase_if(state.models,
+                          [&](const auto &model) { return model.version == version; });
+            servedNothing = std::none_of(state.models.begin(), state.models.end(),
+                                         [](const auto &model) { return model.ready; });
+        } else if (order.action == OrderAction::SetRole) {
+            state.role = order.role;
+        }
+        return OrderAccepted{};
+    }
+    EngineState read(Common::Time now)
+    {
+        for (auto &model : state.models) {
+            model.ready = model.ready || now >= loadEnds;
+        }
+        return state;
+    }
+};
+
+DesiredEngine desire(const std::string &version, bool checksFences,
+                     const Common::EndpointId &endpoint = Runner)
+{
+    return {endpoint, checksFences, "", {{Inscription, version}}, {}};
+}
+
+/// Instances that give orders to engines, in steps of 100 ms.
+struct Bench
+{
+    Common::Time now{seconds(1000)};
+    std::map<Common::EndpointId, FakeEngine> engines;
+    std::vector<std::pair<std::uint64_t, EngineOrder>> given;
+    int foreign = 0;
+
+    void step(OrderCoordinator &coordinator, Common::WallTime wall)
+    {
+        for (const OrderEffect &effect : coordinator.tick(now)) {
+            read(coordinator, std::get<ReadEngineState>(effect).endpoint, wall);
+        }
+    }
+    void read(OrderCoordinator &coordinator, const Common::EndpointId &endpoint,
+              Common::WallTime wall)
+    {
+        FakeEngine &engine = engines[endpoint];
+        for (const OrderEffect &effect :
+             coordinator.stateRead(endpoint, engine.read(now), now, wall)) {
+            if (const auto *order = std::get_if<GiveOrder>(&effect)) {
+                given.emplace_back(order->fence, order->order);
+                const auto answer = engine.give(order->order, order->fence, now);
+                coordinator.orderAnswered(endpoint, answer, now);
+            } else {
+                ++foreign;
+            }
+        }
+    }
+    void run(const std::vector<OrderCoordinator *> &coordinators, Common::Duration duration,
+             Common::WallTime wall)
+    {
+        for (const Common::Time end = now + duration; now < end; now += milliseconds(100)) {
+            for (OrderCoordinator *coordinator : coordinators) {
+                step(*coordinator, wall);
+            }
+        }
+    }
+};
+
+constexpr Common::WallTime Wall{seconds(1'790'000'000)};
+
+OrderCoordinator orderer(const std::string &version, bool checksFences, Common::Time now)
+{
+    OrderCoordinator coordinator{OrderOptions{}};
+    coordinator.setLoadsPerMinute(60);
+    coordinator.setDesired({desire(version, checksFences)});
+    coordinator.setOrderer(true, now);
+    return coordinator;
+}
+
+TEST(OrdersTest, EngineComesToTheDesiredState)
+{
+    for (const bool checks : {false, true}) {
+        Bench bench;
+        bench.engines[Runner].checksFences = checks;
+        bench.engines[Runner].state.models = {{{Inscription, "1"}, true}};
+        auto coordinator = orderer("2", checks, bench.now);
+        bench.run({&coordinator}, seconds(60), Wall);
+        ASSERT_EQ(bench.given.size(), 2u);
+        EXPECT_EQ(bench.given[0].second.action, OrderAction::LoadModel);
+        EXPECT_EQ(bench.given[1].second.action, OrderAction::UnloadModel);
+        EXPECT_EQ(coordinator.deviating(), 0u);
+        EXPECT_FALSE(bench.engines[Runner].servedNothing);
+    }
+}
+
+// Two instances believe to be the orderer, because one has not yet heard that the other lives. With
+// orders given blindly an engine would load a model twice, and its callers would wait twice as
+// long.
+TEST(OrdersTest, TwoOrderersOfOneMindLoadOnce)
+{
+    for (const bool checks : {false, true}) {
+        Bench bench;
+        bench.engines[Runner].checksFences = checks;
+        auto first = orderer("1", checks, bench.now);
+        auto second = orderer("1", checks, bench.now);
+        bench.run({&first, &second}, seconds(120), Wall);
+        EXPECT_EQ(bench.engines[Runner].loads, 1);
+    }
+}
+
+// A partition leaves one orderer with an older configuration. On an engine that ignores fencing
+// numbers each undoes the other's work; a load every few seconds would eat the weight store's rate.
+TEST(OrdersTest, OrderersWithDifferentVersionsDoNotFlap)
+{
+    Bench bench;
+    auto older = orderer("1", false, bench.now);
+    auto newer = orderer("2", false, bench.now);
+    bench.run({&older, &newer}, seconds(300), Wall);
+    EXPECT_GT(bench.foreign, 0);
+    EXPECT_LE(bench.given.size(), 2u * 300u / 8u) << "one order in each quiet period of each";
+}
+
+// The orderer is replaced by an instance whose clock runs an hour behind, and nothing was stored.
+// An engine that checks fencing numbers would refuse everything for an hour.
+TEST(OrdersTest, FencingNumbersGrowOverReplacementsWithAClockBehind)
+{
+    Bench bench;
+    bench.engines[Runner].checksFences = true;
+    {
+        auto first = orderer("1", true, bench.now);
+        bench.run({&first}, seconds(30), Wall);
+    }
+    auto second = orderer("2", true, bench.now);
+    bench.run({&second}, seconds(60), Wall - std::chrono::hours(1));
+    EXPECT_EQ(second.deviating(), 0u);
+    ASSERT_EQ(bench.given.size(), 3u);
+    EXPECT_TRUE(std::is_sorted(bench.given.begin(), bench.given.end(),
+                               [](const auto &a, const auto &b) { return a.first < b.first; }));
+    EXPECT_GT(bench.given[1].first, bench.given[0].first);
+}
+
+// The orderer is stopped, another one takes over, and the first wakes up with an order in mind.
+TEST(OrdersTest, WokenOrdererKeepsQuietAndReadsFirst)
+{
+    Bench bench;
+    auto coordinator = orderer("2", false, bench.now);
+    bench.now += seconds(9);
+    const auto effects = coordinator.tick(bench.now);
+    ASSERT_EQ(effects.size(), 1u);
+    bench.now += seconds(60);
+    coordinator.resumed(bench.now);
+    EXPECT_TRUE(coordinator.stateRead(Runner, {}, bench.now, Wall).empty());
+    bench.run({&coordinator}, seconds(7), Wall);
+    EXPECT_TRUE(bench.given.empty());
+    bench.run({&coordinator}, seconds(10), Wall);
+    EXPECT_EQ(bench.given.size(), 1u);
+}
+
+// The answer to an order is lost, and the order itself may be stuck on the way. If the engine does
+// not check fencing numbers and the next order overtakes it, the late one undoes the newer one's
+// work.
+TEST(OrdersTest, UncertainOrderToAnEngineWithoutFencingIsWaitedOut)
+{
+    for (const bool checks : {false, true}) {
+        Bench bench;
+        auto coordinator = orderer("2", checks, bench.now);
+        bench.now += seconds(9);
+        ASSERT_EQ(coordinator.tick(bench.now).size(), 1u);
+        ASSERT_EQ(coordinator.stateRead(Runner, {}, bench.now, Wall).size(), 1u);
+        coordinator.orderAnswered(Runner, OrderUncertain{}, bench.now);
+        bench.run({&coordinator}, seconds(7), Wall);
+        EXPECT_EQ(bench.given.size(), checks ? 1u : 0u);
+        bench.run({&coordinator}, seconds(10), Wall);
+        EXPECT_EQ(bench.given.size(), 1u);
+    }
+}
+
+// A new version places a model on forty runners at once. The weight store turns away what exceeds
+// its rate, and the runners whose load was turned away serve nothing.
+TEST(OrdersTest, LoadsKeepToTheRateOfTheStore)
+{
+    Bench bench;
+    OrderCoordinator coordinator{OrderOptions{}};
+    coordinator.setLoadsPerMinute(6);
+    std::vector<DesiredEngine> desired;
+    for (int i = 0; i < 40; ++i) {
+        const Common::EndpointId id("runner-" + std::to_string(i));
+        bench.engines[id].checksFences = true;
+        desired.push_back(desire("1", true, id));
+    }
+    coordinator.setDesired(desired);
+    coordinator.setOrderer(true, bench.now);
+    bench.run({&coordinator}, seconds(60), Wall);
+    EXPECT_LE(bench.given.size(), 6u);
+    EXPECT_GE(bench.given.size(), 4u);
+    bench.run({&coordinator}, seconds(420), Wall);
+    EXPECT_EQ(coordinator.deviating(), 0u);
+}
+
+/// A text that looks like the name of a version; few different ones, so that they often agree.
+std::string anyVersion()
+{
+    return std::to_string(*rc::gen::inRange(0, 4));
+}
+
+RC_GTEST_PROP(OrdersTest, StepsEndInTheDesiredStateAndThenNoneIsLeft, ())
+{
+    DesiredEngine desired = desire(anyVersion(), false);
+    if (*rc::gen::arbitrary<bool>()) {
+        desired.models.push_back({Common::ModelName("other"), anyVersion()});
+    }
+    FakeEngine engine;
+    engine.state.models = {{{Inscription, anyVersion()}, true}};
+    Common::Time now{seconds(1)};
+    int steps = 0;
+    while (const auto order = nextOrder(desired, engine.read(now))) {
+        engine.give(*order, 1, now);
+        now += seconds(5);
+        RC_ASSERT(++steps < 10);
+    }
+    std::vector<ModelVersion> loaded;
+    for (const auto &model : engine.state.models) {
+        loaded.push_back(model.version);
+    }
+    std::sort(loaded.begin(), loaded.end());
+    std::sort(desired.models.begin(), desired.models.end());
+    RC_ASSERT(loaded == desired.models);
+}
+
+} // namespace
