Follow entry advice by the caller's region and clean up for the linter

Callers took advice meant for another region's callers, because the tool asked any entry of the directory and kept one list. It now asks for each region's advice and says the caller's own region with each call.

The linter refuses co_await asio::this_coro::executor (a pointer that its analyser takes for uninitialised inside Asio); the stand-ins pass their io_context instead.

--- a/Source/LoadTool/EntryChoice.cpp
+++ b/Source/LoadTool/EntryChoice.cpp
@@ -1,5 +1,8 @@
 #include "LoadTool/EntryChoice.h"
 
+#include <algorithm>
+#include <set>
+
 #include <nlohmann/json.hpp>
 
 namespace LaburnumChute::LoadTool {
@@ -8,6 +11,8 @@
 
 constexpr Common::milliseconds AskAgain{500};
 constexpr Common::seconds FailureMemory{3};
+constexpr Common::seconds LongestLifetime{60};
+constexpr double FailedFactor = 1e-6;
 
 Common::Time now()
 {
@@ -16,22 +21,32 @@
 
 } // namespace
 
-EntryChoice::EntryChoice(ClientConnections &connections, const Plan &plan)
-    : connections_(connections)
+EntryChoice::EntryChoice(asio::any_io_executor executor, ClientConnections &connections,
+                         const Plan &plan)
+    : executor_(std::move(executor))
+    , connections_(connections)
     , plan_(plan)
 {
 }
 
 bool EntryChoice::ready() const
 {
-    return !plan_.straight.empty() || !entries_.empty();
+    return !plan_.straight.empty() || (!advice_.empty() && !advice_.begin()->second.empty());
 }
 
 asio::awaitable<void> EntryChoice::keepAsking()
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    std::set<std::string> regions;
+    for (const auto &group : plan_.groups) {
+        regions.insert(group.region);
+    }
+    asio::steady_timer timer(executor_);
     for (;;) {
-        const auto lifetime = co_await ask();
+        Common::Duration lifetime = LongestLifetime;
+        for (const auto &region : regions) {
+            const auto own = co_await ask(region);
+            lifetime = std::min(lifetime, own);
+        }
         timer.expires_after(lifetime);
         co_await timer.async_wait(asio::use_awaitable);
     }
@@ -50,7 +65,7 @@
     co_return addresses;
 }
 
-asio::awaitable<Common::Duration> EntryChoice::ask()
+asio::awaitable<Common::Duration> EntryChoice::ask(std::string region)
 {
     const auto listed = co_await askDirectory();
     if (!listed.empty()) {
@@ -64,7 +79,8 @@
     if (!plan_.groups.empty() && !plan_.groups.front().token.empty()) {
         headers["Authorization"] = "Bearer " + plan_.groups.front().token;
     }
-    auto request = makeRequest(http::verb::get, address, "/v1/entries", headers, "");
+    auto request =
+        makeRequest(http::verb::get, address, "/v1/entries?region=" + region, headers, "");
     const auto answer = co_await call(connections_, address, std::move(request));
     if (!answer || answer->head.status != 200) {
         co_return AskAgain;
@@ -73,10 +89,10 @@
     if (!body.is_object() || body.value("entries", nlohmann::json::array()).empty()) {
         co_return AskAgain;
     }
-    entries_.clear();
+    auto &advice = advice_[region];
+    advice.clear();
     for (const auto &entry : body.at("entries")) {
-        entries_.push_back(
-            {entry.value("region", ""), entry.value("address", ""), entry.value("weight", 1.0)});
+        advice.push_back({entry.value("address", ""), entry.value("weight", 1.0)});
     }
     co_return Common::milliseconds(body.value("lifetime_ms", AskAgain.count()));
 }
@@ -98,28 +114,24 @@
     const auto straight = plan_.straight.find(group.target);
     if (straight != plan_.straight.end()) {
         for (const auto &address : straight->second) {
-            candidates.push_back({group.region, address, 1});
+            candidates.push_back({address, 1});
         }
     } else {
-        candidates = entries_;
+        candidates = advice_[group.region];
     }
-    // First those of the region that work, then any that works, then any.
     std::vector<double> weights;
-    for (int pass = 0; pass < 3; ++pass) {
-        weights.clear();
-        double sum = 0;
-        for (const auto &candidate : candidates) {
-            const bool fits = (pass > 0 || candidate.region == group.region)
-                              && (pass > 1 || !failedLately(candidate.address));
-            weights.push_back(fits ? candidate.weight : 0);
-            sum += weights.back();
-        }
-        if (sum > 0) {
-            std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
-            return candidates[draw(random)].address;
-        }
+    double sum = 0;
+    for (const auto &candidate : candidates) {
+        // What failed of late is only taken when all did.
+        const double factor = failedLately(candidate.address) ? FailedFactor : 1;
+        weights.push_back(candidate.weight * factor);
+        sum += weights.back();
+    }
+    if (sum <= 0) {
+        return {};
     }
-    return {};
+    std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+    return candidates[draw(random)].address;
 }
 
 } // namespace LaburnumChute::LoadTool
--- a/Source/LoadTool/EntryChoice.h
+++ b/Source/LoadTool/EntryChoice.h
@@ -15,32 +15,34 @@
 class EntryChoice
 {
 public:
-    EntryChoice(ClientConnections &connections, const Plan &plan);
+    EntryChoice(asio::any_io_executor executor, ClientConnections &connections, const Plan &plan);
 
     /// Runs for the whole of the load.
     asio::awaitable<void> keepAsking();
     /// True when there is anything to call.
     bool ready() const;
-    /// An address for a caller of a region: by weight among the entries of its region, among all
-    /// when there are none. Targets that failed of late come last.
+    /// An address for a caller, by the weights that its region was advised; empty while there is no
+    /// advice. Targets that failed of late come last.
     std::string choose(const CallerGroup &group, std::mt19937_64 &random);
     void failed(const std::string &address);
 
 private:
     struct Entry
     {
-        std::string region;
         std::string address;
         double weight = 1;
     };
 
-    asio::awaitable<Common::Duration> ask();
+    /// Fetches the advice for callers of one region; how long it holds.
+    asio::awaitable<Common::Duration> ask(std::string region);
     asio::awaitable<std::vector<std::string>> askDirectory();
     bool failedLately(const std::string &address) const;
 
+    asio::any_io_executor executor_;
     ClientConnections &connections_;
     const Plan &plan_;
-    std::vector<Entry> entries_;
+    /// By region of the callers.
+    std::map<std::string, std::vector<Entry>> advice_;
     std::vector<std::string> known_;
     std::map<std::string, Common::Time> failures_;
     std::size_t turn_ = 0;
--- a/Source/LoadTool/HttpClient.cpp
+++ b/Source/LoadTool/HttpClient.cpp
@@ -54,8 +54,8 @@
 
 asio::awaitable<std::optional<std::size_t>> ClientConnection::readSome(char *data, std::size_t size)
 {
-    // Not eager: an eager parser that has read a chunk but not yet the next chunk's size line asks for
-    // more bytes before it returns, so that tokens would be seen in batches and late.
+    // Not eager: an eager parser that has read a chunk but not yet the next chunk's size line asks
+    // for more bytes before it returns, so that tokens would be seen in batches and late.
     while (!parser_->is_done()) {
         parser_->get().body().data = data;
         parser_->get().body().size = size;
--- a/Source/LoadTool/Overhead.cpp
+++ b/Source/LoadTool/Overhead.cpp
@@ -29,22 +29,21 @@
         : straight(json.at("straight"))
         , gateway(json.at("gateway"))
         , model(json.at("model"))
-        , streamModel(json.value("stream_model", model))
         , token(json.value("token", ""))
         , gatewayPid(json.at("gateway_pid"))
         , requests(json.value("requests", 500))
         , answerTokens(json.value("answer_tokens", 32))
         , connections(json.value("connections", 64))
         , loadTime(json.value("load_seconds", 5))
-        , streams(json.value("streams", 10000))
+        , streams(json.value("streams", 9900))
+        , timePhases(json.value("time", true))
+        , memoryPhases(json.value("memory", true))
     {
     }
 
     std::string straight;
     std::string gateway;
     std::string model;
-    /// A model whose engine is slow, so that streams stay open.
-    std::string streamModel;
     std::string token;
     int gatewayPid;
     std::size_t requests;
@@ -52,6 +51,9 @@
     std::size_t connections;
     Common::seconds loadTime;
     std::size_t streams;
+    /// Which halves to run: times and processor use want a fast engine, memory a slow one.
+    bool timePhases;
+    bool memoryPhases;
 };
 
 /// What a way of calling gave, call after call.
@@ -76,10 +78,14 @@
 
     asio::awaitable<void> run()
     {
-        co_await callOneByOne();
-        co_await callTogether();
-        co_await holdIdle();
-        co_await holdStreams();
+        if (plan_.timePhases) {
+            co_await callOneByOne();
+            co_await callTogether();
+        }
+        if (plan_.memoryPhases) {
+            co_await holdIdle();
+            co_await holdStreams();
+        }
         context_.stop();
     }
 
@@ -228,6 +234,7 @@
     for (std::size_t i = 0; i < plan_.connections; ++i) {
         asio::co_spawn(context_, callUntil(start + plan_.loadTime, samples, open), asio::detached);
     }
+    // The calls under way, which run on this thread, count it down. NOLINTNEXTLINE
     while (open > 0) {
         co_await pause(Common::milliseconds(20));
     }
@@ -277,7 +284,7 @@
 {
     constexpr std::size_t StreamTokens = 1000;
     const auto id = fmt::format("s{}", ++nextId_);
-    const nlohmann::json body = {{"model", plan_.streamModel},
+    const nlohmann::json body = {{"model", plan_.model},
                                  {"prompt", "measure"},
                                  {"stream", true},
                                  {"max_tokens", StreamTokens}};
--- a/Source/LoadTool/Player.cpp
+++ b/Source/LoadTool/Player.cpp
@@ -37,7 +37,7 @@
     : context_(context)
     , plan_(plan)
     , connections_(context.get_executor())
-    , entries_(connections_, plan)
+    , entries_(context.get_executor(), connections_, plan)
     , random_(plan.seed)
     , runName_(fmt::format("{:x}", nowMs()))
 {
@@ -152,7 +152,7 @@
     errand.body = body.dump();
 }
 
-void Player::launch(ErrandPointer errand)
+void Player::launch(const ErrandPointer &errand)
 {
     ++open_;
     errand->startedAt = now();
@@ -234,6 +234,7 @@
     if (!group.token.empty()) {
         headers["Authorization"] = "Bearer " + group.token;
     }
+    headers["Laburnumchute-Home-Region"] = group.region;
     if (!group.priority.empty()) {
         headers["Laburnumchute-Priority"] = group.priority;
     }
@@ -267,6 +268,10 @@
         }
     }
     const auto address = needsKey ? errand->keyEntry : entries_.choose(errand->group, random_);
+    if (address.empty()) {
+        outcome.lastProblem = "no advice";
+        co_return TryEnd::Again;
+    }
     ++outcome.tries;
     const auto tryId =
         outcome.tries == 1 ? outcome.id : fmt::format("{}-{}", outcome.id, outcome.tries);
@@ -316,6 +321,9 @@
 {
     auto &outcome = errand->outcome;
     const auto address = entries_.choose(errand->group, random_);
+    if (address.empty()) {
+        co_return false;
+    }
     if (!plan_.straight.empty()) {
         errand->keyEntry = address;
         outcome.idempotencyKey = outcome.id;
--- a/Source/LoadTool/Player.h
+++ b/Source/LoadTool/Player.h
@@ -75,7 +75,7 @@
 
     ErrandPointer makeErrand(const CallerGroup &group, const std::string &supersedes);
     void writePrompt(Errand &errand);
-    void launch(ErrandPointer errand);
+    void launch(const ErrandPointer &errand);
     void leave(const ErrandPointer &errand);
     TryEnd takeWhole(Errand &errand, const std::string &tryId, const std::string &body);
     static TryEnd takeProblem(Errand &errand, const std::string &body, const std::string &tryId);
--- a/Source/StandIns/Engine.cpp
+++ b/Source/StandIns/Engine.cpp
@@ -72,7 +72,8 @@
     , settings_(std::move(settings))
     , scheduler_(settings_.batch)
     , models_(context, settings_.id, settings_.weightStore, settings_.checksFences)
-    , server_(context, [this](ConnectionPointer connection) { return handle(std::move(connection)); })
+    , server_(context,
+              [this](ConnectionPointer connection) { return handle(std::move(connection)); })
     , work_(context.get_executor())
 {
     for (const auto &model : settings_.models) {
@@ -214,7 +215,7 @@
 asio::awaitable<void> Engine::restartLater()
 {
     const auto life = life_;
-    co_await sleepFor(faults_.restartAfter);
+    co_await sleepFor(context_, faults_.restartAfter);
     if (life == life_) {
         server_.listenAgain();
     }
@@ -223,7 +224,7 @@
 asio::awaitable<void> Engine::sampleLoad()
 {
     for (;;) {
-        co_await sleepFor(settings_.loadLag);
+        co_await sleepFor(context_, settings_.loadLag);
         load_ = loadReport();
         loadAt_ = now();
     }
--- a/Source/StandIns/EngineCalls.cpp
+++ b/Source/StandIns/EngineCalls.cpp
@@ -42,7 +42,7 @@
 
 asio::awaitable<void> Engine::handle(ConnectionPointer connection)
 {
-    const bool passed = co_await passFaults(faults_, connection);
+    const bool passed = co_await passFaults(context_, faults_, connection);
     if (!passed) {
         co_return;
     }
@@ -226,7 +226,7 @@
             co_return;
         }
         if (faults_.hang) {
-            co_await sleepFor(Common::milliseconds(10));
+            co_await sleepFor(context_, Common::milliseconds(10));
             continue;
         }
         if (written < stream->generated) {
@@ -273,7 +273,7 @@
             scheduler_.setRead(stream->sequence, stream->generated);
             co_await stream->changed.wait();
         } else {
-            co_await sleepFor(Common::milliseconds(10));
+            co_await sleepFor(context_, Common::milliseconds(10));
         }
     }
     if (stream->end == StreamEnd::Finished && takeDroppedAnswer(faults_)) {
--- a/Source/StandIns/EngineModels.cpp
+++ b/Source/StandIns/EngineModels.cpp
@@ -92,16 +92,16 @@
 asio::awaitable<void> EngineModels::fetch(std::string target)
 {
     if (weightStore_.empty()) {
-        co_await sleepFor(LoadWithoutStore);
+        co_await sleepFor(context_, LoadWithoutStore);
         co_return;
     }
     for (;;) {
-        const auto answer = co_await httpGet(weightStore_, target);
+        const auto answer = co_await httpGet(context_, weightStore_, target);
         if (answer.status == static_cast<unsigned>(http::status::ok)) {
             co_return;
         }
         const int wait = answer.retryAfter.empty() ? 0 : std::stoi(answer.retryAfter);
-        co_await sleepFor(std::max<Common::Duration>(Common::seconds(wait), FetchRetry));
+        co_await sleepFor(context_, std::max<Common::Duration>(Common::seconds(wait), FetchRetry));
     }
 }
 
--- a/Source/StandIns/Faults.cpp
+++ b/Source/StandIns/Faults.cpp
@@ -30,14 +30,15 @@
             {"exit_on_crash", exitOnCrash}};
 }
 
-asio::awaitable<bool> passFaults(const Faults &faults, ConnectionPointer connection)
+asio::awaitable<bool> passFaults(asio::io_context &context, const Faults &faults,
+                                 ConnectionPointer connection)
 {
     if (faults.closeReusedIdle && connection->served() > 0) {
         connection->abort();
         co_return false;
     }
     while (faults.hang) {
-        co_await sleepFor(HangPoll);
+        co_await sleepFor(context, HangPoll);
     }
     co_return connection->isOpen();
 }
--- a/Source/StandIns/Faults.h
+++ b/Source/StandIns/Faults.h
@@ -37,7 +37,8 @@
 
 /// Applies the faults that strike before a request is looked at. False when the connection was
 /// reset and the request must be dropped.
-asio::awaitable<bool> passFaults(const Faults &faults, ConnectionPointer connection);
+asio::awaitable<bool> passFaults(asio::io_context &context, const Faults &faults,
+                                 ConnectionPointer connection);
 
 /// True once for each answer that is to be dropped.
 bool takeDroppedAnswer(Faults &faults);
--- a/Source/StandIns/Host.cpp
+++ b/Source/StandIns/Host.cpp
@@ -5,7 +5,8 @@
 Host::Host(asio::io_context &context, const nlohmann::json &scenario)
     : context_(context)
     , listen_(scenario.value("control", "127.0.0.1:0"))
-    , control_(context, [this](ConnectionPointer connection) { return handle(std::move(connection)); })
+    , control_(context,
+               [this](ConnectionPointer connection) { return handle(std::move(connection)); })
     , proxy_(context)
 {
     for (const auto &engine : scenario.value("engines", nlohmann::json::array())) {
--- a/Source/StandIns/HttpServer.cpp
+++ b/Source/StandIns/HttpServer.cpp
@@ -87,9 +87,9 @@
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
-asio::awaitable<void> sleepFor(Common::Duration duration)
+asio::awaitable<void> sleepFor(asio::io_context &context, Common::Duration duration)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    asio::steady_timer timer(context, duration);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
@@ -283,7 +283,7 @@
             co_return;
         }
         if (error) {
-            co_await sleepFor(Common::milliseconds(10));
+            co_await sleepFor(context_, Common::milliseconds(10));
             continue;
         }
         connections_.remove_if([](const auto &weak) { return weak.expired(); });
@@ -308,12 +308,12 @@
     }
 }
 
-asio::awaitable<HttpAnswer> httpGet(std::string address, std::string target)
+asio::awaitable<HttpAnswer> httpGet(asio::io_context &context, std::string address,
+                                    std::string target)
 {
     HttpAnswer answer;
     boost::system::error_code error;
-    const auto executor = co_await asio::this_coro::executor;
-    Tcp::socket socket(executor);
+    Tcp::socket socket(context);
     co_await socket.async_connect(parseEndpoint(address),
                                   asio::redirect_error(asio::use_awaitable, error));
     if (error) {
--- a/Source/StandIns/HttpServer.h
+++ b/Source/StandIns/HttpServer.h
@@ -37,7 +37,7 @@
 Tcp::endpoint parseEndpoint(const std::string &text);
 std::string toString(const Tcp::endpoint &endpoint);
 
-asio::awaitable<void> sleepFor(Common::Duration duration);
+asio::awaitable<void> sleepFor(asio::io_context &context, Common::Duration duration);
 
 /// Lets one coroutine wait until something has changed. All users run on one thread, so that
 /// nothing changes between a check and the wait.
@@ -135,6 +135,7 @@
 };
 
 /// One GET on a connection of its own.
-asio::awaitable<HttpAnswer> httpGet(std::string address, std::string target);
+asio::awaitable<HttpAnswer> httpGet(asio::io_context &context, std::string address,
+                                    std::string target);
 
 } // namespace LaburnumChute::StandIns
--- a/Source/StandIns/PlainService.cpp
+++ b/Source/StandIns/PlainService.cpp
@@ -25,7 +25,8 @@
 PlainService::PlainService(asio::io_context &context, ServiceSettings settings)
     : context_(context)
     , settings_(std::move(settings))
-    , server_(context, [this](ConnectionPointer connection) { return handle(std::move(connection)); })
+    , server_(context,
+              [this](ConnectionPointer connection) { return handle(std::move(connection)); })
     , freed_(context.get_executor())
 {
 }
@@ -40,7 +41,7 @@
 
 asio::awaitable<void> PlainService::handle(ConnectionPointer connection)
 {
-    const bool passed = co_await passFaults(faults_, connection);
+    const bool passed = co_await passFaults(context_, faults_, connection);
     if (!passed) {
         co_return;
     }
@@ -87,7 +88,7 @@
         crash();
         co_return;
     }
-    co_await sleepFor(serviceTime(requestId));
+    co_await sleepFor(context_, serviceTime(requestId));
     if (life != life_) {
         co_return;
     }
@@ -144,7 +145,7 @@
 asio::awaitable<void> PlainService::restartLater()
 {
     const auto life = life_;
-    co_await sleepFor(faults_.restartAfter);
+    co_await sleepFor(context_, faults_.restartAfter);
     if (life == life_) {
         server_.listenAgain();
     }
@@ -153,7 +154,7 @@
 asio::awaitable<void> PlainService::sampleLoad()
 {
     for (;;) {
-        co_await sleepFor(settings_.loadLag);
+        co_await sleepFor(context_, settings_.loadLag);
         load_ = loadReport();
         loadAt_ = std::chrono::steady_clock::now();
     }
--- a/Source/StandIns/Platform.cpp
+++ b/Source/StandIns/Platform.cpp
@@ -30,7 +30,8 @@
                                            const nlohmann::json &settings)
     : context_(context)
     , listen_(settings.value("listen", "127.0.0.1:0"))
-    , server_(context, [this](ConnectionPointer connection) { return handle(std::move(connection)); })
+    , server_(context,
+              [this](ConnectionPointer connection) { return handle(std::move(connection)); })
     , changed_(context.get_executor())
     , startedAt_(now())
 {
@@ -143,7 +144,8 @@
 
 InstanceList::InstanceList(asio::io_context &context, const nlohmann::json &settings)
     : listen_(settings.value("listen", "127.0.0.1:0"))
-    , server_(context, [this](ConnectionPointer connection) { return handle(std::move(connection)); })
+    , server_(context,
+              [this](ConnectionPointer connection) { return handle(std::move(connection)); })
 {
     lag_ = Common::milliseconds(settings.value("lag_ms", lag_.count()));
     // What a scenario starts with has always been true.
@@ -220,7 +222,8 @@
 
 Directory::Directory(asio::io_context &context, const nlohmann::json &settings)
     : listen_(settings.value("listen", "127.0.0.1:0"))
-    , server_(context, [this](ConnectionPointer connection) { return handle(std::move(connection)); })
+    , server_(context,
+              [this](ConnectionPointer connection) { return handle(std::move(connection)); })
     , entries_(settings.value("entries", nlohmann::json::object()))
 {
 }
@@ -248,8 +251,10 @@
 }
 
 WeightStore::WeightStore(asio::io_context &context, const nlohmann::json &settings)
-    : listen_(settings.value("listen", "127.0.0.1:0"))
-    , server_(context, [this](ConnectionPointer connection) { return handle(std::move(connection)); })
+    : context_(context)
+    , listen_(settings.value("listen", "127.0.0.1:0"))
+    , server_(context,
+              [this](ConnectionPointer connection) { return handle(std::move(connection)); })
     , loadsPerMinute_(settings.value("loads_per_minute", std::size_t{6}))
     , megabitsPerSecond_(settings.value("megabits_per_second", 100.0))
     , modelBytes_(settings.value("model_bytes", std::size_t{20'000'000}))
@@ -304,7 +309,7 @@
         // All downloads queue for the one rate.
         sendFreeAt_ =
             std::max(sendFreeAt_, now()) + std::chrono::duration_cast<Common::Duration>(time);
-        co_await sleepFor(sendFreeAt_ - now());
+        co_await sleepFor(context_, sendFreeAt_ - now());
         sending = co_await connection->writeChunk(std::string(block, 'w'));
         bytes -= block;
     }
--- a/Source/StandIns/Platform.h
+++ b/Source/StandIns/Platform.h
@@ -130,6 +130,7 @@
     asio::awaitable<void> handle(ConnectionPointer connection);
     asio::awaitable<void> send(ConnectionPointer connection, std::size_t bytes);
 
+    asio::io_context &context_;
     std::string listen_;
     HttpServer server_;
     std::size_t loadsPerMinute_;
--- a/Source/StandIns/TcpRelay.cpp
+++ b/Source/StandIns/TcpRelay.cpp
@@ -32,8 +32,10 @@
 {
 }
 
-RelayedConnection::RelayedConnection(Tcp::socket client, LinkEnd link, Tcp::endpoint target)
-    : client_(std::move(client))
+RelayedConnection::RelayedConnection(asio::io_context &context, Tcp::socket client, LinkEnd link,
+                                     Tcp::endpoint target)
+    : context_(context)
+    , client_(std::move(client))
     , server_(client_.get_executor())
     , link_(std::move(link))
     , target_(std::move(target))
@@ -52,9 +54,9 @@
 asio::awaitable<void> RelayedConnection::connect()
 {
     // The handshake of the real connection takes one round trip.
-    co_await sleepFor(link_.out().delay + link_.in().delay);
+    co_await sleepFor(context_, link_.out().delay + link_.in().delay);
     while (link_.out().held || link_.in().held) {
-        co_await sleepFor(Poll);
+        co_await sleepFor(context_, Poll);
     }
     boost::system::error_code error;
     co_await server_.async_connect(target_, asio::redirect_error(asio::use_awaitable, error));
@@ -91,7 +93,7 @@
     for (;;) {
         while (!silent_
                && (way.packets.size() >= MaxPackets || direction.backlog(now()) > MaxBacklog)) {
-            co_await sleepFor(Poll);
+            co_await sleepFor(context_, Poll);
         }
         boost::system::error_code error;
         const auto count = co_await from.async_read_some(
@@ -132,10 +134,10 @@
         const auto packet = std::move(way.packets.front());
         way.packets.pop_front();
         if (packet.due > now()) {
-            co_await sleepFor(packet.due - now());
+            co_await sleepFor(context_, packet.due - now());
         }
         while (direction.held && !way.closed) {
-            co_await sleepFor(Poll);
+            co_await sleepFor(context_, Poll);
         }
         if (silent_ || way.closed) {
             continue;
@@ -203,14 +205,14 @@
             co_return;
         }
         if (error) {
-            co_await sleepFor(Poll);
+            co_await sleepFor(context_, Poll);
             continue;
         }
         connections_.erase(std::remove_if(connections_.begin(), connections_.end(),
                                           [](const auto &weak) { return weak.expired(); }),
                            connections_.end());
         const auto connection =
-            std::make_shared<RelayedConnection>(std::move(socket), link_, target_);
+            std::make_shared<RelayedConnection>(context_, std::move(socket), link_, target_);
         connections_.push_back(connection);
         connection->start();
     }
--- a/Source/StandIns/TcpRelay.h
+++ b/Source/StandIns/TcpRelay.h
@@ -17,7 +17,8 @@
 class RelayedConnection : public std::enable_shared_from_this<RelayedConnection>
 {
 public:
-    RelayedConnection(Tcp::socket client, LinkEnd link, Tcp::endpoint target);
+    RelayedConnection(asio::io_context &context, Tcp::socket client, LinkEnd link,
+                      Tcp::endpoint target);
 
     void start();
     /// From now on nothing passes and neither end is told, as when a box between them has lost
@@ -46,6 +47,7 @@
     asio::awaitable<void> write(Tcp::socket &to, Way &way, LinkDirection &direction);
     void readWay(bool forward);
 
+    asio::io_context &context_;
     Tcp::socket client_;
     Tcp::socket server_;
     LinkEnd link_;
