--- a/Source/UnitTests/Ledger/LedgerTest.cpp
+++ b/Source/UnitTests/Ledger/LedgerTest.cpp
@@ -136,6 +136,19 @@
     finish(second, "ran");
 }
 
+// A caller cancels and at once submits again under the same key, and the cancelled submission's
+// task comes to its dispatch late. Both would send the order.
+TEST_F(LedgerTest, ReleasedAttemptCannotTouchTheKeyOfTheNextOne)
+{
+    const auto key = mint();
+    const auto first = proceed(submission(key));
+    ASSERT_TRUE(ledger_.abandonedBeforeDispatch(first, now_));
+    const auto second = proceed(submission(key));
+    EXPECT_FALSE(ledger_.dispatched(first, now_));
+    EXPECT_FALSE(ledger_.abandonedBeforeDispatch(first, now_));
+    finish(ledger_.dispatched(second, now_).value(), "ran");
+}
+
 // The process is stopped while a request waits in its queue and goes on minutes later. Its caller
 // has given up and ordered by telephone; the truck must not leave a second time.
 TEST_F(LedgerTest, DeadlineIsCheckedAgainRightBeforeDispatch)
