Add the operators' verbs: check, patch, dump, status, completion, man

Cause: operators had HTTP calls only. Each verb now has its own settings, help and exit statuses, and one description from which help, man page and completion are made.

A variable of one verb in the environment is no error for another (a machine may hold a gateway's settings while an operator calls check); one that no verb knows still is.

--- /dev/null
+++ b/Source/Core/Operator/CommandLine.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "Operator/Verb.h"
+
+namespace LaburnumChute::Operator {
+
+/// Chooses the verb that the first word names and runs it with its own settings.
+class CommandLine
+{
+public:
+    CommandLine(std::vector<Verb> verbs, std::ostream &out, std::ostream &error);
+
+    /// Returns the exit status of the program.
+    int run(const std::vector<std::string> &arguments,
+            const std::map<std::string, std::string> &environment) const;
+
+private:
+    const Verb *find(const std::string &name) const;
+    std::string overview() const;
+    int runVerb(const Verb &verb, const std::vector<std::string> &arguments,
+                const std::map<std::string, std::string> &environment) const;
+    std::map<std::string, std::string>
+    environmentOf(const Common::Settings &settings,
+                  const std::map<std::string, std::string> &environment) const;
+
+    std::vector<Verb> verbs_;
+    std::ostream &out_;
+    std::ostream &error_;
+};
+
+/// The text of "laburnumchute VERB --help".
+std::string helpText(const Verb &verb);
+
+} // namespace LaburnumChute::Operator
--- /dev/null
+++ b/Source/Core/Operator/Completion.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "Operator/Verb.h"
+
+namespace LaburnumChute::Operator {
+
+/// A bash script that completes the verbs, their settings and file names.
+std::string bashCompletion(const std::vector<Verb> &verbs);
+
+} // namespace LaburnumChute::Operator
