--- a/Source/Core/Gateway/OperatorHandler.cpp
+++ b/Source/Core/Gateway/OperatorHandler.cpp
@@ -142,22 +142,18 @@
                            "base: expected the number of the version that the patch is made for");
         co_return;
     }
-    struct Current
-    {
-        Common::ConfigurationNumber number;
-        std::string content;
-    };
     const auto table = table_.share();
-    const Current current{table->number,
-                          co_await Async::runOn(control_, actions_.configurationContent)};
-    if (*base != current.number) {
+    // A plain variable: gcc 12 destroys an aggregate that a co_await helps to initialise twice,
+    // which ended the process on every patch.
+    const std::string content = co_await Async::runOn(control_, actions_.configurationContent);
+    if (*base != table->number) {
         co_await sendError(exchange, Common::ErrorCode::Conflict,
                            fmt::format("the patch is based on version {}, version {} is in force",
-                                       *base, current.number),
-                           singleMember("current_number", current.number));
+                                       *base, table->number),
+                           singleMember("current_number", table->number));
         co_return;
     }
-    const auto patched = Configuration::applyPatch(current.content, exchange.request().body);
+    const auto patched = Configuration::applyPatch(content, exchange.request().body);
     if (!patched) {
         co_await sendError(exchange, patched.error().code, patched.error().message);
         co_return;
@@ -171,7 +167,7 @@
                            Configuration::toString(report.problems));
         co_return;
     }
-    co_await sendJson(exchange, 200, patchedDocument(current.number, *patched, report.warnings));
+    co_await sendJson(exchange, 200, patchedDocument(table->number, *patched, report.warnings));
 }
 
 asio::awaitable<void> OperatorHandler::trace(Entry::Exchange &exchange, std::string request)
