--- a/Source/Core/Platform/HttpClient.cpp
+++ b/Source/Core/Platform/HttpClient.cpp
@@ -1,6 +1,9 @@
 #include "Platform/HttpClient.h"
 
+#include <algorithm>
 #include <charconv>
+#include <optional>
+#include <string_view>
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -20,19 +23,30 @@
 
 constexpr int HttpVersion = 11;
 
+/// The port at the end of an address; nothing unless it is a whole number from 1 to 65535.
+std::optional<unsigned short> parsePort(std::string_view text)
+{
+    unsigned short port = 0;
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
+        return std::nullopt;
+    }
+    return port;
+}
+
 Common::Result<tcp::endpoint> parseEndpoint(const std::string &address)
 {
-    const auto colon = address.rfind(':');
+    const auto colon = std::min(address.rfind(':'), address.size());
     boost::system::error_code error;
     const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    unsigned short port = 0;
-    const auto *start = address.data() + std::min(address.size(), colon + 1);
-    const auto *end = address.data() + address.size();
-    if (error || colon == std::string::npos || std::from_chars(start, end, port).ptr != end) {
+    const auto port =
+        parsePort(std::string_view(address).substr(colon).substr(colon < address.size() ? 1 : 0));
+    if (error || !port) {
         return Common::makeError(Common::ErrorCode::InvalidArgument,
-                                 "\"" + address + "\" is no address of the form ip:port");
+                                 "\"" + address + "\" is no address; expected ip:port");
     }
-    return tcp::endpoint(ip, port);
+    return tcp::endpoint(ip, *port);
 }
 
 http::request<http::string_body> makeMessage(const HttpQuery &query)
@@ -79,6 +93,16 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(query.bodyLimitBytes);
+    co_await http::async_read_header(stream, buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    // Beast 1.74 was seen to let a body of a stated length pass the bound; it holds to it for bodies
+    // in chunks and for those that end with the connection.
+    if (!error && parser.content_length().value_or(0) > query.bodyLimitBytes) {
+        error = http::error::body_limit;
+    }
+    if (error) {
+        co_return unavailable(query, error);
+    }
     co_await http::async_read(stream, buffer, parser,
                               asio::redirect_error(asio::use_awaitable, error));
     if (error) {
--- a/Source/Core/Platform/Platform.h
+++ b/Source/Core/Platform/Platform.h
@@ -5,5 +5,6 @@
 
 #include "Platform/ConfigurationReader.h"
 #include "Platform/HttpClient.h"
+#include "Platform/InstanceList.h"
 #include "Platform/InstanceListReader.h"
 #include "Platform/WeightStoreReader.h"
--- a/Source/Core/Platform/WeightStoreReader.cpp
+++ b/Source/Core/Platform/WeightStoreReader.cpp
@@ -1,9 +1,27 @@
 #include "Platform/WeightStoreReader.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace LaburnumChute::Platform {
 
+namespace {
+
+using nlohmann::json;
+
+/// A number above 0, else 0.
+double positive(const json &document, const char *member)
+{
+    if (!document.is_object()) {
+        return 0;
+    }
+    const auto found = document.find(member);
+    return found != document.end() && found->is_number() ? std::max(0.0, found->get<double>()) : 0;
+}
+
+} // namespace
+
 asio::awaitable<Common::Result<WeightStoreLimits>> WeightStoreReader::readLimits() const
 {
     HttpQuery query;
@@ -13,18 +31,15 @@
     if (!answer) {
         co_return tl::unexpected(answer.error());
     }
-    const auto document = nlohmann::json::parse(answer->body, nullptr, false);
-    WeightStoreLimits limits;
-    const auto loads = document.is_object() ? document.find("loads_per_minute") : document.end();
-    if (answer->status != 200 || !document.is_object() || loads == document.end()
-        || !loads->is_number()) {
+    const auto document = json::parse(answer->body, nullptr, false);
+    const WeightStoreLimits limits{positive(document, "loads_per_minute"),
+                                   positive(document, "megabits_per_second")};
+    if (answer->status != 200 || limits.loadsPerMinute == 0 || limits.megabitsPerSecond == 0) {
         co_return Common::makeError(Common::ErrorCode::ProtocolViolation,
-                                    "the weight store answered without its limits");
+                                    fmt::format("the weight store answered {}; expected "
+                                                "loads_per_minute and megabits_per_second above 0",
+                                                answer->status));
     }
-    limits.loadsPerMinute = loads->get<double>();
-    const auto rate = document.find("megabits_per_second");
-    limits.megabitsPerSecond =
-        rate != document.end() && rate->is_number() ? rate->get<double>() : 0;
     co_return limits;
 }
 
--- /dev/null
+++ b/Source/UnitTests/Platform/OneShotServer.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <string>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace LaburnumChute::Platform {
+
+/// Takes one connection, reads one request head, and writes the given bytes. It then either closes
+/// or keeps the connection open in silence until its own end.
+class OneShotServer
+{
+public:
+    enum class Then { Close, StaySilent };
+
+    OneShotServer(std::string answer, Then then)
+        : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , answer_(std::move(answer))
+        , then_(then)
+        , thread_([this] { serve(); })
+    {
+    }
+    ~OneShotServer()
+    {
+        thread_.join();
+    }
+    OneShotServer(const OneShotServer &) = delete;
+    OneShotServer &operator=(const OneShotServer &) = delete;
+
+    std::string address() const
+    {
+        return fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port());
+    }
+    /// The first line of the request; to be read after the answer came.
+    const std::string &requestLine() const
+    {
+        return requestLine_;
+    }
+
+private:
+    void serve()
+    {
+        boost::system::error_code ignored;
+        boost::asio::ip::tcp::socket socket(context_);
+        acceptor_.accept(socket, ignored);
+        boost::asio::streambuf buffer;
+        boost::asio::read_until(socket, buffer, "\r\n\r\n", ignored);
+        std::istream stream(&buffer);
+        std::getline(stream, requestLine_, '\r');
+        boost::asio::write(socket, boost::asio::buffer(answer_), ignored);
+        if (then_ == Then::StaySilent) {
+            // Returns when the client gives up.
+            boost::asio::read_until(socket, buffer, "never", ignored);
+        }
+    }
+
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::string answer_;
+    Then then_;
+    std::string requestLine_;
+    std::thread thread_;
+};
+
+inline std::string httpAnswer(const std::string &status, const std::string &body)
+{
+    return fmt::format("HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}", status, body.size(), body);
+}
+
+/// Runs a coroutine to its end on a loop of its own.
+template <typename T>
+T runToEnd(boost::asio::awaitable<T> work)
+{
+    boost::asio::io_context context(1);
+    std::optional<T> result;
+    boost::asio::co_spawn(context, std::move(work), [&](const std::exception_ptr &error, T value) {
+        if (error) {
+            std::rethrow_exception(error);
+        }
+        result = std::move(value);
+    });
+    context.run();
+    return std::move(*result);
+}
+
+} // namespace LaburnumChute::Platform
--- /dev/null
+++ b/Source/UnitTests/Platform/ReadersTest.cpp
@@ -0,0 +1,72 @@
+#include <gtest/gtest.h>
+
+#include "OneShotServer.h"
+#include "Platform/Platform.h"
+
+namespace LaburnumChute::Platform {
+
+namespace {
+
+using Then = OneShotServer::Then;
+
+Common::Result<std::optional<PublishedVersion>> readVersion(const std::string &answer)
+{
+    OneShotServer server(answer, Then::Close);
+    const ConfigurationReader reader(server.address());
+    return runToEnd(reader.read(6, Common::milliseconds(10)));
+}
+
+TEST(ReadersTest, ConfigurationReaderAsksForWhatComesAfter)
+{
+    OneShotServer server(httpAnswer("200 OK", R"({"number": 7, "content": {"schema": 1}})"),
+                         Then::Close);
+    const ConfigurationReader reader(server.address());
+    const auto version = runToEnd(reader.read(6, Common::milliseconds(10)));
+    ASSERT_TRUE(version && *version);
+    EXPECT_EQ((*version)->number, 7U);
+    EXPECT_EQ((*version)->content, R"({"schema":1})");
+    EXPECT_EQ(server.requestLine(), "GET /v1/configuration?after=6&wait_ms=10 HTTP/1.1");
+}
+
+TEST(ReadersTest, NothingNewerIsAnEmptyValue)
+{
+    const auto version = readVersion("HTTP/1.1 304 Not Modified\r\n\r\n");
+    ASSERT_TRUE(version);
+    EXPECT_FALSE(*version);
+}
+
+TEST(ReadersTest, AnswersWithoutAVersionAreErrors)
+{
+    for (const auto *body : {"", "[]", "{}", R"({"number": 7})", R"({"number": -7, "content": 1})",
+                             R"({"number": "7", "content": 1})"}) {
+        EXPECT_FALSE(readVersion(httpAnswer("200 OK", body))) << body;
+    }
+    EXPECT_FALSE(readVersion(httpAnswer("500 Oh", R"({"number": 7, "content": {}})")));
+}
+
+TEST(ReadersTest, WeightStoreLimitsAreRead)
+{
+    OneShotServer server(
+        httpAnswer("200 OK", R"({"loads_per_minute": 6, "megabits_per_second": 140})"),
+        Then::Close);
+    const auto limits = runToEnd(WeightStoreReader(server.address()).readLimits());
+    ASSERT_TRUE(limits);
+    EXPECT_EQ(limits->loadsPerMinute, 6);
+    EXPECT_EQ(limits->megabitsPerSecond, 140);
+}
+
+TEST(ReadersTest, WeightStoreLimitsThatMakeNoSenseAreErrors)
+{
+    // A limit of zero or below would stop all loads for good, or divide by zero in the pacing.
+    for (const auto *body :
+         {"[]", "{}", R"({"loads_per_minute": 0, "megabits_per_second": 140})",
+          R"({"loads_per_minute": "6", "megabits_per_second": 140})", R"({"loads_per_minute": 6})",
+          R"({"loads_per_minute": 6, "megabits_per_second": -1})"}) {
+        OneShotServer server(httpAnswer("200 OK", body), Then::Close);
+        EXPECT_FALSE(runToEnd(WeightStoreReader(server.address()).readLimits())) << body;
+    }
+}
+
+} // namespace
+
+} // namespace LaburnumChute::Platform
