--- a/Source/StandIns/Engine.cpp
+++ b/Source/StandIns/Engine.cpp
@@ -215,7 +215,7 @@
 asio::awaitable<void> Engine::restartLater()
 {
     const auto life = life_;
-    co_await sleepFor(faults_.restartAfter);
+    co_await sleepFor(context_, faults_.restartAfter);
     if (life == life_) {
         server_.listenAgain();
     }
@@ -224,7 +224,7 @@
 asio::awaitable<void> Engine::sampleLoad()
 {
     for (;;) {
-        co_await sleepFor(settings_.loadLag);
+        co_await sleepFor(context_, settings_.loadLag);
         load_ = loadReport();
         loadAt_ = now();
     }
--- a/Source/StandIns/Platform.cpp
+++ b/Source/StandIns/Platform.cpp
@@ -251,7 +251,8 @@
 }
 
 WeightStore::WeightStore(asio::io_context &context, const nlohmann::json &settings)
-    : listen_(settings.value("listen", "127.0.0.1:0"))
+    : context_(context)
+    , listen_(settings.value("listen", "127.0.0.1:0"))
     , server_(context,
               [this](ConnectionPointer connection) { return handle(std::move(connection)); })
     , loadsPerMinute_(settings.value("loads_per_minute", std::size_t{6}))
@@ -308,7 +309,7 @@
         // All downloads queue for the one rate.
         sendFreeAt_ =
             std::max(sendFreeAt_, now()) + std::chrono::duration_cast<Common::Duration>(time);
-        co_await sleepFor(sendFreeAt_ - now());
+        co_await sleepFor(context_, sendFreeAt_ - now());
         sending = co_await connection->writeChunk(std::string(block, 'w'));
         bytes -= block;
     }
