Run the orders in the gateway, and roll a new version out in parts

OrderRunner carries out what OrderCoordinator decides: it reads /v1/state of the region's engines and posts /v1/orders, on the instance that the cluster names. A look at how an engine carries an order out showed a gap: it drops the old version when it begins to load the new one, so a new version ordered from all at once left nobody to serve the model. At most a third (at least one) of the engines that served a model load at once now. Contacts of other regions that were heard to leave are no longer named in region summaries.

The runner itself has only been compiled and linted so far.

--- a/Source/Core/Cluster/EngineOrder.cpp
+++ b/Source/Core/Cluster/EngineOrder.cpp
@@ -37,12 +37,23 @@
     });
 }
 
+std::string versionOf(const DesiredEngine &desired, const Common::ModelName &model)
+{
+    const auto it = std::find_if(desired.models.begin(), desired.models.end(),
+                                 [&](const auto &version) { return version.model == model; });
+    return it == desired.models.end() ? std::string() : it->version;
+}
+
 std::optional<EngineOrder> nextAdapterOrUnload(const DesiredEngine &desired,
                                                const EngineState &state)
 {
     for (const ModelAdapter &adapter : desired.adapters) {
         if (!contains(state.adapters, adapter)) {
-            return EngineOrder{OrderAction::LoadAdapter, adapter.model, {}, adapter.adapter, {}};
+            return EngineOrder{OrderAction::LoadAdapter,
+                               adapter.model,
+                               versionOf(desired, adapter.model),
+                               adapter.adapter,
+                               {}};
         }
     }
     for (const ModelAdapter &adapter : state.adapters) {
--- a/Source/Core/Cluster/OrderCoordinator.cpp
+++ b/Source/Core/Cluster/OrderCoordinator.cpp
@@ -106,20 +106,47 @@
     const auto order = nextOrder(engine.desired, state);
     const bool loading = std::any_of(state.models.begin(), state.models.end(),
                                      [](const auto &model) { return !model.ready; });
+    engine.loading = loading;
     if (!order) {
         engine.next = now + (loading ? options_.settleInterval : options_.auditInterval);
         return {};
     }
-    if (readsWeights(*order) && !takeLoadToken(now)) {
+    const bool reload = order->action == OrderAction::LoadModel;
+    if ((reload && !mayReload(engine, state, order->model))
+        || (readsWeights(*order) && !takeLoadToken(now))) {
         engine.next = now + options_.settleInterval;
         return {};
     }
+    engine.loading = engine.loading || reload;
     highestFence_ = std::max(highestFence_ + 1, Common::toUnixMilliseconds(wallNow));
     engine.phase = Phase::Ordering;
     engine.deadline = now + options_.answerTimeout;
     return {GiveOrder{engine.desired.endpoint, *order, highestFence_}};
 }
 
+bool OrderCoordinator::mayReload(const Engine &engine, const EngineState &state,
+                                 const Common::ModelName &model) const
+{
+    const bool serves =
+        std::any_of(state.models.begin(), state.models.end(),
+                    [&](const auto &known) { return known.ready && known.version.model == model; });
+    if (!serves) {
+        return true;
+    }
+    const auto holds = [&](const Engine &other) {
+        return std::any_of(other.desired.models.begin(), other.desired.models.end(),
+                           [&](const auto &version) { return version.model == model; });
+    };
+    std::size_t all = 0;
+    std::size_t loading = 0;
+    for (const auto &[id, other] : engines_) {
+        all += holds(other) ? 1 : 0;
+        loading += &other != &engine && holds(other) && other.loading ? 1 : 0;
+    }
+    const auto most = static_cast<std::size_t>(static_cast<double>(all) * options_.reloadingShare);
+    return loading < std::max<std::size_t>(most, 1);
+}
+
 bool OrderCoordinator::takeLoadToken(Common::Time now)
 {
     const double minutes = Common::toSeconds(now - tokensAt_) / 60.0;
--- a/Source/Core/Cluster/OrderCoordinator.h
+++ b/Source/Core/Cluster/OrderCoordinator.h
@@ -23,6 +23,10 @@
     Common::milliseconds auditInterval{30000};
     /// An unanswered reading or order counts as failed after this long.
     Common::milliseconds answerTimeout{5000};
+    /// Share of the engines of a model that may be loading while they served it before. An engine
+    /// may drop the old version when it begins to load the new one; a new version given to all at
+    /// once would leave nobody to serve the model.
+    double reloadingShare = 0.34;
     /// Loads that may be given one right after the other, when none were for a while.
     double loadBurst = 2;
 };
@@ -115,12 +119,16 @@
         Common::Time next;
         Common::Time deadline;
         bool deviates = false;
+        /// It was told to load, or the last reading showed a load.
+        bool loading = false;
         /// Orders the engine had seen at the last reading, with the one given since.
         std::optional<std::uint64_t> ordersExpected;
     };
 
     void keepQuiet(Common::Time now);
     bool takeLoadToken(Common::Time now);
+    bool mayReload(const Engine &engine, const EngineState &state,
+                   const Common::ModelName &model) const;
     void becomeUncertain(Engine &engine, Common::Time now);
     OrderEffects decide(Engine &engine, const EngineState &state, Common::Time now,
                         Common::WallTime wallNow);
--- a/Source/Core/Cluster/RegionDirectory.cpp
+++ b/Source/Core/Cluster/RegionDirectory.cpp
@@ -163,6 +163,8 @@
     std::vector<RegionSummary> all;
     for (const auto &[name, summary] : summaries_) {
         all.push_back(summary);
+        std::erase_if(all.back().contacts,
+                      [this](const MemberInfo &info) { return !usable(info.id); });
         for (MemberInfo &contact : all.back().contacts) {
             contact = withListedAddresses(contact);
         }
--- a/Source/Core/Cluster/RegionDirectory.h
+++ b/Source/Core/Cluster/RegionDirectory.h
@@ -45,6 +45,7 @@
     std::optional<Address> contact(const Common::RegionName &region, std::mt19937_64 &random) const;
     std::optional<Common::Incarnation> newestIncarnation(const Common::InstanceId &id) const;
 
+    /// Without the contacts that were heard to leave.
     std::vector<RegionSummary> summaries() const;
     std::vector<RegionVersion> versions() const;
     /// Summaries that are newer than what the digest names.
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -165,6 +165,8 @@
     cluster_ = std::make_unique<ClusterRunner>(inner_.at(ControlContext), inner_.at(ChannelContext),
                                                clusterOptions, self, std::move(socket), table_,
                                                dispatcher_, metrics_);
+    orders_ = std::make_unique<OrderRunner>(inner_.at(ControlContext), options_.weightStore,
+                                            *cluster_, table_, metrics_);
     return {};
 }
 
@@ -193,6 +195,7 @@
     asio::post(control, [this] {
         cluster_->start([this](const RoutingTable &) { watchEndpoints(); },
                         [this] { beginDrain(); });
+        orders_->start();
     });
     asio::co_spawn(control, waitForSignal(), asio::detached);
     asio::co_spawn(control, housekeeping(), asio::detached);
@@ -352,6 +355,7 @@
             {"forwarded_in_flight", channelServer_->calls()},
             {"peers", peers},
             {"platform", cluster_->dump()},
+            {"orders", orders_->dump()},
             {"decisions", dispatcher_.scheduler().dump(now)},
             {"ledger", ledger_.ledger().dump(now)}};
 }
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -19,6 +19,7 @@
 #include "Gateway/GatewayOptions.h"
 #include "Gateway/LedgerDesk.h"
 #include "Gateway/OperatorHandler.h"
+#include "Gateway/OrderRunner.h"
 #include "Gateway/RequestHandler.h"
 #include "Gateway/RoutingTable.h"
 
@@ -74,6 +75,7 @@
     std::unique_ptr<Entry::HttpServer> operatorServer_;
     std::unique_ptr<Peers::ChannelServer> channelServer_;
     std::unique_ptr<ClusterRunner> cluster_;
+    std::unique_ptr<OrderRunner> orders_;
     std::atomic<bool> draining_{false};
     std::promise<void> stopped_;
     asio::signal_set signals_;
--- a/Source/UnitTests/Cluster/OrdersTest.cpp
+++ b/Source/UnitTests/Cluster/OrdersTest.cpp
@@ -234,6 +234,33 @@
     EXPECT_EQ(coordinator.deviating(), 0u);
 }
 
+// An operator publishes a new version of a model that nine engines serve, and each drops the old
+// one when it begins to load. Given to all at once, nobody serves the model for the time of a load.
+TEST(OrdersTest, NewVersionIsRolledOutInParts)
+{
+    Bench bench;
+    OrderCoordinator coordinator{OrderOptions{}};
+    coordinator.setLoadsPerMinute(6000);
+    std::vector<DesiredEngine> desired;
+    for (int i = 0; i < 9; ++i) {
+        const Common::EndpointId id("runner-" + std::to_string(i));
+        bench.engines[id].state.models = {{{Inscription, "1"}, true}};
+        desired.push_back(desire("2", false, id));
+    }
+    coordinator.setDesired(desired);
+    coordinator.setOrderer(true, bench.now);
+    for (int step = 0; step < 600; ++step) {
+        bench.run({&coordinator}, milliseconds(100), Wall);
+        int loading = 0;
+        for (const auto &[id, engine] : bench.engines) {
+            loading += std::any_of(engine.state.models.begin(), engine.state.models.end(),
+                                   [](const auto &model) { return !model.ready; });
+        }
+        ASSERT_LE(loading, 3);
+    }
+    EXPECT_EQ(coordinator.deviating(), 0u);
+}
+
 /// A text that looks like the name of a version; few different ones, so that they often agree.
 std::string anyVersion()
 {
