--- a/Source/Core/Entry/CallerRequest.cpp
+++ b/Source/Core/Entry/CallerRequest.cpp
@@ -215,6 +215,11 @@
 std::string engineBody(const std::string &body, int priorityLevel)
 {
     auto document = json::parse(body, nullptr, false);
+    const auto stream = document.find("stream");
+    if (stream == document.end() || *stream != true) {
+        // A whole answer carries its usage, which engines put into a stream only when asked.
+        document["stream_options"] = {{"include_usage", true}};
+    }
     document["stream"] = true;
     document["priority"] = priorityLevel;
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
--- a/Source/Core/Entry/CallerRequest.h
+++ b/Source/Core/Entry/CallerRequest.h
@@ -48,7 +48,8 @@
 /// Reads a model call's body; an error names the member and what was expected.
 Common::Result<ModelCall> parseModelCall(ModelCallKind kind, const std::string &body);
 
-/// The body as engines get it: always streamed, with the priority that the gateway has settled on.
+/// The body as engines get it: always streamed, with the priority that the gateway has settled on;
+/// for a caller who wants a whole answer, with the usage in the stream.
 std::string engineBody(const std::string &body, int priorityLevel);
 
 /// Tokens are estimated from bytes; 4 bytes a token is the common rule of thumb for English text,
--- a/Tools/deployment.py
+++ b/Tools/deployment.py
@@ -170,6 +170,11 @@
         self.stop()
 
     def stop(self):
+        # Together: an instance that shuts down gracefully takes its time.
+        for gateway in self.gateways:
+            if gateway.process.poll() is None:
+                gateway.thaw()
+                gateway.process.terminate()
         for child in reversed(self.children):
             child.stop()
         self.folder.cleanup()
