--- a/Source/Core/Decisions/Admission.cpp
+++ b/Source/Core/Decisions/Admission.cpp
@@ -10,7 +10,9 @@
 constexpr double PriorSeconds = 1;
 /// A share is enforced once the queue is this part of what may wait; before, there is room for all.
 constexpr double ContendedFrom = 0.25;
-constexpr double ShareTolerance = 1.1;
+constexpr double ShareTolerance = 1.25;
+/// The mean over customers costs one pass over them; it is kept this long.
+constexpr Duration MeanLifetime = milliseconds(20);
 /// Shorter answers than this would only bring the caller back into the same queue.
 constexpr double LeastRetryAfter = 0.2;
 constexpr double LongestRetryAfter = 60;
@@ -41,7 +43,6 @@
 Admission::Admission(const AdmissionOptions &options, std::uint64_t seed)
     : options_(options)
     , random_(seed)
-    , usedByAll_(options.averagingTime)
 {
 }
 
@@ -213,17 +214,32 @@
         std::erase_if(used_, [now](const auto &entry) { return entry.second.value(now) < 1; });
     }
     used_.try_emplace(customer, options_.averagingTime).first->second.add(workTokens, now);
-    usedByAll_.add(workTokens, now);
 }
 
-bool Admission::overShare(const CustomerName &customer, Time now) const
+double Admission::relativeUse(const CustomerName &customer, Time now) const
 {
     const auto found = used_.find(customer);
-    if (found == used_.end() || active_.size() < 2) {
-        return false;
+    return found == used_.end() ? 0 : found->second.value(now) / weight(customer);
+}
+
+double Admission::meanUse(Time now) const
+{
+    if (now - meanAt_ < MeanLifetime && active_.size() == meanOf_) {
+        return mean_;
     }
-    const double share = found->second.value(now) / std::max(1.0, usedByAll_.value(now));
-    return share > ShareTolerance * fairShare(customer);
+    double sum = 0;
+    for (const auto &[customer, requests] : active_) {
+        sum += relativeUse(customer, now);
+    }
+    mean_ = active_.empty() ? 0 : sum / static_cast<double>(active_.size());
+    meanAt_ = now;
+    meanOf_ = active_.size();
+    return mean_;
+}
+
+bool Admission::overShare(const CustomerName &customer, Time now) const
+{
+    return relativeUse(customer, now) > ShareTolerance * meanUse(now);
 }
 
 nlohmann::json Admission::dump(Time now) const
--- a/Source/Core/Decisions/Admission.h
+++ b/Source/Core/Decisions/Admission.h
@@ -49,6 +49,7 @@
     /// Work was sent to an endpoint.
     void started(const CustomerName &customer, double workTokens, Time now);
 
+    /// Whether the customer used more for its weight lately than the mean of those that wait.
     bool overShare(const CustomerName &customer, Time now) const;
     /// Decode tokens a second that leave the target's queue.
     double drainRate(const Target &base, double capacity, Time now) const;
@@ -77,6 +78,8 @@
 
     double weight(const CustomerName &customer) const;
     double fairShare(const CustomerName &customer) const;
+    double relativeUse(const CustomerName &customer, Time now) const;
+    double meanUse(Time now) const;
     Duration longestWait(const RequestFacts &facts, Time now) const;
     Duration spread(double seconds);
     static double ahead(const Backlog &backlog, int priority);
@@ -87,10 +90,12 @@
     std::unordered_map<CustomerName, CustomerLimit> limits_;
     std::map<Target, Backlog> backlogs_;
     std::unordered_map<CustomerName, DecayingSum> used_;
-    DecayingSum usedByAll_;
     /// Waiting requests of each customer, over all targets.
     std::unordered_map<CustomerName, std::size_t> active_;
     double activeWeight_ = 0;
+    mutable double mean_ = 0;
+    mutable Time meanAt_{};
+    mutable std::size_t meanOf_ = 0;
 };
 
 } // namespace LaburnumChute::Decisions
--- a/Source/Core/Decisions/Quarantine.cpp
+++ b/Source/Core/Decisions/Quarantine.cpp
@@ -55,6 +55,12 @@
     return false;
 }
 
+bool Quarantine::diedOn(std::uint64_t fingerprint, const EndpointId &endpoint) const
+{
+    const auto found = suspects_.find(fingerprint);
+    return found != suspects_.end() && contains(found->second.deaths, endpoint);
+}
+
 Duration Quarantine::retryAfter(std::uint64_t fingerprint, Time now) const
 {
     if (verdict(fingerprint, now) != Verdict::Quarantined) {
--- a/Source/Core/Decisions/Quarantine.h
+++ b/Source/Core/Decisions/Quarantine.h
@@ -37,6 +37,9 @@
     Verdict verdict(std::uint64_t fingerprint, Time now) const;
     /// False while another try of this suspect runs, or while it is quarantined.
     bool mayStart(std::uint64_t fingerprint, Time now) const;
+    /// True when this endpoint died with the fingerprint on it: a next try belongs elsewhere, so
+    /// that a faulty endpoint and a dangerous request can be told apart.
+    bool diedOn(std::uint64_t fingerprint, const EndpointId &endpoint) const;
     /// When a quarantined or busy suspect may be tried again.
     Duration retryAfter(std::uint64_t fingerprint, Time now) const;
 
--- a/Source/Core/Decisions/SchedulerParts.cpp
+++ b/Source/Core/Decisions/SchedulerParts.cpp
@@ -91,8 +91,13 @@
     return {false, wait + request.waiting.firstTokenWork};
 }
 
-bool Scheduler::Parts::suspectMayUse(std::uint64_t fingerprint, Slot slot, Time now) const
+bool Scheduler::Parts::suspectMayUse(const RequestFacts &facts, Slot slot, Time now) const
 {
+    const auto fingerprint = facts.fingerprint;
+    const bool lone = table.candidates(facts.target.base()).size() == 1;
+    if (!lone && quarantine.diedOn(fingerprint, table.at(slot).facts.id)) {
+        return false;
+    }
     const auto found = onSlot.find(slot);
     if (found == onSlot.end()) {
         return true;
@@ -114,7 +119,7 @@
     }
     const bool apart = verdict == Verdict::Suspect;
     const auto allowed = [&](Slot slot) {
-        return (!except || slot != *except) && (!apart || suspectMayUse(fingerprint, slot, now));
+        return (!except || slot != *except) && (!apart || suspectMayUse(request.facts, slot, now));
     };
     const auto *policy = std::get_if<ExpectedCostPolicy>(&options.routing.policy);
     const bool mayHold = policy != nullptr && !except && request.facts.patience != Patience::Long
--- a/Source/Core/Decisions/SchedulerParts.h
+++ b/Source/Core/Decisions/SchedulerParts.h
@@ -96,7 +96,7 @@
     HomeOffer homeOffer(const RequestState &request, Time now) const;
     bool homeAllowed(const RequestFacts &facts) const;
     bool suffering(const Target &base) const;
-    bool suspectMayUse(std::uint64_t fingerprint, Slot slot, Time now) const;
+    bool suspectMayUse(const RequestFacts &facts, Slot slot, Time now) const;
     std::size_t waitingRequests() const;
     std::optional<Time> nextWakeup() const;
     nlohmann::json dump(Time now) const;
--- a/Source/UnitTests/Decisions/Support.h
+++ b/Source/UnitTests/Decisions/Support.h
@@ -2,6 +2,7 @@
 
 // Builders and a small world of endpoints for the tests of Decisions.
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
