--- a/Source/StandIns/TcpRelay.cpp
+++ b/Source/StandIns/TcpRelay.cpp
@@ -32,12 +32,13 @@
 {
 }
 
-RelayedConnection::RelayedConnection(Tcp::socket client, std::shared_ptr<Link> link,
+RelayedConnection::RelayedConnection(asio::io_context &context, Tcp::socket client, LinkEnd link,
                                      Tcp::endpoint target)
-    : client_(std::move(client))
+    : context_(context)
+    , client_(std::move(client))
     , server_(client_.get_executor())
     , link_(std::move(link))
-    , target_(target)
+    , target_(std::move(target))
     , forward_(client_.get_executor())
     , back_(client_.get_executor())
 {
@@ -53,9 +54,9 @@
 asio::awaitable<void> RelayedConnection::connect()
 {
     // The handshake of the real connection takes one round trip.
-    co_await sleepFor(link_->forward.delay + link_->back.delay);
-    while (link_->forward.held || link_->back.held) {
-        co_await sleepFor(Poll);
+    co_await sleepFor(context_, link_.out().delay + link_.in().delay);
+    while (link_.out().held || link_.in().held) {
+        co_await sleepFor(context_, Poll);
     }
     boost::system::error_code error;
     co_await server_.async_connect(target_, asio::redirect_error(asio::use_awaitable, error));
@@ -74,7 +75,7 @@
     auto &from = forward ? client_ : server_;
     auto &to = forward ? server_ : client_;
     auto &way = forward ? forward_ : back_;
-    auto &direction = forward ? link_->forward : link_->back;
+    auto &direction = forward ? link_.out() : link_.in();
     const auto self = shared_from_this();
     asio::co_spawn(
         from.get_executor(),
@@ -92,7 +93,7 @@
     for (;;) {
         while (!silent_
                && (way.packets.size() >= MaxPackets || direction.backlog(now()) > MaxBacklog)) {
-            co_await sleepFor(Poll);
+            co_await sleepFor(context_, Poll);
         }
         boost::system::error_code error;
         const auto count = co_await from.async_read_some(
@@ -133,10 +134,10 @@
         const auto packet = std::move(way.packets.front());
         way.packets.pop_front();
         if (packet.due > now()) {
-            co_await sleepFor(packet.due - now());
+            co_await sleepFor(context_, packet.due - now());
         }
         while (direction.held && !way.closed) {
-            co_await sleepFor(Poll);
+            co_await sleepFor(context_, Poll);
         }
         if (silent_ || way.closed) {
             continue;
@@ -173,8 +174,7 @@
     back_.changed.notify();
 }
 
-TcpRelay::TcpRelay(asio::io_context &context, std::shared_ptr<Link> link,
-                   const nlohmann::json &settings)
+TcpRelay::TcpRelay(asio::io_context &context, LinkEnd link, const nlohmann::json &settings)
     : context_(context)
     , link_(std::move(link))
     , endpoint_(parseEndpoint(settings.value("listen", "127.0.0.1:0")))
@@ -205,14 +205,14 @@
             co_return;
         }
         if (error) {
-            co_await sleepFor(Poll);
+            co_await sleepFor(context_, Poll);
             continue;
         }
         connections_.erase(std::remove_if(connections_.begin(), connections_.end(),
                                           [](const auto &weak) { return weak.expired(); }),
                            connections_.end());
         const auto connection =
-            std::make_shared<RelayedConnection>(std::move(socket), link_, target_);
+            std::make_shared<RelayedConnection>(context_, std::move(socket), link_, target_);
         connections_.push_back(connection);
         connection->start();
     }
@@ -221,10 +221,10 @@
 void TcpRelay::linkChanged()
 {
     const bool listening = acceptor_ && acceptor_->is_open();
-    if (!link_->cut && !listening) {
+    if (!link_.cut() && !listening) {
         listen();
     }
-    if (!link_->cut) {
+    if (!link_.cut()) {
         return;
     }
     if (listening) {
