Forward what may not run at home whatever the spill budgets say; sharpen tests of guards

The otaru demo lost 2 of 1260 requests with 403 residency-refused: callers of town offices in one region reached an entry in another, where the spill's rate and free share decided on a way that is the only one allowed. Such a request is now forwarded to the best allowed region at once; turned away there it is Overloaded with a retry time, and Residency is said only where no region is allowed. Seen failing without it: the first request is refused (ARequestThatMayNotRunHereIsAlwaysForwarded). Histories and line now have different customers. Tests that passed without their guard got sharper ones.

--- a/Source/Core/Decisions/SchedulerParts.cpp
+++ b/Source/Core/Decisions/SchedulerParts.cpp
@@ -167,8 +167,9 @@
         return false;
     }
     const auto offer = homeOffer(request, now);
-    const HomeOffer judged{offer.none || !homeAllowed(request.facts), offer.expectedFirstToken};
-    const auto region = spill.choose(request.facts, judged, request.waiting.workTokens, now);
+    const auto region = homeAllowed(request.facts)
+                            ? spill.choose(request.facts, offer, request.waiting.workTokens, now)
+                            : spill.mandatory(request.facts, now);
     if (!region) {
         return false;
     }
--- a/Source/Core/Decisions/SchedulerParts.h
+++ b/Source/Core/Decisions/SchedulerParts.h
@@ -112,6 +112,7 @@
     void backOff(RequestState &request, Time until);
     void refuse(const RequestId &id, RefusalReason reason, RunState run, Duration retryAfter,
                 Time now, Effects &effects);
+    void refuseWithoutPlace(const RequestId &id, Time now, Effects &effects);
     void settleAtHome(const RequestId &id, Time now, Effects &effects);
     void releaseTry(RequestState &request, const Try &ended, Outcome outcome, Time now);
     void endpointDied(Slot slot, Time now);
--- a/Source/Core/Decisions/SchedulerRequests.cpp
+++ b/Source/Core/Decisions/SchedulerRequests.cpp
@@ -68,14 +68,9 @@
                quarantine.retryAfter(fingerprint, now), now, effects);
         return;
     }
-    const bool allowed = homeAllowed(request.facts);
-    if (!allowed || table.candidates(base).empty()) {
+    if (!homeAllowed(request.facts) || table.candidates(base).empty()) {
         if (!forward(request, now, effects)) {
-            // A region that could take it, but whose share for us is used up, is worth a new try.
-            const bool later = spill.servedElsewhere(request.facts, now);
-            const auto reason = allowed ? RefusalReason::NoEndpoint : RefusalReason::Residency;
-            refuse(id, later ? RefusalReason::Overloaded : reason, RunState::NotRun,
-                   later ? FailureRetryAfter : NoEndpointRetryAfter, now, effects);
+            refuseWithoutPlace(id, now, effects);
         }
         return;
     }
@@ -105,6 +100,22 @@
     drain(base, now, effects);
 }
 
+void Scheduler::Parts::refuseWithoutPlace(const RequestId &id, Time now, Effects &effects)
+{
+    const auto &request = requests.at(id);
+    if (!homeAllowed(request.facts)) {
+        // An allowed region that turned it away may have room later.
+        const bool later = request.wasForwarded;
+        refuse(id, later ? RefusalReason::Overloaded : RefusalReason::Residency, RunState::NotRun,
+               later ? FailureRetryAfter : Duration(0), now, effects);
+        return;
+    }
+    // A region that could take it, but whose share for us is used up, is worth a new try.
+    const bool later = spill.servedElsewhere(request.facts, now);
+    refuse(id, later ? RefusalReason::Overloaded : RefusalReason::NoEndpoint, RunState::NotRun,
+           later ? FailureRetryAfter : NoEndpointRetryAfter, now, effects);
+}
+
 void Scheduler::Parts::drain(const Target &base, Time now, Effects &effects)
 {
     const auto found = queues.find(base);
@@ -331,8 +342,8 @@
     }
     note(id, now, "forward ended:", std::string(toString(outcome)));
     request.mayHaveRun = outcome != Outcome::NotStarted;
-    if (outcome == Outcome::NotStarted && homeAllowed(request.facts)) {
-        // It was not begun there and may not be forwarded again: home is what is left.
+    if (outcome == Outcome::NotStarted) {
+        // It was not begun there and may not be forwarded again: home is what is left, if anything.
         settleAtHome(id, now, effects);
         return;
     }
--- a/Source/Core/Decisions/Spill.cpp
+++ b/Source/Core/Decisions/Spill.cpp
@@ -153,6 +153,30 @@
     return bestRegion;
 }
 
+std::optional<RegionName> Spill::mandatory(const RequestFacts &facts, Time now) const
+{
+    std::optional<RegionName> best;
+    auto bestTime = Duration::max();
+    const auto routes = routes_.find(facts.target.base());
+    for (const auto &region : facts.allowedRegions) {
+        if (!mayLeaveFor(facts, region)) {
+            continue;
+        }
+        // A region of which nothing fresh is known comes last, but comes.
+        auto time = std::chrono::duration_cast<Duration>(std::chrono::hours(1));
+        if (routes != routes_.end()) {
+            const auto route = routes->second.find(region);
+            const bool known = route != routes->second.end() && usable(route->second, now);
+            time = known ? firstTokenAt(route->second, facts) : time;
+        }
+        if (time < bestTime) {
+            bestTime = time;
+            best = region;
+        }
+    }
+    return best;
+}
+
 bool Spill::servedElsewhere(const RequestFacts &facts, Time now) const
 {
     const auto routes = routes_.find(facts.target.base());
--- a/Source/Core/Decisions/Spill.h
+++ b/Source/Core/Decisions/Spill.h
@@ -45,6 +45,11 @@
     /// @param workTokens the request's work in decode tokens
     std::optional<RegionName> choose(const RequestFacts &facts, const HomeOffer &home,
                                      double workTokens, Time now);
+    /// Where a request must go that may not run at home: the best allowed region, whatever its load
+    /// and our budgets. That is no shift of load but the only place, and the region admits or
+    /// refuses by itself. None when no other region is allowed, or when the request was forwarded
+    /// to us.
+    std::optional<RegionName> mandatory(const RequestFacts &facts, Time now) const;
     /// Some region that the rule allows serves the target, whatever its load.
     bool servedElsewhere(const RequestFacts &facts, Time now) const;
     nlohmann::json dump(Time now) const;
--- a/Source/UnitTests/Decisions/FailureTest.cpp
+++ b/Source/UnitTests/Decisions/FailureTest.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "Decisions/Ejection.h"
 #include "Decisions/Quarantine.h"
 #include "Support.h"
 
@@ -64,6 +65,8 @@
 {
     auto options = tightOptions();
     options.retry.hedgeAfter = 0;
+    // The budget alone must hold, without the stop when all endpoints suffer.
+    options.retry.sufferingShare = 2;
     World world(options);
     world.addEngines(4);
     constexpr int FirstTries = 1000;
@@ -92,6 +95,24 @@
     EXPECT_EQ(served, 100);
 }
 
+// When every engine fails a retry only adds to what they suffer from.
+TEST(RetryTest, NothingIsRetriedWhileAllEndpointsSuffer)
+{
+    World world;
+    world.addEngines(4);
+    for (int index = 0; index < 100; ++index) {
+        const auto id = "r" + std::to_string(index);
+        world.submit(repeatable(id));
+        world.finish(id, Outcome::Failed);
+        world.tickAfter(milliseconds(10));
+    }
+    const auto before = world.order.size();
+    world.submit(repeatable("last"));
+    EXPECT_TRUE(has<Refuse>(world.finish("last", Outcome::Failed)));
+    world.tickAfter(seconds(5));
+    EXPECT_EQ(world.order.size(), before + 1);
+}
+
 // An engine stops answering without closing its connections. A second try elsewhere brings the
 // caller its first token; the silent one is cancelled then.
 TEST(RetryTest, ALateFirstTokenIsHedgedOnceAndTheLoserCancelled)
@@ -142,6 +163,43 @@
     EXPECT_LE(failuresOver(world, {"e0"}, 100, "r"), 8);
 }
 
+// The other engines are full, so that only the failing one has room. A higher cost does not keep
+// work away from the only place that is left; it must be out, and callers wait for a good engine.
+TEST(EjectionTest, WorkRatherWaitsThanGoesToAnEjectedEndpoint)
+{
+    World world;
+    world.addEngines(4);
+    failuresOver(world, {"e0"}, 60, "r");
+    for (int index = 0; index < 60; ++index) {
+        world.submit(request("load" + std::to_string(index), "c" + std::to_string(index)));
+        world.reportAll(4);
+    }
+    failuresOver(world, {"e0"}, 40, "under-load");
+    world.tickAfter(milliseconds(500));
+    const auto before = world.on["e0"].size();
+    world.submit(request("next", "next"));
+    EXPECT_EQ(world.on["e0"].size(), before);
+}
+
+TEST(EjectionTest, AtMostTheStatedShareIsOutAndAFaultOfMostEjectsNone)
+{
+    const std::vector<Slot> group{0, 1, 2, 3};
+    const Time now = Time() + seconds(100);
+    const auto excludedAfter = [&](Slot failing) {
+        Ejection ejection({});
+        for (Slot slot = 0; slot < failing; ++slot) {
+            for (int index = 0; index < 10; ++index) {
+                ejection.failed(slot, now);
+            }
+        }
+        ejection.review(group, now);
+        return std::count_if(group.begin(), group.end(),
+                             [&](Slot slot) { return ejection.excluded(slot, now); });
+    };
+    EXPECT_EQ(excludedAfter(1), 1);
+    EXPECT_EQ(excludedAfter(3), 0);
+}
+
 // One engine takes ten times as long as its reports explain.
 TEST(EjectionTest, ASlowEndpointIsLeftOut)
 {
@@ -293,6 +351,17 @@
     EXPECT_TRUE(has<Refuse>(second.submit(poison("again"))));
 }
 
+// A request that nobody suspects is beside one that has killed an engine before.
+TEST(QuarantineTest, ADeathIsChargedToTheMostSuspectedAlone)
+{
+    Quarantine quarantine({});
+    const Time now = Time() + seconds(1000);
+    quarantine.endpointDied(EndpointId("e1"), {Poison}, now);
+    quarantine.endpointDied(EndpointId("e2"), {Poison, 1}, now);
+    EXPECT_EQ(quarantine.verdict(Poison, now), Verdict::Quarantined);
+    EXPECT_EQ(quarantine.verdict(1, now), Verdict::Clear);
+}
+
 // Each of two instances saw one death; only together do they know of two.
 TEST(QuarantineTest, MergedNoticesAddUpDistinctEndpoints)
 {
--- a/Source/UnitTests/Decisions/OverloadTest.cpp
+++ b/Source/UnitTests/Decisions/OverloadTest.cpp
@@ -35,7 +35,7 @@
 {
     auto world = fullWorld();
     for (int index = 0; index < 2; ++index) {
-        auto history = request("history" + std::to_string(index));
+        auto history = request("history" + std::to_string(index), "dispatch");
         history.promptTokens = 10000;
         world.submit(history);
     }
--- a/Source/UnitTests/Decisions/SpillTest.cpp
+++ b/Source/UnitTests/Decisions/SpillTest.cpp
@@ -57,6 +57,31 @@
     EXPECT_TRUE(has<Forward>(world.submit(anywhere("r2"))));
 }
 
+// A caller of Hakodate, whose data must stay there, reaches an entry in Sapporo. Its way to
+// Hakodate is not a shift of load: no rate or free share of the spill may turn it away here.
+TEST(SpillTest, ARequestThatMayNotRunHereIsAlwaysForwarded)
+{
+    World world;
+    world.addEngines(1);
+    auto full = summary(Hakodate);
+    full.freeTokensPerSecond = 0;
+    for (int index = 0; index < 100; ++index) {
+        auto facts = request("r" + std::to_string(index));
+        facts.allowedRegions = {Hakodate};
+        const auto forwards = all<Forward>(world.submit(facts));
+        ASSERT_EQ(forwards.size(), 1U) << index;
+        EXPECT_EQ(forwards.front().region, Hakodate);
+        if (index == 50) {
+            world.scheduler.updateRegions({full}, world.now);
+        }
+    }
+    const auto refusals = all<Refuse>(
+        world.scheduler.finished(RequestId("r1"), EndpointId(), Outcome::NotStarted, world.now));
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals.front().reason, RefusalReason::Overloaded);
+    EXPECT_GT(refusals.front().retryAfter, Duration(0));
+}
+
 // Two regions each think that the other is less busy.
 TEST(SpillTest, AForwardedRequestIsNeverForwardedAgain)
 {
@@ -129,7 +154,16 @@
 /// One random step against a scheduler whose requests carry random residency rules.
 struct Player
 {
-    World world{tightOptions(), 3};
+    static SchedulerOptions options()
+    {
+        auto result = tightOptions();
+        // Few saved retries, so that the budget is soon what decides.
+        result.retry.budgetMaximum = 1;
+        result.retry.sufferingShare = 2;
+        return result;
+    }
+
+    World world{options(), 3};
     std::map<std::string, RequestFacts> facts;
     std::map<std::string, int> forwards;
     std::set<std::string> forwarded;
@@ -219,7 +253,7 @@
     for (int index = 0; index < 300; ++index) {
         player.step();
     }
-    const RetryOptions retry;
+    const RetryOptions retry = Player::options().retry;
     const auto first = player.facts.size();
     std::set<std::string> sent(player.world.order.begin(), player.world.order.end());
     const auto again = static_cast<double>(player.world.order.size() - sent.size());
