--- a/Source/Core/Decisions/ConcurrencyLimit.cpp
+++ b/Source/Core/Decisions/ConcurrencyLimit.cpp
@@ -35,8 +35,11 @@
     limit_ = ceiling();
 }
 
-void ConcurrencyLimit::sample(double ratio, double inFlight)
+void ConcurrencyLimit::sample(double observedRatio, double inFlight)
 {
+    // Faster than expected says nothing about load: a cached prefix that was not known, for
+    // example.
+    const double ratio = std::max(1.0, observedRatio);
     if (recent_ == 0) {
         recent_ = ratio;
         usual_ = ratio;
--- a/Source/Core/Decisions/ConcurrencyLimit.h
+++ b/Source/Core/Decisions/ConcurrencyLimit.h
@@ -23,9 +23,9 @@
 
     /// The endpoint's own word: an upper bound.
     void setStatedLimit(std::int64_t batchLimit);
-    /// A first token came after `ratio` times the time that was expected as it was sent, with
-    /// `inFlight` requests on the endpoint.
-    void sample(double ratio, double inFlight);
+    /// A first token came after `observedRatio` times the time that was expected as it was sent,
+    /// with `inFlight` requests on the endpoint.
+    void sample(double observedRatio, double inFlight);
 
     double value() const
     {
--- a/Source/UnitTests/Decisions/RoutingTest.cpp
+++ b/Source/UnitTests/Decisions/RoutingTest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "Decisions/ConcurrencyLimit.h"
 #include "Decisions/EndpointTable.h"
 #include "Support.h"
 
@@ -160,6 +161,40 @@
     EXPECT_EQ(world.endpointOf("r1"), "e4");
 }
 
+TEST(ConcurrencyLimitTest, FollowsLastingDelayDownAndRecovers)
+{
+    ConcurrencyLimit limit({});
+    limit.setStatedLimit(16);
+    const double full = limit.value();
+    for (int index = 0; index < 100; ++index) {
+        limit.sample(index % 2 == 0 ? 1.0 : 1.5, 16);
+    }
+    EXPECT_DOUBLE_EQ(limit.value(), full);
+    for (int index = 0; index < 100; ++index) {
+        limit.sample(6, 16);
+    }
+    EXPECT_LT(limit.value(), full / 2);
+    EXPECT_GE(limit.value(), 4) << "a quarter of the stated limit";
+    for (int index = 0; index < 300; ++index) {
+        limit.sample(1, limit.value());
+    }
+    EXPECT_DOUBLE_EQ(limit.value(), full);
+}
+
+// Short prompts of which the whole prefix is cached come after long cold ones. Both are faster than
+// expected, by factors that differ; the limit once fell to half because of that.
+TEST(ConcurrencyLimitTest, AnswersThatAreFasterThanExpectedDoNotLowerIt)
+{
+    ConcurrencyLimit limit({});
+    limit.setStatedLimit(16);
+    const double full = limit.value();
+    limit.sample(0.1, 16);
+    for (int index = 0; index < 100; ++index) {
+        limit.sample(0.7, 16);
+    }
+    EXPECT_DOUBLE_EQ(limit.value(), full);
+}
+
 TEST(RoutingTest, SubsetsOfManyInstancesCoverEveryEndpointEvenly)
 {
     const RoutingOptions routing;
