--- a/Source/Core/Decisions/SchedulerParts.h
+++ b/Source/Core/Decisions/SchedulerParts.h
@@ -96,7 +96,7 @@
     HomeOffer homeOffer(const RequestState &request, Time now) const;
     bool homeAllowed(const RequestFacts &facts) const;
     bool suffering(const Target &base) const;
-    bool suspectMayUse(std::uint64_t fingerprint, Slot slot, Time now) const;
+    bool suspectMayUse(const RequestFacts &facts, Slot slot, Time now) const;
     std::size_t waitingRequests() const;
     std::optional<Time> nextWakeup() const;
     nlohmann::json dump(Time now) const;
@@ -112,6 +112,7 @@
     void backOff(RequestState &request, Time until);
     void refuse(const RequestId &id, RefusalReason reason, RunState run, Duration retryAfter,
                 Time now, Effects &effects);
+    void refuseWithoutPlace(const RequestId &id, Time now, Effects &effects);
     void settleAtHome(const RequestId &id, Time now, Effects &effects);
     void releaseTry(RequestState &request, const Try &ended, Outcome outcome, Time now);
     void endpointDied(Slot slot, Time now);
--- a/Source/Core/Gateway/CallPlan.cpp
+++ b/Source/Core/Gateway/CallPlan.cpp
@@ -230,6 +230,7 @@
     auto &plan = draft->plan;
     plan.model = kind;
     plan.stream = call->stream;
+    plan.facts.continuable = plan.facts.repeatable;
     plan.target = path;
     plan.body = Entry::engineBody(arrival.body, plan.facts.priority);
     plan.facts.target = Decisions::Target::model(call->model, call->adapter);
