--- a/Source/IntegrationTests/test_engine_death.py
+++ b/Source/IntegrationTests/test_engine_death.py
@@ -93,4 +93,6 @@
     assert lost <= 3
     for number in range(4):
         own_id = f"innocent-{number}"
-        read_whole(call(deployment, own_id, tokens=5, gateway=number), own_id, PROMPT, 5)
+        stream = call(deployment, own_id, tokens=5, gateway=number)
+        assert stream.status == 200, stream.answer.read()
+        read_whole(stream, own_id, PROMPT, 5)
