Tell other instances of a superseded request; send the head with the first piece

A retyped draft that reaches another instance did not end the first one, which nobody closed. The instance now tells its peers; only the same customer's request is dropped. The head of a stream now leaves in one write with its first piece: a trace had shown two writes.

--- a/Source/Core/Entry/Exchange.cpp
+++ b/Source/Core/Entry/Exchange.cpp
@@ -2,12 +2,14 @@
 
 #include <poll.h>
 #include <random>
+#include <sstream>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_cat.hpp>
 
 #include "Async/Async.h"
 
@@ -205,24 +207,25 @@
     answer.keep_alive(options_.keepAlive);
     answer.chunked(options_.chunked);
     started_ = true;
-    http::response_serializer<http::empty_body> serializer(answer);
-    boost::system::error_code error;
-    stream_.expires_after(options_.writeTimeout);
-    co_await http::async_write_header(stream_, serializer,
-                                      asio::redirect_error(asio::use_awaitable, error));
-    co_return check(error);
+    std::ostringstream head;
+    head << answer.base();
+    pendingHead_ = head.str();
+    co_return !gone_;
 }
 
 asio::awaitable<bool> Exchange::sendPiece(std::string_view bytes)
 {
+    const auto head = std::exchange(pendingHead_, {});
+    const asio::const_buffer headBuffer(head.data(), head.size());
+    const asio::const_buffer buffer(bytes.data(), bytes.size());
     boost::system::error_code error;
     stream_.expires_after(options_.writeTimeout);
-    const asio::const_buffer buffer(bytes.data(), bytes.size());
     if (options_.chunked) {
-        co_await asio::async_write(stream_, http::make_chunk(buffer),
+        co_await asio::async_write(stream_,
+                                   beast::buffers_cat(headBuffer, http::make_chunk(buffer)),
                                    asio::redirect_error(asio::use_awaitable, error));
     } else {
-        co_await asio::async_write(stream_, buffer,
+        co_await asio::async_write(stream_, beast::buffers_cat(headBuffer, buffer),
                                    asio::redirect_error(asio::use_awaitable, error));
     }
     co_return check(error);
@@ -230,10 +233,15 @@
 
 asio::awaitable<bool> Exchange::endBody()
 {
+    const auto head = std::exchange(pendingHead_, {});
+    const asio::const_buffer headBuffer(head.data(), head.size());
     boost::system::error_code error;
+    stream_.expires_after(options_.writeTimeout);
     if (options_.chunked) {
-        stream_.expires_after(options_.writeTimeout);
-        co_await asio::async_write(stream_, http::make_chunk_last(),
+        co_await asio::async_write(stream_, beast::buffers_cat(headBuffer, http::make_chunk_last()),
+                                   asio::redirect_error(asio::use_awaitable, error));
+    } else {
+        co_await asio::async_write(stream_, headBuffer,
                                    asio::redirect_error(asio::use_awaitable, error));
     }
     complete_ = !error;
--- a/Source/Core/Entry/Exchange.h
+++ b/Source/Core/Entry/Exchange.h
@@ -72,6 +72,7 @@
     /// All of an answer at once. False when the caller has left; so for all that send.
     asio::awaitable<bool> sendWhole(unsigned status, Common::Headers headers, std::string body);
     asio::awaitable<bool> sendProblem(Problem problem);
+    /// The head leaves with the first piece or the end.
     asio::awaitable<bool> startBody(unsigned status, Common::Headers headers);
     asio::awaitable<bool> sendPiece(std::string_view bytes);
     asio::awaitable<bool> endBody();
@@ -108,6 +109,8 @@
     bool gone_ = false;
     bool started_ = false;
     bool complete_ = false;
+    /// The head of a body under way, kept until its first piece so that both leave in one write.
+    std::string pendingHead_;
 };
 
 } // namespace LaburnumChute::Entry
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -87,9 +87,11 @@
         remember(submission);
         auto &facts = submission.facts;
         if (facts.supersedes) {
-            const auto known = byCallerId_.find(*facts.supersedes);
-            facts.supersedes =
-                known == byCallerId_.end() ? std::nullopt : std::optional(known->second);
+            const auto callerId = *facts.supersedes;
+            facts.supersedes = ownId(facts.customer, callerId);
+            if (!facts.supersedes && foreignSupersede_) {
+                foreignSupersede_(facts.customer, callerId);
+            }
         }
         waiting_.insert_or_assign(facts.id,
                                   Waiting{decisions, std::move(executor), std::move(abort)});
@@ -100,7 +102,8 @@
 
 void Dispatcher::remember(const Submission &submission)
 {
-    if (byCallerId_.insert_or_assign(submission.callerId, submission.facts.id).second) {
+    const Known known{submission.facts.customer, submission.facts.id};
+    if (byCallerId_.insert_or_assign(submission.callerId, known).second) {
         callerIds_.push_back(submission.callerId);
     }
     if (callerIds_.size() > RememberedIds) {
@@ -109,10 +112,44 @@
     }
 }
 
+std::optional<Common::RequestId> Dispatcher::ownId(const Common::CustomerName &customer,
+                                                   const Common::RequestId &callerId) const
+{
+    const auto known = byCallerId_.find(callerId);
+    if (known == byCallerId_.end() || known->second.customer != customer) {
+        return std::nullopt;
+    }
+    return known->second.own;
+}
+
+void Dispatcher::onForeignSupersede(SupersedeListener listener)
+{
+    foreignSupersede_ = std::move(listener);
+}
+
+void Dispatcher::supersede(Common::CustomerName customer, Common::RequestId callerId)
+{
+    asio::post(control_, [this, customer = std::move(customer), callerId = std::move(callerId)] {
+        const auto own = ownId(customer, callerId);
+        if (own) {
+            carryOut(scheduler_.cancel(*own, std::chrono::steady_clock::now()));
+        }
+    });
+}
+
 std::vector<std::string> Dispatcher::explain(const Common::RequestId &callerId) const
 {
     const auto known = byCallerId_.find(callerId);
-    return scheduler_.explain(known == byCallerId_.end() ? callerId : known->second);
+    return scheduler_.explain(known == byCallerId_.end() ? callerId : known->second.own);
+}
+
+std::vector<Common::RequestId> Dispatcher::inFlight() const
+{
+    std::vector<Common::RequestId> ids;
+    for (const auto &entry : waiting_) {
+        ids.push_back(entry.first);
+    }
+    return ids;
 }
 
 void Dispatcher::forget(const Common::RequestId &request)
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -65,6 +65,13 @@
     std::unique_ptr<Ticket> submit(Submission submission, const Decisions &decisions,
                                    asio::any_io_executor executor, std::function<void()> abort);
 
+    /// Told when a request supersedes one that is not known here: another instance may have it.
+    using SupersedeListener =
+        std::function<void(const Common::CustomerName &, const Common::RequestId &callerId)>;
+    void onForeignSupersede(SupersedeListener listener);
+    /// Drops the customer's request of that id, if it is here; from any thread.
+    void supersede(Common::CustomerName customer, Common::RequestId callerId);
+
     /// Runs a command of the scheduler on the control context and carries out what it returns.
     /// The function takes (Scheduler &, Time) and returns Effects.
     template <typename Function>
@@ -78,6 +85,8 @@
     /// The last decisions on a request, by the id that its caller knows; only from the control
     /// context, like all below.
     std::vector<std::string> explain(const Common::RequestId &callerId) const;
+    /// The requests handed in and not yet ended, by their own ids.
+    std::vector<Common::RequestId> inFlight() const;
     const Scheduler &scheduler() const
     {
         return scheduler_;
@@ -106,8 +115,19 @@
     Scheduler scheduler_;
     asio::steady_timer tickTimer_;
     std::unordered_map<Common::RequestId, Waiting> waiting_;
+    struct Known
+    {
+        Common::CustomerName customer;
+        Common::RequestId own;
+    };
+
+    /// The own id of the customer's request, if it is known here.
+    std::optional<Common::RequestId> ownId(const Common::CustomerName &customer,
+                                           const Common::RequestId &callerId) const;
+
+    SupersedeListener foreignSupersede_;
     /// The newest request under each id that callers know, for traces and supersession.
-    std::unordered_map<Common::RequestId, Common::RequestId> byCallerId_;
+    std::unordered_map<Common::RequestId, Known> byCallerId_;
     std::deque<Common::RequestId> callerIds_;
     Common::Counter &dispatched_;
     Common::Counter &forwarded_;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -30,12 +30,27 @@
 constexpr Common::milliseconds HandoverTimeout{2000};
 constexpr const char *HandoverSubject = "ledger-handover";
 constexpr const char *HintsSubject = "order-hints";
+constexpr const char *SupersedeSubject = "supersede";
 /// A caller takes a second or more to submit an order again; hints that wait a fifth of that travel
 /// together.
 constexpr Common::milliseconds HintInterval{200};
 /// Up to here hints go to all instances, beyond to those of the region alone.
 constexpr std::size_t ToldPeersLimit = 16;
 
+/// Tells peers that a caller has replaced a request which one of them may have. Without it the old
+/// draft is generated to its end for nobody when the new one came to another instance.
+struct Superseded
+{
+    Common::CustomerName customer;
+    Common::RequestId callerId;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(customer, callerId);
+    }
+};
+
 std::uint64_t randomNumber()
 {
     std::random_device device;
@@ -202,6 +217,10 @@
                         [this] { beginDrain(); });
         orders_->start();
     });
+    dispatcher_.onForeignSupersede(
+        [this](const Common::CustomerName &customer, const Common::RequestId &callerId) {
+            tellPeers(SupersedeSubject, encode(Superseded{customer, callerId}));
+        });
     asio::co_spawn(control, waitForSignal(), asio::detached);
     asio::co_spawn(control, housekeeping(), asio::detached);
     asio::co_spawn(control, shareOrderHints(), asio::detached);
@@ -324,6 +343,14 @@
         }
         co_return co_await ledger_.learn(*hints);
     }
+    if (request.subject == SupersedeSubject) {
+        const auto superseded = decode<Superseded>(request.body);
+        if (!superseded) {
+            co_return tl::unexpected(superseded.error());
+        }
+        dispatcher_.supersede(superseded->customer, superseded->callerId);
+        co_return Common::Result<void>();
+    }
     co_return Common::makeError(Common::ErrorCode::InvalidArgument, "the subject is not known");
 }
 
@@ -395,6 +422,11 @@
 {
     const auto now = std::chrono::steady_clock::now();
     const auto table = table_.share();
+    json inFlight = json::array();
+    for (const auto &request : dispatcher_.inFlight()) {
+        inFlight.push_back(
+            {{"id", request.text()}, {"decisions", dispatcher_.scheduler().explain(request)}});
+    }
     json peers = json::object();
     for (const auto &entry : table->peers) {
         peers[entry.first.text()] = {{"region", entry.second.region.text()},
@@ -408,6 +440,7 @@
             {"connections", callerServer_->connections()},
             {"requests_in_flight", callerServer_->exchanges()},
             {"forwarded_in_flight", channelServer_->calls()},
+            {"in_flight", inFlight},
             {"peers", peers},
             {"platform", cluster_->dump()},
             {"orders", orders_->dump()},
