Fuzz the decoders, and mend the two faults that were found

Found in the first run (20,000 executions each asked for): - gossip, after 22: a bool taken as the byte stood (114), undefined behaviour; - channel frames, after 94: the length of a text was trusted and 2^49 bytes asked for. Lengths that an allocator grants would have had the process killed.

Flags are read as bytes now, enumerations in bounds, and frames by an archive that compares a length with the bytes that are left. Ruled out: a smaller CEREAL_SIZE_TYPE, which still lets 4 GB through.

--- a/CMake/Targets.cmake
+++ b/CMake/Targets.cmake
@@ -12,6 +12,11 @@
     target_compile_options(lcSettings INTERFACE -fsanitize=${LC_SANITIZE} -fno-omit-frame-pointer)
     target_link_options(lcSettings INTERFACE -fsanitize=${LC_SANITIZE})
 endif()
+if(LC_FUZZERS)
+    target_compile_options(lcSettings INTERFACE
+        -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all)
+    target_link_options(lcSettings INTERFACE -fsanitize=address,undefined)
+endif()
 
 # lc_library(NAME SOURCES file... DEPENDS target...)
 function(lc_library name)
--- a/Source/Core/Cluster/Codec.cpp
+++ b/Source/Core/Cluster/Codec.cpp
@@ -54,6 +54,26 @@
     }
 }
 
+/// A bool as a byte. cereal copies the byte into the bool as it stands; any but 0 and 1 is
+/// undefined behaviour in whatever reads it.
+template <typename Archive>
+void flag(Archive &archive, bool &value)
+{
+    auto byte = static_cast<std::uint8_t>(value ? 1 : 0);
+    archive(byte);
+    value = byte != 0;
+}
+
+/// An enumeration, refused when the byte is none of its values.
+template <typename Archive, typename Enumeration>
+void enumeration(Archive &archive, Enumeration &value, Enumeration last)
+{
+    archive(value);
+    if (value > last) {
+        throw cereal::Exception("a value outside its enumeration");
+    }
+}
+
 /// Counts the bytes that cereal's portable binary archive would write.
 class SizeArchive
 {
@@ -129,11 +149,13 @@
 template <typename Archive>
 void serialize(Archive &archive, Notice &notice)
 {
-    archive(notice.kind);
+    enumeration(archive, notice.kind, NoticeKind::InstanceLeaving);
     shortText(archive, notice.subject);
     shortText(archive, notice.detail);
     std::int64_t lifetime = notice.lifetime.count();
-    archive(notice.version, notice.active, lifetime);
+    archive(notice.version);
+    flag(archive, notice.active);
+    archive(lifetime);
     notice.lifetime = Common::milliseconds(lifetime);
 }
 
@@ -148,7 +170,10 @@
 {
     shortName(archive, claim.id);
     bool known = claim.info.has_value();
-    archive(claim.incarnation, claim.counter, claim.health, claim.leaving, known);
+    archive(claim.incarnation, claim.counter);
+    enumeration(archive, claim.health, Health::Dead);
+    flag(archive, claim.leaving);
+    flag(archive, known);
     if (known) {
         MemberInfo info = claim.info.value_or(MemberInfo{});
         archive(info);
@@ -208,7 +233,7 @@
 void serialize(Archive &archive, RegionsDigest &digest)
 {
     shortList(archive, digest.versions);
-    archive(digest.answerWanted);
+    flag(archive, digest.answerWanted);
 }
 
 template <typename Archive>
--- a/Source/Core/Peers/ChannelFrames.cpp
+++ b/Source/Core/Peers/ChannelFrames.cpp
@@ -8,6 +8,8 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "Peers/FrameArchive.h"
+
 namespace LaburnumChute::Peers {
 
 std::string encodeFrame(const Frame &frame)
@@ -29,9 +31,8 @@
 
 Common::Result<Frame> decodeFrame(std::string_view bytes)
 {
-    std::istringstream stream(std::string(bytes), std::ios::binary);
     try {
-        cereal::PortableBinaryInputArchive archive(stream);
+        FrameInputArchive archive(bytes);
         Frame frame;
         archive(frame);
         return frame;
