--- a/Source/Core/Decisions/Facts.h
+++ b/Source/Core/Decisions/Facts.h
@@ -81,6 +81,9 @@
     std::optional<RequestId> supersedes;
     /// May run again after an unknown outcome.
     bool repeatable = false;
+    /// A try may follow one that has given its first token: what the second one repeats is compared
+    /// with what the caller has, and dropped.
+    bool continuable = false;
     /// Same for requests with the same content, whatever their id and key.
     std::uint64_t fingerprint = 0;
     /// How often a caller or an earlier instance says it has tried before; 0 for a first try.
