--- a/Tools/capacity.py
+++ b/Tools/capacity.py
@@ -2,7 +2,8 @@
 grow with the number of instances in its region and of endpoints it knows; fits lines; prints tables.
 
 Real processes on loopback, idle but for their control work. Usage:
-    capacity.py [--instances 4,8,16,32] [--endpoints 12,48,96] [--seconds 10] [--build FOLDER]
+    capacity.py [--instances 4,8,16,32] [--endpoints 12,48,96] [--listed 0,1000,4000,10000]
+                [--seconds 10] [--build FOLDER]
 The instances each run on one thread for callers, so that hundreds of threads do not hide the cost.
 """
 
@@ -51,8 +52,9 @@
 class Region:
     """Gateways of one region with a platform and engines; ends all that it started."""
 
-    def __init__(self, build, instances, endpoints):
+    def __init__(self, build, instances, endpoints, listed=0):
         self.build = build
+        self.listed = listed
         self.count = instances
         self.endpoint_count = endpoints
         self.children = []
@@ -96,8 +98,14 @@
         endpoints = [{"id": name, "kind": "engine", "name": "hotline", "region": REGION,
                       "failure_domain": f"{REGION}-1", "http": engines.addresses[name],
                       "state": "live", "checks_fences": False} for name in names]
-        self.platform.control("POST", "/instances",
-                              {"instances": instances, "endpoints": endpoints})
+        # Endpoints of another region: in the list that each instance reads, but not polled by it.
+        elsewhere = [{"id": f"far-engine-{number}", "kind": "engine", "name": "hotline",
+                      "region": "south", "failure_domain": "south-1",
+                      "http": f"127.0.0.1:{1 + number}", "state": "live", "checks_fences": False}
+                     for number in range(self.listed)]
+        truth = {"instances": instances, "endpoints": endpoints + elsewhere}
+        self.list_kilobytes = len(json.dumps(truth)) / 1000
+        self.platform.control("POST", "/instances", truth)
 
     def numbers(self):
         found = []
@@ -136,6 +144,7 @@
         used = [processor_seconds(pid) - old for pid, old in zip(pids, before)]
         read_rate = (self.reads() - reads) / elapsed
         return {"instances": self.count, "endpoints": self.endpoint_count,
+                "listed_elsewhere": self.listed, "list_kilobytes": self.list_kilobytes,
                 "core_percent": 100 * median(used) / elapsed,
                 "core_percent_most": 100 * max(used) / elapsed,
                 "megabytes": median([resident_megabytes(pid) for pid in pids]),
@@ -203,7 +212,8 @@
         print(f"fit: {name} = {start:.2f} + {slope:.5f} * customers (range 80 to 2560)")
 
 
-COLUMNS = ["instances", "endpoints", "core_percent", "core_percent_most", "megabytes",
+COLUMNS = ["instances", "endpoints", "listed_elsewhere", "list_kilobytes",
+           "core_percent", "core_percent_most", "megabytes",
            "configuration_reads_per_second", "spread_seconds"]
 
 
@@ -217,7 +227,8 @@
 
 
 def print_fits(variable, rows):
-    for name in ("core_percent", "megabytes", "configuration_reads_per_second"):
+    for name in ("core_percent", "megabytes", "list_kilobytes",
+                 "configuration_reads_per_second"):
         start, slope = fit([(row[variable], row[name]) for row in rows])
         low, high = rows[0][variable], rows[-1][variable]
         print(f"fit: {name} = {start:.3f} + {slope:.5f} * {variable} (range {low} to {high})")
@@ -227,12 +238,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--instances", default="4,8,16,32")
     parser.add_argument("--endpoints", default="12,48,96")
+    parser.add_argument("--listed", default="0,1000,4000,10000")
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--build", type=pathlib.Path, default=ROOT / "Build")
     options = parser.parse_args()
 
-    def run(instances, endpoints):
-        with Region(options.build, instances, endpoints) as region:
+    def run(instances, endpoints, listed=0):
+        with Region(options.build, instances, endpoints, listed) as region:
             row = region.measure(options.seconds)
         print(json.dumps(row), file=sys.stderr, flush=True)
         return row
@@ -240,10 +252,13 @@
     print_documents(options.build)
     by_instances = [run(int(count), 9) for count in options.instances.split(",")]
     by_endpoints = [run(4, int(count)) for count in options.endpoints.split(",")]
+    by_listed = [run(4, 9, int(count)) for count in options.listed.split(",")]
     print_table("By instances in one region (9 endpoints)", by_instances)
     print_fits("instances", by_instances)
     print_table("By endpoints (4 instances)", by_endpoints)
     print_fits("endpoints", by_endpoints)
+    print_table("By endpoints of other regions in the list (4 instances, 9 endpoints)", by_listed)
+    print_fits("listed_elsewhere", by_listed)
 
 
 if __name__ == "__main__":
