--- a/Tools/deployment.py
+++ b/Tools/deployment.py
@@ -142,7 +142,7 @@
     """A whole deployment. A context manager: leaving it ends all that it started."""
 
     def __init__(self, shape, build, gateways=True, gateway_settings=(), engine_overrides=None,
-                 separate_engines=False, configuration=None):
+                 separate_engines=False, configuration=None, weights=None):
         self.name = shape
         self.shape = SHAPES[shape]
         self.build = pathlib.Path(build)
@@ -150,6 +150,7 @@
         self.gateway_settings = gateway_settings
         self.engine_overrides = engine_overrides or {}
         self.separate_engines = separate_engines
+        self.weights = weights or {}
         self.configuration = configuration or json.loads(
             (ROOT / "examples" / f"{shape}.json").read_text())
         self.children = []
@@ -192,7 +193,7 @@
                                               "megabits": self.shape["megabits"]}
                  for left in regions for right in regions if left != right}
         scenario = {"configuration": {"number": 1, "content": self.configuration},
-                    "instances": {"lag_ms": 500}, "directory": {}, "weights": {},
+                    "instances": {"lag_ms": 500}, "directory": {}, "weights": self.weights,
                     "links": links}
         self.platform = StandIns(self.build, self.folder.name, "platform", scenario)
         self.children.append(self.platform)
