--- a/Source/Core/Cluster/Membership.cpp
+++ b/Source/Core/Cluster/Membership.cpp
@@ -72,8 +72,11 @@
         supersededBy_ = claim.incarnation;
         effects.push_back(SelfSuperseded{claim.incarnation});
     }
-    const bool outdated = claim.incarnation != self_.incarnation || claim.counter < counter_;
-    if (outdated || claim.health == Health::Alive) {
+    if (claim.incarnation != self_.incarnation || claim.health == Health::Alive) {
+        return;
+    }
+    if (claim.counter < counter_) {
+        corrections_.push_back(selfClaim(false));
         return;
     }
     counter_ = claim.counter + 1;
@@ -105,6 +108,9 @@
     const bool startsLeaving = claim.leaving && !record.leaving;
     const bool newer =
         precedence(claim.counter, claim.health) > precedence(record.counter, record.health);
+    if (claim.health != Health::Alive && claim.counter < record.counter) {
+        corrections_.push_back(claimOf(record, false));
+    }
     if (!startsLeaving && !newer) {
         return;
     }
--- a/Source/Core/Cluster/Membership.h
+++ b/Source/Core/Cluster/Membership.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "Cluster/Effects.h"
@@ -58,6 +59,13 @@
     {
         return refutations_;
     }
+    /// What the senders of outdated suspicions and deaths should know, since the last call. A
+    /// member whose refutation missed one observer is suspected there until the suspicion ends; all
+    /// others know better, and without this none of them would say so.
+    std::vector<MemberClaim> takeCorrections()
+    {
+        return std::exchange(corrections_, {});
+    }
     /// The incarnation that replaced this instance, if it met one.
     std::optional<Common::Incarnation> supersededBy() const
     {
@@ -117,6 +125,7 @@
     bool leaving_ = false;
     std::uint64_t changes_ = 0;
     std::uint32_t refutations_ = 0;
+    std::vector<MemberClaim> corrections_;
     std::optional<Common::Incarnation> supersededBy_;
     std::map<Common::InstanceId, Record> records_;
     std::set<Common::InstanceId> listedLeaving_;
--- a/Source/Core/Cluster/NodeReceive.cpp
+++ b/Source/Core/Cluster/NodeReceive.cpp
@@ -97,6 +97,10 @@
         // The one who told of the suspicion hears the answer first, and passes it on.
         send(from, Reach::OwnRegion, Carrier{}, {membership.selfClaim(true)});
     }
+    auto corrections = membership.takeCorrections();
+    if (!corrections.empty()) {
+        send(from, Reach::OwnRegion, Carrier{}, std::move(corrections));
+    }
     const auto known = membership.claim(message.sender, false);
     if (!known || known->incarnation < message.incarnation) {
         send(from, Reach::OwnRegion, MembersRequest{0}, {membership.selfClaim(true)});
@@ -204,6 +208,8 @@
     for (const MemberClaim &claim : page.claims) {
         membership.apply(claim, now, effects_);
     }
+    // The page is an answer to this instance; whoever sent it hears the news with the next probe.
+    membership.takeCorrections();
 }
 
 void ClusterNode::Parts::handle(const LoadReport &report, const Address &,
--- a/Source/UnitTests/Cluster/MembershipTest.cpp
+++ b/Source/UnitTests/Cluster/MembershipTest.cpp
@@ -256,6 +256,48 @@
     }
 }
 
+// A woken instance refutes a suspicion, and one observer misses all messages that carry the answer.
+// All others know better; unless they say so when it repeats the old suspicion, it gives up a
+// healthy instance when the suspicion ends. Seen as 1 to 3 false deaths an hour among 16 instances
+// of which one was paused every 4 s.
+TEST(MembershipTest, OutdatedSuspicionIsCorrected)
+{
+    const auto info = [](const std::string &name) {
+        MemberInfo made;
+        made.id = Common::InstanceId(name);
+        made.region = Common::RegionName("north");
+        made.incarnation = 7;
+        made.gossipAddress = Address("1.1.1.1:" + name);
+        return made;
+    };
+    const Common::Time now{seconds(1)};
+    const MemberInfo observer = info("1");
+    const MemberInfo suspected = info("2");
+    ClusterNode node({}, info("3"), 1, now);
+    GossipMessage message;
+    message.sender = observer.id;
+    message.region = observer.region;
+    message.incarnation = observer.incarnation;
+    message.claims = {{observer.id, 7, 0, Health::Alive, false, observer},
+                      {suspected.id, 7, 1, Health::Alive, false, suspected}};
+    node.receive(observer.gossipAddress, message, now);
+    message.claims = {{suspected.id, 7, 0, Health::Suspect, false, {}}};
+    bool corrected = false;
+    for (const Effect &effect : node.receive(observer.gossipAddress, message, now)) {
+        const auto *send = std::get_if<SendGossip>(&effect);
+        if (send == nullptr || send->to != observer.gossipAddress) {
+            continue;
+        }
+        for (const MemberClaim &claim : send->message.claims) {
+            corrected = corrected
+                        || (claim.id == suspected.id && claim.counter == 1
+                            && claim.health == Health::Alive && !claim.info);
+        }
+    }
+    EXPECT_TRUE(corrected);
+    EXPECT_EQ(node.member(suspected.id)->state, MemberState::Alive);
+}
+
 // The platform's list calls an instance leaving after it has been replaced, since the list lags.
 // The replacement must get work all the same.
 TEST(MembershipTest, ListedLeaveDoesNotHoldForTheReplacement)
