--- a/Source/Core/Decisions/SchedulerParts.cpp
+++ b/Source/Core/Decisions/SchedulerParts.cpp
@@ -162,11 +162,16 @@
 }
 
 bool Scheduler::Parts::forward(RequestState &request, Time now, Effects &effects)
+{
+    return forward(request, homeOffer(request, now), now, effects);
+}
+
+bool Scheduler::Parts::forward(RequestState &request, const HomeOffer &offer, Time now,
+                               Effects &effects)
 {
     if (request.wasForwarded) {
         return false;
     }
-    const auto offer = homeOffer(request, now);
     const auto region = homeAllowed(request.facts)
                             ? spill.choose(request.facts, offer, request.waiting.workTokens, now)
                             : spill.mandatory(request.facts, now);
--- a/Source/Core/Decisions/SchedulerParts.h
+++ b/Source/Core/Decisions/SchedulerParts.h
@@ -107,6 +107,7 @@
     void dispatch(RequestState &request, const Placed &placed, bool hedge, Time now,
                   Effects &effects);
     bool forward(RequestState &request, Time now, Effects &effects);
+    bool forward(RequestState &request, const HomeOffer &offer, Time now, Effects &effects);
     void enqueue(RequestState &request, Time now);
     void unqueue(const RequestState &request, Time now);
     void backOff(RequestState &request, Time until);
--- a/Source/Core/Decisions/SchedulerRequests.cpp
+++ b/Source/Core/Decisions/SchedulerRequests.cpp
@@ -369,6 +369,13 @@
         note(id, now, "retries", {}, request.nextTryAt - now);
         return;
     }
+    // Runners at home report room and yet begin nothing, so home looks cheapest until the tries are
+    // used up. Callers would get 502 while other regions have room; the spill's rates still bound
+    // what goes there.
+    const bool unbegun = outcome == Outcome::NotStarted && !request.mayHaveRun;
+    if (unbegun && forward(request, HomeOffer{true, {}}, now, effects)) {
+        return;
+    }
     const auto reason =
         outcome == Outcome::TimedOut ? RefusalReason::TimedOut : RefusalReason::Failed;
     refuse(id, reason, runAfter(outcome), FailureRetryAfter, now, effects);
