--- a/Source/LoadTool/Overhead.cpp
+++ b/Source/LoadTool/Overhead.cpp
@@ -64,6 +64,8 @@
     std::vector<Common::Duration> gaps;
     std::size_t tokens = 0;
     std::size_t wrong = 0;
+    /// Answers by status; 0 for connections that broke.
+    std::map<std::string, std::size_t> statuses;
 };
 
 class OverheadRun
@@ -302,6 +304,7 @@
             head = co_await connection->readHead();
         }
         const bool streaming = head && head->status == 200;
+        ++samples.statuses[std::to_string(head ? head->status : 0)];
         samples.wrong += streaming ? 0 : 1;
         begun += streaming ? 1 : 0;
         std::vector<char> block(512);
@@ -311,6 +314,7 @@
             reading = got && *got > 0;
         }
     } else {
+        ++samples.statuses["0"];
         ++samples.wrong;
     }
     --open;
@@ -340,12 +344,13 @@
     const auto grown =
         static_cast<double>(after.residentBytes) - static_cast<double>(before.residentBytes);
     result_["open_streams"] = {{"open", begun},
-                               {"refused_or_failed", samples.wrong},
+                               {"by_status", samples.statuses},
                                {"kilobytes_each", grown / 1024 / static_cast<double>(begun)},
                                {"resident_megabytes", after.residentBytes >> 20U}};
     for (const auto &connection : held_) {
         connection->close();
     }
+    wrong_ += samples.wrong;
     while (open > 0 && now() < start + 2 * LongestStart) {
         co_await pause(Common::milliseconds(50));
     }
--- a/Source/UnitTests/Decisions/FailureTest.cpp
+++ b/Source/UnitTests/Decisions/FailureTest.cpp
@@ -375,6 +375,27 @@
     EXPECT_EQ(quarantine.verdict(Poison, now), Verdict::Quarantined);
 }
 
+// The runners at home report room and yet begin nothing, as when each is at its limit of queued
+// requests. Callers would get 502 after three tries while Asahikawa has room.
+TEST(FailureTest, WhatHomeRefusesUnbegunGoesToAnotherRegion)
+{
+    World world;
+    world.addEngines(4);
+    world.scheduler.updateRegions({summary(Asahikawa)}, world.now);
+    auto facts = request("r1");
+    facts.allowedRegions = {Sapporo, Asahikawa};
+    world.submit(facts);
+    Effects effects;
+    for (int tries = 0; tries < 10 && !has<Forward>(effects) && !has<Refuse>(effects); ++tries) {
+        effects = world.finish("r1", Outcome::NotStarted);
+        if (effects.empty()) {
+            effects = world.tickAfter(milliseconds(200));
+        }
+    }
+    EXPECT_TRUE(has<Forward>(effects));
+    EXPECT_FALSE(has<Refuse>(effects));
+}
+
 } // namespace
 
 } // namespace LaburnumChute::Decisions
