Bound how far an engine runs ahead of a caller who stops reading

The coroutines do wait for each write, but the kernel grows the send buffer towards the caller and the receive buffer towards the engine to megabytes, and a token is 200 bytes. Both are bounded to 32 KB now, and so is the stand-in engine's send buffer, since an engine that counts what it has sent stands for one that sees its reader.

--- a/Source/Core/Endpoints/ConnectionPool.cpp
+++ b/Source/Core/Endpoints/ConnectionPool.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+/// Bytes that an endpoint may send ahead of what a caller takes. The kernel's own limit is
+/// megabytes: an engine would run tens of thousands of tokens ahead of a caller who has stopped
+/// reading.
+constexpr int ReceiveBufferBytes = 32 * 1024;
+
 /// True when the other side has closed the connection or has sent bytes nobody asked for.
 bool isStale(Connection &connection)
 {
@@ -65,6 +70,10 @@
     auto connection = std::make_unique<Connection>(executor_);
     boost::system::error_code error;
     connection->stream.expires_after(options_.connectTimeout);
+    // Before the connection is made, since the window is agreed on then.
+    connection->stream.socket().open(target->protocol(), error);
+    connection->stream.socket().set_option(
+        asio::socket_base::receive_buffer_size(ReceiveBufferBytes), error);
     co_await connection->stream.async_connect(*target,
                                               asio::redirect_error(asio::use_awaitable, error));
     if (error) {
--- a/Source/Core/Entry/HttpServer.cpp
+++ b/Source/Core/Entry/HttpServer.cpp
@@ -16,6 +16,9 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
+/// Bytes of an answer that wait in the kernel for a slow caller, a few hundred tokens. A caller 100
+/// ms away still gets 300 KB/s, thirty times a fast stream.
+constexpr int CallerSendBuffer = 32 * 1024;
 constexpr Common::milliseconds AcceptPause{50};
 constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -216,6 +219,9 @@
     const CountGuard guard(connections_);
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    // The kernel grows this buffer to megabytes, which hold tens of thousands of tokens: an engine
+    // would generate them for a caller who has stopped reading, and nobody would slow it down.
+    socket.set_option(asio::socket_base::send_buffer_size(CallerSendBuffer), ignored);
     beast::tcp_stream stream(std::move(socket));
     co_await serveRequests(stream);
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/Source/IntegrationTests/calls.py
+++ b/Source/IntegrationTests/calls.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import socket
 
 LETTERS = "abcdefghijklmnopqrstuvwxyz234567"
 MASK = (1 << 64) - 1
@@ -31,8 +32,15 @@
 class Stream:
     """A streamed call under way."""
 
-    def __init__(self, address, path, body, headers=None, method="POST", timeout=20):
+    def __init__(self, address, path, body, headers=None, method="POST", timeout=20,
+                 receive_buffer=None):
         self.connection = http.client.HTTPConnection(address, timeout=timeout)
+        if receive_buffer:
+            self.connection.sock = socket.socket()
+            self.connection.sock.settimeout(timeout)
+            self.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+            host, port = address.split(":")
+            self.connection.sock.connect((host, int(port)))
         data = None if body is None else json.dumps(body)
         self.connection.request(method, path, data,
                                 {"Content-Type": "application/json", **(headers or {})})
--- a/Source/StandIns/HttpServer.cpp
+++ b/Source/StandIns/HttpServer.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr int SendBufferBytes = 32 * 1024;
 constexpr std::uint64_t BodyLimit = 256ULL << 20U;
 
 std::string decode(std::string_view text)
@@ -120,6 +121,9 @@
     : socket_(std::move(socket))
 {
     socket_.set_option(Tcp::no_delay(true));
+    // What waits in the kernel counts as read by the peer; an engine must not take megabytes for
+    // that.
+    socket_.set_option(asio::socket_base::send_buffer_size(SendBufferBytes));
 }
 
 std::string HttpConnection::header(std::string_view name) const
