--- a/Source/Core/Decisions/SchedulerRequests.cpp
+++ b/Source/Core/Decisions/SchedulerRequests.cpp
@@ -321,7 +321,7 @@
             requests.erase(found);
         } else {
             request.mayHaveRun = request.mayHaveRun || outcome != Outcome::NotStarted;
-            if (ended.firstToken) {
+            if (ended.firstToken && !request.facts.continuable) {
                 request.facts.noRetry = true;
             }
             afterFailure(id, outcome, now, effects);
