--- a/Source/Core/Decisions/SchedulerRequests.cpp
+++ b/Source/Core/Decisions/SchedulerRequests.cpp
@@ -152,8 +152,8 @@
     if (!placed && verdict == Verdict::Clear) {
         return false;
     }
+    queue.turnTaken(id);
     unqueue(request, now);
-    queue.turnTaken(request.waiting);
     if (placed) {
         dispatch(request, *placed, false, now, effects);
     } else {
--- a/Source/Core/Decisions/WaitQueue.cpp
+++ b/Source/Core/Decisions/WaitQueue.cpp
@@ -136,18 +136,18 @@
 
 bool WaitQueue::lowestIsDue() const
 {
-    if (levels_.size() < 2) {
-        return false;
-    }
     const double work = oldestOf(levels_.rbegin()->second)->waiting.workTokens;
     return workOfOthers_ >= options_.lowerPriorityRatio * work;
 }
 
-void WaitQueue::turnTaken(const Waiting &served)
+void WaitQueue::turnTaken(const RequestId &id)
 {
     ++turns_;
-    const bool lowest = levels_.empty() || served.priority >= levels_.rbegin()->first;
-    workOfOthers_ = lowest ? 0 : workOfOthers_ + served.workTokens;
+    // Only the oldest starts the count anew: a younger one of the lowest priority, served while no
+    // higher one waits, must not put the oldest off.
+    const Entry *oldest = oldestOf(levels_.rbegin()->second);
+    const bool served = oldest->waiting.id == id;
+    workOfOthers_ = served ? 0 : workOfOthers_ + waiting_.at(id).waiting.workTokens;
 }
 
 std::vector<RequestId> WaitQueue::expired(Time time) const
--- a/Source/Core/Decisions/WaitQueue.h
+++ b/Source/Core/Decisions/WaitQueue.h
@@ -58,8 +58,8 @@
     /// The one whose turn it is, and after it, should it find no place, the first of each other
     /// priority.
     std::vector<RequestId> next(Time now, const OverShare &overShare) const;
-    /// One of next() was served: the turn passes on.
-    void turnTaken(const Waiting &served);
+    /// One of next() is about to be served and removed: the turn passes on.
+    void turnTaken(const RequestId &id);
 
     /// Those whose deadline is not after `time`.
     std::vector<RequestId> expired(Time time) const;
@@ -106,7 +106,7 @@
     QueueOptions options_;
     std::uint64_t serial_ = 0;
     std::uint64_t turns_ = 0;
-    /// Work served to others since the lowest priority had its turn.
+    /// Work served to others since the oldest of the lowest priority was served.
     double workOfOthers_ = 0;
     std::unordered_map<RequestId, Entry> waiting_;
     std::map<int, Level> levels_;
--- a/Source/UnitTests/Decisions/OverloadTest.cpp
+++ b/Source/UnitTests/Decisions/OverloadTest.cpp
@@ -220,8 +220,8 @@
     const auto noShares = [](const CustomerName &customer) { return customer.text() == "0"; };
     for (int turn = 0; turn < 300; ++turn) {
         const auto served = queue.next(now, noShares).front();
-        const auto taken = queue.remove(served);
-        queue.turnTaken(*taken);
+        queue.turnTaken(served);
+        queue.remove(served);
         allowed.erase(served.text());
         for (auto &[id, turns] : allowed) {
             RC_ASSERT(--turns >= 0);
