--- a/Source/Experiments/Main.cpp
+++ b/Source/Experiments/Main.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "Common/Common.h"
+#include "PlacementComparison.h"
 #include "Simulation.h"
 #include "Workload.h"
 
@@ -43,6 +44,9 @@
 const Common::Setting<double> Slow{"slow-engine", "Fleet", 1,
                                    "Factor on the step time of one engine", "a number"};
 
+const Common::Setting<bool> Placements{"placements", "Trace", false,
+                                       "Compare placement policies instead", "true or false"};
+
 struct Policy
 {
     std::string name;
@@ -143,6 +147,7 @@
     settings.declare(Lag);
     settings.declare(Lost);
     settings.declare(Slow);
+    settings.declare(Placements);
     const auto words = settings.parse(std::vector<std::string>(argv + 1, argv + argc),
                                       Common::processEnvironment());
     if (!words) {
@@ -153,5 +158,9 @@
         std::cout << settings.helpText();
         return 0;
     }
+    if (settings.get(Placements)) {
+        comparePlacements(static_cast<std::uint64_t>(settings.get(Seed)));
+        return 0;
+    }
     return runAll(settings);
 }
