--- a/Source/Core/Decisions/Facts.h
+++ b/Source/Core/Decisions/Facts.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -41,7 +43,12 @@
     /// The same target without its adapter: what an endpoint serves.
     Target base() const;
 
-    auto operator<=>(const Target &) const = default;
+    bool operator==(const Target &) const = default;
+    friend bool operator<(const Target &one, const Target &other)
+    {
+        return std::tie(one.kind, one.name, one.adapter)
+               < std::tie(other.kind, other.name, other.adapter);
+    }
 };
 
 /// "model/NAME", "model/NAME+ADAPTER" or "service/NAME", for dumps and traces.
--- a/Source/Core/Decisions/WaitQueue.cpp
+++ b/Source/Core/Decisions/WaitQueue.cpp
@@ -90,7 +90,7 @@
     const Entry *best = nullptr;
     bool bestOver = false;
     const auto earlier = [newest](const Entry &one, const Entry &other) {
-        return newest ? one.age > other.age : one.order < other.order;
+        return newest ? other.age < one.age : one.order < other.order;
     };
     for (const auto &[customer, lane] : level) {
         const Entry *head = newest ? lane.byAge.rbegin()->second : lane.byOrder.begin()->second;
--- a/Source/Core/Decisions/WaitQueue.h
+++ b/Source/Core/Decisions/WaitQueue.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -82,7 +83,11 @@
     {
         Time time{};
         std::uint64_t serial = 0;
-        auto operator<=>(const Key &) const = default;
+        bool operator==(const Key &) const = default;
+        friend bool operator<(const Key &one, const Key &other)
+        {
+            return std::tie(one.time, one.serial) < std::tie(other.time, other.serial);
+        }
     };
     struct Entry
     {
