--- a/Source/Core/Decisions/WaitQueue.cpp
+++ b/Source/Core/Decisions/WaitQueue.cpp
@@ -90,7 +90,7 @@
     const Entry *best = nullptr;
     bool bestOver = false;
     const auto earlier = [newest](const Entry &one, const Entry &other) {
-        return newest ? one.age > other.age : one.order < other.order;
+        return newest ? other.age < one.age : one.order < other.order;
     };
     for (const auto &[customer, lane] : level) {
         const Entry *head = newest ? lane.byAge.rbegin()->second : lane.byOrder.begin()->second;
@@ -119,9 +119,9 @@
     if (byAge_.empty()) {
         return {};
     }
-    const auto turn = turns_ + 1;
-    const bool lowest = turn % static_cast<std::uint64_t>(options_.lowerPriorityEvery) == 0;
-    const bool oldest = lowest || turn % static_cast<std::uint64_t>(options_.oldestEvery) == 0;
+    const bool lowest = lowestIsDue();
+    const bool oldest =
+        lowest || (turns_ + 1) % static_cast<std::uint64_t>(options_.oldestEvery) == 0;
     const Level &first = lowest ? levels_.rbegin()->second : levels_.begin()->second;
     std::vector<RequestId> result;
     result.push_back(
@@ -134,9 +134,20 @@
     return result;
 }
 
-void WaitQueue::turnTaken()
+bool WaitQueue::lowestIsDue() const
+{
+    const double work = oldestOf(levels_.rbegin()->second)->waiting.workTokens;
+    return workOfOthers_ >= options_.lowerPriorityRatio * work;
+}
+
+void WaitQueue::turnTaken(const RequestId &id)
 {
     ++turns_;
+    // Only the oldest starts the count anew: a younger one of the lowest priority, served while no
+    // higher one waits, must not put the oldest off.
+    const Entry *oldest = oldestOf(levels_.rbegin()->second);
+    const bool served = oldest->waiting.id == id;
+    workOfOthers_ = served ? 0 : workOfOthers_ + waiting_.at(id).waiting.workTokens;
 }
 
 std::vector<RequestId> WaitQueue::expired(Time time) const
