Make the bounds of the ledger settings of the gateway

Cause: the gateway kept its ledger under the built-in bounds, so that an operator could not size it and a test could not fill it.

Ruled out: settings for the bytes of kept answers and handovers, until somebody needs them.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -82,7 +82,7 @@
     identity.incarnation = incarnation;
     identity.secret = randomNumber();
     identity.start = std::chrono::steady_clock::now();
-    return L::Ledger(L::LedgerOptions(), identity);
+    return L::Ledger(options.ledger, identity);
 }
 
 } // namespace
--- a/Source/Core/Gateway/GatewayOptions.cpp
+++ b/Source/Core/Gateway/GatewayOptions.cpp
@@ -14,6 +14,7 @@
 constexpr const char *EndpointsPart = "endpoints";
 constexpr const char *Logs = "logs";
 constexpr const char *Shutdown = "shutdown";
+constexpr const char *LedgerPart = "requests that run once";
 constexpr const char *DecisionsPart = "decisions";
 
 constexpr const char *AnyName = "a name";
@@ -169,6 +170,35 @@
                || v == "random-of-two";
     }};
 
+const Setting<milliseconds> KeyLifetimeSetting{
+    "idempotency-key-lifetime",
+    LedgerPart,
+    std::chrono::duration_cast<milliseconds>(Ledger::LedgerOptions().keyLifetime),
+    "Time in which an idempotency key may be used for the first time",
+    AnyDuration,
+    &isPositive};
+const Setting<milliseconds> KeptAnswerSetting{
+    "idempotency-answer-time",
+    LedgerPart,
+    std::chrono::duration_cast<milliseconds>(Ledger::LedgerOptions().keptAnswerTime),
+    "Time for which answers are kept for callers who ask again",
+    AnyDuration,
+    &isPositive};
+const Setting<milliseconds> DuplicateWindowSetting{
+    "duplicate-order-window",
+    LedgerPart,
+    std::chrono::duration_cast<milliseconds>(Ledger::LedgerOptions().duplicateWindow),
+    "Time in which the same order under a new key is asked about; 0ms never asks",
+    AnyDuration,
+    [](const milliseconds &v) { return v >= milliseconds(0); }};
+const Setting<std::int64_t> LedgerRecordsSetting{
+    "idempotency-records",
+    LedgerPart,
+    static_cast<std::int64_t>(Ledger::LedgerOptions().maxRecords),
+    "Used keys that are remembered, about 0.3 KB each; when full, new keys are refused",
+    "a whole number from 1 to 10000000",
+    [](const std::int64_t &v) { return v > 0 && v <= 10'000'000; }};
+
 Decisions::SchedulerOptions schedulerOptions(const std::string &policy)
 {
     if (policy == "round-robin") {
@@ -220,6 +250,10 @@
     settings.declare(LogFormatSetting);
     settings.declare(DrainNoticeSetting);
     settings.declare(DrainTimeoutSetting);
+    for (const auto *setting : {&KeyLifetimeSetting, &KeptAnswerSetting, &DuplicateWindowSetting}) {
+        settings.declare(*setting);
+    }
+    settings.declare(LedgerRecordsSetting);
     settings.declare(ThreadsSetting);
     settings.declare(PolicySetting);
 }
@@ -263,6 +297,10 @@
     options.stream.serviceTimeout = settings.get(ServiceTimeoutSetting);
     options.pool.connectTimeout = settings.get(ConnectSetting);
     options.scheduler = schedulerOptions(settings.get(PolicySetting));
+    options.ledger.keyLifetime = settings.get(KeyLifetimeSetting);
+    options.ledger.keptAnswerTime = settings.get(KeptAnswerSetting);
+    options.ledger.duplicateWindow = settings.get(DuplicateWindowSetting);
+    options.ledger.maxRecords = static_cast<std::size_t>(settings.get(LedgerRecordsSetting));
     return options;
 }
 
--- a/Source/Core/Gateway/GatewayOptions.h
+++ b/Source/Core/Gateway/GatewayOptions.h
@@ -6,6 +6,7 @@
 #include "Decisions/Decisions.h"
 #include "Endpoints/Endpoints.h"
 #include "Entry/Entry.h"
+#include "Ledger/Ledger.h"
 #include "Peers/Peers.h"
 
 namespace LaburnumChute::Gateway {
@@ -42,6 +43,7 @@
     Endpoints::ConnectionPoolOptions pool;
     Peers::ChannelOptions channel;
     Decisions::SchedulerOptions scheduler;
+    Ledger::LedgerOptions ledger;
 };
 
 /// Declares the settings of the verb "gateway".
