Answer "unknown" when the owner of a key stays silent

Cause: a request forwarded to the owner of its key waits in no queue of the forwarding instance. With the owner killed, frozen or cut off, nothing ended that wait, and the caller got no answer at all.

Ruled out: a shorter wait than the deadline, since an owner may rightly queue and run the request for that long, and a retry elsewhere, since nobody but the owner may run the key.

--- a/Source/Core/Gateway/CallRunner.cpp
+++ b/Source/Core/Gateway/CallRunner.cpp
@@ -544,6 +544,19 @@
     return request;
 }
 
+/// A request to the owner of a key waits in no queue of this instance, so that nothing else ends
+/// its wait when the owner is dead, frozen or cut off: the caller would get no answer at all.
+Peers::AnswerFailure CallRunner::ownerSilent()
+{
+    Peers::AnswerFailure failure;
+    failure.status = 504;
+    failure.code = Common::ErrorCode::DeadlineExceeded;
+    failure.run = L::OwnerUnreachableClaim;
+    failure.detail =
+        "Idempotency-Key: " + std::string(L::toString(L::RefusalReason::OwnerUnreachable));
+    return failure;
+}
+
 asio::awaitable<std::optional<Peers::AnswerFailure>> CallRunner::passFrom(const PeerEntry &peer,
                                                                           bool toKeyOwner)
 {
@@ -551,8 +564,12 @@
     Common::Headers headers;
     std::string wholeBody;
     std::optional<unsigned> wholeStatus;
+    auto patience = toKeyOwner ? plan_.deadline : Common::Time::max();
     while (true) {
-        auto item = co_await outgoing_->next();
+        auto item = co_await outgoing_->next(patience);
+        if (!item && !callerGone_ && toKeyOwner && !responder_.started()) {
+            co_return ownerSilent();
+        }
         if (callerGone_ || !item) {
             co_return std::nullopt;
         }
@@ -563,6 +580,7 @@
             if (ticket_) {
                 ticket_->firstToken({});
             }
+            patience = Common::Time::max();
             context_.metrics.firstToken.record(std::chrono::steady_clock::now() - startedAt_);
             if (Common::findHeader(head->headers, "Content-Length") != nullptr) {
                 wholeStatus = head->status;
