End a superseded request that waits for another region

Cause: the demo did not end, one request stayed open for ever; twice caught in a dump: forwarded, then superseded. The scheduler forgets a superseded request, and the runner, told by the other region that it was withdrawn, waited for a decision that never came. Ruled out: the channel (no call was in flight at either end) and the ledger (nothing open).

--- a/Source/Core/Gateway/CallRunner.cpp
+++ b/Source/Core/Gateway/CallRunner.cpp
@@ -177,7 +177,7 @@
     ticket_ = context_.dispatcher.submit({plan_.facts, plan_.callerId}, decisions, executor,
                                          [weak = weak_from_this()] {
                                              if (const auto runner = weak.lock()) {
-                                                 runner->abandon();
+                                                 runner->withdraw();
                                              }
                                          });
     if (callerGone_) {
@@ -483,22 +483,13 @@
         }
     }
     if (stream_->aborted()) {
-        context_.metrics.cancelled.add();
         ticket_->finished(endpoint, D::Outcome::Cancelled);
-        if (!callerGone_) {
-            Entry::Problem problem;
-            problem.status = 409;
-            problem.code = Common::ErrorCode::Cancelled;
-            problem.detail = "the request was superseded or withdrawn";
-            problem.run = Common::RunState::Unknown;
-            co_await answerProblem(std::move(problem));
-        }
-        co_return Step::Ended;
+        co_return co_await answerWithdrawn();
     }
     logRequest(Common::LogLevel::Warning, plan_.callerId,
                fmt::format("failed on {} ({}): {}", endpoint, Common::toString(failure.runState),
                            failure.message));
-    if (callerGone_ || (responder_.started() && !continuation_)) {
+    if (callerGone_ || withdrawn_ || (responder_.started() && !continuation_)) {
         co_return co_await brokenOff(endpoint, failure.message);
     }
     whole_.reset();
@@ -570,7 +561,7 @@
         if (!item && !callerGone_ && toKeyOwner && !responder_.started()) {
             co_return ownerSilent();
         }
-        if (callerGone_ || !item) {
+        if (callerGone_ || withdrawn_ || !item) {
             co_return std::nullopt;
         }
         if (auto *failure = std::get_if<Peers::AnswerFailure>(&*item)) {
@@ -619,6 +610,9 @@
     context_.metrics.away.add();
     logRequest(Common::LogLevel::Debug, plan_.callerId, "forwarded to " + peer->id.text());
     auto failure = co_await passFrom(*peer, false);
+    if (withdrawn_ && !callerGone_) {
+        co_return co_await answerWithdrawn();
+    }
     if (!failure) {
         ticket_->finished({}, callerGone_ ? D::Outcome::Cancelled : D::Outcome::Completed);
         co_return Step::Ended;
@@ -675,6 +669,29 @@
     co_await answerProblem(std::move(problem));
 }
 
+asio::awaitable<CallRunner::Step> CallRunner::answerWithdrawn()
+{
+    context_.metrics.cancelled.add();
+    if (!callerGone_) {
+        Entry::Problem problem;
+        problem.status = 409;
+        problem.code = Common::ErrorCode::Cancelled;
+        problem.detail = "the request was superseded or withdrawn";
+        problem.run = Common::RunState::Unknown;
+        co_await answerProblem(std::move(problem));
+    }
+    co_return Step::Ended;
+}
+
+void CallRunner::withdraw()
+{
+    withdrawn_ = true;
+    if (outgoing_ && !plan_.once) {
+        outgoing_->cancel();
+    }
+    abandon();
+}
+
 void CallRunner::callerGone()
 {
     callerGone_ = true;
--- a/Source/Core/Gateway/CallRunner.h
+++ b/Source/Core/Gateway/CallRunner.h
@@ -89,8 +89,12 @@
     asio::awaitable<void> offerKey(std::string detail);
 
     void callerGone();
-    /// Takes the request off its endpoint, unless it must not be stopped half-way.
+    /// The scheduler has given the request up: it was superseded, or its place is needed.
+    void withdraw();
+    /// Takes the request off its endpoint or region, unless it must not be stopped half-way.
     void abandon();
+    /// Tells a caller who is still there that its request was withdrawn.
+    asio::awaitable<Step> answerWithdrawn();
     void cancelRemotely();
     Endpoints::EndpointRequest endpointRequest(const EndpointEntry &endpoint) const;
     bool mayAbandon() const
@@ -115,6 +119,7 @@
     Common::Time startedAt_;
     bool firstTokenSeen_ = false;
     bool callerGone_ = false;
+    bool withdrawn_ = false;
 };
 
 } // namespace LaburnumChute::Gateway
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -95,7 +95,11 @@
         }
         waiting_.insert_or_assign(facts.id,
                                   Waiting{decisions, std::move(executor), std::move(abort)});
+        const auto superseded = facts.supersedes;
         carryOut(scheduler_.submit(std::move(facts), std::chrono::steady_clock::now()));
+        if (superseded) {
+            withdraw(*superseded);
+        }
     });
     return ticket;
 }
@@ -133,6 +137,7 @@
         const auto own = ownId(customer, callerId);
         if (own) {
             carryOut(scheduler_.cancel(*own, std::chrono::steady_clock::now()));
+            withdraw(*own);
         }
     });
 }
@@ -158,6 +163,17 @@
     carryOut(scheduler_.cancel(request, std::chrono::steady_clock::now()));
 }
 
+void Dispatcher::withdraw(const Common::RequestId &request)
+{
+    // The scheduler forgets a superseded request. Its runner may be waiting for another region at
+    // that moment, and after that for a decision that would never come: the caller, who may have
+    // kept its connection open, would wait for ever.
+    const auto found = waiting_.find(request);
+    if (found != waiting_.end()) {
+        asio::post(found->second.executor, found->second.abort);
+    }
+}
+
 void Dispatcher::carryOut(const Effects &effects)
 {
     for (const auto &effect : effects) {
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -107,6 +107,7 @@
     void carryOut(const Effects &effects);
     void carryOut(const LaburnumChute::Decisions::Effect &effect);
     void count(const LaburnumChute::Decisions::Effect &effect);
+    void withdraw(const Common::RequestId &request);
     void scheduleTick();
     void forget(const Common::RequestId &request);
     void remember(const Submission &submission);
--- a/Source/IntegrationTests/test_partition.py
+++ b/Source/IntegrationTests/test_partition.py
@@ -92,3 +92,20 @@
         assert deployment.runs(f"loop-{number}") == []
     for gateway in deployment.gateways:
         wait_for(lambda g=gateway: dump(g)["forwarded_in_flight"] == 0)
+
+
+def test_superseded_request_is_answered_while_it_is_in_another_region(deployment):
+    """A clerk of Sapporo retypes a draft at the instance of Hakodate, whose rule sends both drafts
+    home over the slow link, and the application leaves the first call open. The first call must
+    end at once with a word that it was superseded; it must not stay open for ever."""
+    hakodate = next(g for g in deployment.gateways if g.region == "hakodate")
+    headers = {"Laburnumchute-Residency": "home"}
+    for number in range(5):
+        first = chat(hakodate, f"draft-{number}", region="sapporo", tokens=400, **headers)
+        next(first.tokens())
+        own_id = f"retyped-{number}"
+        second = chat(hakodate, own_id, region="sapporo",
+                      **{**headers, "Laburnumchute-Supersedes": f"draft-{number}"})
+        read_whole(second, own_id, PROMPT, 6)
+        names = [name for name, _, _ in first.events()]
+        assert names[-1] == "error"
