--- a/Source/Fuzzers/FuzzChannelFrame.cpp
+++ b/Source/Fuzzers/FuzzChannelFrame.cpp
@@ -4,6 +4,7 @@
 
 #include "Peers/ChannelFrames.h"
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     using namespace LaburnumChute::Peers;
--- a/Source/Fuzzers/FuzzConfiguration.cpp
+++ b/Source/Fuzzers/FuzzConfiguration.cpp
@@ -6,6 +6,7 @@
 
 #include "Configuration/Configuration.h"
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     using namespace LaburnumChute::Configuration;
--- a/Source/Fuzzers/FuzzGossip.cpp
+++ b/Source/Fuzzers/FuzzGossip.cpp
@@ -29,6 +29,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view bytes(reinterpret_cast<const char *>(data), size);
--- a/Source/Fuzzers/FuzzInstanceList.cpp
+++ b/Source/Fuzzers/FuzzInstanceList.cpp
@@ -5,6 +5,7 @@
 
 #include "Platform/InstanceList.h"
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     using namespace LaburnumChute::Platform;
