Leave out unreachable endpoints; what was not started goes on to every endpoint once

With two of three engines of a region dead a request was refused as failed and not run while the third was idle: the ejection bound kept a dead engine in, and the stop when most endpoints suffer forbade the retry. Scheduler::reachability() now takes an endpoint out whatever the bound says, unless all are unreachable (then the fault may be ours); and a request that an endpoint did not start goes on to each reachable one that it has not tried, without the budget, since nothing was run and no endpoint is asked twice. Any retry prefers an endpoint that it has not tried. The property test of the budget allows such sends besides the budget, one for each that was not started; it stays exact for all other outcomes.

--- a/Source/Core/Decisions/EndpointTable.cpp
+++ b/Source/Core/Decisions/EndpointTable.cpp
@@ -132,6 +132,13 @@
     return found == subsets_.end() ? none : found->second;
 }
 
+bool EndpointTable::anyReachable(const Target &base) const
+{
+    const auto &slots = candidates(base);
+    return std::any_of(slots.begin(), slots.end(),
+                       [this](Slot slot) { return states_[slot]->reachable; });
+}
+
 std::vector<Slot> EndpointTable::slots() const
 {
     std::vector<Slot> result;
--- a/Source/Core/Decisions/EndpointTable.h
+++ b/Source/Core/Decisions/EndpointTable.h
@@ -28,6 +28,8 @@
     ConcurrencyLimit limit;
     /// False once the endpoint left the list or its region.
     bool listed = true;
+    /// False while nothing can be sent to it: neither slow nor failing, but gone for now.
+    bool reachable = true;
     /// Start of its slow start; none for the endpoints of the first list.
     std::optional<Time> rampFrom;
     /// Instances that have it in their subset, on average.
@@ -73,6 +75,8 @@
     {
         return subsets_;
     }
+    /// Whether some candidate of the target is reachable; with none all are worth a try.
+    bool anyReachable(const Target &base) const;
     /// All slots in use.
     std::vector<Slot> slots() const;
 
--- a/Source/Core/Decisions/Scheduler.cpp
+++ b/Source/Core/Decisions/Scheduler.cpp
@@ -85,6 +85,28 @@
     return effects;
 }
 
+Effects Scheduler::reachability(const EndpointId &endpoint, bool reachable, Time now)
+{
+    parts_->lastNow = now;
+    Effects effects;
+    const auto slot = parts_->table.find(endpoint);
+    if (!slot) {
+        return effects;
+    }
+    auto &state = parts_->table.at(*slot);
+    if (!reachable && state.reachable) {
+        parts_->prefixes.forget(*slot);
+    }
+    if (reachable && !state.reachable) {
+        state.rampFrom = now;
+    }
+    state.reachable = reachable;
+    for (const auto &target : state.facts.targets) {
+        parts_->drain(target.base(), now, effects);
+    }
+    return effects;
+}
+
 Effects Scheduler::cacheEvent(const EndpointId &endpoint, CacheOperation operation,
                               std::uint64_t prefix, std::int64_t /*tokens*/, Time now)
 {
--- a/Source/Core/Decisions/Scheduler.h
+++ b/Source/Core/Decisions/Scheduler.h
@@ -47,6 +47,9 @@
     /// to. Requests on endpoints that left the list stay until finished().
     Effects updateEndpoints(const std::vector<EndpointFacts> &endpoints, Time now);
     Effects reportLoad(const EndpointId &endpoint, const LoadReport &report, Time now);
+    /// Whether the endpoint can be reached at all, as its load reads show. An unreachable one is no
+    /// candidate, whatever the ejection bound says, unless all are unreachable.
+    Effects reachability(const EndpointId &endpoint, bool reachable, Time now);
     Effects cacheEvent(const EndpointId &endpoint, CacheOperation operation, std::uint64_t prefix,
                        std::int64_t tokens, Time now);
     /// The instances of the home region that serve callers, with this one.
--- a/Source/Core/Decisions/SchedulerParts.cpp
+++ b/Source/Core/Decisions/SchedulerParts.cpp
@@ -109,6 +109,21 @@
     });
 }
 
+/// Neither unreachable nor tried before by this request.
+bool Scheduler::Parts::usable(const RequestState &request, Slot slot) const
+{
+    const auto &state = table.at(slot);
+    const auto &tried = request.tried;
+    return state.reachable && std::find(tried.begin(), tried.end(), state.facts.id) == tried.end();
+}
+
+bool Scheduler::Parts::untriedLeft(const RequestState &request) const
+{
+    const auto &slots = table.candidates(request.facts.target.base());
+    return std::any_of(slots.begin(), slots.end(),
+                       [&](Slot slot) { return usable(request, slot); });
+}
+
 std::optional<Placed> Scheduler::Parts::place(const RequestState &request, Time now,
                                               std::optional<Slot> except)
 {
@@ -118,7 +133,14 @@
         return std::nullopt;
     }
     const bool apart = verdict == Verdict::Suspect;
+    // A connection that was refused a moment ago will be refused again, and a dead endpoint looks
+    // idle: without this it would draw work for as long as the ejection bound keeps it in.
+    const bool untried = !request.tried.empty() && untriedLeft(request);
+    const bool reachable = table.anyReachable(request.facts.target.base());
     const auto allowed = [&](Slot slot) {
+        if (untried ? !usable(request, slot) : reachable && !table.at(slot).reachable) {
+            return false;
+        }
         return (!except || slot != *except) && (!apart || suspectMayUse(request.facts, slot, now));
     };
     const auto *policy = std::get_if<ExpectedCostPolicy>(&options.routing.policy);
@@ -148,6 +170,7 @@
     prefixes.stored(placed.slot, request.facts.prefixBlocks);
     admission.started(request.facts.customer, request.waiting.workTokens, now);
     request.phase = Phase::Running;
+    request.tried.push_back(sent.endpoint);
     ++request.attempts;
     if (options.retry.hedgeAfter > 0 && request.facts.repeatable && !hedge) {
         const std::chrono::duration<double> late = sent.expected * options.retry.hedgeAfter;
--- a/Source/Core/Decisions/SchedulerParts.h
+++ b/Source/Core/Decisions/SchedulerParts.h
@@ -58,6 +58,8 @@
     Time submittedAt{};
     Time nextTryAt{};
     std::vector<Try> tries;
+    /// Endpoints that had it.
+    std::vector<EndpointId> tried;
     int attempts = 0;
     std::int64_t generated = 0;
     bool wasForwarded = false;
@@ -95,6 +97,8 @@
     double prefillRate(const Target &base) const;
     HomeOffer homeOffer(const RequestState &request, Time now) const;
     bool homeAllowed(const RequestFacts &facts) const;
+    bool usable(const RequestState &request, Slot slot) const;
+    bool untriedLeft(const RequestState &request) const;
     bool suffering(const Target &base) const;
     bool suspectMayUse(const RequestFacts &facts, Slot slot, Time now) const;
     std::size_t waitingRequests() const;
--- a/Source/Core/Decisions/SchedulerRequests.cpp
+++ b/Source/Core/Decisions/SchedulerRequests.cpp
@@ -363,10 +363,17 @@
                quarantine.retryAfter(fingerprint, now), now, effects);
         return;
     }
-    const bool mayTry = mayRetry(request.facts, outcome, false)
-                        && request.attempts < options.retry.maxAttempts
-                        && homeAllowed(request.facts) && !table.candidates(base).empty();
-    if (mayTry && !suffering(base) && budget.take()) {
+    const bool mayTry = mayRetry(request.facts, outcome, false) && homeAllowed(request.facts)
+                        && !table.candidates(base).empty();
+    // Nothing was run and each endpoint is asked once: this costs the endpoints nothing, so that it
+    // needs no budget.
+    if (mayTry && outcome == Outcome::NotStarted && untriedLeft(request)) {
+        backOff(request, now);
+        note(id, now, "not started, goes on to another endpoint");
+        return;
+    }
+    const bool within = request.attempts < options.retry.maxAttempts;
+    if (mayTry && within && !suffering(base) && budget.take()) {
         backOff(request, now + budget.backoff(request.attempts, random));
         note(id, now, "retries", {}, request.nextTryAt - now);
         return;
--- a/Source/Core/Decisions/SchedulerTick.cpp
+++ b/Source/Core/Decisions/SchedulerTick.cpp
@@ -157,6 +157,7 @@
         endpoints.push_back({{"id", state.facts.id.text()},
                              {"listed", state.listed},
                              {"leaving", state.facts.leaving},
+                             {"reachable", state.reachable},
                              {"in_flight", state.load.inFlight(now)},
                              {"own_in_flight", state.load.ownInFlight()},
                              {"limit", table.limit(slot, now)},
--- a/Source/UnitTests/Decisions/FailureTest.cpp
+++ b/Source/UnitTests/Decisions/FailureTest.cpp
@@ -113,6 +113,68 @@
     EXPECT_EQ(world.order.size(), before + 1);
 }
 
+// Two of three engines of a region are gone and refuse connections; nobody has noticed yet. The
+// third is idle. A caller who was told "failed" would have been turned away by a region that could
+// serve it.
+TEST(RetryTest, ARequestThatWasNotStartedGoesOnToEveryEndpointOnce)
+{
+    World world;
+    world.addEngines(3);
+    for (int index = 0; index < 50; ++index) {
+        const auto id = "r" + std::to_string(index);
+        world.submit(request(id));
+        for (int round = 0; round < 3 && world.endpointOf(id) != "e2"; ++round) {
+            EXPECT_FALSE(has<Refuse>(world.finish(id, Outcome::NotStarted))) << id;
+            world.tickAfter(milliseconds(20));
+        }
+        ASSERT_EQ(world.endpointOf(id), "e2");
+        world.firstToken(id);
+        world.finish(id);
+    }
+}
+
+TEST(RetryTest, WhenNoEndpointStartsItTheRequestIsRefusedAsNotRun)
+{
+    World world;
+    world.addEngines(2);
+    world.submit(request("r1"));
+    std::vector<Refuse> refusals;
+    for (int round = 0; round < 10 && refusals.empty(); ++round) {
+        refusals = all<Refuse>(world.finish("r1", Outcome::NotStarted));
+        world.tickAfter(seconds(3));
+    }
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals.front().run, RunState::NotRun);
+    EXPECT_LE(world.order.size(), 3U);
+}
+
+// The load reads of two of three engines fail, more than the ejection bound lets out.
+TEST(EjectionTest, UnreachableEndpointsGetNothingWhateverTheBound)
+{
+    World world;
+    world.addEngines(3);
+    world.scheduler.reachability(EndpointId("e0"), false, world.now);
+    world.scheduler.reachability(EndpointId("e1"), false, world.now);
+    for (int index = 0; index < 12; ++index) {
+        world.submit(request("r" + std::to_string(index)));
+    }
+    EXPECT_TRUE(world.on["e0"].empty());
+    EXPECT_TRUE(world.on["e1"].empty());
+    EXPECT_EQ(world.on["e2"].size(), 9U);
+    world.take(world.scheduler.reachability(EndpointId("e0"), true, world.now));
+    EXPECT_FALSE(world.on["e0"].empty());
+}
+
+// The reads fail because this instance's own network does. Refusing all would be worse than trying.
+TEST(EjectionTest, WithAllUnreachableAllAreTried)
+{
+    World world;
+    world.addEngines(2);
+    world.scheduler.reachability(EndpointId("e0"), false, world.now);
+    world.scheduler.reachability(EndpointId("e1"), false, world.now);
+    EXPECT_TRUE(has<Dispatch>(world.submit(request("r1"))));
+}
+
 // An engine stops answering without closing its connections. A second try elsewhere brings the
 // caller its first token; the silent one is cancelled then.
 TEST(RetryTest, ALateFirstTokenIsHedgedOnceAndTheLoserCancelled)
--- a/Source/UnitTests/Decisions/SpillTest.cpp
+++ b/Source/UnitTests/Decisions/SpillTest.cpp
@@ -168,6 +168,7 @@
     std::map<std::string, int> forwards;
     std::set<std::string> forwarded;
     int serial = 0;
+    int notStarted = 0;
 
     void check(const Effects &effects)
     {
@@ -212,6 +213,7 @@
         }
         for (const auto &[endpoint, requests] : world.on) {
             if (!requests.empty()) {
+                notStarted += outcome == Outcome::NotStarted ? 1 : 0;
                 check(world.finishOn(*requests.begin(), endpoint, outcome));
                 return;
             }
@@ -257,7 +259,9 @@
     const auto first = player.facts.size();
     std::set<std::string> sent(player.world.order.begin(), player.world.order.end());
     const auto again = static_cast<double>(player.world.order.size() - sent.size());
-    RC_ASSERT(again <= retry.budgetMaximum + retry.budgetShare * static_cast<double>(first));
+    // What was not started may go on to another endpoint without the budget.
+    RC_ASSERT(again <= player.notStarted + retry.budgetMaximum
+                           + retry.budgetShare * static_cast<double>(first));
 }
 
 } // namespace
