--- a/Source/Experiments/Simulation.cpp
+++ b/Source/Experiments/Simulation.cpp
@@ -1,7 +1,7 @@
-#include "Simulation.h"
-
 #include <algorithm>
 
+#include "SimulationParts.h"
+
 namespace LaburnumChute::Experiments {
 
 namespace {
@@ -10,19 +10,9 @@
 
 constexpr double CallerLinkSeconds = 0.003;
 constexpr double EngineLinkSeconds = 0.001;
-constexpr double RegionLinkSeconds = 0.055;
-constexpr double TickSeconds = 0.02;
-constexpr double SummarySeconds = 0.5;
-/// Cache events come with gaps.
-constexpr double LostCacheEvents = 0.05;
 /// Before a trace's last answers are in.
 constexpr double DrainSeconds = 60;
 
-Duration fromSeconds(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
 std::size_t callOf(const RequestId &id)
 {
     return std::stoul(id.text());
@@ -30,46 +20,6 @@
 
 } // namespace
 
-struct Simulation::Gateway
-{
-    Gateway(const SchedulerOptions &policy, const std::string &id, int regionIndex,
-            const std::string &region, std::uint64_t seed)
-        : region(regionIndex)
-        , scheduler(policy, InstanceId(id), RegionName(region), seed)
-    {
-    }
-
-    int region;
-    Scheduler scheduler;
-    /// Gateway that forwarded a call here.
-    std::unordered_map<std::size_t, Gateway *> origin;
-    std::unordered_map<std::size_t, Gateway *> forwardedTo;
-};
-
-struct Simulation::Engine
-{
-    Engine(const Fleet::Runner &engineRunner, const EngineProfile &profile)
-        : runner(engineRunner)
-        , fake(profile)
-    {
-    }
-
-    Fleet::Runner runner;
-    FakeEngine fake;
-    bool stepping = false;
-    bool lost = false;
-    std::unordered_map<std::string, Gateway *> gatewayOf;
-};
-
-struct Simulation::Caller
-{
-    Gateway *gateway = nullptr;
-    bool left = false;
-    bool completed = false;
-    bool gaveUp = false;
-    double firstToken = -1;
-};
-
 double Figures::cost() const
 {
     return completed == 0 ? 0 : engineSeconds / static_cast<double>(completed);
@@ -134,25 +84,6 @@
     at(now_ + fromSeconds(seconds), std::move(action));
 }
 
-void Simulation::listEndpoints()
-{
-    std::vector<EndpointFacts> list;
-    for (const auto &engine : engines_) {
-        if (engine->lost) {
-            continue;
-        }
-        EndpointFacts facts;
-        facts.id = EndpointId(engine->runner.id);
-        facts.targets = {engine->runner.target};
-        facts.region =
-            RegionName(trace_.fleet.regions[static_cast<std::size_t>(engine->runner.region)]);
-        list.push_back(std::move(facts));
-    }
-    for (auto &gateway : gateways_) {
-        apply(*gateway, gateway->scheduler.updateEndpoints(list, now_));
-    }
-}
-
 Simulation::Gateway &Simulation::randomGateway(int region)
 {
     const auto perRegion = static_cast<std::size_t>(options_.instancesPerRegion);
@@ -382,98 +313,6 @@
     }
 }
 
-bool Simulation::lostEvent()
-{
-    return std::uniform_real_distribution<double>(0, 1)(random_) < LostCacheEvents;
-}
-
-void Simulation::report()
-{
-    for (const auto &engine : engines_) {
-        auto report = engine->fake.report();
-        report.age = fromSeconds(options_.reportLagSeconds);
-        const EndpointId id(engine->runner.id);
-        auto events = engine->fake.takeCacheEvents();
-        std::erase_if(events, [this](const auto & /*event*/) { return lostEvent(); });
-        after(options_.reportLagSeconds, [this, id, report, events = std::move(events)] {
-            for (auto &gateway : gateways_) {
-                for (const auto &event : events) {
-                    gateway->scheduler.cacheEvent(id, event.operation, event.block, 0, now_);
-                }
-                apply(*gateway, gateway->scheduler.reportLoad(id, report, now_));
-            }
-        });
-    }
-    after(options_.reportEverySeconds, [this] { report(); });
-}
-
-void Simulation::exchangeRegions()
-{
-    // One summary for each region and target: the mean of its instances' views.
-    std::map<std::pair<RegionName, Target>, RegionSummary> summaries;
-    for (const auto &gateway : gateways_) {
-        for (auto &part : gateway->scheduler.regionSummary(now_)) {
-            auto &sum = summaries[{part.region, part.target}];
-            const double free =
-                sum.freeTokensPerSecond + part.freeTokensPerSecond / options_.instancesPerRegion;
-            const auto wait = sum.expectedWait + part.expectedWait / options_.instancesPerRegion;
-            sum = part;
-            sum.freeTokensPerSecond = free;
-            sum.expectedWait = wait;
-            sum.linkDelay = fromSeconds(RegionLinkSeconds);
-            sum.linkMegabitsPerSecond = trace_.fleet.linkMegabitsPerSecond;
-            sum.age = sum.linkDelay;
-        }
-    }
-    std::vector<RegionSummary> list;
-    for (const auto &[key, value] : summaries) {
-        list.push_back(value);
-    }
-    after(RegionLinkSeconds, [this, list] {
-        for (auto &gateway : gateways_) {
-            apply(*gateway, gateway->scheduler.updateRegions(list, now_));
-        }
-    });
-    after(SummarySeconds, [this] { exchangeRegions(); });
-}
-
-void Simulation::tickAll()
-{
-    for (auto &gateway : gateways_) {
-        const auto wakeup = gateway->scheduler.nextWakeup();
-        if (wakeup && *wakeup <= now_) {
-            apply(*gateway, gateway->scheduler.tick(now_));
-        }
-    }
-    after(TickSeconds, [this] { tickAll(); });
-}
-
-void Simulation::setLost(bool lost)
-{
-    const auto count =
-        static_cast<std::size_t>(options_.lostShare * static_cast<double>(engines_.size()));
-    // Runners are listed model by model and region by region: region 0 is lost first.
-    std::vector<Engine *> byRegion;
-    for (const auto &engine : engines_) {
-        byRegion.push_back(engine.get());
-    }
-    std::stable_sort(byRegion.begin(), byRegion.end(), [](const auto *one, const auto *other) {
-        return one->runner.region < other->runner.region;
-    });
-    for (std::size_t index = 0; index < count; ++index) {
-        auto &engine = *byRegion[index];
-        engine.lost = lost;
-        const auto aboard = std::move(engine.gatewayOf);
-        engine.gatewayOf.clear();
-        for (const auto &[id, gateway] : aboard) {
-            engine.fake.cancel(id);
-            apply(*gateway, gateway->scheduler.finished(RequestId(id), EndpointId(engine.runner.id),
-                                                        Outcome::EndpointDied, now_));
-        }
-    }
-    listEndpoints();
-}
-
 Figures Simulation::run()
 {
     for (std::size_t index = 0; index < trace_.calls.size(); ++index) {
--- a/Source/Experiments/Workload.cpp
+++ b/Source/Experiments/Workload.cpp
@@ -89,7 +89,8 @@
 
     /// One draft or prompt line after the other until one is kept. `kind` and `templateBlocks` give
     /// the prefix that all share, `contextBlocks` the part that the conversation shares.
-    void retyped(Call call, std::uint64_t kind, int templateBlocks, int contextBlocks, double at)
+    void retyped(const Call &call, std::uint64_t kind, int templateBlocks, int contextBlocks,
+                 double at)
     {
         const auto conversation = ++conversations_;
         std::optional<std::size_t> previous;
