Check the adoption of the configuration with Spin

Cause: "configuration never reverts" rests on the hold of a new instance, on higher numbers only and on the first content, and was not checked under restarts of all but one, partitions and a service set back.

Searching by breadth ran out of 8 GB for WITHOUT_HEARING_ALL, which therefore survived at first; that one is searched by depth.

Ruled out: digests and contents on the way between all pairs at once (20 million states in 60 s by depth 18); one of each is under way.

--- a/Models/check.sh
+++ b/Models/check.sh
@@ -15,11 +15,14 @@
 # Each line: name, model, macros, checker options. A depth that is reached means an incomplete search.
 properties="
 at-most-once-3-submissions Idempotency -DKEYS=1,-DSUBMISSIONS=3 -DCOLLAPSE
+configuration-never-reverts Configuration -DRESTARTS=2 -DCOLLAPSE
 at-most-once-2-keys Idempotency -DKEYS=2,-DSUBMISSIONS=2 -DCOLLAPSE
 "
 
 # Each line: guard, model, property that fails without it, macros.
 # Properties of Idempotency: 1 at most once, 2 truthful refusal, 3 no dispatch after the deadline.
+# Properties of Configuration: 1 configuration never reverts, 2 the first content stays, 3 the last
+# good one stays, 4 in force everywhere.
 mutants="
 WITHOUT_INCARNATION_CHECK Idempotency 1 -DKEYS=1,-DSUBMISSIONS=2
 WITHOUT_UNKNOWN_AFTER_RESTART Idempotency 2 -DKEYS=1,-DSUBMISSIONS=2
@@ -37,6 +40,13 @@
 WITHOUT_CLOSE_BEFORE_HANDOVER Idempotency 2 -DKEYS=1,-DSUBMISSIONS=2
 WITHOUT_OPEN_ATTEMPTS_LISTED Idempotency 2 -DKEYS=1,-DSUBMISSIONS=2
 WITHOUT_FORGOTTEN_IN_HANDOVER Idempotency 2 -DKEYS=1,-DSUBMISSIONS=2
+WITHOUT_HIGHER_ONLY Configuration 1 -DRESTARTS=1
+WITHOUT_HOLD Configuration 1 -DRESTARTS=1
+WITHOUT_HEARING_ALL Configuration 1 -DRESTARTS=2,-DNO_CUTS,-DDEEP
+WITHOUT_WAITING_FOR_CONTENT Configuration 1 -DRESTARTS=1
+WITHOUT_FIRST_CONTENT Configuration 2 -DRESTARTS=1
+WITHOUT_VALIDATION Configuration 3 -DRESTARTS=1
+WITHOUT_EXCHANGE Configuration 4 -DRESTARTS=1
 "
 
 # build DIRECTORY MODEL MACROS COMPILER-OPTIONS: makes DIRECTORY/pan.
@@ -73,12 +83,15 @@
         "search complete"
 }
 
-# The search is by breadth, so that the trail is the shortest and always the same.
+# The search is by breadth, so that the trail is the shortest and always the same; by depth (-DDEEP)
+# where breadth needs more than the 8 GB that a search may use.
 check_mutant() {
     local guard=$1 model=$2 property=$3 macros="$4,-D$1,-DPROPERTY=$3"
     local directory=$work/$guard
-    build "$directory" "$model" "$macros" -DBFS || return 1
-    (cd "$directory" && ./pan -E >report 2>&1)
+    local search=-DBFS
+    [[ $macros == *-DDEEP* ]] && search=-DCOLLAPSE
+    build "$directory" "$model" "$macros" "$search" || return 1
+    (cd "$directory" && ./pan -E -m400 >report 2>&1)
     if [ "$(figure errors "$directory/report")" != 1 ]; then
         echo "SURVIVED $guard: no violation of property $property found"
         return 1
