Leave out endpoints that do not answer their load reads

Cause: with two of three engines dead an innocent request was refused "failed, not run": dead engines stayed candidates, since the ejection bound keeps two thirds in. Ruled out: quarantine (the fingerprints differ). The monitor now tells the scheduler after three failed reads in a row.

--- a/Source/Core/Gateway/EndpointMonitor.cpp
+++ b/Source/Core/Gateway/EndpointMonitor.cpp
@@ -14,6 +14,9 @@
 namespace D = LaburnumChute::Decisions;
 using nlohmann::json;
 
+/// One read is lost now and then; three in a row, each a load interval apart, are an endpoint that
+/// is gone. The platform's list says so only much later.
+constexpr int FailedReadsLimit = 3;
 constexpr std::size_t ReportLimitBytes = 256 * 1024;
 
 template <typename Number>
@@ -151,6 +154,7 @@
 {
     const bool engine = watched->endpoint.kind == Platform::EndpointKind::Engine;
     const auto body = co_await get(*watched, engine ? "/v1/load" : "/load");
+    note(*watched, body.has_value());
     if (!body) {
         Common::log(Common::LogType::Endpoints, Common::LogLevel::Debug, "no load report: {}",
                     body.error().message);
@@ -166,6 +170,22 @@
     });
 }
 
+void EndpointMonitor::note(Watched &watched, bool answered)
+{
+    watched.failedReads = answered ? 0 : watched.failedReads + 1;
+    const bool reachable = watched.failedReads < FailedReadsLimit;
+    if (reachable == watched.reachable) {
+        return;
+    }
+    watched.reachable = reachable;
+    Common::log(Common::LogType::Endpoints, Common::LogLevel::Warning, "{} {}", watched.endpoint.id,
+                reachable ? "answers again" : "does not answer");
+    dispatcher_.command(
+        [id = watched.endpoint.id, reachable](D::Scheduler &scheduler, Common::Time now) {
+            return scheduler.reachability(id, reachable, now);
+        });
+}
+
 asio::awaitable<void> EndpointMonitor::readCacheEvents(std::shared_ptr<Watched> watched)
 {
     const auto body =
--- a/Source/Core/Gateway/EndpointMonitor.h
+++ b/Source/Core/Gateway/EndpointMonitor.h
@@ -38,10 +38,14 @@
         Platform::ListedEndpoint endpoint;
         std::uint64_t lastCacheEvent = 0;
         bool stopped = false;
+        int failedReads = 0;
+        bool reachable = true;
     };
 
     asio::awaitable<void> poll(std::shared_ptr<Watched> watched);
     asio::awaitable<void> readLoad(std::shared_ptr<Watched> watched);
+    /// Tells the scheduler when an endpoint has gone or come back.
+    void note(Watched &watched, bool answered);
     asio::awaitable<void> readCacheEvents(std::shared_ptr<Watched> watched);
     asio::awaitable<Common::Result<std::string>> get(const Watched &watched, std::string target);
 
