Release the key before a refusal says "not run"

Cause: the gateway answered a refusal first and released the key after it. A caller that submitted again at once under the same key met its own refused attempt and was told "unknown", which stays safe and sends it to the telephone for nothing. docs/design/not-run.md already said the other order.

The cause is inferred from the order of the two awaits; the race was not brought about on purpose.

--- a/Source/Core/Gateway/CallRunner.cpp
+++ b/Source/Core/Gateway/CallRunner.cpp
@@ -188,8 +188,16 @@
         const auto effect = co_await decisions.pop();
         step = co_await handle(*effect);
     }
+    co_await releaseKey();
+}
+
+/// Before a refusal says "not run": a caller who submits again at once would otherwise meet its own
+/// attempt, which still holds the key, and be told "unknown".
+asio::awaitable<void> CallRunner::releaseKey()
+{
     if (ledgerAttempt_ && !ledgerDispatch_) {
         co_await context_.ledger.abandonedBeforeDispatch(*ledgerAttempt_);
+        ledgerAttempt_.reset();
     }
 }
 
@@ -202,10 +210,12 @@
         co_return co_await runAtRegion(*forward);
     }
     if (const auto *refusal = std::get_if<D::Refuse>(&effect)) {
+        co_await releaseKey();
         co_await refuse(*refusal);
         co_return Step::Ended;
     }
     // Dropped: the caller has left, or has replaced this request by another one.
+    co_await releaseKey();
     context_.metrics.cancelled.add();
     if (!callerGone_) {
         Entry::Problem problem;
--- a/Source/Core/Gateway/CallRunner.h
+++ b/Source/Core/Gateway/CallRunner.h
@@ -77,6 +77,7 @@
 
     asio::awaitable<Step> runAtRegion(const Decisions::Forward &forward);
     asio::awaitable<void> runAtOwner(Ledger::OwnedElsewhere owned);
+    asio::awaitable<void> releaseKey();
     static Peers::AnswerFailure ownerSilent();
     /// Forwards the request and passes the answer on; the failure when nothing was passed on.
     asio::awaitable<std::optional<Peers::AnswerFailure>> passFrom(const PeerEntry &peer,
--- a/Source/Core/Platform/HttpClient.cpp
+++ b/Source/Core/Platform/HttpClient.cpp
@@ -95,8 +95,8 @@
     parser.body_limit(query.bodyLimitBytes);
     co_await http::async_read_header(stream, buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
-    // Beast 1.74 was seen to let a body of a stated length pass the bound; it holds to it for bodies
-    // in chunks and for those that end with the connection.
+    // Beast 1.74 was seen to let a body of a stated length pass the bound; it holds to it for
+    // bodies in chunks and for those that end with the connection.
     if (!error && parser.content_length().value_or(0) > query.bodyLimitBytes) {
         error = http::error::body_limit;
     }
--- a/Source/IntegrationTests/test_at_most_once.py
+++ b/Source/IntegrationTests/test_at_most_once.py
@@ -196,15 +196,32 @@
     assert told == ["answered"] * 6
 
 
+# All order desks refuse orders before they begin them. The caller is told "not run" and submits again
+# at once under the same key, as client libraries do; its own refused attempt must not be in the way.
+def test_an_order_that_did_not_start_may_be_sent_again_at_once(shared, judge):
+    disturb(shared, refuse_not_started=True)
+    key = judge.key(shared.gateways[0])
+    for _ in range(5):
+        run, document = judge.order(shared.gateways[0], key,
+                                    **{"Laburnumchute-Deadline-Ms": "1000"})
+        assert run == "not run", document
+    disturb(shared, refuse_not_started=False)
+    run, patience = "not run", time.monotonic() + 15
+    while run == "not run" and time.monotonic() < patience:
+        run, document = judge.order(shared.gateways[0], key)
+    assert run == "answered", document
+
+
 def test_an_endpoint_that_did_not_start_is_followed_by_another(shared, judge):
     for endpoint in shared.endpoints:
         if endpoint["kind"] == "service" and endpoint["region"] == "sapporo":
             shared.endpoint_hosts[endpoint["id"]].faults(endpoint["id"], refuse_not_started=True)
     key = judge.key(shared.gateways[0])
-    told = judge.order(shared.gateways[0], key, "refused at first")[0]
+    told = judge.order(shared.gateways[0], key, "refused at first")
     disturb(shared, refuse_not_started=False)
-    assert told in ("answered", "not run")
-    assert judge.order(shared.gateways[0], key, "refused at first")[0] == "answered"
+    assert told[0] in ("answered", "not run"), told
+    again = judge.order(shared.gateways[0], key, "refused at first")
+    assert again[0] == "answered", (told, again)
 
 
 # The instance that minted the key is killed after the order ran. Nobody else knows what became of
