--- a/Tools/install-packages.sh
+++ b/Tools/install-packages.sh
@@ -8,6 +8,8 @@
     status=$(dpkg-query -W -f='${db:Status-Status}' "$package" 2>/dev/null || true)
     [ "$status" = installed ] || missing+=("$package")
 done
+# The test of the OpenAI client needs Node.js with npm, from whatever source it is there.
+command -v npm >/dev/null || missing+=(nodejs npm)
 [ "${#missing[@]}" -eq 0 ] && exit 0
 runner=()
 [ "$(id -u)" -eq 0 ] || runner=(sudo)
