Mend the crash of a gateway on a trace

Cause: gcc 12 destroys the captures of a closure twice when the closure is a temporary of a co_await expression; the trace handler still had one. Ruled out: the scheduler's own explain(), which /dump calls without harm. Before: the call after /trace/ID found no listener; the new test asks three times and passes.

--- a/Source/Core/Gateway/OperatorHandler.cpp
+++ b/Source/Core/Gateway/OperatorHandler.cpp
@@ -172,8 +172,10 @@
 
 asio::awaitable<void> OperatorHandler::trace(Entry::Exchange &exchange, std::string request)
 {
-    const auto lines = co_await Async::runOn(
-        control_, [this, id = Common::RequestId(request)] { return dispatcher_.explain(id); });
+    // Named, since gcc 12 destroys the captures of a closure twice that is a temporary of co_await.
+    const Common::RequestId id(request);
+    const auto explain = [this, id] { return dispatcher_.explain(id); };
+    const auto lines = co_await Async::runOn(control_, explain);
     if (lines.empty()) {
         co_await sendError(exchange, Common::ErrorCode::NotFound,
                            "no decisions on request " + request + " are remembered");
--- a/Source/IntegrationTests/test_operator_gateways.py
+++ b/Source/IntegrationTests/test_operator_gateways.py
@@ -168,3 +168,20 @@
     document = json.loads(done.stdout)
     assert document["follows"] == base
     assert document["content"]["limits"]["retry_share"] == 0.2
+
+
+def test_trace_tells_the_decisions_on_a_request_again_and_again(otaru):
+    """An operator looks up why a request was served where it was. The instance must go on serving
+    after that: a double free in the handler once ended it."""
+    gateway = otaru.gateways[0]
+    status, _ = http("POST", gateway.addresses["http"], "/v1/completions",
+                     {"model": "inscription", "prompt": "why here", "max_tokens": 2},
+                     {"Authorization": "Bearer example-schools", "X-Request-Id": "traced",
+                      "Content-Type": "application/json"})
+    assert status == 200
+    for _ in range(3):
+        status, text = http("GET", gateway.addresses["operator"], "/trace/traced")
+        assert status == 200
+        assert any("sent to sapporo-engine" in line for line in json.loads(text)["decisions"])
+    assert http("GET", gateway.addresses["operator"], "/trace/unheard-of")[0] == 404
+    assert gateway.process.poll() is None
