Reckon the room of a plain service by the time its calls take

Cause: a service reports no decode steps, so a region's summary told 0 tokens a second of it, and no region ever forwarded to another one's desks (seen in a dump: free_tokens_per_second 0, usable false). Ruled out: the link and the residency rule, by the trace. Before: an order whose own desk refuses was told "not run" for 20 s while two desks were free.

--- a/Source/Core/Decisions/EndpointTable.cpp
+++ b/Source/Core/Decisions/EndpointTable.cpp
@@ -180,9 +180,17 @@
 
 double EndpointTable::tokensPerSecond(Slot slot) const
 {
-    const auto &report = states_[slot]->load.lastReport();
+    const auto &state = *states_[slot];
+    const auto &report = state.load.lastReport();
     const double step = Common::toSeconds(report.stepTime);
-    return step > 0 ? static_cast<double>(report.batchLimit) / step : 0;
+    if (step > 0) {
+        return static_cast<double>(report.batchLimit) / step;
+    }
+    // A plain service has no steps, and a call of it counts as one token of work. Taken for
+    // nothing, its capacity would keep every other region from sending work here.
+    constexpr double ShortestHold = 0.001;
+    return std::max(1.0, static_cast<double>(report.batchLimit))
+           / std::max(ShortestHold, state.holdSeconds);
 }
 
 double EndpointTable::subsetCapacity(const Target &base) const
--- a/Source/Core/Gateway/ClusterRunner.cpp
+++ b/Source/Core/Gateway/ClusterRunner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <random>
 #include <sstream>
@@ -27,10 +28,11 @@
     return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-std::uint32_t rounded(double value)
+std::uint32_t roundedUp(double value)
 {
     constexpr double Highest = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp(value, 0.0, Highest));
+    // Upwards: what is left of a small capacity must not be told as nothing.
+    return static_cast<std::uint32_t>(std::ceil(std::clamp(value, 0.0, Highest)));
 }
 
 std::string deathsText(const D::SuspectNotice &notice)
@@ -227,10 +229,10 @@
     for (const auto &summary : dispatcher_.scheduler().regionSummary(now)) {
         Cluster::ServiceLoad load;
         load.name = summary.target.name;
-        load.freeTokensPerSecond = rounded(summary.freeTokensPerSecond);
-        load.expectedWaitMs = rounded(Common::toSeconds(summary.expectedWait) * 1000);
-        load.prefillTokensPerSecond = rounded(summary.prefillTokensPerSecond);
-        load.utilisationPercent = rounded(summary.utilisation * Percent);
+        load.freeTokensPerSecond = roundedUp(summary.freeTokensPerSecond);
+        load.expectedWaitMs = roundedUp(Common::toSeconds(summary.expectedWait) * 1000);
+        load.prefillTokensPerSecond = roundedUp(summary.prefillTokensPerSecond);
+        load.utilisationPercent = roundedUp(summary.utilisation * Percent);
         local.push_back(std::move(load));
     }
     node_.setLocalLoad(local);
--- a/Source/UnitTests/Decisions/SpillTest.cpp
+++ b/Source/UnitTests/Decisions/SpillTest.cpp
@@ -35,6 +35,24 @@
     return result;
 }
 
+// The desks of another region are idle, but say that they have no room, since a plain service has
+// no decode steps to reckon by. An order whose own desk refuses it would never be sent there.
+TEST(SpillTest, IdlePlainServiceHasRoomForOtherRegions)
+{
+    World world;
+    const auto desk = Target::service(ServiceName("order-desk"));
+    auto facts = engine("desk");
+    facts.targets = {desk};
+    world.scheduler.updateEndpoints({facts}, world.now);
+    LoadReport report;
+    report.batchLimit = 4;
+    world.scheduler.reportLoad(EndpointId("desk"), report, world.now);
+    const auto summaries = world.scheduler.regionSummary(world.now);
+    ASSERT_EQ(summaries.size(), 1U);
+    EXPECT_GT(summaries.front().freeTokensPerSecond, 0);
+    EXPECT_DOUBLE_EQ(summaries.front().utilisation, 0);
+}
+
 TEST(SpillTest, HomeComesFirstWhileItHasRoom)
 {
     World world;
