Run an order in another region under the key that its owner holds

Ruled out: the ledger, which told the truth about a key of another instance. Now the owner marks the key dispatched, says in the forward that it holds it, and records what came back; the receiver runs it once, checks the deadline before it does, and does not stop it half-way.

--- a/Source/Core/Gateway/CallRunner.cpp
+++ b/Source/Core/Gateway/CallRunner.cpp
@@ -182,7 +182,7 @@
             runner->callerGone();
         }
     });
-    if (plan_.once) {
+    if (plan_.once && !heldBySender()) {
         const bool proceed = co_await beginOnce();
         if (!proceed) {
             co_return;
@@ -336,6 +336,51 @@
     return request;
 }
 
+bool CallRunner::heldBySender() const
+{
+    return arrival_.forwarded && arrival_.forwarded->once == Peers::OnceRole::HeldBySender;
+}
+
+asio::awaitable<bool> CallRunner::permitOnce(const Common::EndpointId &endpoint)
+{
+    Common::Result<void> permitted;
+    if (ledgerAttempt_) {
+        const auto dispatch = co_await context_.ledger.dispatched(*ledgerAttempt_);
+        if (dispatch) {
+            ledgerDispatch_ = *dispatch;
+        } else {
+            ledgerAttempt_.reset();
+            permitted = tl::unexpected(dispatch.error());
+        }
+    } else if (heldBySender() && std::chrono::steady_clock::now() > plan_.deadline) {
+        // This process was paused while the request waited; its caller has long been told that the
+        // outcome is unknown.
+        permitted = Common::makeError(Common::ErrorCode::DeadlineExceeded,
+                                      "the deadline passed before the request began");
+    }
+    if (!permitted) {
+        ticket_->finished(endpoint, D::Outcome::Cancelled);
+        co_await answerProblem(Entry::problemOf(permitted.error(), Common::RunState::NotRun));
+        co_return false;
+    }
+    runsOnce_ = plan_.once.has_value();
+    co_return true;
+}
+
+asio::awaitable<void> CallRunner::recordFailure(bool notRun)
+{
+    runsOnce_ = runsOnce_ && !notRun;
+    if (!ledgerDispatch_) {
+        co_return;
+    }
+    auto recording = notRun ? context_.ledger.notStarted(*ledgerDispatch_)
+                            : context_.ledger.lost(*ledgerDispatch_);
+    co_await std::move(recording);
+    if (notRun) {
+        ledgerDispatch_.reset();
+    }
+}
+
 asio::awaitable<CallRunner::Step> CallRunner::runAtEndpoint(const D::Dispatch &dispatch)
 {
     const auto &endpoint = dispatch.endpoint;
@@ -345,15 +390,9 @@
         ticket_->finished(endpoint, callerGone_ ? D::Outcome::Cancelled : D::Outcome::NotStarted);
         co_return callerGone_ ? Step::Ended : Step::Continue;
     }
-    if (ledgerAttempt_) {
-        const auto permitted = co_await context_.ledger.dispatched(*ledgerAttempt_);
-        if (!permitted) {
-            ledgerAttempt_.reset();
-            ticket_->finished(endpoint, D::Outcome::Cancelled);
-            co_await answerProblem(Entry::problemOf(permitted.error(), Common::RunState::NotRun));
-            co_return Step::Ended;
-        }
-        ledgerDispatch_ = *permitted;
+    const bool permitted = co_await permitOnce(endpoint);
+    if (!permitted) {
+        co_return Step::Ended;
     }
     stream_ = std::make_unique<Endpoints::EndpointStream>(endpointRequest(found->second), pool_,
                                                           context_.streamOptions);
@@ -484,14 +523,7 @@
 {
     context_.metrics.resumptions.add(static_cast<std::uint64_t>(stream_->resumptions()));
     const bool notRun = failure.runState == Common::RunState::NotRun;
-    if (ledgerDispatch_) {
-        auto recording = notRun ? context_.ledger.notStarted(*ledgerDispatch_)
-                                : context_.ledger.lost(*ledgerDispatch_);
-        co_await std::move(recording);
-        if (notRun) {
-            ledgerDispatch_.reset();
-        }
-    }
+    co_await recordFailure(notRun);
     if (stream_->aborted()) {
         ticket_->finished(endpoint, D::Outcome::Cancelled);
         co_return co_await answerWithdrawn();
@@ -524,7 +556,7 @@
     co_return Step::Ended;
 }
 
-Peers::ForwardedRequest CallRunner::makeForwarded(bool toKeyOwner) const
+Peers::ForwardedRequest CallRunner::makeForwarded(Peers::OnceRole once) const
 {
     Peers::ForwardedRequest request;
     request.request = plan_.callerId;
@@ -541,7 +573,7 @@
     const auto left = std::chrono::duration_cast<Common::milliseconds>(
         plan_.deadline - std::chrono::steady_clock::now());
     request.deadlineMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
-    request.toKeyOwner = toKeyOwner;
+    request.once = once;
     return request;
 }
 
@@ -559,19 +591,20 @@
 }
 
 asio::awaitable<std::optional<Peers::AnswerFailure>> CallRunner::passFrom(const PeerEntry &peer,
-                                                                          bool toKeyOwner)
+                                                                          Peers::OnceRole once)
 {
-    outgoing_ = peer.channel->open(makeForwarded(toKeyOwner), co_await asio::this_coro::executor);
+    outgoing_ = peer.channel->open(makeForwarded(once), co_await asio::this_coro::executor);
     Common::Headers headers;
     std::string wholeBody;
     std::optional<unsigned> wholeStatus;
-    auto patience = toKeyOwner ? plan_.deadline : Common::Time::max();
+    const bool toOwner = once == Peers::OnceRole::ToOwner;
+    auto patience = toOwner ? plan_.deadline : Common::Time::max();
     while (true) {
         auto item = co_await outgoing_->next(patience);
-        if (!item && !callerGone_ && toKeyOwner && !responder_.started()) {
+        if (!item && !callerGone_ && toOwner && !responder_.started()) {
             co_return ownerSilent();
         }
-        if (callerGone_ || withdrawn_ || !item) {
+        if (((callerGone_ || withdrawn_) && mayAbandon()) || !item) {
             co_return std::nullopt;
         }
         if (auto *failure = std::get_if<Peers::AnswerFailure>(&*item)) {
@@ -582,6 +615,8 @@
                 ticket_->firstToken({});
             }
             patience = Common::Time::max();
+            const auto *type = Common::findHeader(head->headers, "Content-Type");
+            kept_ = {static_cast<int>(head->status), type != nullptr ? *type : "", {}};
             context_.metrics.firstToken.record(std::chrono::steady_clock::now() - startedAt_);
             if (Common::findHeader(head->headers, "Content-Length") != nullptr) {
                 wholeStatus = head->status;
@@ -593,6 +628,9 @@
             }
             co_await responder_.head(head->status, std::move(head->headers));
         } else if (auto *piece = std::get_if<Peers::AnswerPiece>(&*item)) {
+            if (ledgerDispatch_) {
+                kept_.body += piece->bytes;
+            }
             if (wholeStatus) {
                 wholeBody += piece->bytes;
             } else {
@@ -617,9 +655,19 @@
         ticket_->finished({}, D::Outcome::NotStarted);
         co_return Step::Continue;
     }
+    const bool permitted = co_await permitOnce({});
+    if (!permitted) {
+        co_return Step::Ended;
+    }
     context_.metrics.away.add();
     logRequest(Common::LogLevel::Debug, plan_.callerId, "forwarded to " + peer->id.text());
-    auto failure = co_await passFrom(*peer, false);
+    const auto once = plan_.once ? Peers::OnceRole::HeldBySender : Peers::OnceRole::None;
+    auto failure = co_await passFrom(*peer, once);
+    if (failure) {
+        co_await recordFailure(failure->run == Common::RunState::NotRun);
+    } else if (ledgerDispatch_) {
+        co_await context_.ledger.finished(*ledgerDispatch_, kept_);
+    }
     if (withdrawn_ && !callerGone_) {
         co_return co_await answerWithdrawn();
     }
@@ -675,7 +723,7 @@
         problem.extra["entry"] = answerer->httpAddress;
         co_return problem;
     }
-    const auto failure = co_await passFrom(*answerer, true);
+    const auto failure = co_await passFrom(*answerer, Peers::OnceRole::ToOwner);
     if (!failure) {
         co_return std::nullopt;
     }
--- a/Source/Core/Gateway/CallRunner.h
+++ b/Source/Core/Gateway/CallRunner.h
@@ -62,6 +62,12 @@
     enum class Step { Ended, Continue };
 
     asio::awaitable<bool> beginOnce();
+    /// Another instance has minted the request's key and holds it while it runs here.
+    bool heldBySender() const;
+    /// Asks whether a request that must not run twice may leave now; answers its caller if not.
+    asio::awaitable<bool> permitOnce(const Common::EndpointId &endpoint);
+    /// Records for a key that a try has failed.
+    asio::awaitable<void> recordFailure(bool notRun);
     asio::awaitable<Step> handle(const Decisions::Effect &effect);
     asio::awaitable<Step> runAtEndpoint(const Decisions::Dispatch &dispatch);
     asio::awaitable<Step> passAnswer(Endpoints::ResponseHead head,
@@ -87,8 +93,8 @@
     static Peers::AnswerFailure ownerSilent();
     /// Forwards the request and passes the answer on; the failure when nothing was passed on.
     asio::awaitable<std::optional<Peers::AnswerFailure>> passFrom(const PeerEntry &peer,
-                                                                  bool toKeyOwner);
-    Peers::ForwardedRequest makeForwarded(bool toKeyOwner) const;
+                                                                  Peers::OnceRole once);
+    Peers::ForwardedRequest makeForwarded(Peers::OnceRole once) const;
 
     asio::awaitable<void> refuse(const Decisions::Refuse &refusal);
     asio::awaitable<void> answerProblem(Entry::Problem problem);
@@ -105,7 +111,7 @@
     Endpoints::EndpointRequest endpointRequest(const EndpointEntry &endpoint) const;
     bool mayAbandon() const
     {
-        return !ledgerDispatch_;
+        return !runsOnce_;
     }
 
     const RunnerContext &context_;
@@ -126,6 +132,8 @@
     bool firstTokenSeen_ = false;
     bool callerGone_ = false;
     bool withdrawn_ = false;
+    /// A request that must not run twice has left and must not be stopped half-way.
+    bool runsOnce_ = false;
     /// The last forward did not leave this instance.
     bool neverSent_ = false;
 };
--- a/Source/Core/Peers/ChannelFrames.h
+++ b/Source/Core/Peers/ChannelFrames.h
@@ -14,6 +14,16 @@
 /// Names a call among all calls of one incarnation of the calling instance.
 using CallId = std::uint64_t;
 
+/// What a forwarded request that must not run twice asks of its receiver.
+enum class OnceRole : std::uint8_t {
+    /// It may be repeated.
+    None,
+    /// The receiver minted its key, or answers for the one who did.
+    ToOwner,
+    /// The sender minted its key and holds it: the receiver runs it once and asks no ledger.
+    HeldBySender,
+};
+
 /// A caller's request on its one way to another instance.
 struct ForwardedRequest
 {
@@ -31,14 +41,13 @@
     std::vector<Common::InstanceId> visited;
     /// What is left of the time that the caller waits for the first byte, in milliseconds.
     std::optional<std::uint32_t> deadlineMs;
-    /// It must be run by this very instance: it carries a key that this instance minted.
-    bool toKeyOwner = false;
+    OnceRole once = OnceRole::None;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(request, customer, method, target, headers, body, fromRegion, visited, deadlineMs,
-                toKeyOwner);
+                once);
     }
 };
 
--- a/Source/IntegrationTests/test_at_most_once.py
+++ b/Source/IntegrationTests/test_at_most_once.py
@@ -224,6 +224,26 @@
     assert again[0] == "answered", (told, again)
 
 
+# The one desk of a region refuses all orders unbegun, while the desks of other regions are free. The
+# school must get its order served there, once, under the key that its own region's instance minted;
+# the instance that runs it elsewhere has never seen the key.
+def test_an_order_that_home_refuses_runs_once_in_another_region(shared, judge):
+    home = [endpoint["id"] for endpoint in shared.endpoints
+            if endpoint["kind"] == "service" and endpoint["region"] == "sapporo"]
+    for name in home:
+        shared.endpoint_hosts[name].faults(name, refuse_not_started=True)
+    key = judge.key(shared.gateways[0])
+    run, patience = "not run", time.monotonic() + 20
+    while run == "not run" and time.monotonic() < patience:
+        run, document = judge.order(shared.gateways[0], key)
+    for name in home:
+        shared.endpoint_hosts[name].faults(name, refuse_not_started=False)
+    assert run == "answered", document
+    assert document["id"] not in home
+    again = judge.order(shared.gateways[2], key)
+    assert (again[0], again[1]["id"]) == ("answered", document["id"])
+
+
 # The instance that minted the key is killed after the order ran. Nobody else knows what became of
 # the order, and nobody may guess. New orders go on with two of four instances down.
 def test_the_keys_of_a_killed_owner_are_unknown(works, judge):
