--- a/Tools/fuzz.sh
+++ b/Tools/fuzz.sh
@@ -10,9 +10,10 @@
 names=("$@")
 [ "${#names[@]}" -gt 0 ] || names=(Configuration InstanceList Gossip ChannelFrame IdempotencyKey)
 
+mkdir -p "$build"
 cmake -S "$root" -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Release -DLC_FUZZERS=ON \
-    -DCMAKE_CXX_COMPILER=clang++ >"$build.configure.log" 2>&1 \
-    || { cat "$build.configure.log"; exit 1; }
+    -DCMAKE_CXX_COMPILER=clang++ >"$build/configure.log" 2>&1 \
+    || { cat "$build/configure.log"; exit 1; }
 targets=("${names[@]/#/Fuzz}")
 cmake --build "$build" --target "${targets[@]}" -- ${BUILD_JOBS:+-j "$BUILD_JOBS"} || exit 1
 
