Destroy coroutines before the parts that they refer to

Cause: AddressSanitizer saw a heap use after free at the end of a gateway: a channel's timers were destroyed after their context, and coroutines after the servers that they count themselves in. Ruled out: the drain, which had ended with nothing in flight. The pool now destroys coroutines when it stops, while all is alive, and is itself destroyed last. A test of Decisions kept a reference into a temporary; the same run showed it.

--- a/Source/Core/Async/IoPool.cpp
+++ b/Source/Core/Async/IoPool.cpp
@@ -8,10 +8,20 @@
 
 } // namespace
 
+IoPool::Context::Context()
+    : boost::asio::io_context(1)
+{
+}
+
+void IoPool::Context::destroyCoroutines()
+{
+    shutdown();
+}
+
 IoPool::IoPool(std::size_t threads)
 {
     for (std::size_t index = 0; index < threads; ++index) {
-        contexts_.push_back(std::make_unique<boost::asio::io_context>(1));
+        contexts_.push_back(std::make_unique<Context>());
         guards_.push_back(boost::asio::make_work_guard(*contexts_.back()));
     }
 }
@@ -40,6 +50,9 @@
         thread.join();
     }
     threads_.clear();
+    for (auto &context : contexts_) {
+        context->destroyCoroutines();
+    }
 }
 
 std::size_t IoPool::currentIndex()
--- a/Source/Core/Async/IoPool.h
+++ b/Source/Core/Async/IoPool.h
@@ -21,7 +21,9 @@
     IoPool &operator=(const IoPool &) = delete;
 
     void start();
-    /// Stops the contexts and joins the threads; unfinished coroutines are destroyed.
+    /// Stops the contexts, joins the threads and destroys unfinished coroutines. To be called while
+    /// all that the coroutines refer to is alive; sockets and timers may be destroyed after it, but
+    /// before the pool.
     void stop();
 
     std::size_t size() const
@@ -40,7 +42,16 @@
 private:
     using Guard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
-    std::vector<std::unique_ptr<boost::asio::io_context>> contexts_;
+    /// Lets the coroutines of a context be destroyed before the context is. Destroyed with it, they
+    /// would refer to parts of the program that are gone by then.
+    class Context : public boost::asio::io_context
+    {
+    public:
+        Context();
+        void destroyCoroutines();
+    };
+
+    std::vector<std::unique_ptr<Context>> contexts_;
     std::vector<Guard> guards_;
     std::vector<std::thread> threads_;
     std::atomic<std::size_t> turn_{0};
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -105,9 +105,9 @@
 Gateway::Gateway(GatewayOptions options)
     : options_(std::move(options))
     , incarnation_(newIncarnation())
-    , table_(std::make_shared<const RoutingTable>())
     , callers_(static_cast<std::size_t>(options_.threads))
     , inner_(InnerThreads)
+    , table_(std::make_shared<const RoutingTable>())
     , channelPool_(std::make_shared<Endpoints::ConnectionPool>(
           options_.pool, inner_.at(ChannelContext).get_executor()))
     , requestMetrics_(metrics_)
@@ -250,8 +250,6 @@
 void Gateway::run()
 {
     stopped_.get_future().wait();
-    callers_.stop();
-    inner_.stop();
 }
 
 asio::awaitable<void> Gateway::waitForSignal()
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -61,11 +61,12 @@
 
     GatewayOptions options_;
     Common::Incarnation incarnation_;
-    Common::MetricsRegistry metrics_;
-    RoutingTableCell table_;
     Async::IoPool callers_;
-    /// One thread for all decisions and the cluster, one for the channels between instances.
+    /// One thread for all decisions and the cluster, one for the channels between instances. Both
+    /// pools are declared before all that holds sockets or timers of theirs.
     Async::IoPool inner_;
+    Common::MetricsRegistry metrics_;
+    RoutingTableCell table_;
     std::vector<std::shared_ptr<Endpoints::ConnectionPool>> pools_;
     std::shared_ptr<Endpoints::ConnectionPool> channelPool_;
     RequestMetrics requestMetrics_;
--- a/Source/UnitTests/Decisions/FailureTest.cpp
+++ b/Source/UnitTests/Decisions/FailureTest.cpp
@@ -376,7 +376,8 @@
         world.die(world.endpointOf("p" + std::to_string(index)));
         world.tickAfter(seconds(1));
     }
-    for (const auto &endpoint : world.scheduler.dump(world.now)["endpoints"]) {
+    const auto dump = world.scheduler.dump(world.now);
+    for (const auto &endpoint : dump["endpoints"]) {
         EXPECT_FALSE(endpoint["health"]["excluded"].get<bool>());
     }
 }
