--- a/Source/Core/Async/Async.h
+++ b/Source/Core/Async/Async.h
@@ -5,3 +5,4 @@
 #include "Async/AsyncQueue.h"
 #include "Async/IoPool.h"
 #include "Async/RunOn.h"
+#include "Async/TcpAddress.h"
--- a/Source/Core/Endpoints/ConnectionPool.cpp
+++ b/Source/Core/Endpoints/ConnectionPool.cpp
@@ -1,12 +1,12 @@
 #include "Endpoints/ConnectionPool.h"
 
-#include <charconv>
-
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Async/Async.h"
+
 namespace LaburnumChute::Endpoints {
 
 namespace {
@@ -29,25 +29,6 @@
 
 } // namespace
 
-Common::Result<asio::ip::tcp::endpoint> parseAddress(const std::string &address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return Common::makeError(Common::ErrorCode::InvalidArgument,
-                                 "\"" + address + "\" is no address of the form ip:port");
-    }
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    unsigned short port = 0;
-    const auto *end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    if (error || parsed.ec != std::errc() || parsed.ptr != end) {
-        return Common::makeError(Common::ErrorCode::InvalidArgument,
-                                 "\"" + address + "\" is no address of the form ip:port");
-    }
-    return asio::ip::tcp::endpoint(ip, port);
-}
-
 asio::awaitable<Common::Result<ConnectionPtr>> ConnectionPool::acquire(std::string address)
 {
     auto &idle = idle_[address];
@@ -63,7 +44,7 @@
 
 asio::awaitable<Common::Result<ConnectionPtr>> ConnectionPool::connect(std::string address) const
 {
-    const auto target = parseAddress(address);
+    const auto target = Async::parseTcpAddress(address);
     if (!target) {
         co_return tl::unexpected(target.error());
     }
--- a/Source/Core/Endpoints/ConnectionPool.h
+++ b/Source/Core/Endpoints/ConnectionPool.h
@@ -82,7 +82,4 @@
     std::map<std::string, std::vector<Idle>> idle_;
 };
 
-/// "ip:port" as a TCP address.
-Common::Result<asio::ip::tcp::endpoint> parseAddress(const std::string &address);
-
 } // namespace LaburnumChute::Endpoints
--- a/Source/Core/Entry/HttpServer.cpp
+++ b/Source/Core/Entry/HttpServer.cpp
@@ -1,6 +1,5 @@
 #include "Entry/HttpServer.h"
 
-#include <charconv>
 #include <optional>
 
 #include <boost/asio/co_spawn.hpp>
@@ -161,29 +160,11 @@
 
 Common::Result<std::string> HttpServer::listen(const std::string &address)
 {
-    const auto colon = address.rfind(':');
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    unsigned short port = 0;
-    const auto portText = colon == std::string::npos ? "" : address.substr(colon + 1);
-    const auto parsed = std::from_chars(portText.data(), portText.data() + portText.size(), port);
-    if (error || parsed.ec != std::errc()) {
-        return Common::makeError(Common::ErrorCode::InvalidArgument,
-                                 "\"" + address + "\" is no address of the form ip:port");
-    }
-    const tcp::endpoint endpoint(ip, port);
-    acceptor_.open(endpoint.protocol(), error);
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor_.bind(endpoint, error);
-    if (!error) {
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return Common::makeError(Common::ErrorCode::Unavailable,
-                                 "cannot listen on " + address + ": " + error.message());
+    auto bound = Async::listenOn(acceptor_, address);
+    if (bound) {
+        asio::co_spawn(pool_.at(0), accept(), asio::detached);
     }
-    asio::co_spawn(pool_.at(0), accept(), asio::detached);
-    return ip.to_string() + ":" + std::to_string(acceptor_.local_endpoint().port());
+    return bound;
 }
 
 void HttpServer::stopAccepting()
--- a/Source/Core/Gateway/GatewayOptions.cpp
+++ b/Source/Core/Gateway/GatewayOptions.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/GatewayOptions.h"
 
+#include "Async/Async.h"
+
 namespace LaburnumChute::Gateway {
 
 namespace {
@@ -23,7 +25,7 @@
 
 bool isAddress(const std::string &text)
 {
-    return text.empty() || Endpoints::parseAddress(text).has_value();
+    return text.empty() || Async::parseTcpAddress(text).has_value();
 }
 
 bool isPositive(const milliseconds &time)
--- a/Source/Core/Peers/ChannelClient.cpp
+++ b/Source/Core/Peers/ChannelClient.cpp
@@ -1,7 +1,6 @@
 #include "Peers/ChannelClient.h"
 
 #include <atomic>
-#include <charconv>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,21 +20,6 @@
     return ++last;
 }
 
-Common::Result<tcp::endpoint> parseTcpAddress(const std::string &address)
-{
-    const auto colon = address.rfind(':');
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    unsigned short port = 0;
-    const auto *start = address.data() + std::min(address.size(), colon + 1);
-    const auto *end = address.data() + address.size();
-    if (error || colon == std::string::npos || std::from_chars(start, end, port).ptr != end) {
-        return Common::makeError(Common::ErrorCode::InvalidArgument,
-                                 "\"" + address + "\" is no address of the form ip:port");
-    }
-    return tcp::endpoint(ip, port);
-}
-
 /// Connects or gives up after the time.
 asio::awaitable<boost::system::error_code>
 connectWithin(tcp::socket &socket, tcp::endpoint endpoint, Common::Duration time)
@@ -190,7 +174,7 @@
     }
     while (!calls_.empty() && !stopped_) {
         tcp::socket socket(context_);
-        const auto endpoint = parseTcpAddress(peer_.channel);
+        const auto endpoint = Async::parseTcpAddress(peer_.channel);
         std::string reason = endpoint ? std::string() : endpoint.error().message;
         if (endpoint) {
             const auto error = co_await connectWithin(socket, *endpoint, options_.connectTimeout);
--- a/Source/Core/Peers/ChannelServer.cpp
+++ b/Source/Core/Peers/ChannelServer.cpp
@@ -1,7 +1,5 @@
 #include "Peers/ChannelServer.h"
 
-#include <charconv>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -106,29 +104,12 @@
 
 Common::Result<std::string> ChannelServer::listen(const std::string &address)
 {
-    const auto colon = address.rfind(':');
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    unsigned short port = 0;
-    if (colon != std::string::npos) {
-        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    }
-    if (!error) {
-        const tcp::endpoint endpoint(ip, port);
-        acceptor_.open(endpoint.protocol(), error);
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-        acceptor_.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return Common::makeError(Common::ErrorCode::Unavailable,
-                                 "cannot listen on " + address + ": " + error.message());
+    auto bound = Async::listenOn(acceptor_, address);
+    if (bound) {
+        asio::co_spawn(context_, accept(), asio::detached);
+        asio::co_spawn(context_, sweep(), asio::detached);
     }
-    asio::co_spawn(context_, accept(), asio::detached);
-    asio::co_spawn(context_, sweep(), asio::detached);
-    return ip.to_string() + ":" + std::to_string(acceptor_.local_endpoint().port());
+    return bound;
 }
 
 asio::awaitable<void> ChannelServer::accept()
--- a/Source/Core/Platform/HttpClient.cpp
+++ b/Source/Core/Platform/HttpClient.cpp
@@ -1,11 +1,5 @@
 #include "Platform/HttpClient.h"
 
-#include <algorithm>
-#include <charconv>
-#include <optional>
-#include <string_view>
-
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -13,42 +7,17 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "Async/Async.h"
+
 namespace LaburnumChute::Platform {
 
 namespace {
 
 namespace beast = boost::beast;
 namespace http = beast::http;
-using asio::ip::tcp;
 
 constexpr int HttpVersion = 11;
 
-/// The port at the end of an address; nothing unless it is a whole number from 1 to 65535.
-std::optional<unsigned short> parsePort(std::string_view text)
-{
-    unsigned short port = 0;
-    const auto *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, port);
-    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
-        return std::nullopt;
-    }
-    return port;
-}
-
-Common::Result<tcp::endpoint> parseEndpoint(const std::string &address)
-{
-    const auto colon = std::min(address.rfind(':'), address.size());
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    const auto port =
-        parsePort(std::string_view(address).substr(colon).substr(colon < address.size() ? 1 : 0));
-    if (error || !port) {
-        return Common::makeError(Common::ErrorCode::InvalidArgument,
-                                 "\"" + address + "\" is no address; expected ip:port");
-    }
-    return tcp::endpoint(ip, *port);
-}
-
 http::request<http::string_body> makeMessage(const HttpQuery &query)
 {
     http::request<http::string_body> message(http::string_to_verb(query.method), query.target,
@@ -74,10 +43,14 @@
 
 asio::awaitable<Common::Result<HttpAnswer>> fetch(HttpQuery query)
 {
-    const auto endpoint = parseEndpoint(query.address);
+    const auto endpoint = Async::parseTcpAddress(query.address);
     if (!endpoint) {
         co_return tl::unexpected(endpoint.error());
     }
+    if (endpoint->port() == 0) {
+        co_return Common::makeError(Common::ErrorCode::InvalidArgument,
+                                    "\"" + query.address + "\" has no port to connect to");
+    }
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     boost::system::error_code error;
     stream.expires_after(query.timeout);
