--- a/Source/UnitTests/Decisions/Support.h
+++ b/Source/UnitTests/Decisions/Support.h
@@ -146,8 +146,10 @@
     }
     Effects finishOn(const std::string &id, const std::string &endpoint, Outcome outcome)
     {
+        // The id may be an element of the very set that it is taken out of here.
+        const RequestId request(id);
         on[endpoint].erase(id);
-        return take(scheduler.finished(RequestId(id), EndpointId(endpoint), outcome, now));
+        return take(scheduler.finished(request, EndpointId(endpoint), outcome, now));
     }
     /// The endpoint dies with everything on it.
     Effects die(const std::string &endpoint)
