--- a/CMake/Targets.cmake
+++ b/CMake/Targets.cmake
@@ -1,7 +1,8 @@
 # Common compile settings, and one function for each kind of target of this project.
 
 add_library(lcSettings INTERFACE)
-target_include_directories(lcSettings INTERFACE ${PROJECT_SOURCE_DIR}/Source/Core)
+target_include_directories(lcSettings INTERFACE
+    ${PROJECT_SOURCE_DIR}/Source/Core ${PROJECT_SOURCE_DIR})
 # Asio of Boost 1.74 uses std::exchange without including <utility>.
 target_compile_options(lcSettings INTERFACE -Wall -Wextra -Wno-interference-size -include utility)
 target_compile_definitions(lcSettings INTERFACE
--- /dev/null
+++ b/Source/Core/Catalog/EndpointRegistry.cpp
@@ -0,0 +1,81 @@
+#include "Catalog/EndpointRegistry.h"
+
+#include <algorithm>
+
+namespace LaburnumChute::Catalog {
+
+void EndpointRegistry::update(const EndpointRecord &record, Time now)
+{
+    auto &entry = entries_[record.id];
+    auto &listed = entry.listed;
+    const bool known = !listed.record.id.empty();
+    const bool sameLife = known && listed.record.startedAt == record.startedAt;
+    if (known && record.startedAt < listed.record.startedAt) {
+        return;
+    }
+    if (sameLife && record.sequence < listed.record.sequence) {
+        // The record is there again, though this copy of it is an old one.
+        entry.missingSince.reset();
+        listed.missing = false;
+        return;
+    }
+    const bool wasLeaving = sameLife && listed.record.draining;
+    if (!sameLife) {
+        entry = Entry();
+    }
+    listed.record = record;
+    listed.record.draining = record.draining || wasLeaving;
+    listed.leaving = listed.record.draining;
+    listed.missing = false;
+    listed.coldUntil = now + record.coldLeft;
+    if (record.endsIn) {
+        listed.endsAt = now + *record.endsIn;
+    }
+    entry.missingSince.reset();
+    entry.leftAt = listed.leaving ? std::optional(entry.leftAt.value_or(now)) : std::nullopt;
+}
+
+void EndpointRegistry::remove(const EndpointId &id, bool storeSettled, Time now)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.missingSince) {
+        return;
+    }
+    auto &entry = found->second;
+    entry.missingSince = now;
+    entry.listed.missing = true;
+    if (storeSettled || entry.listed.leaving) {
+        entry.listed.leaving = true;
+        entry.leftAt = entry.leftAt.value_or(now);
+    }
+}
+
+bool EndpointRegistry::expire(Time now)
+{
+    bool changed = false;
+    for (auto &[id, entry] : entries_) {
+        const bool overdue = entry.missingSince && now - *entry.missingSince > MissingGrace;
+        if (overdue && !entry.listed.leaving) {
+            entry.listed.leaving = true;
+            entry.leftAt = now;
+            changed = true;
+        }
+    }
+    const auto forgotten = std::erase_if(entries_, [now](const auto &item) {
+        const auto &entry = item.second;
+        return entry.missingSince && entry.leftAt && now - *entry.leftAt > LeftRetention;
+    });
+    return changed || forgotten > 0;
+}
+
+std::vector<ListedEndpoint> EndpointRegistry::list() const
+{
+    std::vector<ListedEndpoint> result;
+    result.reserve(entries_.size());
+    for (const auto &[id, entry] : entries_) {
+        result.push_back(entry.listed);
+    }
+    return result;
+}
+
+} // namespace LaburnumChute::Catalog
--- /dev/null
+++ b/Source/Core/Catalog/EndpointRegistry.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "Catalog/Types.h"
+
+namespace LaburnumChute::Catalog {
+
+/// An endpoint as the registry knows it.
+struct ListedEndpoint
+{
+    EndpointRecord record;
+    /// It says that it leaves, or its record has gone for good.
+    bool leaving = false;
+    /// Its record has gone, perhaps only because nobody could renew it.
+    bool missing = false;
+    /// Until then it takes only few requests.
+    Time coldUntil{};
+    /// Set when it ends at a known time whatever it runs.
+    std::optional<Time> endsAt;
+};
+
+/// How long an endpoint whose record lapsed is still used. Records lapse unrenewed while the store
+/// is away and are back about two seconds after its return; what is still missing then has gone.
+/// Without the wait, a store that was away takes all endpoints out of service as it returns.
+inline constexpr milliseconds MissingGrace{1900};
+/// The store counts as settled after this long without a failed or silent call: three times the
+/// interval of about 1.2 s in which endpoints renew their records, and a little more.
+inline constexpr milliseconds StoreSettled{5000};
+/// Records of endpoints that left are remembered this long, so that a late copy does not bring them
+/// back.
+inline constexpr milliseconds LeftRetention{60000};
+
+/// Who serves, made of records that arrive late, twice or out of order.
+///
+/// Within one life of an endpoint only a higher sequence counts and leaving is never taken back; a
+/// later start under the same id replaces the earlier one. Otherwise a copy of an old record would
+/// put a leaving endpoint back into service.
+class EndpointRegistry
+{
+public:
+    void update(const EndpointRecord &record, Time now);
+    /// The record of this id is gone.
+    void remove(const EndpointId &id, bool storeSettled, Time now);
+    /// Gives up what has been missing for too long; true when something changed.
+    bool expire(Time now);
+
+    /// All endpoints that may still be used or run something.
+    std::vector<ListedEndpoint> list() const;
+    std::size_t size() const
+    {
+        return entries_.size();
+    }
+
+private:
+    struct Entry
+    {
+        ListedEndpoint listed;
+        std::optional<Time> missingSince;
+        std::optional<Time> leftAt;
+    };
+
+    std::map<EndpointId, Entry> entries_;
+};
+
+} // namespace LaburnumChute::Catalog
--- /dev/null
+++ b/Source/Core/Catalog/ItemStore.cpp
@@ -0,0 +1,95 @@
+#include "Catalog/ItemStore.h"
+
+#include <algorithm>
+#include <set>
+
+namespace LaburnumChute::Catalog {
+
+namespace {
+
+/// Deletions that are remembered, about 100 bytes each. A fleet that replaces 10,000 endpoints in
+/// an hour fills this in a quarter of an hour; a peer that was away longer gets a complete set.
+constexpr std::size_t MaxTombstones = 2048;
+
+} // namespace
+
+void ItemStore::applyItem(const Item &item, std::vector<Item> &news)
+{
+    auto &known = items_[item.key];
+    if (!known.key.empty() && known.revision >= item.revision) {
+        return;
+    }
+    const bool wasTombstone = !known.key.empty() && !known.value;
+    tombstones_ -= wasTombstone ? 1 : 0;
+    tombstones_ += item.value ? 0 : 1;
+    known = item;
+    news.push_back(item);
+}
+
+std::vector<Item> ItemStore::apply(const ItemChanges &changes)
+{
+    std::vector<Item> news;
+    for (const auto &item : changes.items) {
+        applyItem(item, news);
+    }
+    if (changes.complete) {
+        std::set<std::string_view> listed;
+        for (const auto &item : changes.items) {
+            listed.insert(item.key);
+        }
+        std::vector<Item> missing;
+        for (const auto &[key, item] : items_) {
+            if (item.value && item.revision <= changes.upTo && listed.count(key) == 0) {
+                missing.push_back({key, changes.upTo, std::nullopt});
+            }
+        }
+        for (const auto &item : missing) {
+            // Of equal revision at most, since a listing does not say when the item went.
+            items_[item.key].revision = 0;
+            applyItem(item, news);
+        }
+    }
+    upTo_ = std::max(upTo_, changes.upTo);
+    pruneTombstones();
+    return news;
+}
+
+ItemChanges ItemStore::since(Revision known) const
+{
+    ItemChanges changes;
+    changes.upTo = upTo_;
+    changes.complete = known < prunedUpTo_ || known == 0;
+    for (const auto &[key, item] : items_) {
+        const bool wanted = changes.complete ? item.value.has_value() : item.revision > known;
+        if (wanted) {
+            changes.items.push_back(item);
+        }
+    }
+    return changes;
+}
+
+std::size_t ItemStore::size() const
+{
+    return items_.size() - tombstones_;
+}
+
+void ItemStore::pruneTombstones()
+{
+    if (tombstones_ <= MaxTombstones) {
+        return;
+    }
+    std::vector<Revision> revisions;
+    for (const auto &[key, item] : items_) {
+        if (!item.value) {
+            revisions.push_back(item.revision);
+        }
+    }
+    const auto middle = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+    std::nth_element(revisions.begin(), middle, revisions.end());
+    prunedUpTo_ = *middle;
+    tombstones_ -= std::erase_if(items_, [this](const auto &entry) {
+        return !entry.second.value && entry.second.revision <= prunedUpTo_;
+    });
+}
+
+} // namespace LaburnumChute::Catalog
--- /dev/null
+++ b/Source/Core/Dispatch/ColdGate.cpp
@@ -0,0 +1,46 @@
+#include "Dispatch/ColdGate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace LaburnumChute::Dispatch {
+
+namespace {
+
+/// The span of the bound, with a margin for sends that arrive at different speeds.
+constexpr milliseconds Window{1100};
+
+} // namespace
+
+int ColdGate::quota(double bound, const EndpointId &endpoint, const InstanceId &self,
+                    const std::vector<InstanceId> &instances)
+{
+    const auto total = static_cast<std::size_t>(std::max(1.0, std::floor(bound)));
+    const auto count = std::max<std::size_t>(1, instances.size());
+    if (total >= count) {
+        return static_cast<int>(total / count);
+    }
+    const auto own = Common::rendezvousWeight(endpoint.text(), self.text());
+    const auto ahead =
+        std::count_if(instances.begin(), instances.end(), [&](const InstanceId &instance) {
+            return Common::rendezvousWeight(endpoint.text(), instance.text()) > own;
+        });
+    return static_cast<std::size_t>(ahead) < total ? 1 : 0;
+}
+
+bool ColdGate::allows(int quota, Time now) const
+{
+    const auto recent = std::count_if(sends_.begin(), sends_.end(),
+                                      [&](Time sent) { return now - sent <= Window; });
+    return recent < quota;
+}
+
+void ColdGate::sent(Time now)
+{
+    sends_.push_back(now);
+    while (now - sends_.front() > Window) {
+        sends_.pop_front();
+    }
+}
+
+} // namespace LaburnumChute::Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/EndpointBook.cpp
@@ -0,0 +1,220 @@
+#include "Dispatch/EndpointBook.h"
+
+#include <algorithm>
+
+namespace LaburnumChute::Dispatch {
+
+namespace {
+
+/// Placements travel with every heartbeat for this long, so that a lost one does no harm.
+constexpr milliseconds PlacementLifetime{1000};
+constexpr std::size_t MaxPlacements = 24;
+constexpr std::size_t MaxUses = 64;
+constexpr std::int64_t MaxBacklogMs = 60000;
+/// A part that other requests share, too: the last one is the request's own.
+constexpr std::size_t OwnParts = 1;
+
+} // namespace
+
+EndpointBook::EndpointBook(const DispatchOptions &options)
+    : options_(&options)
+{
+}
+
+void EndpointBook::setServices(const std::map<ServiceName, Catalog::Service> &services)
+{
+    services_ = services;
+    rebuild();
+}
+
+void EndpointBook::setEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints,
+                                const std::set<Common::FailureDomainName> &evacuated, Time now)
+{
+    std::set<EndpointId> listed;
+    for (const auto &endpoint : endpoints) {
+        const auto &record = endpoint.record;
+        listed.insert(record.id);
+        auto &state = endpoints_[record.id];
+        const bool isNew = !state;
+        if (isNew) {
+            state = std::make_unique<EndpointState>();
+        }
+        const bool sameLife = !isNew && state->listed.record.startedAt == record.startedAt;
+        if (!isNew && !sameLife) {
+            // A new life under an old name knows nothing of the one before.
+            const int own = state->own;
+            *state = EndpointState();
+            state->own = own;
+        }
+        state->coldUntil = std::max(state->coldUntil, endpoint.coldUntil);
+        const bool wasEvacuated = state->evacuated;
+        state->evacuated = evacuated.count(record.failureDomain) > 0;
+        if (wasEvacuated && !state->evacuated) {
+            // It has had no work for a while and may come back cold.
+            const auto service = services_.find(record.service);
+            const auto cold = service != services_.end() ? service->second.coldTime : Duration(0);
+            state->coldUntil = std::max(state->coldUntil, now + cold);
+        }
+        state->listed = endpoint;
+    }
+    std::erase_if(endpoints_, [&](const auto &item) {
+        return listed.count(item.first) == 0 && item.second->own == 0;
+    });
+    for (auto &[id, state] : endpoints_) {
+        state->listed.leaving = state->listed.leaving || listed.count(id) == 0;
+    }
+    rebuild();
+}
+
+void EndpointBook::rebuild()
+{
+    usable_.clear();
+    running_.clear();
+    byShortId_.clear();
+    std::map<std::string, const EndpointState *> newestAt;
+    for (const auto &[id, state] : endpoints_) {
+        auto &newest = newestAt[state->listed.record.address];
+        if (newest == nullptr
+            || newest->listed.record.startedAt < state->listed.record.startedAt) {
+            newest = state.get();
+        }
+    }
+    for (const auto &[id, state] : endpoints_) {
+        const auto &record = state->listed.record;
+        const auto service = services_.find(record.service);
+        // Addresses are used again: what was there before has ended.
+        const bool current = newestAt[record.address] == state.get();
+        if (service == services_.end() || !current) {
+            continue;
+        }
+        byShortId_[shortId(id)] = state.get();
+        if (service->second.engine) {
+            const auto tokens = static_cast<double>(service->second.engine->cacheTokens);
+            state->cache.setCapacity(static_cast<std::int64_t>(tokens * options_->cacheShare));
+        }
+        running_[record.service].push_back(state.get());
+        if (!state->listed.leaving && !state->evacuated) {
+            usable_[record.service].push_back(state.get());
+        }
+    }
+}
+
+void EndpointBook::setShare(const InstanceId &instance, const RegionShare &share, Time now)
+{
+    shares_[instance] = share;
+    for (const auto &placement : share.placements) {
+        const auto found = byShortId_.find(placement.endpoint);
+        if (found != byShortId_.end()) {
+            found->second->cache.use(Dialect::PromptPart{placement.part, placement.tokens});
+        }
+    }
+    sumShares(now);
+}
+
+void EndpointBook::keepShares(const std::vector<InstanceId> &instances)
+{
+    std::erase_if(shares_, [&](const auto &item) {
+        return std::find(instances.begin(), instances.end(), item.first) == instances.end();
+    });
+}
+
+void EndpointBook::sumShares(Time now)
+{
+    for (auto &[id, state] : byShortId_) {
+        state->others = 0;
+        state->othersBacklogUntil = Time();
+    }
+    std::map<std::uint32_t, milliseconds> backlogs;
+    for (const auto &[instance, share] : shares_) {
+        for (const auto &use : share.uses) {
+            const auto found = byShortId_.find(use.endpoint);
+            if (found != byShortId_.end()) {
+                found->second->others += use.inFlight;
+                backlogs[use.endpoint] += milliseconds(use.backlogMs);
+            }
+        }
+    }
+    for (const auto &[id, backlog] : backlogs) {
+        byShortId_.at(id)->othersBacklogUntil = now + backlog;
+    }
+}
+
+const Catalog::Service *EndpointBook::service(const ServiceName &name) const
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
+const std::vector<EndpointState *> &EndpointBook::usable(const ServiceName &name) const
+{
+    static const std::vector<EndpointState *> None;
+    const auto found = usable_.find(name);
+    return found == usable_.end() ? None : found->second;
+}
+
+const std::vector<EndpointState *> &EndpointBook::running(const ServiceName &name) const
+{
+    static const std::vector<EndpointState *> None;
+    const auto found = running_.find(name);
+    return found == running_.end() ? None : found->second;
+}
+
+EndpointState *EndpointBook::find(const EndpointId &id)
+{
+    const auto found = endpoints_.find(id);
+    return found == endpoints_.end() ? nullptr : found->second.get();
+}
+
+EngineModel &EndpointBook::engine(const ServiceName &name)
+{
+    return engines_.try_emplace(name, *options_).first->second;
+}
+
+std::vector<const EndpointState *> EndpointBook::all() const
+{
+    std::vector<const EndpointState *> states;
+    for (const auto &[id, state] : endpoints_) {
+        states.push_back(state.get());
+    }
+    return states;
+}
+
+void EndpointBook::placed(const EndpointState &endpoint,
+                          const std::vector<Dialect::PromptPart> &parts, Time now)
+{
+    for (std::size_t index = 0; index + OwnParts < parts.size(); ++index) {
+        if (parts[index].tokens < options_->copyMinimumTokens) {
+            continue;
+        }
+        PartPlacement placement;
+        placement.endpoint = shortId(endpoint.listed.record.id);
+        placement.part = parts[index].id;
+        placement.tokens = static_cast<std::uint32_t>(parts[index].tokens);
+        placements_.push_back({now, placement});
+    }
+    while (!placements_.empty() && now - placements_.front().at > PlacementLifetime) {
+        placements_.pop_front();
+    }
+}
+
+RegionShare EndpointBook::share(Time now) const
+{
+    RegionShare share;
+    for (const auto &[id, state] : endpoints_) {
+        const auto backlog = std::chrono::duration_cast<milliseconds>(state->backlogUntil - now);
+        const auto bounded = std::clamp<std::int64_t>(backlog.count(), 0, MaxBacklogMs);
+        if (state->own > 0 && share.uses.size() < MaxUses) {
+            share.uses.push_back({shortId(id), static_cast<std::uint16_t>(state->own),
+                                  static_cast<std::uint16_t>(bounded)});
+        }
+    }
+    for (auto recent = placements_.rbegin(); recent != placements_.rend(); ++recent) {
+        if (now - recent->at > PlacementLifetime || share.placements.size() >= MaxPlacements) {
+            break;
+        }
+        share.placements.push_back(recent->placement);
+    }
+    return share;
+}
+
+} // namespace LaburnumChute::Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/EndpointBook.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "Dispatch/ColdGate.h"
+#include "Dispatch/EngineModel.h"
+#include "Dispatch/Options.h"
+#include "Dispatch/PartCache.h"
+#include "Dispatch/Shares.h"
+
+namespace LaburnumChute::Dispatch {
+
+/// One endpoint of the own region.
+struct EndpointState
+{
+    Catalog::ListedEndpoint listed;
+    /// Its failure domain is evacuated.
+    bool evacuated = false;
+    Time coldUntil{};
+
+    /// Requests of this instance on it, and of the region's others as they told it.
+    int own = 0;
+    int others = 0;
+    /// Of this instance's requests those without a first event.
+    int unread = 0;
+    /// When it will have read the prompts that this instance sent, and those of the others.
+    Time backlogUntil{};
+    Time othersBacklogUntil{};
+    /// The time to the first event as a multiple of what was expected, averaged.
+    double slowness = 1;
+    /// Share of answers that are errors of its own, averaged.
+    double errorShare = 0;
+    /// Mean time that a plain call holds a place.
+    Duration hold = milliseconds(60);
+    PartCache cache;
+    ColdGate coldGate;
+
+    /// Broken or silent tries since the last good answer.
+    int failures = 0;
+    /// It rests until then; afterwards one request goes first.
+    std::optional<Time> restsUntil;
+    Duration rest{0};
+    bool trial = false;
+    /// Its last word on its load.
+    Dialect::LoadSample sample;
+    Time sampledAt{};
+    /// Fingerprints of requests whose connection broke here lately.
+    std::deque<std::pair<Time, std::uint64_t>> lost;
+
+    int load() const
+    {
+        return own + others;
+    }
+    bool cold(Time now) const
+    {
+        return now < coldUntil;
+    }
+};
+
+/// All endpoints of the own region, by service.
+class EndpointBook
+{
+public:
+    explicit EndpointBook(const DispatchOptions &options);
+
+    void setServices(const std::map<ServiceName, Catalog::Service> &services);
+    void setEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints,
+                      const std::set<Common::FailureDomainName> &evacuated, Time now);
+    /// What another instance of the region has on the endpoints.
+    void setShare(const InstanceId &instance, const RegionShare &share, Time now);
+    /// Forgets the shares of instances that are not in the list.
+    void keepShares(const std::vector<InstanceId> &instances);
+
+    const Catalog::Service *service(const ServiceName &name) const;
+    /// Endpoints of the service that may get new work, cold and resting ones among them.
+    const std::vector<EndpointState *> &usable(const ServiceName &name) const;
+    /// Those whose memory may be read, though they get no new work.
+    const std::vector<EndpointState *> &running(const ServiceName &name) const;
+    EndpointState *find(const EndpointId &id);
+    EngineModel &engine(const ServiceName &name);
+    std::vector<const EndpointState *> all() const;
+    const std::map<ServiceName, Catalog::Service> &services() const
+    {
+        return services_;
+    }
+    RegionShare share(Time now) const;
+    /// Remembers a large part for the next share.
+    void placed(const EndpointState &endpoint, const std::vector<Dialect::PromptPart> &parts,
+                Time now);
+
+private:
+    struct RecentPlacement
+    {
+        Time at{};
+        PartPlacement placement;
+    };
+
+    void rebuild();
+    void sumShares(Time now);
+
+    const DispatchOptions *options_;
+    std::map<ServiceName, Catalog::Service> services_;
+    std::map<EndpointId, std::unique_ptr<EndpointState>> endpoints_;
+    std::map<ServiceName, std::vector<EndpointState *>> usable_;
+    std::map<ServiceName, std::vector<EndpointState *>> running_;
+    std::map<ServiceName, EngineModel> engines_;
+    std::map<std::uint32_t, EndpointState *> byShortId_;
+    std::map<InstanceId, RegionShare> shares_;
+    std::deque<RecentPlacement> placements_;
+};
+
+} // namespace LaburnumChute::Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Options.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstddef>
+
+#include "Dispatch/Facts.h"
+
+namespace LaburnumChute::Dispatch {
+
+/// All thresholds of the decisions on relayed requests, with their source.
+struct DispatchOptions
+{
+    // Prompts.
+
+    /// Tokens of a prompt that an engine reads in a millisecond, until answers have shown it. The
+    /// sheets of the engines in use say 38 and 57.
+    double prefillRate = 40;
+    /// From sending a request whose prompt is cached to its first event, on an idle engine: 16 to 19
+    /// ms by the engines' sheets, and the way there and back.
+    milliseconds firstEventFloor{25};
+    /// Each request that runs beside it delays a request by so much: 0.09 to 0.15 ms a step by the
+    /// sheets, over the ten steps that a first chunk takes.
+    Duration delayPerRunning = std::chrono::microseconds(1500);
+    /// Smallest part of a prompt that is worth copying between endpoints: a copy takes 5 ms to set
+    /// up, which is what reading 200 tokens takes; with a margin.
+    std::int64_t copyMinimumTokens = 512;
+    /// What a copy adds to the wait: 5 ms to set up and 5 ms for 13,000 tokens at 370 Gbit/s, twice
+    /// that between failure domains.
+    milliseconds copyTime{15};
+    /// A prompt whose parts no endpoint is known to hold goes to the endpoint that all instances
+    /// compute for its first large part, unless that one is slower than the best by this much.
+    milliseconds homeTolerance{120};
+    /// Share of an endpoint's memory that is taken to hold cached parts; running requests have the
+    /// rest.
+    double cacheShare = 0.7;
+
+    // Waiting.
+
+    /// A request is sent while the first event is expected within this share of its objective. The
+    /// expectation errs by about a third.
+    double objectiveShare = 0.8;
+    /// How far one step of priority moves a request in the queue: a quarter of the objectives, which
+    /// are 0.5 to 1.2 s. Strict order would starve the lower kind under overload.
+    milliseconds priorityStep{200};
+    /// Requests looked at in one round before the rest is taken to find no place either.
+    std::size_t lookAhead = 8;
+    /// Requests that wait at most, of all services: bounds memory.
+    std::size_t queueLimit = 2000;
+    /// Bounds of what a rejected caller is told to wait. The lower one is the time in which the load
+    /// of an endpoint changes, the upper one what callers with a few seconds left still honour.
+    milliseconds retryAfterMin{300};
+    milliseconds retryAfterMax{2000};
+    /// Callers are told times spread by this share, so that they do not come back together.
+    double retryAfterJitter = 0.3;
+
+    // Endpoints that fail.
+
+    /// An endpoint that refused a connection rests this long; doubled up to the maximum.
+    milliseconds restFirst{250};
+    milliseconds restMax{2000};
+    /// Broken or silent tries in a row that make an endpoint rest.
+    int failuresInRow = 3;
+    /// Weight of one answer in an endpoint's share of errors.
+    double errorWeight = 0.08;
+    /// A repeatable request without an answer is taken off its endpoint after this many times the
+    /// expected wait, but not before the floor. Long tails of plain calls are five times the mean.
+    double silenceFactor = 4;
+    milliseconds silenceFloor{500};
+
+    // Shared bounds.
+
+    /// Share of a bound that holds for all instances together which they use in all: their views of
+    /// each other differ for a heartbeat or two.
+    double sharedBoundUse = 0.7;
+
+    // Other regions.
+
+    /// Time from here to another region's instance and back, beside its wait: twice 55 ms and a
+    /// little.
+    milliseconds regionRoundTrip{120};
+    /// What another region tells of its room counts for this long.
+    milliseconds roomLifetime{1500};
+    /// A region is preferred to home when it is faster by this share of the objective: the bytes
+    /// between regions cost, and its caches are cold.
+    double spillMargin = 0.25;
+    /// Share of another region's free places that the instances of this one use until it reports
+    /// again.
+    double spillShare = 0.5;
+};
+
+} // namespace LaburnumChute::Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -0,0 +1,883 @@
+#include "Dispatch/Scheduler.h"
+
+#include <algorithm>
+
+namespace LaburnumChute::Dispatch {
+
+namespace {
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+/// Weight of one answer in an endpoint's averages.
+constexpr double AverageWeight = 0.1;
+constexpr double SlownessMin = 0.5;
+constexpr double SlownessMax = 6;
+/// What a full endpoint costs beside an empty one, as each request slows all others there.
+constexpr double LoadCostMs = 60;
+/// An endpoint whose record has lapsed is used when the others are this much slower.
+constexpr double MissingCostMs = 80;
+/// What a copy costs in money, put in time: 0.5 of the 11 to 16 that a long request is worth.
+constexpr double CopyCostMs = 40;
+/// Prompt of the request for which other regions are told the wait.
+constexpr std::int64_t NominalTokens = 400;
+/// An endpoint that says it is full is believed for this long.
+constexpr milliseconds SampleLifetime{150};
+/// Requests whose connection broke within this time of an endpoint's end were on board.
+constexpr seconds OnBoardTime{3};
+/// An endpoint that rested this long may have been restarted meanwhile.
+constexpr milliseconds RestartRest{1000};
+/// Tries beside the runs that a route allows: endpoints that do not take a request cost little.
+constexpr int SpareTries = 2;
+constexpr milliseconds NoEndpointRetryAfter{700};
+constexpr seconds QuarantineRetryAfter{30};
+constexpr std::size_t MaxSuspectsShared = 16;
+/// A request waits for its turn no closer than this to the end of its caller's patience.
+constexpr milliseconds DeadlineMargin{60};
+
+Milliseconds inMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<Milliseconds>(duration);
+}
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+template <typename T>
+bool contains(const std::vector<T> &values, const T &value)
+{
+    return std::find(values.begin(), values.end(), value) != values.end();
+}
+
+/// One life of an endpoint: a crashed one often comes back under its id.
+EndpointId lifeOf(const EndpointState &endpoint)
+{
+    const auto &record = endpoint.listed.record;
+    return EndpointId(fmt::format("{}@{}", record.id, record.startedAt));
+}
+
+} // namespace
+
+std::string_view toString(TryOutcome outcome)
+{
+    switch (outcome) {
+    case TryOutcome::Completed:
+        return "completed";
+    case TryOutcome::Cancelled:
+        return "cancelled";
+    case TryOutcome::NotConnected:
+        return "not connected";
+    case TryOutcome::NotRun:
+        return "not run";
+    case TryOutcome::Error:
+        return "error";
+    case TryOutcome::Broken:
+        return "broken";
+    case TryOutcome::Silent:
+        return "silent";
+    }
+    return "unknown";
+}
+
+std::string_view toString(RejectReason reason)
+{
+    switch (reason) {
+    case RejectReason::Overloaded:
+        return "overloaded";
+    case RejectReason::NoEndpoint:
+        return "no endpoint";
+    case RejectReason::Quarantined:
+        return "quarantined";
+    case RejectReason::TriesUsed:
+        return "tries used";
+    }
+    return "unknown";
+}
+
+Scheduler::Scheduler(DispatchOptions options, InstanceId self, RegionName home, std::uint64_t seed)
+    : options_(options)
+    , self_(std::move(self))
+    , home_(std::move(home))
+    , random_(seed)
+    , book_(options_)
+    , rooms_(options_)
+    , quarantine_(Decisions::QuarantineOptions())
+    , instances_({self_})
+{
+}
+
+// What is known.
+
+Effects Scheduler::setServices(const std::map<ServiceName, Catalog::Service> &services, Time now)
+{
+    book_.setServices(services);
+    Effects effects;
+    pump(now, effects);
+    return effects;
+}
+
+Effects Scheduler::setEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints,
+                                const std::set<Common::FailureDomainName> &evacuated, Time now)
+{
+    book_.setEndpoints(endpoints, evacuated, now);
+    Effects effects;
+    pump(now, effects);
+    return effects;
+}
+
+void Scheduler::setBounds(const Catalog::Bounds &bounds)
+{
+    bounds_ = bounds;
+    boundBudgets();
+}
+
+void Scheduler::setFleet(const std::vector<InstanceId> &ownRegion, std::size_t allInstances,
+                         const std::vector<RegionName> &reachableRegions)
+{
+    instances_ = ownRegion;
+    allInstances_ = std::max<std::size_t>(1, allInstances);
+    book_.keepShares(instances_);
+    rooms_.setOwnInstances(instances_.size());
+    rooms_.setReachable(reachableRegions);
+    boundBudgets();
+}
+
+double Scheduler::retrySlack() const
+{
+    return bounds_.retrySlack * options_.sharedBoundUse / static_cast<double>(allInstances_);
+}
+
+void Scheduler::boundBudgets()
+{
+    const double ratio = bounds_.retryRatio * options_.sharedBoundUse;
+    for (auto &[service, budget] : budgets_) {
+        budget.setBounds(ratio, retrySlack(), bounds_.retryWindow);
+    }
+}
+
+RetryBudget &Scheduler::budget(const ServiceName &service)
+{
+    const double ratio = bounds_.retryRatio * options_.sharedBoundUse;
+    return budgets_.try_emplace(service, ratio, retrySlack(), bounds_.retryWindow).first->second;
+}
+
+void Scheduler::mergeSuspects(const std::vector<SuspectShare> &suspects, Time now)
+{
+    std::vector<Decisions::SuspectNotice> notices;
+    for (const auto &suspect : suspects) {
+        Decisions::SuspectNotice notice;
+        notice.fingerprint = suspect.fingerprint;
+        notice.age = milliseconds(suspect.ageMs);
+        for (const auto &death : suspect.deaths) {
+            notice.deaths.push_back(EndpointId(death));
+        }
+        notices.push_back(std::move(notice));
+    }
+    quarantine_.merge(notices, now);
+}
+
+Effects Scheduler::setRegionShare(const InstanceId &instance, const RegionShare &share, Time now)
+{
+    book_.setShare(instance, share, now);
+    mergeSuspects(share.suspects, now);
+    Effects effects;
+    pump(now, effects);
+    return effects;
+}
+
+void Scheduler::setWorldShare(const RegionName &region, const InstanceId &instance,
+                              const WorldShare &share, Time now)
+{
+    rooms_.update(region, instance, share, now);
+    mergeSuspects(share.suspects, now);
+}
+
+RegionShare Scheduler::regionShare(Time now) const
+{
+    auto share = book_.share(now);
+    for (const auto &notice : quarantine_.notices(now)) {
+        if (share.suspects.size() >= MaxSuspectsShared) {
+            break;
+        }
+        SuspectShare suspect;
+        suspect.fingerprint = notice.fingerprint;
+        const auto age = std::chrono::duration_cast<milliseconds>(notice.age);
+        suspect.ageMs = static_cast<std::uint32_t>(age.count());
+        for (const auto &death : notice.deaths) {
+            suspect.deaths.push_back(death.text());
+        }
+        share.suspects.push_back(std::move(suspect));
+    }
+    return share;
+}
+
+WorldShare Scheduler::worldShare(Time now)
+{
+    WorldShare share;
+    share.suspects = regionShare(now).suspects;
+    for (const auto &[name, service] : book_.services()) {
+        ServiceRoom room;
+        room.service = shortId(name);
+        std::optional<Duration> best;
+        for (const auto *endpoint : book_.usable(name)) {
+            if (endpoint->restsUntil || endpoint->cold(now)) {
+                continue;
+            }
+            ++room.endpoints;
+            const int free = endpoint->listed.record.slots - endpoint->load();
+            room.freePlaces += static_cast<std::uint32_t>(std::max(0, free));
+            const auto wait = service.engine
+                                  ? engineWait(*endpoint, now) + options_.firstEventFloor
+                                        + book_.engine(name).readTime(NominalTokens)
+                                  : plainWait(*endpoint);
+            best = best ? std::min(*best, wait) : wait;
+        }
+        const auto wait = best.value_or(Duration(0)) + queueWait(name, now);
+        constexpr std::int64_t MaxWaitMs = 60000;
+        room.waitMs = static_cast<std::uint16_t>(std::min<std::int64_t>(
+            std::chrono::duration_cast<milliseconds>(wait).count(), MaxWaitMs));
+        share.rooms.push_back(room);
+    }
+    return share;
+}
+
+void Scheduler::loadSeen(const EndpointId &endpoint, const Dialect::LoadSample &sample, Time now)
+{
+    if (auto *state = book_.find(endpoint)) {
+        state->sample = sample;
+        state->sampledAt = now;
+    }
+}
+
+void Scheduler::coldSeen(const EndpointId &endpoint, Duration left, Time now)
+{
+    if (auto *state = book_.find(endpoint)) {
+        state->coldUntil = now + left;
+    }
+}
+
+// Placing.
+
+bool Scheduler::homeAllowed(const CallFacts &facts) const
+{
+    return facts.homes.empty() || contains(facts.homes, home_);
+}
+
+int Scheduler::coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const
+{
+    const double bound = (service.coldRate * bounds_.coldOvershoot + bounds_.coldSlack)
+                         * options_.sharedBoundUse;
+    return ColdGate::quota(bound, endpoint.listed.record.id, self_, instances_);
+}
+
+bool Scheduler::available(const EndpointState &endpoint, const Catalog::Service &service,
+                          const Call &call, Time now) const
+{
+    if (endpoint.restsUntil && (now < *endpoint.restsUntil || endpoint.trial)) {
+        return false;
+    }
+    const bool limited = endpoint.cold(now) && service.coldRate > 0;
+    if (limited && !endpoint.coldGate.allows(coldQuota(endpoint, service), now)) {
+        return false;
+    }
+    const auto &sample = endpoint.sample;
+    const bool saysFull = now - endpoint.sampledAt < SampleLifetime && sample.waiting > 0
+                          && sample.running >= sample.slots;
+    const bool room = endpoint.load() < endpoint.listed.record.slots && !saysFull;
+    return room && !contains(call.tried, endpoint.listed.record.id);
+}
+
+Duration Scheduler::engineWait(const EndpointState &endpoint, Time now) const
+{
+    const auto own = std::max(Duration(0), endpoint.backlogUntil - now);
+    const auto others = std::max(Duration(0), endpoint.othersBacklogUntil - now);
+    const auto running = endpoint.load() * options_.delayPerRunning;
+    return scaled(own + others + running, endpoint.slowness);
+}
+
+Duration Scheduler::plainWait(const EndpointState &endpoint) const
+{
+    const int slots = endpoint.listed.record.slots;
+    const int excess = std::max(0, endpoint.load() + 1 - slots);
+    return scaled(endpoint.hold, 1 + static_cast<double>(excess) / slots);
+}
+
+const EndpointState *Scheduler::holderOf(const Call &call, Time now,
+                                         std::int64_t &heldTokens) const
+{
+    const EndpointState *holder = nullptr;
+    heldTokens = 0;
+    for (const auto *endpoint : book_.running(call.facts.service)) {
+        const bool reachable = !endpoint->restsUntil && !endpoint->evacuated
+                               && (!endpoint->listed.endsAt || now < *endpoint->listed.endsAt);
+        const auto held = reachable ? endpoint->cache.cachedTokens(call.facts.parts) : 0;
+        if (held > heldTokens) {
+            heldTokens = held;
+            holder = endpoint;
+        }
+    }
+    return holder;
+}
+
+const EndpointState *Scheduler::homeEndpoint(const Call &call) const
+{
+    const auto &parts = call.facts.parts;
+    const auto large = std::find_if(parts.begin(), parts.end(), [this](const auto &part) {
+        return part.tokens >= options_.copyMinimumTokens;
+    });
+    if (large == parts.end()) {
+        return nullptr;
+    }
+    const auto key = std::to_string(large->id);
+    const EndpointState *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const auto *endpoint : book_.usable(call.facts.service)) {
+        const auto weight = Common::rendezvousWeight(key, endpoint->listed.record.id.text());
+        if (!endpoint->restsUntil && (best == nullptr || weight > bestWeight)) {
+            best = endpoint;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+Scheduler::Candidate Scheduler::evaluate(EndpointState &endpoint, const Catalog::Service &service,
+                                         const Call &call, const EndpointState *holder,
+                                         std::int64_t heldTokens, Time now)
+{
+    Candidate candidate;
+    candidate.endpoint = &endpoint;
+    double extraMs = 0;
+    if (service.engine) {
+        auto cached = endpoint.cache.cachedTokens(call.facts.parts);
+        const bool copies = service.engine->transfers && holder != nullptr && holder != &endpoint
+                            && heldTokens - cached >= options_.copyMinimumTokens;
+        Duration copying{0};
+        if (copies) {
+            cached = heldTokens;
+            candidate.copyFrom = holder;
+            copying = options_.copyTime;
+            extraMs += CopyCostMs;
+        }
+        candidate.tokensToRead = std::max<std::int64_t>(0, call.facts.promptTokens - cached);
+        candidate.wait = engineWait(endpoint, now);
+        candidate.expected = options_.firstEventFloor + copying + candidate.wait
+                             + book_.engine(service.name).readTime(candidate.tokensToRead);
+    } else {
+        candidate.expected = plainWait(endpoint);
+        candidate.wait = candidate.expected - endpoint.hold;
+    }
+    const auto objective = inMilliseconds(call.facts.objectiveAt - call.facts.arrivedAt).count();
+    const double slots = endpoint.listed.record.slots;
+    std::uniform_real_distribution<double> tieBreak(0, 1);
+    candidate.cost = inMilliseconds(candidate.expected).count() + extraMs
+                     + endpoint.errorShare * objective + LoadCostMs * endpoint.load() / slots
+                     + (endpoint.listed.missing ? MissingCostMs : 0) + tieBreak(random_);
+    return candidate;
+}
+
+std::optional<Scheduler::Candidate> Scheduler::choose(const Call &call, Time now)
+{
+    const auto *service = book_.service(call.facts.service);
+    if (service == nullptr) {
+        return std::nullopt;
+    }
+    std::int64_t heldTokens = 0;
+    const auto *holder = service->engine ? holderOf(call, now, heldTokens) : nullptr;
+    const auto *home =
+        service->engine && heldTokens < options_.copyMinimumTokens ? homeEndpoint(call) : nullptr;
+    std::optional<Candidate> best;
+    std::optional<Candidate> atHome;
+    for (auto *endpoint : book_.usable(call.facts.service)) {
+        if (!available(*endpoint, *service, call, now)) {
+            continue;
+        }
+        const auto candidate = evaluate(*endpoint, *service, call, holder, heldTokens, now);
+        if (endpoint == home) {
+            atHome = candidate;
+        }
+        if (!best || candidate.cost < best->cost) {
+            best = candidate;
+        }
+    }
+    const auto tolerance = inMilliseconds(options_.homeTolerance).count();
+    return atHome && atHome->cost <= best->cost + tolerance ? atHome : best;
+}
+
+bool Scheduler::fits(const Call &call, const Candidate &candidate, Time now) const
+{
+    const auto objective = call.facts.objectiveAt - call.facts.arrivedAt;
+    const auto left = call.facts.objectiveAt - now;
+    // A prompt that takes longer than the objective even on an idle engine is judged by what it has
+    // to wait for others; else the largest requests would never be sent.
+    constexpr double WaitShare = 0.25;
+    return candidate.expected <= scaled(left, options_.objectiveShare)
+           || candidate.wait <= scaled(objective, WaitShare);
+}
+
+// Steps of a request.
+
+Effects Scheduler::submit(CallFacts facts, Time now)
+{
+    Effects effects;
+    const auto id = facts.id;
+    auto &call = calls_[id];
+    call.facts = std::move(facts);
+    if (!call.facts.forwarded) {
+        budget(call.facts.service).request(now);
+    }
+    place(call, true, now, effects);
+    return effects;
+}
+
+Duration Scheduler::queueWait(const ServiceName &service, Time now)
+{
+    const auto &endpoints = book_.usable(service);
+    if (endpoints.empty()) {
+        return Duration(0);
+    }
+    const auto *traits = book_.service(service);
+    const bool engine = traits != nullptr && traits->engine.has_value();
+    Duration work{0};
+    double places = 0;
+    Duration hold{0};
+    for (const auto *endpoint : endpoints) {
+        places += engine ? 1 : endpoint->listed.record.slots;
+        hold += endpoint->hold / static_cast<int>(endpoints.size());
+    }
+    for (const auto &[key, id] : queue_) {
+        const auto &facts = calls_.at(id).facts;
+        if (facts.service == service) {
+            work += engine ? book_.engine(service).readTime(facts.promptTokens) : hold;
+        }
+    }
+    static_cast<void>(now);
+    return scaled(work, 1 / std::max(1.0, places));
+}
+
+Duration Scheduler::bestWait(const Call &call, Time now)
+{
+    const auto *service = book_.service(call.facts.service);
+    std::optional<Duration> best;
+    for (const auto *endpoint : book_.usable(call.facts.service)) {
+        const auto wait = service->engine ? engineWait(*endpoint, now) : plainWait(*endpoint);
+        best = best ? std::min(*best, wait) : wait;
+    }
+    return best.value_or(Duration(0)) + queueWait(call.facts.service, now);
+}
+
+void Scheduler::place(Call &call, bool mayWait, Time now, Effects &effects)
+{
+    const auto &facts = call.facts;
+    if (quarantine_.verdict(facts.fingerprint, now) == Decisions::Verdict::Quarantined) {
+        reject(call, RejectReason::Quarantined, QuarantineRetryAfter, now, effects);
+        return;
+    }
+    const bool atHome = homeAllowed(facts) && !book_.usable(facts.service).empty();
+    if (!atHome) {
+        const auto offer =
+            facts.forwarded
+                ? std::nullopt
+                : rooms_.any(facts.service, facts.homes, call.triedRegions, now);
+        if (!forward(call, offer, now, effects)) {
+            reject(call, RejectReason::NoEndpoint, NoEndpointRetryAfter, now, effects);
+        }
+        return;
+    }
+    const auto candidate = choose(call, now);
+    if (candidate && fits(call, *candidate, now) && send(call, *candidate, now, effects)) {
+        return;
+    }
+    const auto wait = bestWait(call, now);
+    if (forwardIfBetter(call, wait, now, effects)) {
+        return;
+    }
+    const bool hopeless = wait > facts.objectiveAt - now;
+    if (hopeless || !mayWait || queue_.size() >= options_.queueLimit) {
+        reject(call, RejectReason::Overloaded, wait, now, effects);
+        return;
+    }
+    call.queuedAt = now;
+    enqueue(call);
+}
+
+bool Scheduler::send(Call &call, const Candidate &candidate, Time now, Effects &effects)
+{
+    auto &endpoint = *candidate.endpoint;
+    const auto &record = endpoint.listed.record;
+    dequeue(call);
+    call.endpoint = record.id;
+    call.region = RegionName();
+    call.sentAt = now;
+    call.expected = candidate.expected;
+    call.tokensToRead = candidate.tokensToRead;
+    call.answering = false;
+    call.takenBack = false;
+    call.aloneAtSend = endpoint.load() == 0;
+    call.tried.push_back(record.id);
+    ++call.tries;
+    ++endpoint.own;
+    ++endpoint.unread;
+    const auto reading = book_.engine(call.facts.service).readTime(candidate.tokensToRead);
+    endpoint.backlogUntil = std::max(endpoint.backlogUntil, now) + reading;
+    endpoint.cache.use(call.facts.parts);
+    book_.placed(endpoint, call.facts.parts, now);
+    endpoint.trial = endpoint.restsUntil.has_value();
+    if (endpoint.cold(now)) {
+        endpoint.coldGate.sent(now);
+    }
+    Send effect;
+    effect.call = call.facts.id;
+    effect.endpoint = record.id;
+    effect.address = record.address;
+    effect.expected = candidate.expected;
+    if (candidate.copyFrom != nullptr) {
+        effect.copyCacheFrom = candidate.copyFrom->listed.record.address;
+    }
+    effects.push_back(std::move(effect));
+    return true;
+}
+
+bool Scheduler::forward(Call &call, const std::optional<RegionRooms::Offer> &offer, Time now,
+                        Effects &effects)
+{
+    if (!offer) {
+        return false;
+    }
+    dequeue(call);
+    rooms_.sent(offer->region, call.facts.service, now);
+    call.endpoint = EndpointId();
+    call.region = offer->region;
+    call.triedRegions.push_back(offer->region);
+    call.sentAt = now;
+    call.expected = offer->wait + options_.regionRoundTrip;
+    call.answering = false;
+    call.takenBack = false;
+    ++call.tries;
+    effects.push_back(Forward{call.facts.id, offer->region});
+    return true;
+}
+
+bool Scheduler::forwardIfBetter(Call &call, Duration homeWait, Time now, Effects &effects)
+{
+    const auto &facts = call.facts;
+    if (facts.forwarded) {
+        return false;
+    }
+    const auto offer = rooms_.best(facts.service, facts.homes, call.triedRegions, now);
+    if (!offer) {
+        return false;
+    }
+    const auto objective = facts.objectiveAt - facts.arrivedAt;
+    const auto there = offer->wait + options_.regionRoundTrip;
+    const bool better = there + scaled(objective, options_.spillMargin) < homeWait;
+    return better && forward(call, offer, now, effects);
+}
+
+Duration Scheduler::spread(Duration wait)
+{
+    std::uniform_real_distribution<double> factor(1 - options_.retryAfterJitter,
+                                                  1 + options_.retryAfterJitter);
+    const auto bounded = std::clamp<Duration>(wait, options_.retryAfterMin, options_.retryAfterMax);
+    return scaled(bounded, factor(random_));
+}
+
+void Scheduler::reject(Call &call, RejectReason reason, Duration wait, Time, Effects &effects)
+{
+    dequeue(call);
+    if (call.runs > 0) {
+        // An earlier try may have run: the promise that it has not would be false.
+        fail(call, effects);
+        return;
+    }
+    const auto id = call.facts.id;
+    const auto retryAfter = reason == RejectReason::Quarantined ? wait : spread(wait);
+    calls_.erase(id);
+    effects.push_back(Reject{id, reason, retryAfter});
+}
+
+void Scheduler::fail(Call &call, Effects &effects)
+{
+    dequeue(call);
+    const auto id = call.facts.id;
+    calls_.erase(id);
+    effects.push_back(Fail{id});
+}
+
+void Scheduler::enqueue(Call &call)
+{
+    const auto key = call.facts.arrivedAt + call.facts.priority * options_.priorityStep;
+    call.queued = true;
+    queuePlaces_[call.facts.id] = queue_.emplace(key, call.facts.id);
+}
+
+void Scheduler::dequeue(Call &call)
+{
+    const auto found = queuePlaces_.find(call.facts.id);
+    if (found != queuePlaces_.end()) {
+        queue_.erase(found->second);
+        queuePlaces_.erase(found);
+    }
+    call.queued = false;
+}
+
+Time Scheduler::waitsUntil(const Call &call) const
+{
+    const auto objective = call.facts.objectiveAt - call.facts.arrivedAt;
+    const auto end = std::max(call.facts.objectiveAt, call.queuedAt + objective / 2);
+    return std::min<Time>(end, call.facts.deadline - DeadlineMargin);
+}
+
+void Scheduler::pump(Time now, Effects &effects)
+{
+    std::map<ServiceName, std::size_t> misses;
+    std::vector<CallId> order;
+    order.reserve(queue_.size());
+    for (const auto &[key, id] : queue_) {
+        order.push_back(id);
+    }
+    for (const auto id : order) {
+        auto &call = calls_.at(id);
+        const auto service = call.facts.service;
+        if (now >= waitsUntil(call)) {
+            reject(call, RejectReason::Overloaded, bestWait(call, now), now, effects);
+            continue;
+        }
+        if (book_.usable(service).empty()) {
+            dequeue(call);
+            place(call, false, now, effects);
+            continue;
+        }
+        if (misses[service] >= options_.lookAhead) {
+            continue;
+        }
+        const auto candidate = choose(call, now);
+        const bool sent = candidate && fits(call, *candidate, now)
+                          && send(call, *candidate, now, effects);
+        if (!sent && !forwardIfBetter(call, bestWait(call, now), now, effects)) {
+            ++misses[service];
+        }
+    }
+}
+
+void Scheduler::withdraw(CallId id, Time)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    auto &call = found->second;
+    call.withdrawn = true;
+    if (call.queued) {
+        dequeue(call);
+        calls_.erase(found);
+    }
+}
+
+// What tries tell of endpoints.
+
+void Scheduler::answering(CallId id, Time now)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end() || found->second.answering) {
+        return;
+    }
+    auto &call = found->second;
+    call.answering = true;
+    auto *endpoint = book_.find(call.endpoint);
+    if (endpoint == nullptr) {
+        return;
+    }
+    const auto took = now - call.sentAt;
+    endpoint->unread = std::max(0, endpoint->unread - 1);
+    if (endpoint->unread == 0) {
+        endpoint->backlogUntil = now;
+    }
+    const auto *service = book_.service(call.facts.service);
+    if (service == nullptr || !service->engine) {
+        return;
+    }
+    if (call.aloneAtSend) {
+        book_.engine(call.facts.service).sample(call.tokensToRead, took);
+    }
+    constexpr double RatioMin = 0.3;
+    constexpr double RatioMax = 3;
+    const auto expected = std::max<Duration>(call.expected, options_.firstEventFloor);
+    const auto ratio =
+        std::clamp(inMilliseconds(took) / inMilliseconds(expected), RatioMin, RatioMax);
+    endpoint->slowness = std::clamp(endpoint->slowness * (1 + AverageWeight * (ratio - 1)),
+                                    SlownessMin, SlownessMax);
+}
+
+void Scheduler::rest(EndpointState &endpoint, Time now)
+{
+    const auto doubled = std::max<Duration>(options_.restFirst, endpoint.rest * 2);
+    endpoint.rest = std::min<Duration>(doubled, options_.restMax);
+    endpoint.restsUntil = now + endpoint.rest;
+    endpoint.trial = false;
+}
+
+void Scheduler::noteOutcome(EndpointState &endpoint, const Call &call, TryOutcome outcome, Time now)
+{
+    const auto *service = book_.service(call.facts.service);
+    const bool good = outcome == TryOutcome::Completed || outcome == TryOutcome::Error
+                      || outcome == TryOutcome::NotRun;
+    if (outcome == TryOutcome::Completed || outcome == TryOutcome::Error) {
+        const double error = outcome == TryOutcome::Error ? 1 : 0;
+        endpoint.errorShare += options_.errorWeight * (error - endpoint.errorShare);
+        quarantine_.completed(call.facts.fingerprint, now);
+        if (service != nullptr && !service->engine) {
+            endpoint.hold += scaled(now - call.sentAt - endpoint.hold, AverageWeight);
+        }
+    }
+    if (good) {
+        endpoint.failures = 0;
+        if (endpoint.restsUntil && endpoint.rest >= RestartRest && service != nullptr) {
+            endpoint.coldUntil = std::max(endpoint.coldUntil, now + service->coldTime);
+        }
+        endpoint.restsUntil.reset();
+        endpoint.rest = Duration(0);
+        endpoint.trial = false;
+        return;
+    }
+    if (outcome == TryOutcome::Cancelled) {
+        endpoint.trial = false;
+        return;
+    }
+    ++endpoint.failures;
+    if (outcome == TryOutcome::Broken) {
+        endpoint.lost.emplace_back(now, call.facts.fingerprint);
+    }
+    while (!endpoint.lost.empty() && now - endpoint.lost.front().first > OnBoardTime) {
+        endpoint.lost.pop_front();
+    }
+    if (outcome == TryOutcome::NotConnected && !endpoint.restsUntil && !endpoint.lost.empty()) {
+        std::vector<std::uint64_t> onBoard;
+        for (const auto &[at, fingerprint] : endpoint.lost) {
+            onBoard.push_back(fingerprint);
+        }
+        quarantine_.endpointDied(lifeOf(endpoint), onBoard, now);
+        endpoint.lost.clear();
+        endpoint.cache.clear();
+    }
+    if (outcome == TryOutcome::NotConnected || endpoint.failures >= options_.failuresInRow) {
+        rest(endpoint, now);
+    }
+}
+
+void Scheduler::leaveEndpoint(Call &call, TryOutcome outcome, Time now)
+{
+    auto *endpoint = book_.find(call.endpoint);
+    if (endpoint == nullptr) {
+        return;
+    }
+    endpoint->own = std::max(0, endpoint->own - 1);
+    if (!call.answering) {
+        endpoint->unread = std::max(0, endpoint->unread - 1);
+        const auto reading = book_.engine(call.facts.service).readTime(call.tokensToRead);
+        endpoint->backlogUntil = endpoint->unread == 0 ? now : endpoint->backlogUntil - reading;
+    }
+    noteOutcome(*endpoint, call, outcome, now);
+}
+
+Effects Scheduler::ended(CallId id, TryOutcome outcome, bool mayGoOn, Time now)
+{
+    Effects effects;
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return effects;
+    }
+    auto &call = found->second;
+    const bool atEndpoint = !call.endpoint.empty();
+    if (atEndpoint) {
+        leaveEndpoint(call, outcome, now);
+    }
+    const bool over = call.withdrawn || outcome == TryOutcome::Completed
+                      || outcome == TryOutcome::Cancelled;
+    if (over) {
+        calls_.erase(found);
+        pump(now, effects);
+        return effects;
+    }
+    auto &budgetOfService = budget(call.facts.service);
+    const bool unsent = outcome == TryOutcome::NotConnected;
+    const bool notRun = unsent || outcome == TryOutcome::NotRun;
+    call.runs += notRun ? 0 : 1;
+    const bool triesLeft = call.tries < call.facts.attempts + SpareTries;
+    const bool allowed =
+        notRun ? triesLeft : call.facts.repeatable && call.runs < call.facts.attempts;
+    const bool again = mayGoOn && allowed && now < call.facts.deadline
+                       && (unsent || budgetOfService.take(now));
+    const auto &usable = book_.usable(call.facts.service);
+    const bool allTried = std::all_of(usable.begin(), usable.end(), [&](const auto *endpoint) {
+        return contains(call.tried, endpoint->listed.record.id);
+    });
+    if (again && allTried && !notRun) {
+        // There is no other endpoint: one that answers with errors now and then is tried again.
+        call.tried.clear();
+    }
+    if (again) {
+        place(call, true, now, effects);
+    } else if (call.runs == 0) {
+        reject(call, RejectReason::TriesUsed, bestWait(call, now), now, effects);
+    } else {
+        fail(call, effects);
+    }
+    pump(now, effects);
+    return effects;
+}
+
+void Scheduler::takeBackSilent(Time now, Effects &effects)
+{
+    for (auto &[id, call] : calls_) {
+        const bool waits = !call.queued && !call.answering && !call.takenBack && !call.withdrawn
+                           && call.tries > 0;
+        const bool may = waits && call.facts.repeatable && call.runs + 1 < call.facts.attempts;
+        if (!may) {
+            continue;
+        }
+        const auto patience = std::max<Duration>(
+            options_.silenceFloor, scaled(call.expected, options_.silenceFactor));
+        if (now - call.sentAt > patience && budget(call.facts.service).available(now)) {
+            call.takenBack = true;
+            effects.push_back(TakeBack{id});
+        }
+    }
+}
+
+Effects Scheduler::tick(Time now)
+{
+    Effects effects;
+    pump(now, effects);
+    takeBackSilent(now, effects);
+    quarantine_.expire(now);
+    return effects;
+}
+
+nlohmann::json Scheduler::dump(Time now) const
+{
+    auto endpoints = nlohmann::json::array();
+    for (const auto *endpoint : book_.all()) {
+        endpoints.push_back({{"id", endpoint->listed.record.id.text()},
+                             {"service", endpoint->listed.record.service.text()},
+                             {"leaving", endpoint->listed.leaving},
+                             {"missing", endpoint->listed.missing},
+                             {"evacuated", endpoint->evacuated},
+                             {"cold", endpoint->cold(now)},
+                             {"rests", endpoint->restsUntil.has_value()},
+                             {"own", endpoint->own},
+                             {"others", endpoint->others},
+                             {"slowness", endpoint->slowness},
+                             {"error_share", endpoint->errorShare}});
+    }
+    return {{"instance", self_.text()},
+            {"region", home_.text()},
+            {"instances", instances_.size()},
+            {"requests", calls_.size()},
+            {"waiting", queue_.size()},
+            {"endpoints", endpoints},
+            {"quarantine", quarantine_.dump(now)}};
+}
+
+} // namespace LaburnumChute::Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "Decisions/Decisions.h"
+#include "Dispatch/EndpointBook.h"
+#include "Dispatch/Facts.h"
+#include "Dispatch/Options.h"
+#include "Dispatch/RegionRooms.h"
+#include "Dispatch/RetryBudget.h"
+
+namespace LaburnumChute::Dispatch {
+
+/// All decisions on the relayed requests of one instance: where and when each is sent, and when it
+/// is turned away instead.
+///
+/// Load pattern: long prompts with large shared parts beside many short ones; the rush of one region
+/// while others idle; endpoints that come and go. A request goes to the endpoint of its region with
+/// the shortest expected time to the first byte, where prompts that wait to be read there, parts of
+/// this prompt that are not in its memory, and its past slowness count. What cannot be sent in time
+/// waits here, where it costs nothing should its caller leave; what will not be in time at all is
+/// rejected at once.
+///
+/// For each request submitted there is exactly one of: Reject; Fail; or a Send or Forward that ends
+/// with ended(), which may return the next effect. Not thread-safe.
+class Scheduler
+{
+public:
+    Scheduler(DispatchOptions options, InstanceId self, RegionName home, std::uint64_t seed);
+
+    // What is known.
+
+    Effects setServices(const std::map<ServiceName, Catalog::Service> &services, Time now);
+    /// Endpoints of the own region.
+    Effects setEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints,
+                         const std::set<Common::FailureDomainName> &evacuated, Time now);
+    void setBounds(const Catalog::Bounds &bounds);
+    /// Live instances of the own region, this one among them, of all regions together, and the
+    /// other regions that can be reached.
+    void setFleet(const std::vector<InstanceId> &ownRegion, std::size_t allInstances,
+                  const std::vector<RegionName> &reachableRegions);
+    Effects setRegionShare(const InstanceId &instance, const RegionShare &share, Time now);
+    void setWorldShare(const RegionName &region, const InstanceId &instance,
+                       const WorldShare &share, Time now);
+    RegionShare regionShare(Time now) const;
+    WorldShare worldShare(Time now);
+
+    // Requests.
+
+    Effects submit(CallFacts facts, Time now);
+    /// Its caller has left, or has its answer: what waits is forgotten. A try under way still ends
+    /// with ended().
+    void withdraw(CallId call, Time now);
+    /// The first event or byte of the answer came.
+    void answering(CallId call, Time now);
+    /// @param mayGoOn whether another try may follow: false once a part of the answer was passed on
+    ///        and cannot be continued
+    Effects ended(CallId call, TryOutcome outcome, bool mayGoOn, Time now);
+    void loadSeen(const EndpointId &endpoint, const Dialect::LoadSample &sample, Time now);
+    void coldSeen(const EndpointId &endpoint, Duration left, Time now);
+    Effects tick(Time now);
+
+    // Questions.
+
+    std::size_t waiting() const
+    {
+        return queue_.size();
+    }
+    bool knows(CallId call) const
+    {
+        return calls_.count(call) > 0;
+    }
+    nlohmann::json dump(Time now) const;
+
+private:
+    struct Call
+    {
+        CallFacts facts;
+        bool queued = false;
+        bool withdrawn = false;
+        Time queuedAt{};
+        /// Where it is now.
+        EndpointId endpoint;
+        RegionName region;
+        Time sentAt{};
+        Duration expected{0};
+        std::int64_t tokensToRead = 0;
+        bool answering = false;
+        bool takenBack = false;
+        bool backlogCounted = false;
+        /// The engine had nothing else to read as it was sent.
+        bool aloneAtSend = false;
+        /// Tries after which it may have run.
+        int runs = 0;
+        /// Tries of any outcome.
+        int tries = 0;
+        std::vector<EndpointId> tried;
+        std::vector<RegionName> triedRegions;
+    };
+
+    struct Candidate
+    {
+        EndpointState *endpoint = nullptr;
+        /// Until the first event, and the part of it that the endpoint's other work takes.
+        Duration expected{0};
+        Duration wait{0};
+        double cost = 0;
+        std::int64_t tokensToRead = 0;
+        const EndpointState *copyFrom = nullptr;
+    };
+
+    // Placing.
+    std::optional<Candidate> choose(const Call &call, Time now);
+    bool available(const EndpointState &endpoint, const Catalog::Service &service, const Call &call,
+                   Time now) const;
+    Candidate evaluate(EndpointState &endpoint, const Catalog::Service &service, const Call &call,
+                       const EndpointState *holder, std::int64_t heldTokens, Time now);
+    const EndpointState *holderOf(const Call &call, Time now, std::int64_t &heldTokens) const;
+    const EndpointState *homeEndpoint(const Call &call) const;
+    Duration engineWait(const EndpointState &endpoint, Time now) const;
+    Duration plainWait(const EndpointState &endpoint) const;
+    int coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const;
+
+    // Steps of a request.
+    void place(Call &call, bool mayWait, Time now, Effects &effects);
+    bool send(Call &call, const Candidate &candidate, Time now, Effects &effects);
+    bool forward(Call &call, const std::optional<RegionRooms::Offer> &offer, Time now,
+                 Effects &effects);
+    bool forwardIfBetter(Call &call, Duration homeWait, Time now, Effects &effects);
+    bool fits(const Call &call, const Candidate &candidate, Time now) const;
+    Time waitsUntil(const Call &call) const;
+    void reject(Call &call, RejectReason reason, Duration wait, Time now, Effects &effects);
+    void fail(Call &call, Effects &effects);
+    void enqueue(Call &call);
+    void dequeue(Call &call);
+    void pump(Time now, Effects &effects);
+    void takeBackSilent(Time now, Effects &effects);
+    bool homeAllowed(const CallFacts &facts) const;
+    Duration queueWait(const ServiceName &service, Time now);
+    Duration bestWait(const Call &call, Time now);
+    Duration spread(Duration wait);
+    RetryBudget &budget(const ServiceName &service);
+    /// This instance's part of the retries that are allowed beside the share of the requests.
+    double retrySlack() const;
+    void boundBudgets();
+    void mergeSuspects(const std::vector<SuspectShare> &suspects, Time now);
+
+    // What tries tell of endpoints.
+    void leaveEndpoint(Call &call, TryOutcome outcome, Time now);
+    void noteOutcome(EndpointState &endpoint, const Call &call, TryOutcome outcome, Time now);
+    void rest(EndpointState &endpoint, Time now);
+
+    DispatchOptions options_;
+    InstanceId self_;
+    RegionName home_;
+    Catalog::Bounds bounds_;
+    std::mt19937_64 random_;
+    EndpointBook book_;
+    RegionRooms rooms_;
+    Decisions::Quarantine quarantine_;
+    std::vector<InstanceId> instances_;
+    std::size_t allInstances_ = 1;
+    std::map<ServiceName, RetryBudget> budgets_;
+    std::unordered_map<CallId, Call> calls_;
+    /// By order of service.
+    std::multimap<Time, CallId> queue_;
+    std::unordered_map<CallId, std::multimap<Time, CallId>::iterator> queuePlaces_;
+};
+
+} // namespace LaburnumChute::Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Shares.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "Dispatch/Facts.h"
+
+namespace LaburnumChute::Dispatch {
+
+/// Names an endpoint in few bytes.
+std::uint32_t shortId(const EndpointId &id);
+std::uint32_t shortId(const ServiceName &name);
+
+/// Requests of one instance on one endpoint.
+struct EndpointUse
+{
+    std::uint32_t endpoint = 0;
+    std::uint16_t inFlight = 0;
+    /// Time that the endpoint needs to read the prompts that the instance has sent.
+    std::uint16_t backlogMs = 0;
+
+    /// For cereal.
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(endpoint, inFlight, backlogMs);
+    }
+};
+
+/// A large part of a prompt that an endpoint was sent lately.
+struct PartPlacement
+{
+    std::uint32_t endpoint = 0;
+    std::uint64_t part = 0;
+    std::uint32_t tokens = 0;
+
+    /// For cereal.
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(endpoint, part, tokens);
+    }
+};
+
+/// A request that is suspected of taking endpoints down.
+struct SuspectShare
+{
+    std::uint64_t fingerprint = 0;
+    std::vector<std::string> deaths;
+    std::uint32_t ageMs = 0;
+
+    /// For cereal.
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(fingerprint, deaths, ageMs);
+    }
+};
+
+/// What an instance tells the others of its region.
+struct RegionShare
+{
+    std::vector<EndpointUse> uses;
+    std::vector<PartPlacement> placements;
+    std::vector<SuspectShare> suspects;
+
+    /// For cereal.
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(uses, placements, suspects);
+    }
+};
+
+/// What a region could take of one service.
+struct ServiceRoom
+{
+    std::uint32_t service = 0;
+    std::uint16_t endpoints = 0;
+    std::uint32_t freePlaces = 0;
+    /// Expected until the first event of a short request.
+    std::uint16_t waitMs = 0;
+
+    /// For cereal.
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, endpoints, freePlaces, waitMs);
+    }
+};
+
+/// What an instance tells those of other regions.
+struct WorldShare
+{
+    std::vector<ServiceRoom> rooms;
+    std::vector<SuspectShare> suspects;
+
+    /// For cereal.
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(rooms, suspects);
+    }
+};
+
+} // namespace LaburnumChute::Dispatch
--- a/Source/Core/Gateway/ClusterRunner.cpp
+++ b/Source/Core/Gateway/ClusterRunner.cpp
@@ -165,7 +165,7 @@
     }
 }
 
-void ClusterRunner::takeList(const Platform::InstanceList &list)
+void ClusterRunner::takeList(const Readers::InstanceList &list)
 {
     list_ = list;
     std::vector<Cluster::Seed> seeds;
@@ -206,7 +206,7 @@
         endpoint.region = listed.region;
         endpoint.failureDomain = listed.failureDomain;
         endpoint.leaving = listed.leaving || leavingEndpoints_.count(listed.id) > 0;
-        if (listed.kind == Platform::EndpointKind::Service) {
+        if (listed.kind == Readers::EndpointKind::Service) {
             endpoint.targets = {D::Target::service(Common::ServiceName(listed.name))};
         } else {
             const Common::ModelName name(listed.name);
--- a/Source/Core/Gateway/ClusterRunner.h
+++ b/Source/Core/Gateway/ClusterRunner.h
@@ -17,7 +17,7 @@
 #include "Gateway/Dispatcher.h"
 #include "Gateway/RoutingTable.h"
 #include "Peers/Peers.h"
-#include "Platform/Platform.h"
+#include "Readers/Readers.h"
 
 namespace LaburnumChute::Gateway {
 
@@ -55,7 +55,7 @@
     {
         return node_;
     }
-    const std::vector<Platform::ListedEndpoint> &listedEndpoints() const
+    const std::vector<Readers::ListedEndpoint> &listedEndpoints() const
     {
         return list_.endpoints;
     }
@@ -89,7 +89,7 @@
     void carryOut(const Cluster::NoticeReceived &effect);
     void carryOut(const Cluster::RegionChanged &effect);
 
-    void takeList(const Platform::InstanceList &list);
+    void takeList(const Readers::InstanceList &list);
     void updateEndpoints();
     void shareLoad();
     void publishSuspects();
@@ -106,11 +106,11 @@
     std::unique_ptr<Peers::GossipSocket> socket_;
     RoutingTableCell &table_;
     Dispatcher &dispatcher_;
-    Platform::ConfigurationReader configurationReader_;
-    Platform::InstanceListReader listReader_;
+    Readers::ConfigurationReader configurationReader_;
+    Readers::InstanceListReader listReader_;
     TableListener listener_;
     SupersededListener superseded_;
-    Platform::InstanceList list_;
+    Readers::InstanceList list_;
     std::shared_ptr<const Configuration::Configuration> configuration_;
     Common::ConfigurationNumber number_ = 0;
     Validated validated_;
--- a/Source/Core/Gateway/EndpointMonitor.cpp
+++ b/Source/Core/Gateway/EndpointMonitor.cpp
@@ -84,7 +84,7 @@
 {
 }
 
-void EndpointMonitor::watch(std::vector<Platform::ListedEndpoint> endpoints)
+void EndpointMonitor::watch(std::vector<Readers::ListedEndpoint> endpoints)
 {
     asio::post(context_, [this, endpoints = std::move(endpoints)] {
         std::map<Common::EndpointId, std::shared_ptr<Watched>> next;
@@ -111,7 +111,7 @@
     auto nextCacheEvents = std::chrono::steady_clock::now();
     while (!watched->stopped) {
         co_await readLoad(watched);
-        const bool engine = watched->endpoint.kind == Platform::EndpointKind::Engine;
+        const bool engine = watched->endpoint.kind == Readers::EndpointKind::Engine;
         if (engine && std::chrono::steady_clock::now() >= nextCacheEvents) {
             nextCacheEvents = std::chrono::steady_clock::now() + options_.cacheEventInterval;
             co_await readCacheEvents(watched);
@@ -152,7 +152,7 @@
 
 asio::awaitable<void> EndpointMonitor::readLoad(std::shared_ptr<Watched> watched)
 {
-    const bool engine = watched->endpoint.kind == Platform::EndpointKind::Engine;
+    const bool engine = watched->endpoint.kind == Readers::EndpointKind::Engine;
     const auto body = co_await get(*watched, engine ? "/v1/load" : "/load");
     note(*watched, body.has_value());
     if (!body) {
--- a/Source/Core/Gateway/EndpointMonitor.h
+++ b/Source/Core/Gateway/EndpointMonitor.h
@@ -10,7 +10,7 @@
 #include "Common/Common.h"
 #include "Endpoints/Endpoints.h"
 #include "Gateway/Dispatcher.h"
-#include "Platform/Platform.h"
+#include "Readers/Readers.h"
 
 namespace LaburnumChute::Gateway {
 
@@ -30,12 +30,12 @@
                     Endpoints::ConnectionPoolOptions poolOptions, Dispatcher &dispatcher);
 
     /// The endpoints to watch from now on; may be called from any thread.
-    void watch(std::vector<Platform::ListedEndpoint> endpoints);
+    void watch(std::vector<Readers::ListedEndpoint> endpoints);
 
 private:
     struct Watched
     {
-        Platform::ListedEndpoint endpoint;
+        Readers::ListedEndpoint endpoint;
         std::uint64_t lastCacheEvent = 0;
         bool stopped = false;
         int failedReads = 0;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -238,7 +238,7 @@
 
 void Gateway::watchEndpoints()
 {
-    std::vector<Platform::ListedEndpoint> endpoints;
+    std::vector<Readers::ListedEndpoint> endpoints;
     for (const auto &endpoint : cluster_->listedEndpoints()) {
         if (endpoint.region == options_.region) {
             endpoints.push_back(endpoint);
--- a/Source/Core/Gateway/OrderRunner.cpp
+++ b/Source/Core/Gateway/OrderRunner.cpp
@@ -142,7 +142,7 @@
     for (const auto &listed : cluster_.listedEndpoints()) {
         const Common::ModelName name(listed.name);
         const auto *model = table->configuration->model(name);
-        const bool ours = listed.kind == Platform::EndpointKind::Engine
+        const bool ours = listed.kind == Readers::EndpointKind::Engine
                           && listed.region == cluster_.node().self().region && !listed.leaving;
         if (!ours || model == nullptr) {
             continue;
@@ -189,10 +189,10 @@
 
 asio::awaitable<void> OrderRunner::readState(Common::EndpointId endpoint, Target target)
 {
-    Platform::HttpQuery query;
+    Readers::HttpQuery query;
     query.address = target.address;
     query.target = "/v1/state";
-    const auto answer = co_await Platform::fetch(std::move(query));
+    const auto answer = co_await Readers::fetch(std::move(query));
     const auto now = std::chrono::steady_clock::now();
     if (!answer || answer->status != Ok) {
         coordinator_.stateReadFailed(endpoint, now);
@@ -214,13 +214,13 @@
     Common::log(Part, Common::LogLevel::Info, "order to engine {}: {} {} {} {} with fence {}",
                 order.endpoint, nameOf(order.order.action), order.order.model, order.order.version,
                 order.order.adapter, order.fence);
-    Platform::HttpQuery query;
+    Readers::HttpQuery query;
     query.address = target.address;
     query.method = "POST";
     query.target = "/v1/orders";
     query.headers.push_back({"Content-Type", "application/json"});
     query.body = bodyOf(order);
-    const auto answer = co_await Platform::fetch(std::move(query));
+    const auto answer = co_await Readers::fetch(std::move(query));
     Cluster::OrderAnswer outcome = Cluster::OrderUncertain{};
     if (answer && (answer->status == Ok || answer->status == Accepted)) {
         outcome = Cluster::OrderAccepted{};
--- a/Source/Core/Gateway/OrderRunner.h
+++ b/Source/Core/Gateway/OrderRunner.h
@@ -12,7 +12,7 @@
 #include "Common/Common.h"
 #include "Gateway/ClusterRunner.h"
 #include "Gateway/RoutingTable.h"
-#include "Platform/Platform.h"
+#include "Readers/Readers.h"
 
 namespace LaburnumChute::Gateway {
 
@@ -46,7 +46,7 @@
 
     asio::io_context &control_;
     bool hasStore_;
-    Platform::WeightStoreReader store_;
+    Readers::WeightStoreReader store_;
     const ClusterRunner &cluster_;
     const RoutingTableCell &table_;
     Cluster::OrderCoordinator coordinator_;
--- a/Source/Core/Operator/OperatorClient.h
+++ b/Source/Core/Operator/OperatorClient.h
@@ -3,7 +3,7 @@
 #include <vector>
 
 #include "Common/Common.h"
-#include "Platform/HttpClient.h"
+#include "Readers/HttpClient.h"
 
 namespace LaburnumChute::Operator {
 
@@ -12,7 +12,7 @@
 
 /// Sends all queries at once and waits for all answers, in the order of the queries. Each has its
 /// own timeout, so that one silent gateway does not hide the others.
-std::vector<Common::Result<Platform::HttpAnswer>>
-fetchAll(const std::vector<Platform::HttpQuery> &queries);
+std::vector<Common::Result<Readers::HttpAnswer>>
+fetchAll(const std::vector<Readers::HttpQuery> &queries);
 
 } // namespace LaburnumChute::Operator
--- a/Source/Core/Operator/StatusVerb.cpp
+++ b/Source/Core/Operator/StatusVerb.cpp
@@ -14,7 +14,7 @@
 const Common::Setting<bool> JsonSetting{"json", "operator", false, "Print JSON in place of tables",
                                         "true or false"};
 
-Common::Result<InstanceView> viewOf(const Common::Result<Platform::HttpAnswer> &answer)
+Common::Result<InstanceView> viewOf(const Common::Result<Readers::HttpAnswer> &answer)
 {
     if (!answer) {
         return tl::unexpected(answer.error());
@@ -24,9 +24,9 @@
 
 FleetStatus ask(const Invocation &invocation)
 {
-    std::vector<Platform::HttpQuery> queries;
+    std::vector<Readers::HttpQuery> queries;
     for (const auto &address : invocation.words) {
-        Platform::HttpQuery query;
+        Readers::HttpQuery query;
         query.address = address;
         query.target = "/dump";
         query.timeout = invocation.settings.get(TimeoutSetting);
--- a/Source/Core/Platform/ConfigurationReader.cpp
+++ b/Source/Core/Readers/ConfigurationReader.cpp
@@ -1,8 +1,8 @@
-#include "Platform/ConfigurationReader.h"
+#include "Readers/ConfigurationReader.h"
 
 #include <nlohmann/json.hpp>
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 namespace {
 
@@ -43,4 +43,4 @@
     co_return std::optional<PublishedVersion>(std::move(version));
 }
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/Core/Platform/ConfigurationReader.h
+++ b/Source/Core/Readers/ConfigurationReader.h
@@ -6,9 +6,9 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "Common/Common.h"
-#include "Platform/HttpClient.h"
+#include "Readers/HttpClient.h"
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 /// A version as the configuration service holds it.
 struct PublishedVersion
@@ -36,4 +36,4 @@
     std::string address_;
 };
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/Core/Platform/HttpClient.cpp
+++ b/Source/Core/Readers/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpClient.h"
+#include "Readers/HttpClient.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -9,7 +9,7 @@
 
 #include "Async/Async.h"
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 namespace {
 
@@ -87,4 +87,4 @@
     co_return answer;
 }
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/Core/Platform/HttpClient.h
+++ b/Source/Core/Readers/HttpClient.h
@@ -6,7 +6,7 @@
 
 #include "Common/Common.h"
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 namespace asio = boost::asio;
 
@@ -36,4 +36,4 @@
 /// TooLarge.
 asio::awaitable<Common::Result<HttpAnswer>> fetch(HttpQuery query);
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/Core/Platform/InstanceList.cpp
+++ b/Source/Core/Readers/InstanceList.cpp
@@ -1,11 +1,11 @@
-#include "Platform/InstanceList.h"
+#include "Readers/InstanceList.h"
 
 #include <optional>
 #include <unordered_set>
 
 #include <nlohmann/json.hpp>
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 namespace {
 
@@ -167,4 +167,4 @@
     return InstanceList{asOf->get<std::uint64_t>(), std::move(*instances), std::move(*endpoints)};
 }
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/Core/Platform/InstanceList.h
+++ b/Source/Core/Readers/InstanceList.h
@@ -6,7 +6,7 @@
 
 #include "Common/Common.h"
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 /// An instance of the system's own, with the addresses at which the viewer reaches it.
 struct ListedInstance
@@ -49,4 +49,4 @@
 /// endpoints that are well, or send new work to one that leaves. The error names the first fault.
 Common::Result<InstanceList> parseInstanceList(std::string_view body);
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/Core/Platform/InstanceListReader.cpp
+++ b/Source/Core/Readers/InstanceListReader.cpp
@@ -1,6 +1,6 @@
-#include "Platform/InstanceListReader.h"
+#include "Readers/InstanceListReader.h"
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 namespace {
 
@@ -25,4 +25,4 @@
     co_return parseInstanceList(answer->body);
 }
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/Core/Platform/InstanceListReader.h
+++ b/Source/Core/Readers/InstanceListReader.h
@@ -5,10 +5,10 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "Common/Common.h"
-#include "Platform/HttpClient.h"
-#include "Platform/InstanceList.h"
+#include "Readers/HttpClient.h"
+#include "Readers/InstanceList.h"
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 /// Reads the instance list as one viewer.
 class InstanceListReader
@@ -27,4 +27,4 @@
     Common::InstanceId viewer_;
 };
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/Core/Platform/WeightStoreReader.cpp
+++ b/Source/Core/Readers/WeightStoreReader.cpp
@@ -1,10 +1,10 @@
-#include "Platform/WeightStoreReader.h"
+#include "Readers/WeightStoreReader.h"
 
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 namespace {
 
@@ -43,4 +43,4 @@
     co_return limits;
 }
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/Core/Platform/WeightStoreReader.h
+++ b/Source/Core/Readers/WeightStoreReader.h
@@ -5,9 +5,9 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "Common/Common.h"
-#include "Platform/HttpClient.h"
+#include "Readers/HttpClient.h"
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 struct WeightStoreLimits
 {
@@ -30,4 +30,4 @@
     std::string address_;
 };
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- /dev/null
+++ b/Source/Core/Relay/EventCutter.cpp
@@ -0,0 +1,120 @@
+#include "Relay/EventCutter.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <utility>
+
+namespace LaburnumChute::Relay {
+
+namespace {
+
+struct EventEnd
+{
+    std::size_t position = std::string::npos;
+    std::size_t length = 0;
+};
+
+/// The first blank line: two line ends in a row.
+EventEnd findEnd(std::string_view text, std::size_t from)
+{
+    for (auto feed = text.find('\n', from); feed != std::string_view::npos;
+         feed = text.find('\n', feed + 1)) {
+        const auto rest = text.substr(feed + 1);
+        if (rest.substr(0, 1) == "\n") {
+            return {feed, 2};
+        }
+        if (rest.substr(0, 2) == "\r\n") {
+            return {feed, 3};
+        }
+    }
+    return {};
+}
+
+std::optional<std::string> idOf(std::string_view event)
+{
+    constexpr std::string_view Field = "id:";
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        auto line = event.substr(0, end);
+        event.remove_prefix(std::min(event.size(), end + 1));
+        if (line.substr(0, Field.size()) != Field) {
+            continue;
+        }
+        line.remove_prefix(Field.size());
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        while (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        return std::string(line);
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> numberOf(const std::string &text)
+{
+    std::uint64_t value = 0;
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(value) : std::nullopt;
+}
+
+/// True when the first id is not after the second one.
+bool notAfter(const std::string &id, const std::string &last)
+{
+    const auto number = numberOf(id);
+    const auto lastNumber = numberOf(last);
+    return number && lastNumber ? *number <= *lastNumber : id == last;
+}
+
+} // namespace
+
+std::string EventCutter::feed(std::string_view bytes)
+{
+    pending_ += bytes;
+    std::string out;
+    std::size_t start = 0;
+    std::size_t from = scanned_;
+    for (auto end = findEnd(pending_, from); end.position != std::string::npos;
+         end = findEnd(pending_, from)) {
+        const auto next = end.position + end.length;
+        take(std::string_view(pending_).substr(start, next - start), out);
+        start = next;
+        from = next;
+    }
+    pending_.erase(0, start);
+    // An end may begin with the last bytes that were seen.
+    constexpr std::size_t LongestEnd = 3;
+    scanned_ = pending_.size() - std::min(pending_.size(), LongestEnd);
+    return out;
+}
+
+void EventCutter::take(std::string_view event, std::string &out)
+{
+    auto id = idOf(event);
+    if (repeating_ && id && lastId_ && notAfter(*id, *lastId_)) {
+        return;
+    }
+    if (id) {
+        lastId_ = std::move(id);
+    }
+    repeating_ = false;
+    out += event;
+}
+
+std::string EventCutter::takeRest()
+{
+    scanned_ = 0;
+    return std::exchange(pending_, {});
+}
+
+void EventCutter::restart()
+{
+    pending_.clear();
+    scanned_ = 0;
+    repeating_ = true;
+}
+
+} // namespace LaburnumChute::Relay
--- /dev/null
+++ b/Source/Core/Relay/ForwardNote.cpp
@@ -0,0 +1,36 @@
+#include "Relay/ForwardNote.h"
+
+#include <charconv>
+
+#include "Peers/ValueCodec.h"
+
+namespace LaburnumChute::Relay {
+
+std::string encodeNote(const ForwardNote &note)
+{
+    std::string text;
+    for (const auto byte : Peers::encodeValue(note)) {
+        text += fmt::format("{:02x}", static_cast<unsigned char>(byte));
+    }
+    return text;
+}
+
+Common::Result<ForwardNote> decodeNote(const std::string &text)
+{
+    constexpr std::size_t DigitsOfByte = 2;
+    constexpr int Hexadecimal = 16;
+    std::string bytes;
+    for (std::size_t index = 0; index + 1 < text.size(); index += DigitsOfByte) {
+        unsigned byte = 0;
+        const auto *first = text.data() + index;
+        const auto parsed = std::from_chars(first, first + DigitsOfByte, byte, Hexadecimal);
+        if (parsed.ec != std::errc()) {
+            return Common::makeError(Common::ErrorCode::ProtocolViolation,
+                                     std::string(ForwardHeader) + ": expected hexadecimal digits");
+        }
+        bytes += static_cast<char>(byte);
+    }
+    return Peers::decodeValue<ForwardNote>(bytes);
+}
+
+} // namespace LaburnumChute::Relay
--- /dev/null
+++ b/Source/Core/Relay/InboundConnection.cpp
@@ -0,0 +1,382 @@
+#include "Relay/InboundConnection.h"
+
+#include <boost/asio/write.hpp>
+
+#include "Relay/HttpText.h"
+
+namespace LaburnumChute::Relay {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Bytes of further requests that are read while one is served.
+constexpr std::size_t ReadAheadBytes = 64 * 1024;
+/// A connection that has been told to go is read this long, since closing it with unread bytes
+/// would reset it and lose the last answer.
+constexpr Common::milliseconds LingerTime{1500};
+/// A caller that takes nothing for so long is given up; its answer would hold memory.
+constexpr Common::milliseconds WriteTimeout{8000};
+/// Idle connections are closed this much later than announced, so that a request which the caller
+/// sends at the last moment is still read.
+constexpr Common::milliseconds IdleSlack{2000};
+constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr unsigned HttpOneOne = 11;
+
+unsigned statusOf(const boost::system::error_code &error)
+{
+    if (error == http::error::header_limit) {
+        return 431;
+    }
+    return error == http::error::body_limit ? 413 : 400;
+}
+
+Common::Time steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+InboundConnection::InboundConnection(asio::ip::tcp::socket socket, LimitsSource limits,
+                                     Handler handler)
+    : socket_(std::move(socket))
+    , limits_(std::move(limits))
+    , handler_(std::move(handler))
+{
+}
+
+std::string InboundConnection::remoteIp() const
+{
+    boost::system::error_code error;
+    const auto remote = socket_.remote_endpoint(error);
+    return error ? std::string() : remote.address().to_string();
+}
+
+void InboundConnection::start(Common::Time now)
+{
+    boost::system::error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    since_ = now;
+    read();
+}
+
+void InboundConnection::read()
+{
+    if (closed_ || readPending_ || in_.size() > ReadAheadBytes) {
+        return;
+    }
+    readPending_ = true;
+    socket_.async_read_some(asio::buffer(buffer_), [self = shared_from_this()](
+                                                       const boost::system::error_code &error,
+                                                       std::size_t size) {
+        self->readPending_ = false;
+        if (error) {
+            self->lost();
+            return;
+        }
+        self->received(size);
+    });
+}
+
+void InboundConnection::received(std::size_t size)
+{
+    if (state_ != State::Lingering) {
+        in_.append(buffer_.data(), size);
+    }
+    if (state_ == State::Reading) {
+        parse();
+    }
+    read();
+}
+
+void InboundConnection::parse()
+{
+    while (state_ == State::Reading && !closed_ && !in_.empty() && parseStep()) { }
+}
+
+/// One step through what was read; false when more is needed.
+bool InboundConnection::parseStep()
+{
+    if (!parser_) {
+        const auto limits = limits_();
+        parser_.emplace();
+        parser_->header_limit(limits.headerBytes);
+        parser_->body_limit(limits.bodyBytes);
+        since_ = steadyNow();
+    }
+    const bool hadHead = parser_->is_header_done();
+    boost::system::error_code error;
+    const auto used = parser_->put(asio::buffer(in_), error);
+    in_.erase(0, used);
+    if (error && error != http::error::need_more) {
+        refuse(statusOf(error), error.message());
+        return false;
+    }
+    if (!hadHead && parser_->is_header_done() && !acceptHead()) {
+        return false;
+    }
+    if (parser_->is_done()) {
+        dispatch();
+        return false;
+    }
+    return !error && used > 0;
+}
+
+/// What the parser lets pass but would be read differently by an endpoint, or not at all.
+bool InboundConnection::acceptHead()
+{
+    const auto &message = parser_->get();
+    const auto hosts = message.count(http::field::host);
+    const bool oneOne = message.version() >= HttpOneOne;
+    if (hosts > 1 || (oneOne && hosts == 0)) {
+        refuse(400, "Host: expected exactly one");
+        return false;
+    }
+    const auto coding = message[http::field::transfer_encoding];
+    if (!coding.empty() && !boost::beast::iequals(coding, "chunked")) {
+        refuse(400, "Transfer-Encoding: expected chunked");
+        return false;
+    }
+    if (boost::beast::iequals(message[http::field::expect], "100-continue")) {
+        write(Continue);
+    }
+    return true;
+}
+
+void InboundConnection::refuse(unsigned status, std::string_view reason)
+{
+    state_ = State::Serving;
+    keepAlive_ = false;
+    chunked_ = false;
+    isHead_ = false;
+    answer(status, {{"Content-Type", "text/plain"}}, reason);
+}
+
+void InboundConnection::dispatch()
+{
+    auto &message = parser_->get();
+    InboundRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    request.body = std::make_shared<const std::string>(std::move(message.body()));
+    keepAlive_ = message.keep_alive();
+    chunked_ = message.version() >= HttpOneOne;
+    isHead_ = request.method == "HEAD";
+    parser_.reset();
+    state_ = State::Serving;
+    since_ = steadyNow();
+    handler_(shared_from_this(), std::move(request));
+}
+
+void InboundConnection::answer(unsigned status, Common::Headers headers, std::string_view body)
+{
+    if (closed_ || state_ != State::Serving) {
+        return;
+    }
+    keepAlive_ = keepAlive_ && !closeSoon_;
+    headers.push_back({"Content-Length", std::to_string(body.size())});
+    if (!keepAlive_) {
+        headers.push_back({"Connection", "close"});
+    }
+    auto text = answerHead(status, headers);
+    if (!isHead_) {
+        text += body;
+    }
+    write(text);
+    finishAnswer();
+}
+
+void InboundConnection::beginPieces(unsigned status, Common::Headers headers)
+{
+    keepAlive_ = keepAlive_ && !closeSoon_ && chunked_;
+    if (chunked_) {
+        headers.push_back({"Transfer-Encoding", "chunked"});
+    }
+    if (!keepAlive_) {
+        headers.push_back({"Connection", "close"});
+    }
+    pendingHead_ = answerHead(status, headers);
+}
+
+void InboundConnection::piece(std::string_view bytes)
+{
+    if (closed_ || state_ != State::Serving || bytes.empty()) {
+        return;
+    }
+    auto text = std::exchange(pendingHead_, {});
+    if (chunked_) {
+        text += chunkOf(bytes);
+    } else {
+        text += bytes;
+    }
+    write(text);
+}
+
+void InboundConnection::endPieces()
+{
+    if (closed_ || state_ != State::Serving) {
+        return;
+    }
+    auto text = std::exchange(pendingHead_, {});
+    if (chunked_) {
+        text += LastChunk;
+    }
+    write(text);
+    finishAnswer();
+}
+
+void InboundConnection::finishAnswer()
+{
+    onGone_ = nullptr;
+    onDrained_ = nullptr;
+    since_ = steadyNow();
+    if (!keepAlive_) {
+        closeAfterWrite_ = true;
+        if (unsent() == 0) {
+            linger();
+        }
+        return;
+    }
+    state_ = State::Reading;
+    // Not from here: the handler that has just answered may still be running.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->parse();
+        self->read();
+    });
+}
+
+void InboundConnection::abort()
+{
+    if (closed_) {
+        return;
+    }
+    onGone_ = nullptr;
+    if (!chunked_ && state_ == State::Serving) {
+        // Without chunks the end of the connection is the end of the answer: only a reset shows
+        // that it is not whole.
+        boost::system::error_code ignored;
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+        return;
+    }
+    closeAfterWrite_ = true;
+    if (unsent() == 0) {
+        linger();
+    }
+}
+
+void InboundConnection::write(std::string_view bytes)
+{
+    if (closed_) {
+        return;
+    }
+    out_ += bytes;
+    flush();
+}
+
+void InboundConnection::flush()
+{
+    if (writePending_ || out_.empty()) {
+        return;
+    }
+    writePending_ = true;
+    writeSince_ = steadyNow();
+    writing_.swap(out_);
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](const boost::system::error_code &error,
+                                                  std::size_t) { self->written(error); });
+}
+
+void InboundConnection::written(const boost::system::error_code &error)
+{
+    writePending_ = false;
+    writing_.clear();
+    if (error) {
+        lost();
+        return;
+    }
+    flush();
+    if (writePending_) {
+        return;
+    }
+    if (closeAfterWrite_) {
+        linger();
+    } else if (onDrained_) {
+        // A copy: the callback may end the answer and with it itself.
+        const auto drained = onDrained_;
+        drained();
+    }
+}
+
+void InboundConnection::linger()
+{
+    if (closed_ || state_ == State::Lingering) {
+        return;
+    }
+    state_ = State::Lingering;
+    since_ = steadyNow();
+    in_.clear();
+    boost::system::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    read();
+}
+
+void InboundConnection::lost()
+{
+    const auto gone = std::exchange(onGone_, nullptr);
+    close();
+    if (gone) {
+        gone();
+    }
+}
+
+void InboundConnection::close()
+{
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    onDrained_ = nullptr;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void InboundConnection::closeSoon()
+{
+    closeSoon_ = true;
+    const bool idle = state_ == State::Reading && !parser_ && in_.empty() && unsent() == 0;
+    if (idle) {
+        linger();
+    }
+}
+
+void InboundConnection::tick(Common::Time now)
+{
+    if (closed_) {
+        return;
+    }
+    if (writePending_ && now - writeSince_ > WriteTimeout) {
+        lost();
+        return;
+    }
+    const auto age = now - since_;
+    if (state_ == State::Lingering && age > LingerTime) {
+        close();
+    } else if (state_ == State::Reading) {
+        const auto limits = limits_();
+        const bool midHead = parser_ && !parser_->is_header_done();
+        const bool midBody = parser_ && parser_->is_header_done();
+        if ((midHead && age > limits.headerTimeout) || (midBody && age > limits.idleTimeout)) {
+            refuse(408, "the request did not arrive in time");
+        } else if (!parser_ && in_.empty() && age > limits.idleTimeout + IdleSlack) {
+            linger();
+        }
+    }
+}
+
+} // namespace LaburnumChute::Relay
--- /dev/null
+++ b/Source/Core/Relay/InboundServer.cpp
@@ -0,0 +1,80 @@
+#include "Relay/InboundServer.h"
+
+#include <algorithm>
+
+#include "Async/Async.h"
+
+namespace LaburnumChute::Relay {
+
+InboundServer::InboundServer(asio::io_context &context, std::size_t connectionLimit,
+                             InboundConnection::LimitsSource limits,
+                             InboundConnection::Handler handler)
+    : context_(context)
+    , connectionLimit_(connectionLimit)
+    , limits_(std::move(limits))
+    , handler_(std::move(handler))
+    , acceptor_(context)
+{
+}
+
+Common::Result<std::string> InboundServer::listen(const std::string &address)
+{
+    auto bound = Async::listenOn(acceptor_, address);
+    if (bound) {
+        accept();
+    }
+    return bound;
+}
+
+void InboundServer::accept()
+{
+    acceptor_.async_accept(
+        context_, [this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            // Beyond the limit a connection is closed unread, so that its caller tries another
+            // instance; out of descriptors, accepting would leave none for endpoints.
+            if (!error && connections_.size() < connectionLimit_) {
+                auto connection =
+                    std::make_shared<InboundConnection>(std::move(socket), limits_, handler_);
+                connections_.push_back(connection);
+                connection->start(std::chrono::steady_clock::now());
+                if (closeSoon_) {
+                    connection->closeAfterNext();
+                }
+            }
+            accept();
+        });
+}
+
+void InboundServer::stopAccepting()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+void InboundServer::closeSoon()
+{
+    closeSoon_ = true;
+    for (const auto &connection : connections_) {
+        connection->closeSoon();
+    }
+}
+
+void InboundServer::tick(Common::Time now)
+{
+    for (const auto &connection : connections_) {
+        connection->tick(now);
+    }
+    std::erase_if(connections_, [](const auto &connection) { return !connection->open(); });
+}
+
+std::size_t InboundServer::serving() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const auto &connection) { return connection->serving(); }));
+}
+
+} // namespace LaburnumChute::Relay
--- /dev/null
+++ b/Source/Core/Relay/InboundServer.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "Relay/InboundConnection.h"
+
+namespace LaburnumChute::Relay {
+
+/// Accepts connections at one address.
+class InboundServer
+{
+public:
+    InboundServer(asio::io_context &context, std::size_t connectionLimit,
+                  InboundConnection::LimitsSource limits, InboundConnection::Handler handler);
+
+    Common::Result<std::string> listen(const std::string &address);
+    void stopAccepting();
+    /// Every connection goes with its next answer, or now if it is idle.
+    void closeSoon();
+    void tick(Common::Time now);
+
+    std::size_t connections() const
+    {
+        return connections_.size();
+    }
+    /// Requests being served.
+    std::size_t serving() const;
+
+private:
+    void accept();
+
+    asio::io_context &context_;
+    std::size_t connectionLimit_;
+    InboundConnection::LimitsSource limits_;
+    InboundConnection::Handler handler_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<std::shared_ptr<InboundConnection>> connections_;
+    bool closeSoon_ = false;
+};
+
+} // namespace LaburnumChute::Relay
--- /dev/null
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -0,0 +1,295 @@
+#include "Relay/OutboundCall.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <boost/asio/write.hpp>
+
+#include "Async/Async.h"
+#include "Relay/HttpText.h"
+
+namespace LaburnumChute::Relay {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::uint32_t HeaderLimit = 64 * 1024;
+/// More than any answer in use; a stated length beyond it is taken for damage rather than memory.
+constexpr std::uint64_t BodyLimit = 64u << 20;
+/// Sent bytes that are not acknowledged for so long end the connection. A path that was cut shows
+/// nothing else for minutes.
+constexpr unsigned UserTimeoutMs = 2000;
+/// An open connection can go silent for good while new ones work; probes of the system show it
+/// after about four seconds.
+constexpr int ProbeIdleSeconds = 2;
+constexpr int ProbeIntervalSeconds = 1;
+constexpr int ProbeCount = 2;
+
+void setOption(asio::ip::tcp::socket &socket, int level, int name, int value)
+{
+    // A connection without this option still works; it only shows a cut path later.
+    static_cast<void>(::setsockopt(socket.native_handle(), level, name, &value, sizeof(value)));
+}
+
+void prepare(asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, ProbeIdleSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, ProbeIntervalSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, ProbeCount);
+}
+
+} // namespace
+
+OutboundCall::OutboundCall(std::shared_ptr<OutboundPool> pool, OutboundRequest request,
+                           CallEvents events)
+    : pool_(std::move(pool))
+    , request_(std::move(request))
+    , events_(std::move(events))
+{
+}
+
+void OutboundCall::start(Common::Time now)
+{
+    connection_ = pool_->take(request_.address, request_.maxIdle, now);
+    if (connection_) {
+        usedIdleConnection_ = true;
+        connectionMade_ = true;
+        send();
+        return;
+    }
+    connect(now);
+}
+
+void OutboundCall::connect(Common::Time now)
+{
+    const auto target = Async::parseTcpAddress(request_.address);
+    boost::system::error_code error;
+    connection_ = std::make_unique<OutboundConnection>(pool_->context());
+    if (target) {
+        connection_->socket.open(target->protocol(), error);
+    }
+    if (!target || error) {
+        asio::post(pool_->context(), [self = shared_from_this()] {
+            self->fail(CallFailure::NotConnected, "no socket for " + self->request_.address);
+        });
+        return;
+    }
+    prepare(connection_->socket);
+    connecting_ = true;
+    connectUntil_ = now + request_.connectTimeout;
+    connection_->socket.async_connect(
+        *target, [self = shared_from_this()](const boost::system::error_code &failure) {
+            if (self->over_) {
+                return;
+            }
+            self->connecting_ = false;
+            if (failure) {
+                self->fail(CallFailure::NotConnected, failure.message());
+                return;
+            }
+            self->connectionMade_ = true;
+            self->send();
+        });
+}
+
+void OutboundCall::send()
+{
+    newParser();
+    const std::array<asio::const_buffer, 2> buffers = {asio::buffer(request_.head),
+                                                       asio::buffer(*request_.body)};
+    asio::async_write(connection_->socket, buffers,
+                      [self = shared_from_this()](const boost::system::error_code &error,
+                                                  std::size_t) {
+                          // After an error the read tells what came of the call: an answer may be
+                          // there already.
+                          self->written_ = !error;
+                      });
+    read();
+}
+
+void OutboundCall::newParser()
+{
+    parser_.emplace();
+    parser_->header_limit(HeaderLimit);
+    parser_->body_limit(BodyLimit);
+    parser_->skip(request_.isHeadMethod);
+    headDone_ = false;
+    skipping_ = false;
+}
+
+void OutboundCall::read()
+{
+    if (over_ || readPending_ || paused_) {
+        return;
+    }
+    readPending_ = true;
+    connection_->socket.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+            self->readPending_ = false;
+            if (!self->over_) {
+                self->received(error, size);
+            }
+        });
+}
+
+void OutboundCall::received(const boost::system::error_code &error, std::size_t size)
+{
+    if (!error) {
+        in_.append(buffer_.data(), size);
+        parse();
+        read();
+        return;
+    }
+    const bool orderly = error == asio::error::eof;
+    if (orderly && headDone_ && !skipping_ && parser_->need_eof()) {
+        boost::system::error_code ignored;
+        parser_->put_eof(ignored);
+        finish();
+        return;
+    }
+    fail(CallFailure::Broken, error.message());
+}
+
+void OutboundCall::parse()
+{
+    const auto self = shared_from_this();
+    while (!over_ && !in_.empty() && parseStep()) { }
+}
+
+bool OutboundCall::parseStep()
+{
+    boost::system::error_code error;
+    const auto used = parser_->put(asio::buffer(in_), error);
+    in_.erase(0, used);
+    if (error && error != http::error::need_more) {
+        fail(CallFailure::Broken, "not an answer: " + error.message());
+        return false;
+    }
+    if (!headDone_ && parser_->is_header_done()) {
+        headDone_ = true;
+        if (!takeHead()) {
+            return !over_;
+        }
+    }
+    if (headDone_) {
+        deliverBody();
+    }
+    if (over_) {
+        return false;
+    }
+    if (parser_->is_done()) {
+        if (skipping_) {
+            newParser();
+            return true;
+        }
+        finish();
+        return false;
+    }
+    return !error && used > 0;
+}
+
+/// False when the answer is not the one expected.
+bool OutboundCall::takeHead()
+{
+    const auto &message = parser_->get();
+    constexpr unsigned FirstFinalStatus = 200;
+    if (message.result_int() < FirstFinalStatus) {
+        newParser();
+        return false;
+    }
+    AnswerHead head;
+    head.status = message.result_int();
+    for (const auto &field : message) {
+        head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    keptFor_ = keepAliveTimeout(head.headers);
+    if (!keptFor_) {
+        keptFor_ = request_.assumedKeep;
+    }
+    const auto self = shared_from_this();
+    const bool ours = events_.head(head);
+    if (over_) {
+        return false;
+    }
+    skipping_ = !ours;
+    if (skipping_ && parser_->need_eof()) {
+        fail(CallFailure::Broken, "an answer to another request that has no length");
+        return false;
+    }
+    return true;
+}
+
+void OutboundCall::deliverBody()
+{
+    auto &body = parser_->get().body();
+    if (body.empty()) {
+        return;
+    }
+    auto bytes = std::exchange(body, {});
+    if (!skipping_) {
+        const auto self = shared_from_this();
+        events_.body(std::move(bytes));
+    }
+}
+
+void OutboundCall::finish()
+{
+    const auto self = shared_from_this();
+    over_ = true;
+    const bool reusable = written_ && in_.empty() && parser_->is_done() && parser_->get().keep_alive()
+                          && !parser_->need_eof();
+    if (reusable) {
+        pool_->give(request_.address, std::move(connection_), keptFor_,
+                    std::chrono::steady_clock::now());
+    } else {
+        boost::system::error_code ignored;
+        connection_->socket.close(ignored);
+    }
+    events_.end();
+}
+
+void OutboundCall::fail(CallFailure failure, const std::string &reason)
+{
+    if (over_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    cancel();
+    events_.failed(failure, reason);
+}
+
+void OutboundCall::cancel()
+{
+    if (over_) {
+        return;
+    }
+    over_ = true;
+    if (connection_) {
+        boost::system::error_code ignored;
+        connection_->socket.close(ignored);
+    }
+}
+
+void OutboundCall::pause(bool paused)
+{
+    paused_ = paused;
+    if (!paused_ && connectionMade_) {
+        read();
+    }
+}
+
+void OutboundCall::tick(Common::Time now)
+{
+    if (connecting_ && now >= connectUntil_) {
+        fail(CallFailure::NotConnected, "no connection in time");
+    }
+}
+
+} // namespace LaburnumChute::Relay
--- /dev/null
+++ b/Source/Core/Relay/PeerSync.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Catalog/Catalog.h"
+#include "Fleet/Fleet.h"
+#include "Relay/OutboundCall.h"
+
+namespace LaburnumChute::Relay {
+
+/// Target of the call by which an instance asks another for what it lacks.
+inline constexpr std::string_view ItemsPath = "/laburnumchute/items";
+std::string itemsTarget(Catalog::Revision known);
+/// The revision of such a call; nothing for other targets.
+std::optional<Catalog::Revision> readItemsTarget(std::string_view target);
+
+/// Fetches from other instances what this one lacks of the platform's store.
+///
+/// The store may turn away one instance and serve the others, or go silent towards it; its view
+/// would stay old without a sign. Heartbeats tell the revision that each instance knows, and one
+/// that lags behind for longer than the store takes asks an instance that knows more.
+class PeerSync
+{
+public:
+    using ChangesHandler =
+        std::function<void(Catalog::ItemChanges, const Common::InstanceId &from)>;
+
+    PeerSync(std::shared_ptr<OutboundPool> pool, ChangesHandler changes);
+    ~PeerSync();
+
+    void tick(const std::vector<Fleet::Peer> &peers, Catalog::Revision known, Common::Time now);
+
+private:
+    const Fleet::Peer *choose(const std::vector<Fleet::Peer> &peers, Catalog::Revision known) const;
+    void begin(const Fleet::Peer &peer, Catalog::Revision known, Common::Time now);
+
+    std::shared_ptr<OutboundPool> pool_;
+    ChangesHandler changes_;
+    std::shared_ptr<OutboundCall> call_;
+    std::string body_;
+    unsigned status_ = 0;
+    std::optional<Common::Time> behindSince_;
+    Common::Time giveUpAt_{};
+    Common::Time nextAt_{};
+};
+
+} // namespace LaburnumChute::Relay
--- /dev/null
+++ b/Source/Core/Relay/RelayGateway.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Catalog/Catalog.h"
+#include "Common/Common.h"
+#include "Dispatch/Dispatch.h"
+#include "Fleet/Fleet.h"
+#include "Relay/EventLog.h"
+#include "Relay/InboundServer.h"
+#include "Relay/OutboundPool.h"
+#include "Relay/PeerSync.h"
+#include "Relay/RelayedCall.h"
+#include "Relay/RelayOptions.h"
+#include "Relay/StoreWatcher.h"
+#include "Relay/UdpSocket.h"
+
+namespace LaburnumChute::Relay {
+
+/// Counters and histograms of relayed requests.
+struct RelayMetrics
+{
+    explicit RelayMetrics(Common::MetricsRegistry &registry);
+
+    Common::Counter &requests;
+    Common::Counter &forwardedIn;
+    Common::Counter &sends;
+    Common::Counter &forwards;
+    Common::Counter &completed;
+    Common::Counter &rejected;
+    Common::Counter &failed;
+    Common::Counter &timedOut;
+    Common::Counter &abandoned;
+    Common::Counter &resumed;
+    Common::DurationHistogram &firstEvent;
+    Common::DurationHistogram &queueTime;
+};
+
+/// One instance that relays requests by host and path to the endpoints of its region, or to an
+/// instance of another region. Everything runs on one thread: a machine has a fraction of a core,
+/// and handing a request from thread to thread would cost more than serving it.
+class RelayGateway
+{
+public:
+    RelayGateway(RelayOptions options, Catalog::InstanceSettings settings);
+    ~RelayGateway();
+    RelayGateway(const RelayGateway &) = delete;
+    RelayGateway &operator=(const RelayGateway &) = delete;
+
+    Common::Result<void> start();
+    /// Serves until SIGTERM or SIGINT, then shuts down without cutting off a request.
+    void run();
+
+    // For the requests under way.
+
+    Dispatch::Scheduler &scheduler()
+    {
+        return scheduler_;
+    }
+    const std::shared_ptr<OutboundPool> &pool() const
+    {
+        return pool_;
+    }
+    EventLog &log()
+    {
+        return log_;
+    }
+    RelayMetrics &metrics()
+    {
+        return relayMetrics_;
+    }
+    const Catalog::InstanceSettings &settings() const
+    {
+        return settings_;
+    }
+    void carryOut(const Dispatch::Effects &effects, Common::Time now);
+    /// An instance of the region that can be reached.
+    std::optional<Fleet::InstanceRecord> peerIn(const Common::RegionName &region);
+    void forget(Dispatch::CallId call);
+
+private:
+    using Connection = std::shared_ptr<InboundConnection>;
+
+    void serveCaller(const Connection &connection, InboundRequest request);
+    void servePeer(const Connection &connection, InboundRequest request);
+    void serveReadiness(const Connection &connection, const InboundRequest &request);
+    void serveDirectory(const Connection &connection, const InboundRequest &request);
+    void serveMetrics(const Connection &connection, const InboundRequest &request);
+    void serveItems(const Connection &connection, Catalog::Revision known);
+    void refuse(const Connection &connection, unsigned status, const std::string &requestId,
+                const std::string &detail, std::optional<Common::milliseconds> retryAfter);
+    void begin(RelayPlan plan, const Connection &connection);
+    Common::Result<RelayPlan> planForwarded(const InboundRequest &request, const std::string &note,
+                                            Common::Time now) const;
+    bool tooMuchInMemory(const InboundRequest &request) const;
+    /// The store, or a peer that hears it, has answered lately.
+    bool catalogFresh(Common::Time now) const;
+
+    void takeChanges(const Catalog::ItemChanges &changes, const std::string &source);
+    void storeStateChanged(StoreState state, const std::string &reason);
+    void endpointsChanged(Common::Time now);
+    void takeHeartbeat(std::string_view datagram);
+    void sendAll(const Fleet::Sends &sends);
+    void fleetChanged(Common::Time now);
+    void announceRevision(Common::Time now);
+
+    void scheduleTick();
+    void tick(Common::Time now);
+    void heartbeat(Common::Time now);
+    void rereadSettings(bool bySignal, Common::Time now);
+    void applySettings(Common::Time now);
+    void waitForSignal();
+    void waitForReload();
+    void beginShutdown(Common::Time now);
+    void continueShutdown(Common::Time now);
+    bool ready() const;
+    nlohmann::json dump(Common::Time now) const;
+
+    RelayOptions options_;
+    Catalog::InstanceSettings settings_;
+    std::string settingsText_;
+    asio::io_context context_;
+    std::mt19937_64 random_;
+    Common::MetricsRegistry registry_;
+    RelayMetrics relayMetrics_;
+    EventLog log_;
+    Catalog::Catalog catalog_;
+    Fleet::Roster roster_;
+    Dispatch::Scheduler scheduler_;
+    std::shared_ptr<OutboundPool> pool_;
+    StoreWatcher store_;
+    PeerSync peerSync_;
+    UdpSocket gossip_;
+    InboundServer callers_;
+    InboundServer peers_;
+    InboundServer readiness_;
+    InboundServer directory_;
+    InboundServer metricsServer_;
+    asio::steady_timer tickTimer_;
+    asio::signal_set stopSignals_;
+    asio::signal_set reloadSignals_;
+    std::unordered_map<Dispatch::CallId, std::shared_ptr<RelayedCall>> calls_;
+    Dispatch::CallId nextCall_ = 1;
+    std::vector<Fleet::Peer> knownPeers_;
+    std::map<Common::InstanceId, bool> peerAlive_;
+    Common::Time heartbeatAt_{};
+    Common::Time settingsAt_{};
+    Common::Time housekeepingAt_{};
+    std::optional<Common::Time> stoppingSince_;
+    bool closing_ = false;
+};
+
+} // namespace LaburnumChute::Relay
--- /dev/null
+++ b/Source/Core/Relay/RelayOptions.cpp
@@ -0,0 +1,45 @@
+#include "Relay/RelayOptions.h"
+
+namespace LaburnumChute::Relay {
+
+namespace {
+
+using Common::Setting;
+
+const Setting<std::string> ConfigSetting{
+    "config", "platform", "", "Settings file that the platform writes", "a path"};
+const Setting<std::int64_t> MetricsSetting{
+    "metrics-port", "metrics", 0, "Port of metrics and state dump; 0 for none",
+    "a whole number from 0 to 65535", [](const std::int64_t &v) { return v >= 0 && v <= 65535; }};
+const Setting<std::int64_t> LinesSetting{"log-lines-per-second",
+                                         "logs",
+                                         100,
+                                         "Lines of one kind of event a second",
+                                         "a whole number above 0",
+                                         [](const std::int64_t &v) { return v > 0; }};
+
+} // namespace
+
+void declareRelaySettings(Common::Settings &settings)
+{
+    settings.declare(ConfigSetting);
+    settings.declare(MetricsSetting);
+    settings.declare(LinesSetting);
+}
+
+Common::Result<RelayOptions> readRelayOptions(const Common::Settings &settings)
+{
+    RelayOptions options;
+    options.settingsPath = settings.get(ConfigSetting);
+    if (options.settingsPath.empty()) {
+        return Common::makeError(Common::ErrorCode::InvalidArgument,
+                                 "--config: the value is missing; expected a path");
+    }
+    options.metricsPort = static_cast<std::uint16_t>(settings.get(MetricsSetting));
+    constexpr double BurstSeconds = 2;
+    options.log.linesPerSecond = static_cast<double>(settings.get(LinesSetting));
+    options.log.burst = options.log.linesPerSecond * BurstSeconds;
+    return options;
+}
+
+} // namespace LaburnumChute::Relay
--- a/Source/Fuzzers/FuzzInstanceList.cpp
+++ b/Source/Fuzzers/FuzzInstanceList.cpp
@@ -3,12 +3,12 @@
 #include <cstdint>
 #include <cstdlib>
 
-#include "Platform/InstanceList.h"
+#include "Readers/InstanceList.h"
 
 // NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
-    using namespace LaburnumChute::Platform;
+    using namespace LaburnumChute::Readers;
     const auto list = parseInstanceList({reinterpret_cast<const char *>(data), size});
     if (!list) {
         return 0;
--- a/Source/UnitTests/Platform/InstanceListTest.cpp
+++ b/Source/UnitTests/Readers/InstanceListTest.cpp
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include "Platform/Platform.h"
+#include "Readers/Readers.h"
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 namespace {
 
@@ -77,4 +77,4 @@
 
 } // namespace
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/UnitTests/Platform/OneShotServer.h
+++ b/Source/UnitTests/Readers/OneShotServer.h
@@ -12,7 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 /// Takes one connection, reads one request head, and writes the given bytes. It then either closes
 /// or keeps the connection open in silence until its own end.
@@ -91,4 +91,4 @@
     return std::move(*result);
 }
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
--- a/Source/UnitTests/Platform/ReadersTest.cpp
+++ b/Source/UnitTests/Readers/ReadersTest.cpp
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 
 #include "OneShotServer.h"
-#include "Platform/Platform.h"
+#include "Readers/Readers.h"
 
-namespace LaburnumChute::Platform {
+namespace LaburnumChute::Readers {
 
 namespace {
 
@@ -69,4 +69,4 @@
 
 } // namespace
 
-} // namespace LaburnumChute::Platform
+} // namespace LaburnumChute::Readers
