--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -803,7 +803,11 @@
     auto &budgetOfService = budget(call.facts.service);
     const bool unsent = outcome == TryOutcome::NotConnected;
     const bool notRun = unsent || outcome == TryOutcome::NotRun;
-    call.runs += notRun ? 0 : 1;
+    if (!notRun) {
+        // Another instance may have used all tries that the route allows; how many, a broken
+        // connection does not tell.
+        call.runs = atEndpoint ? call.runs + 1 : std::max(call.runs + 1, call.facts.attempts);
+    }
     const bool triesLeft = call.tries < call.facts.attempts + SpareTries;
     const bool allowed =
         notRun ? triesLeft : call.facts.repeatable && call.runs < call.facts.attempts;
--- a/Source/Core/Relay/DirectoryAnswer.h
+++ b/Source/Core/Relay/DirectoryAnswer.h
@@ -16,13 +16,15 @@
 };
 
 /// The addresses for a caller of the region: instances of that region; when there are none, those
-/// of the regions that may serve what it asks for; when there are none either, all.
+/// in the region that most of the routes bound to homes allow, of the regions that have an instance.
 ///
-/// What goes wrong otherwise: callers of a region that has lost its instances are spread over all
-/// others, where requests that are bound to their homes must not be read.
+/// What goes wrong otherwise: callers of a region whose instances have all gone are spread over the
+/// others, and an instance outside the homes of a request must not even read it.
+///
+/// @param homes the homes of each route that has some
 std::vector<std::string> chooseAddresses(const std::vector<DirectoryCandidate> &candidates,
                                          const Common::RegionName &callerRegion,
-                                         const std::vector<Common::RegionName> &homes,
+                                         const std::vector<std::vector<Common::RegionName>> &homes,
                                          std::size_t limit);
 
 } // namespace LaburnumChute::Relay
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -683,11 +683,11 @@
         }
     }
     std::shuffle(candidates.begin(), candidates.end(), random_);
-    std::vector<Common::RegionName> homes;
+    std::vector<std::vector<Common::RegionName>> homes;
     if (const auto routes = catalog_.routes()) {
         for (const auto *route : routes->routesOf(query->host)) {
             if (!route->homes.empty()) {
-                homes = route->homes;
+                homes.push_back(route->homes);
             }
         }
     }
--- /dev/null
+++ b/Source/UnitTests/Dispatch/RetryTest.cpp
@@ -0,0 +1,104 @@
+#include "Support.h"
+
+namespace LaburnumChute::Dispatch {
+
+// The other region's endpoints fail the request, and its instance has used up the tries that the
+// route allows. Were the request then tried at home, it would run on more endpoints than its
+// operator permits, each of which pays for it.
+TEST_F(SchedulerTest, RequestThatRanInAnotherRegionIsNotTriedAtHome)
+{
+    setEndpoints({endpoint("a", Plain)});
+    auto call = facts(Plain);
+    call.homes = {RegionName("away")};
+    offerAway(Plain, 10);
+    const auto sent = scheduler_.submit(call, now_);
+    ASSERT_NE(only<Forward>(sent), nullptr);
+    call.homes.clear();
+    const auto effects = scheduler_.ended(call.id, TryOutcome::Error, true, now_);
+    EXPECT_NE(only<Fail>(effects), nullptr);
+}
+
+// An endpoint answers a lookup with an error of its own. The caller would see a failure although a
+// second run would most likely succeed.
+TEST_F(SchedulerTest, RepeatableRequestIsTriedOnceMoreAfterAnError)
+{
+    setEndpoints({endpoint("a", Plain), endpoint("b", Plain)});
+    const auto call = facts(Plain);
+    const auto first = scheduler_.submit(call, now_);
+    ASSERT_NE(only<Send>(first), nullptr);
+    const auto second = scheduler_.ended(call.id, TryOutcome::Error, true, now_);
+    ASSERT_NE(only<Send>(second), nullptr);
+    EXPECT_NE(only<Send>(first)->endpoint, only<Send>(second)->endpoint);
+    EXPECT_NE(only<Fail>(scheduler_.ended(call.id, TryOutcome::Error, true, now_)), nullptr);
+}
+
+// The connection breaks under an order. It may have run; a second run would be a second order.
+TEST_F(SchedulerTest, OrderIsNotSentAgainAfterABrokenConnection)
+{
+    setEndpoints({endpoint("a", Plain), endpoint("b", Plain)});
+    const auto call = facts(Plain, RequestKind::AtMostOnce);
+    scheduler_.submit(call, now_);
+    EXPECT_NE(only<Fail>(scheduler_.ended(call.id, TryOutcome::Broken, true, now_)), nullptr);
+}
+
+// The endpoint's port is closed, so that nothing was sent: another endpoint may have the order.
+TEST_F(SchedulerTest, OrderThatWasNotSentGoesToAnotherEndpoint)
+{
+    setEndpoints({endpoint("a", Plain), endpoint("b", Plain)});
+    const auto call = facts(Plain, RequestKind::AtMostOnce);
+    const auto first = scheduler_.submit(call, now_);
+    const auto second = scheduler_.ended(call.id, TryOutcome::NotConnected, true, now_);
+    ASSERT_NE(only<Send>(second), nullptr);
+    EXPECT_NE(only<Send>(first)->endpoint, only<Send>(second)->endpoint);
+}
+
+// Endpoints refuse an order one after the other, each saying that it has not run. The caller hears
+// at once that it has not, and when to come back.
+TEST_F(SchedulerTest, OrderThatNobodyTookIsRejectedAsNotRun)
+{
+    setEndpoints({endpoint("a", Plain)});
+    const auto call = facts(Plain, RequestKind::AtMostOnce);
+    scheduler_.submit(call, now_);
+    const auto effects = scheduler_.ended(call.id, TryOutcome::NotRun, true, now_);
+    const auto *reject = only<Reject>(effects);
+    ASSERT_NE(reject, nullptr);
+    EXPECT_GT(reject->retryAfter, Duration(0));
+}
+
+// After an unknown try no endpoint is left. "Not run" would be a lie on which the caller acts.
+TEST_F(SchedulerTest, NothingThatMayHaveRunIsRejectedAsNotRun)
+{
+    setEndpoints({endpoint("a", Plain), endpoint("b", Plain)});
+    const auto call = facts(Plain);
+    scheduler_.submit(call, now_);
+    scheduler_.setEndpoints({}, {}, now_);
+    const auto effects = scheduler_.ended(call.id, TryOutcome::Broken, true, now_);
+    EXPECT_NE(only<Fail>(effects), nullptr);
+}
+
+// All endpoints fail nearly half of what they get. Without a bound each failure would be sent again
+// and the load would grow by half just then.
+TEST_F(SchedulerTest, RetriesStayWithinTheBudgetWhenEverythingFails)
+{
+    Catalog::Bounds bounds;
+    bounds.retryRatio = 0.2;
+    bounds.retrySlack = 10;
+    scheduler_.setBounds(bounds);
+    setEndpoints({endpoint("a", Plain, 1000), endpoint("b", Plain, 1000)});
+    int retries = 0;
+    constexpr int Requests = 200;
+    for (int index = 0; index < Requests; ++index) {
+        const auto call = facts(Plain);
+        scheduler_.submit(call, now_);
+        const auto effects = scheduler_.ended(call.id, TryOutcome::Error, true, now_);
+        if (only<Send>(effects) != nullptr) {
+            ++retries;
+            scheduler_.ended(call.id, TryOutcome::Completed, true, now_);
+        }
+        pass(milliseconds(10));
+    }
+    EXPECT_GT(retries, 20);
+    EXPECT_LE(retries, 0.2 * Requests + 10);
+}
+
+} // namespace LaburnumChute::Dispatch
--- /dev/null
+++ b/Source/UnitTests/Relay/DirectoryAnswerTest.cpp
@@ -0,0 +1,60 @@
+#include <gtest/gtest.h>
+
+#include "Relay/DirectoryAnswer.h"
+
+namespace LaburnumChute::Relay {
+
+namespace {
+
+using Common::RegionName;
+
+const std::vector<DirectoryCandidate> Everywhere = {{"n1", RegionName("north")},
+                                                    {"n2", RegionName("north")},
+                                                    {"c1", RegionName("central")},
+                                                    {"s1", RegionName("south")}};
+constexpr std::size_t NoLimit = 64;
+
+std::vector<DirectoryCandidate> without(const std::string &region)
+{
+    auto candidates = Everywhere;
+    std::erase_if(candidates, [&](const auto &candidate) {
+        return candidate.region == RegionName(region);
+    });
+    return candidates;
+}
+
+} // namespace
+
+TEST(DirectoryAnswerTest, CallersAreNamedInstancesOfTheirRegion)
+{
+    const auto addresses = chooseAddresses(Everywhere, RegionName("north"), {}, NoLimit);
+    EXPECT_EQ(addresses, (std::vector<std::string>{"n1", "n2"}));
+}
+
+// All instances of the callers' region leave together. Most routes may be served in central or
+// north; a few that hardly anyone uses are bound to one region each. Callers led to the south would
+// send their requests to an instance that must not read them.
+TEST(DirectoryAnswerTest, CallersOfALostRegionAreLedToTheHomesOfMostRoutes)
+{
+    const std::vector<std::vector<RegionName>> homes = {
+        {RegionName("north"), RegionName("central")}, {RegionName("central")}, {RegionName("north")}};
+    const auto addresses = chooseAddresses(without("north"), RegionName("north"), homes, NoLimit);
+    EXPECT_EQ(addresses, (std::vector<std::string>{"c1"}));
+}
+
+TEST(DirectoryAnswerTest, WithoutHomesAllOtherRegionsHelp)
+{
+    const auto addresses = chooseAddresses(without("north"), RegionName("north"), {}, NoLimit);
+    EXPECT_EQ(addresses, (std::vector<std::string>{"c1", "s1"}));
+}
+
+// The regions that are allowed have no instance left: an answer from elsewhere, which can at least
+// say what is wrong, is better than none.
+TEST(DirectoryAnswerTest, SomeInstanceIsNamedAsLongAsThereIsOne)
+{
+    const std::vector<std::vector<RegionName>> homes = {{RegionName("north")}};
+    const auto addresses = chooseAddresses(without("north"), RegionName("north"), homes, NoLimit);
+    EXPECT_FALSE(addresses.empty());
+}
+
+} // namespace LaburnumChute::Relay
