Copy cached prompt parts from endpoints of other regions

Cause: a region reads a shared part that another region's endpoint holds; a read costs 0.35 s of an engine, a copy some milliseconds.

--- a/Source/Core/Dispatch/EndpointBook.cpp
+++ b/Source/Core/Dispatch/EndpointBook.cpp
@@ -88,10 +88,7 @@
             continue;
         }
         byShortId_[shortId(id)] = state.get();
-        if (service->second.engine) {
-            const auto tokens = static_cast<double>(service->second.engine->cacheTokens);
-            state->cache.setCapacity(static_cast<std::int64_t>(tokens * options_->cacheShare));
-        }
+        state->cache.setCapacity(cacheCapacity(record.service));
         running_[record.service].push_back(state.get());
         if (!state->listed.leaving && !state->evacuated) {
             usable_[record.service].push_back(state.get());
@@ -99,6 +96,55 @@
     }
 }
 
+std::int64_t EndpointBook::cacheCapacity(const ServiceName &name) const
+{
+    const auto service = services_.find(name);
+    if (service == services_.end() || !service->second.engine) {
+        return 0;
+    }
+    const auto tokens = static_cast<double>(service->second.engine->cacheTokens);
+    return static_cast<std::int64_t>(tokens * options_->cacheShare);
+}
+
+void EndpointBook::setRemoteEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints)
+{
+    std::set<EndpointId> listed;
+    remoteByService_.clear();
+    remoteByShortId_.clear();
+    for (const auto &endpoint : endpoints) {
+        const auto &record = endpoint.record;
+        listed.insert(record.id);
+        auto &remote = remote_[record.id];
+        if (remote.listed.record.startedAt != record.startedAt) {
+            remote.cache.clear();
+        }
+        remote.listed = endpoint;
+        remote.cache.setCapacity(cacheCapacity(record.service));
+        remoteByShortId_[shortId(record.id)] = &remote;
+        if (!endpoint.leaving && !endpoint.missing) {
+            remoteByService_[record.service].push_back(&remote);
+        }
+    }
+    std::erase_if(remote_, [&](const auto &item) { return listed.count(item.first) == 0; });
+}
+
+void EndpointBook::setRemotePlacements(const std::vector<PartPlacement> &placements)
+{
+    for (const auto &placement : placements) {
+        const auto found = remoteByShortId_.find(placement.endpoint);
+        if (found != remoteByShortId_.end()) {
+            found->second->cache.use(Dialect::PromptPart{placement.part, placement.tokens});
+        }
+    }
+}
+
+const std::vector<const RemoteEndpoint *> &EndpointBook::remote(const ServiceName &name) const
+{
+    static const std::vector<const RemoteEndpoint *> None;
+    const auto found = remoteByService_.find(name);
+    return found == remoteByService_.end() ? None : found->second;
+}
+
 void EndpointBook::setShare(const InstanceId &instance, const RegionShare &share, Time now)
 {
     shares_[instance] = share;
--- a/Source/Core/Dispatch/EndpointBook.h
+++ b/Source/Core/Dispatch/EndpointBook.h
@@ -63,7 +63,14 @@
     }
 };
 
-/// All endpoints of the own region, by service.
+/// An endpoint of another region: it gets no requests from here, but its memory may be copied.
+struct RemoteEndpoint
+{
+    Catalog::ListedEndpoint listed;
+    PartCache cache;
+};
+
+/// All endpoints of the own region, by service, and what is known of those of other regions.
 class EndpointBook
 {
 public:
@@ -72,6 +79,9 @@
     void setServices(const std::map<ServiceName, Catalog::Service> &services);
     void setEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints,
                       const std::set<Common::FailureDomainName> &evacuated, Time now);
+    void setRemoteEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints);
+    /// What endpoints of other regions were sent lately.
+    void setRemotePlacements(const std::vector<PartPlacement> &placements);
     /// What another instance of the region has on the endpoints.
     void setShare(const InstanceId &instance, const RegionShare &share, Time now);
     /// Forgets the shares of instances that are not in the list.
@@ -82,6 +92,7 @@
     const std::vector<EndpointState *> &usable(const ServiceName &name) const;
     /// Those whose memory may be read, though they get no new work.
     const std::vector<EndpointState *> &running(const ServiceName &name) const;
+    const std::vector<const RemoteEndpoint *> &remote(const ServiceName &name) const;
     EndpointState *find(const EndpointId &id);
     EngineModel &engine(const ServiceName &name);
     std::vector<const EndpointState *> all() const;
@@ -103,6 +114,7 @@
 
     void rebuild();
     void sumShares(Time now);
+    std::int64_t cacheCapacity(const ServiceName &name) const;
 
     const DispatchOptions *options_;
     std::map<ServiceName, Catalog::Service> services_;
@@ -111,6 +123,9 @@
     std::map<ServiceName, std::vector<EndpointState *>> running_;
     std::map<ServiceName, EngineModel> engines_;
     std::map<std::uint32_t, EndpointState *> byShortId_;
+    std::map<EndpointId, RemoteEndpoint> remote_;
+    std::map<ServiceName, std::vector<const RemoteEndpoint *>> remoteByService_;
+    std::map<std::uint32_t, RemoteEndpoint *> remoteByShortId_;
     std::map<InstanceId, RegionShare> shares_;
     std::deque<RecentPlacement> placements_;
 };
--- a/Source/Core/Dispatch/Options.h
+++ b/Source/Core/Dispatch/Options.h
@@ -26,6 +26,8 @@
     /// What a copy adds to the wait: 5 ms to set up and 5 ms for 13,000 tokens at 370 Gbit/s, twice
     /// that between failure domains.
     milliseconds copyTime{15};
+    /// The same from an endpoint of another region.
+    milliseconds copyTimeBetweenRegions{130};
     /// A prompt whose parts no endpoint is known to hold goes to the endpoint that all instances
     /// compute for its first large part, unless that one is slower than the best by this much.
     milliseconds homeTolerance{120};
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -126,6 +126,11 @@
     return effects;
 }
 
+void Scheduler::setRemoteEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints)
+{
+    book_.setRemoteEndpoints(endpoints);
+}
+
 void Scheduler::setBounds(const Catalog::Bounds &bounds)
 {
     bounds_ = bounds;
@@ -190,6 +195,7 @@
                               const WorldShare &share, Time now)
 {
     rooms_.update(region, instance, share, now);
+    book_.setRemotePlacements(share.placements);
     mergeSuspects(share.suspects, now);
 }
 
@@ -215,7 +221,9 @@
 WorldShare Scheduler::worldShare(Time now)
 {
     WorldShare share;
-    share.suspects = regionShare(now).suspects;
+    auto own = regionShare(now);
+    share.suspects = std::move(own.suspects);
+    share.placements = std::move(own.placements);
     for (const auto &[name, service] : book_.services()) {
         ServiceRoom room;
         room.service = shortId(name);
@@ -303,18 +311,22 @@
     return scaled(endpoint.hold, 1 + static_cast<double>(excess) / slots);
 }
 
-const EndpointState *Scheduler::holderOf(const Call &call, Time now,
-                                         std::int64_t &heldTokens) const
+Scheduler::Holder Scheduler::holderOf(const Call &call, Time now) const
 {
-    const EndpointState *holder = nullptr;
-    heldTokens = 0;
+    Holder holder;
     for (const auto *endpoint : book_.running(call.facts.service)) {
         const bool reachable = !endpoint->restsUntil && !endpoint->evacuated
                                && (!endpoint->listed.endsAt || now < *endpoint->listed.endsAt);
         const auto held = reachable ? endpoint->cache.cachedTokens(call.facts.parts) : 0;
-        if (held > heldTokens) {
-            heldTokens = held;
-            holder = endpoint;
+        if (held > holder.tokens) {
+            holder = {endpoint->listed.record.address, endpoint, held};
+        }
+    }
+    // A prompt that is bound to its homes may have been read only there.
+    for (const auto *remote : book_.remote(call.facts.service)) {
+        const auto held = remote->cache.cachedTokens(call.facts.parts);
+        if (held >= holder.tokens + options_.copyMinimumTokens) {
+            holder = {remote->listed.record.address, nullptr, held};
         }
     }
     return holder;
@@ -343,21 +355,21 @@
 }
 
 Scheduler::Candidate Scheduler::evaluate(EndpointState &endpoint, const Catalog::Service &service,
-                                         const Call &call, const EndpointState *holder,
-                                         std::int64_t heldTokens, Time now)
+                                         const Call &call, const Holder &holder, Time now)
 {
     Candidate candidate;
     candidate.endpoint = &endpoint;
     double extraMs = 0;
     if (service.engine) {
         auto cached = endpoint.cache.cachedTokens(call.facts.parts);
-        const bool copies = service.engine->transfers && holder != nullptr && holder != &endpoint
-                            && heldTokens - cached >= options_.copyMinimumTokens;
+        const bool copies = service.engine->transfers && holder.endpoint != &endpoint
+                            && holder.tokens - cached >= options_.copyMinimumTokens;
         Duration copying{0};
         if (copies) {
-            cached = heldTokens;
-            candidate.copyFrom = holder;
-            copying = options_.copyTime;
+            cached = holder.tokens;
+            candidate.copyFrom = holder.address;
+            copying = holder.endpoint != nullptr ? options_.copyTime
+                                                 : options_.copyTimeBetweenRegions;
             extraMs += CopyCostMs;
         }
         candidate.tokensToRead = std::max<std::int64_t>(0, call.facts.promptTokens - cached);
@@ -383,17 +395,17 @@
     if (service == nullptr) {
         return std::nullopt;
     }
-    std::int64_t heldTokens = 0;
-    const auto *holder = service->engine ? holderOf(call, now, heldTokens) : nullptr;
-    const auto *home =
-        service->engine && heldTokens < options_.copyMinimumTokens ? homeEndpoint(call) : nullptr;
+    const auto holder = service->engine ? holderOf(call, now) : Holder();
+    const bool heldHere =
+        holder.endpoint != nullptr && holder.tokens >= options_.copyMinimumTokens;
+    const auto *home = service->engine && !heldHere ? homeEndpoint(call) : nullptr;
     std::optional<Candidate> best;
     std::optional<Candidate> atHome;
     for (auto *endpoint : book_.usable(call.facts.service)) {
         if (!available(*endpoint, *service, call, now)) {
             continue;
         }
-        const auto candidate = evaluate(*endpoint, *service, call, holder, heldTokens, now);
+        const auto candidate = evaluate(*endpoint, *service, call, holder, now);
         if (endpoint == home) {
             atHome = candidate;
         }
@@ -532,9 +544,7 @@
     effect.endpoint = record.id;
     effect.address = record.address;
     effect.expected = candidate.expected;
-    if (candidate.copyFrom != nullptr) {
-        effect.copyCacheFrom = candidate.copyFrom->listed.record.address;
-    }
+    effect.copyCacheFrom = candidate.copyFrom;
     effects.push_back(std::move(effect));
     return true;
 }
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -40,6 +40,8 @@
     /// Endpoints of the own region.
     Effects setEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints,
                          const std::set<Common::FailureDomainName> &evacuated, Time now);
+    /// Endpoints of other regions, for what their memory holds.
+    void setRemoteEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints);
     void setBounds(const Catalog::Bounds &bounds);
     /// Live instances of the own region, this one among them, of all regions together, and the
     /// other regions that can be reached.
@@ -104,6 +106,16 @@
         std::vector<RegionName> triedRegions;
     };
 
+    /// Who holds the most of a prompt.
+    struct Holder
+    {
+        /// Empty when nobody holds any of it.
+        std::string address;
+        /// Null for one of another region.
+        const EndpointState *endpoint = nullptr;
+        std::int64_t tokens = 0;
+    };
+
     struct Candidate
     {
         EndpointState *endpoint = nullptr;
@@ -112,7 +124,7 @@
         Duration wait{0};
         double cost = 0;
         std::int64_t tokensToRead = 0;
-        const EndpointState *copyFrom = nullptr;
+        std::optional<std::string> copyFrom;
     };
 
     // Placing.
@@ -120,8 +132,8 @@
     bool available(const EndpointState &endpoint, const Catalog::Service &service, const Call &call,
                    Time now) const;
     Candidate evaluate(EndpointState &endpoint, const Catalog::Service &service, const Call &call,
-                       const EndpointState *holder, std::int64_t heldTokens, Time now);
-    const EndpointState *holderOf(const Call &call, Time now, std::int64_t &heldTokens) const;
+                       const Holder &holder, Time now);
+    Holder holderOf(const Call &call, Time now) const;
     const EndpointState *homeEndpoint(const Call &call) const;
     Duration engineWait(const EndpointState &endpoint, Time now) const;
     Duration plainWait(const EndpointState &endpoint) const;
--- a/Source/Core/Dispatch/Shares.h
+++ b/Source/Core/Dispatch/Shares.h
@@ -94,13 +94,14 @@
 struct WorldShare
 {
     std::vector<ServiceRoom> rooms;
+    std::vector<PartPlacement> placements;
     std::vector<SuspectShare> suspects;
 
     /// For cereal.
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(rooms, suspects);
+        archive(rooms, placements, suspects);
     }
 };
 
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -337,12 +337,14 @@
 void RelayGateway::endpointsChanged(Common::Time now)
 {
     std::vector<Catalog::ListedEndpoint> own;
+    std::vector<Catalog::ListedEndpoint> remote;
     for (auto &endpoint : catalog_.endpoints()) {
         const auto region = settings_.regions.find(endpoint.record.failureDomain);
-        if (region != settings_.regions.end() && region->second == settings_.region) {
-            own.push_back(std::move(endpoint));
-        }
+        const bool isOwn =
+            region != settings_.regions.end() && region->second == settings_.region;
+        (isOwn ? own : remote).push_back(std::move(endpoint));
     }
+    scheduler_.setRemoteEndpoints(remote);
     carryOut(scheduler_.setEndpoints(own, catalog_.evacuated(), now), now);
 }
 
