--- a/Source/Core/Relay/DirectoryAnswer.cpp
+++ b/Source/Core/Relay/DirectoryAnswer.cpp
@@ -1,6 +1,7 @@
 #include "Relay/DirectoryAnswer.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace LaburnumChute::Relay {
 
@@ -21,25 +22,36 @@
                                          const Common::RegionName &callerRegion, const Homes &homes,
                                          std::size_t limit)
 {
-    std::vector<std::string> own;
-    std::vector<std::string> elsewhere;
     std::ptrdiff_t most = 0;
     for (const auto &candidate : candidates) {
-        if (candidate.region == callerRegion) {
-            own.push_back(candidate.address);
-            continue;
-        }
-        const auto allowing = routesAllowing(candidate.region, homes);
-        if (allowing > most) {
-            most = allowing;
-            elsewhere.clear();
+        most = std::max(most, routesAllowing(candidate.region, homes));
+    }
+    const auto isOwn = [&](const DirectoryCandidate &candidate) {
+        return candidate.region == callerRegion;
+    };
+    const auto isHome = [&](const DirectoryCandidate &candidate) {
+        return homes.empty() || (most > 0 && routesAllowing(candidate.region, homes) == most);
+    };
+    using Rule = std::function<bool(const DirectoryCandidate &)>;
+    const std::vector<Rule> rules = {
+        [&](const auto &candidate) { return isOwn(candidate) && !candidate.leaving; },
+        [&](const auto &candidate) { return isHome(candidate) && !candidate.leaving; },
+        [&](const auto &candidate) { return isOwn(candidate); },
+        [&](const auto &candidate) { return isHome(candidate); },
+        [](const auto &candidate) { return !candidate.leaving; },
+        [](const auto &) { return true; },
+    };
+    std::vector<std::string> chosen;
+    for (const auto &rule : rules) {
+        for (const auto &candidate : candidates) {
+            if (rule(candidate) && chosen.size() < limit) {
+                chosen.push_back(candidate.address);
+            }
         }
-        if (allowing == most) {
-            elsewhere.push_back(candidate.address);
+        if (!chosen.empty()) {
+            break;
         }
     }
-    auto &chosen = own.empty() ? elsewhere : own;
-    chosen.resize(std::min(chosen.size(), limit));
     return chosen;
 }
 
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -676,12 +676,14 @@
         return;
     }
     std::vector<DirectoryCandidate> candidates;
-    if (ready()) {
-        candidates.push_back({settings_.callerAddress, settings_.region});
+    if (ready() || (stoppingSince_ && !closing_)) {
+        const bool leaving = stoppingSince_.has_value();
+        candidates.push_back({settings_.callerAddress, settings_.region, leaving});
     }
     for (const auto &peer : knownPeers_) {
-        if (peer.alive && peer.record.ready && !peer.record.leaving) {
-            candidates.push_back({peer.record.callerAddress, peer.record.region});
+        const auto &record = peer.record;
+        if (peer.alive && (record.ready || record.leaving)) {
+            candidates.push_back({record.callerAddress, record.region, record.leaving});
         }
     }
     std::shuffle(candidates.begin(), candidates.end(), random_);
--- a/Source/UnitTests/Relay/DirectoryAnswerTest.cpp
+++ b/Source/UnitTests/Relay/DirectoryAnswerTest.cpp
@@ -48,6 +48,21 @@
     EXPECT_EQ(addresses, (std::vector<std::string>{"c1", "s1"}));
 }
 
+// The instances are replaced one after the other: those of the caller's region and of the only other
+// home are about to stop, the next one has not started yet. They still serve for seconds; an
+// instance of a region that is no home must not read the requests at all.
+TEST(DirectoryAnswerTest, InstancesThatLeaveAreNamedBeforeThoseOutsideTheHomes)
+{
+    auto candidates = Everywhere;
+    for (auto &candidate : candidates) {
+        candidate.leaving = candidate.region != RegionName("south");
+    }
+    const std::vector<std::vector<RegionName>> homes = {
+        {RegionName("north"), RegionName("central")}};
+    const auto addresses = chooseAddresses(candidates, RegionName("central"), homes, NoLimit);
+    EXPECT_EQ(addresses, (std::vector<std::string>{"c1"}));
+}
+
 // The regions that are allowed have no instance left: an answer from elsewhere, which can at least
 // say what is wrong, is better than none.
 TEST(DirectoryAnswerTest, SomeInstanceIsNamedAsLongAsThereIsOne)
