--- a/Source/Core/Dispatch/EndpointBook.cpp
+++ b/Source/Core/Dispatch/EndpointBook.cpp
@@ -171,7 +171,11 @@
         state->othersBacklogUntil = Time();
     }
     std::map<std::uint32_t, milliseconds> backlogs;
+    othersQueues_.clear();
     for (const auto &[instance, share] : shares_) {
+        for (const auto &queue : share.queues) {
+            othersQueues_[queue.service] += milliseconds(queue.workMs);
+        }
         for (const auto &use : share.uses) {
             const auto found = byShortId_.find(use.endpoint);
             if (found != byShortId_.end()) {
@@ -243,6 +247,12 @@
     }
 }
 
+Duration EndpointBook::othersQueue(const ServiceName &name) const
+{
+    const auto found = othersQueues_.find(shortId(name));
+    return found == othersQueues_.end() ? Duration(0) : found->second;
+}
+
 RegionShare EndpointBook::share(Time now) const
 {
     RegionShare share;
--- a/Source/Core/Dispatch/EndpointBook.h
+++ b/Source/Core/Dispatch/EndpointBook.h
@@ -36,7 +36,7 @@
     double slowness = 1;
     /// Share of answers that are errors of its own, averaged.
     double errorShare = 0;
-    /// Mean time that a plain call holds a place.
+    /// Mean time that a request holds a place; until some have ended, that of plain calls in use.
     Duration hold = milliseconds(60);
     PartCache cache;
     ColdGate coldGate;
@@ -100,6 +100,8 @@
     {
         return services_;
     }
+    /// Work of the service that waits at the region's other instances.
+    Duration othersQueue(const ServiceName &name) const;
     RegionShare share(Time now) const;
     /// Remembers a large part for the next share.
     void placed(const EndpointState &endpoint, const std::vector<Dialect::PromptPart> &parts,
@@ -127,6 +129,7 @@
     std::map<ServiceName, std::vector<const RemoteEndpoint *>> remoteByService_;
     std::map<std::uint32_t, RemoteEndpoint *> remoteByShortId_;
     std::map<InstanceId, RegionShare> shares_;
+    std::map<std::uint32_t, Duration> othersQueues_;
     std::deque<RecentPlacement> placements_;
 };
 
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -106,6 +106,8 @@
 {
     CallId call = 0;
     RegionName region;
+    /// Endpoints on which it may run there.
+    int attempts = 1;
 };
 
 /// The request has not run; tell its caller when to come back.
--- a/Source/Core/Dispatch/Options.h
+++ b/Source/Core/Dispatch/Options.h
@@ -65,8 +65,8 @@
     double errorWeight = 0.08;
     /// A repeatable request without an answer is taken off its endpoint after this many times the
     /// expected wait, but not before the floor. Long tails of plain calls are five times the mean.
-    double silenceFactor = 4;
-    milliseconds silenceFloor{500};
+    double silenceFactor = 5;
+    milliseconds silenceFloor{700};
 
     // Shared bounds.
 
@@ -84,9 +84,10 @@
     /// A region is preferred to home when it is faster by this share of the objective: the bytes
     /// between regions cost, and its caches are cold.
     double spillMargin = 0.25;
-    /// Share of another region's free places that the instances of this one use until it reports
-    /// again.
+    /// Share of another region's free rate that the instances of this one use, and for how long they
+    /// may save it up: about the interval of the reports.
     double spillShare = 0.5;
+    milliseconds spillBurst{500};
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/RegionRooms.cpp
+++ b/Source/Core/Dispatch/RegionRooms.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// What a region that has no more room than it was sent counts for beside one that has.
+constexpr Duration FullRoomWait = milliseconds(500);
+
 bool contains(const std::vector<RegionName> &regions, const RegionName &region)
 {
     return std::find(regions.begin(), regions.end(), region) != regions.end();
@@ -23,8 +26,8 @@
 {
     for (const auto &reported : share.rooms) {
         auto &room = rooms_[{region, reported.service}];
+        fill(room, now);
         room.reports[reporter] = {reported, now};
-        room.sentSince = 0;
         std::erase_if(room.reports, [&](const auto &entry) {
             return now - entry.second.at > options_->roomLifetime;
         });
@@ -52,24 +55,34 @@
 {
     Summary summary;
     double count = 0;
-    double places = 0;
+    double rate = 0;
     Duration wait{0};
     for (const auto &[reporter, report] : room.reports) {
         if (now - report.at > options_->roomLifetime) {
             continue;
         }
         count += 1;
-        places += report.room.freePlaces;
+        rate += report.room.freePerSecond;
         wait += milliseconds(report.room.waitMs);
         summary.hasEndpoint = summary.hasEndpoint || report.room.endpoints > 0;
     }
     if (count > 0) {
-        summary.freePlaces = places / count;
+        summary.freePerSecond = rate / count;
         summary.wait = wait / static_cast<int>(count);
     }
     return summary;
 }
 
+void RegionRooms::fill(Room &room, Time now) const
+{
+    const double rate = summarize(room, now).freePerSecond * options_->spillShare
+                        / static_cast<double>(ownInstances_);
+    const double elapsed = room.filledAt == Time() ? 0 : Common::toSeconds(now - room.filledAt);
+    const double most = std::max(1.0, rate * Common::toSeconds(options_->spillBurst));
+    room.allowance = std::min(most, room.allowance + rate * elapsed);
+    room.filledAt = now;
+}
+
 std::optional<RegionRooms::Offer> RegionRooms::best(const ServiceName &service,
                                                     const std::vector<RegionName> &allowed,
                                                     const std::vector<RegionName> &excluded,
@@ -81,9 +94,7 @@
             continue;
         }
         const auto summary = summarize(room, now);
-        const double part =
-            summary.freePlaces * options_->spillShare / static_cast<double>(ownInstances_);
-        const bool hasRoom = summary.hasEndpoint && room.sentSince + 1 <= part;
+        const bool hasRoom = summary.hasEndpoint && room.allowance >= 1;
         if (hasRoom && (!best || summary.wait < best->wait)) {
             best = Offer{key.first, summary.wait};
         }
@@ -102,11 +113,8 @@
             continue;
         }
         const auto summary = summarize(room, now);
-        // What was sent since the report makes the region slower by what its places can tell.
-        const double crowding = room.sentSince / std::max(1.0, summary.freePlaces);
-        const auto wait = summary.wait
-                          + std::chrono::duration_cast<Duration>(
-                              options_->regionRoundTrip * std::min(crowding, 1.0));
+        // A region whose bucket is empty gets the request only when no other is left.
+        const auto wait = summary.wait + (room.allowance >= 1 ? Duration(0) : FullRoomWait);
         if (summary.hasEndpoint && (!best || wait < best->wait)) {
             best = Offer{key.first, wait};
         }
@@ -114,9 +122,11 @@
     return best;
 }
 
-void RegionRooms::sent(const RegionName &region, const ServiceName &service, Time)
+void RegionRooms::sent(const RegionName &region, const ServiceName &service, Time now)
 {
-    rooms_[{region, shortId(service)}].sentSince += 1;
+    auto &room = rooms_[{region, shortId(service)}];
+    fill(room, now);
+    room.allowance = std::max(0.0, room.allowance - 1);
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/RegionRooms.h
+++ b/Source/Core/Dispatch/RegionRooms.h
@@ -14,8 +14,7 @@
 /// Load pattern: the peaks of the regions differ, and one region's slack covers another's rush. What
 /// is known of a region is half a second old. If all instances sent there what they see free, each
 /// would fill it alone, the region would turn the rest away, and the next report would turn the
-/// stream off: so each takes a part of the free places, and what it sent counts until the region
-/// reports again.
+/// stream off: so each has a bucket that fills with its part of the rate that the region has free.
 class RegionRooms
 {
 public:
@@ -51,18 +50,21 @@
     struct Room
     {
         std::map<InstanceId, Report> reports;
-        double sentSince = 0;
+        /// Requests that this instance may send now.
+        double allowance = 0;
+        Time filledAt{};
     };
     using Key = std::pair<RegionName, std::uint32_t>;
 
     struct Summary
     {
-        double freePlaces = 0;
+        double freePerSecond = 0;
         Duration wait{0};
         bool hasEndpoint = false;
     };
 
     Summary summarize(const Room &room, Time now) const;
+    void fill(Room &room, Time now) const;
     bool eligible(const RegionName &region, const std::vector<RegionName> &allowed,
                   const std::vector<RegionName> &excluded) const;
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -17,9 +17,11 @@
 /// An endpoint whose record has lapsed is used when the others are this much slower.
 constexpr double MissingCostMs = 80;
 /// What a copy costs in money, put in time: 0.5 of the 11 to 16 that a long request is worth.
-constexpr double CopyCostMs = 40;
+constexpr double CopyCostMs = 150;
 /// Prompt of the request for which other regions are told the wait.
 constexpr std::int64_t NominalTokens = 400;
+/// In seconds; bounds what an endpoint of very quick calls is said to take.
+constexpr double ShortestHold = 0.005;
 /// An endpoint that says it is full is believed for this long.
 constexpr milliseconds SampleLifetime{150};
 /// Requests whose connection broke within this time of an endpoint's end were on board.
@@ -199,9 +201,15 @@
     mergeSuspects(share.suspects, now);
 }
 
-RegionShare Scheduler::regionShare(Time now) const
+RegionShare Scheduler::regionShare(Time now)
 {
     auto share = book_.share(now);
+    for (const auto &[name, service] : book_.services()) {
+        const auto work = std::chrono::duration_cast<milliseconds>(queuedWork(name));
+        if (work > milliseconds(0)) {
+            share.queues.push_back({shortId(name), static_cast<std::uint32_t>(work.count())});
+        }
+    }
     for (const auto &notice : quarantine_.notices(now)) {
         if (share.suspects.size() >= MaxSuspectsShared) {
             break;
@@ -233,15 +241,16 @@
                 continue;
             }
             ++room.endpoints;
-            const int free = endpoint->listed.record.slots - endpoint->load();
-            room.freePlaces += static_cast<std::uint32_t>(std::max(0, free));
+            const int free = std::max(0, endpoint->listed.record.slots - endpoint->load());
+            room.freePerSecond += static_cast<std::uint32_t>(
+                free / std::max(ShortestHold, Common::toSeconds(endpoint->hold)));
             const auto wait = service.engine
                                   ? engineWait(*endpoint, now) + options_.firstEventFloor
                                         + book_.engine(name).readTime(NominalTokens)
                                   : plainWait(*endpoint);
             best = best ? std::min(*best, wait) : wait;
         }
-        const auto wait = best.value_or(Duration(0)) + queueWait(name, now);
+        const auto wait = best.value_or(Duration(0)) + queueWait(name);
         constexpr std::int64_t MaxWaitMs = 60000;
         room.waitMs = static_cast<std::uint16_t>(std::min<std::int64_t>(
             std::chrono::duration_cast<milliseconds>(wait).count(), MaxWaitMs));
@@ -443,29 +452,34 @@
     return effects;
 }
 
-Duration Scheduler::queueWait(const ServiceName &service, Time now)
+Duration Scheduler::queuedWork(const ServiceName &service)
 {
     const auto &endpoints = book_.usable(service);
-    if (endpoints.empty()) {
-        return Duration(0);
-    }
     const auto *traits = book_.service(service);
     const bool engine = traits != nullptr && traits->engine.has_value();
-    Duration work{0};
-    double places = 0;
     Duration hold{0};
     for (const auto *endpoint : endpoints) {
-        places += engine ? 1 : endpoint->listed.record.slots;
         hold += endpoint->hold / static_cast<int>(endpoints.size());
     }
+    Duration work{0};
     for (const auto &[key, id] : queue_) {
         const auto &facts = calls_.at(id).facts;
         if (facts.service == service) {
             work += engine ? book_.engine(service).readTime(facts.promptTokens) : hold;
         }
     }
-    static_cast<void>(now);
-    return scaled(work, 1 / std::max(1.0, places));
+    return work;
+}
+
+Duration Scheduler::queueWait(const ServiceName &service)
+{
+    const auto *traits = book_.service(service);
+    const bool engine = traits != nullptr && traits->engine.has_value();
+    double places = 0;
+    for (const auto *endpoint : book_.usable(service)) {
+        places += engine ? 1 : endpoint->listed.record.slots;
+    }
+    return scaled(queuedWork(service) + book_.othersQueue(service), 1 / std::max(1.0, places));
 }
 
 Duration Scheduler::bestWait(const Call &call, Time now)
@@ -476,7 +490,7 @@
         const auto wait = service->engine ? engineWait(*endpoint, now) : plainWait(*endpoint);
         best = best ? std::min(*best, wait) : wait;
     }
-    return best.value_or(Duration(0)) + queueWait(call.facts.service, now);
+    return best.value_or(Duration(0)) + queueWait(call.facts.service);
 }
 
 void Scheduler::place(Call &call, bool mayWait, Time now, Effects &effects)
@@ -565,7 +579,8 @@
     call.answering = false;
     call.takenBack = false;
     ++call.tries;
-    effects.push_back(Forward{call.facts.id, offer->region});
+    const int attemptsLeft = std::max(1, call.facts.attempts - call.runs);
+    effects.push_back(Forward{call.facts.id, offer->region, attemptsLeft});
     return true;
 }
 
@@ -737,7 +752,7 @@
         const double error = outcome == TryOutcome::Error ? 1 : 0;
         endpoint.errorShare += options_.errorWeight * (error - endpoint.errorShare);
         quarantine_.completed(call.facts.fingerprint, now);
-        if (service != nullptr && !service->engine) {
+        if (service != nullptr) {
             endpoint.hold += scaled(now - call.sentAt - endpoint.hold, AverageWeight);
         }
     }
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -50,7 +50,7 @@
     Effects setRegionShare(const InstanceId &instance, const RegionShare &share, Time now);
     void setWorldShare(const RegionName &region, const InstanceId &instance,
                        const WorldShare &share, Time now);
-    RegionShare regionShare(Time now) const;
+    RegionShare regionShare(Time now);
     WorldShare worldShare(Time now);
 
     // Requests.
@@ -154,7 +154,10 @@
     void pump(Time now, Effects &effects);
     void takeBackSilent(Time now, Effects &effects);
     bool homeAllowed(const CallFacts &facts) const;
-    Duration queueWait(const ServiceName &service, Time now);
+    /// Work of the service that waits here, in time of one engine or of one place of a plain endpoint.
+    Duration queuedWork(const ServiceName &service);
+    /// How long the work that waits at all instances of the region keeps its endpoints busy.
+    Duration queueWait(const ServiceName &service);
     Duration bestWait(const Call &call, Time now);
     Duration spread(Duration wait);
     RetryBudget &budget(const ServiceName &service);
--- a/Source/Core/Dispatch/Shares.h
+++ b/Source/Core/Dispatch/Shares.h
@@ -58,10 +58,25 @@
     }
 };
 
+/// Work of a service that waits at one instance.
+struct QueuedWork
+{
+    std::uint32_t service = 0;
+    std::uint32_t workMs = 0;
+
+    /// For cereal.
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, workMs);
+    }
+};
+
 /// What an instance tells the others of its region.
 struct RegionShare
 {
     std::vector<EndpointUse> uses;
+    std::vector<QueuedWork> queues;
     std::vector<PartPlacement> placements;
     std::vector<SuspectShare> suspects;
 
@@ -69,7 +84,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(uses, placements, suspects);
+        archive(uses, queues, placements, suspects);
     }
 };
 
@@ -78,7 +93,8 @@
 {
     std::uint32_t service = 0;
     std::uint16_t endpoints = 0;
-    std::uint32_t freePlaces = 0;
+    /// Requests a second that its free places would take.
+    std::uint32_t freePerSecond = 0;
     /// Expected until the first event of a short request.
     std::uint16_t waitMs = 0;
 
@@ -86,7 +102,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(service, endpoints, freePlaces, waitMs);
+        archive(service, endpoints, freePerSecond, waitMs);
     }
 };
 
--- a/Source/Core/Fleet/Fleet.h
+++ b/Source/Core/Fleet/Fleet.h
@@ -5,3 +5,4 @@
 
 #include "Fleet/Heartbeat.h"
 #include "Fleet/Roster.h"
+#include "Fleet/StoreWatch.h"
--- a/Source/Core/Fleet/Heartbeat.h
+++ b/Source/Core/Fleet/Heartbeat.h
@@ -28,13 +28,17 @@
     bool leaving = false;
     /// All changes of the platform's store up to here are known to it.
     std::uint64_t storeRevision = 0;
+    /// Time since the store last answered it, bounded by a minute.
+    std::uint16_t storeAgeMs = 0;
+    /// The store has answered it without a break for some seconds.
+    bool storeSettled = false;
 
     /// For cereal.
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(id, incarnation, sequence, region, failureDomain, callerAddress, gossipAddress,
-                peerAddress, ready, leaving, storeRevision);
+                peerAddress, ready, leaving, storeRevision, storeAgeMs, storeSettled);
     }
 };
 
--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -48,6 +48,13 @@
     self_.storeRevision = std::max(self_.storeRevision, revision);
 }
 
+void Roster::setStoreContact(Duration sinceAnswer, bool settled)
+{
+    const auto age = std::chrono::duration_cast<milliseconds>(sinceAnswer).count();
+    self_.storeAgeMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(age, 0, MaxAgeMs));
+    self_.storeSettled = settled;
+}
+
 void Roster::setShares(std::string ownRegion, std::string otherRegions)
 {
     ownShare_ = std::move(ownRegion);
--- /dev/null
+++ b/Source/Core/Fleet/StoreWatch.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <vector>
+
+#include "Fleet/Roster.h"
+
+namespace LaburnumChute::Fleet {
+
+/// Whether an instance watches the platform's store itself.
+enum class WatchDuty {
+    /// It is one of the region's watchers.
+    Watches,
+    /// Watchers of its region hear the store, and it hears them.
+    Listens,
+    /// None of the region's watchers hears the store, or none can be heard: it looks for itself, at
+    /// longer intervals.
+    Looks,
+};
+
+struct WatchOptions
+{
+    /// Watchers of a region. Each change of the store wakes every waiting call, and each call has a
+    /// price: with 300 changes and 26 instances that was a twentieth of what a day is worth. Two, so
+    /// that the loss of one is not noticed.
+    std::size_t watchers = 2;
+    /// A watcher that has had no answer for so long does not count: its waiting call takes up to a
+    /// second or two.
+    milliseconds answerAge{3500};
+};
+
+/// The duty of an instance, by a hash of the names of those that are alive in its region. Instances
+/// that see different ones choose differently for a moment; then there are more watchers or fewer
+/// listeners, and all of them still learn every change.
+WatchDuty watchDuty(const InstanceRecord &self, const std::vector<Peer> &peers,
+                    const WatchOptions &options);
+
+/// What the instance knows of the store was the latest at most this long ago, be it by its own
+/// answers or by those of a peer that knows no more.
+Duration knowledgeAge(Duration ownAnswerAge, std::uint64_t ownRevision,
+                      const std::vector<Peer> &peers);
+
+} // namespace LaburnumChute::Fleet
--- a/Source/Core/Relay/PeerSync.cpp
+++ b/Source/Core/Relay/PeerSync.cpp
@@ -40,8 +40,10 @@
     return parsed.ec == std::errc() ? std::optional(revision) : std::nullopt;
 }
 
-PeerSync::PeerSync(std::shared_ptr<OutboundPool> pool, ChangesHandler changes)
+PeerSync::PeerSync(std::shared_ptr<OutboundPool> pool, Common::RegionName home,
+                   ChangesHandler changes)
     : pool_(std::move(pool))
+    , home_(std::move(home))
     , changes_(std::move(changes))
 {
 }
@@ -56,17 +58,21 @@
 const Fleet::Peer *PeerSync::choose(const std::vector<Fleet::Peer> &peers,
                                     Catalog::Revision known) const
 {
+    // Of the own region if possible: bytes between regions cost more. Then who knows most.
+    const auto rank = [this](const Fleet::Peer &peer) {
+        return std::pair(peer.record.region == home_, peer.record.storeRevision);
+    };
     const Fleet::Peer *best = nullptr;
     for (const auto &peer : peers) {
         const bool helps = peer.reachable && peer.record.storeRevision > known;
-        if (helps && (best == nullptr || peer.record.storeRevision > best->record.storeRevision)) {
+        if (helps && (best == nullptr || rank(peer) > rank(*best))) {
             best = &peer;
         }
     }
     return best;
 }
 
-void PeerSync::tick(const std::vector<Fleet::Peer> &peers, Catalog::Revision known,
+void PeerSync::tick(const std::vector<Fleet::Peer> &peers, Catalog::Revision known, bool listens,
                     Common::Time now)
 {
     if (call_) {
@@ -83,7 +89,7 @@
     }
     behindSince_ = behindSince_.value_or(now);
     // One that knows nothing yet has no watch to wait for.
-    const bool patient = known == 0 || now - *behindSince_ >= Patience;
+    const bool patient = listens || known == 0 || now - *behindSince_ >= Patience;
     if (patient && !call_ && now >= nextAt_) {
         begin(*peer, known, now);
     }
--- a/Source/Core/Relay/PeerSync.h
+++ b/Source/Core/Relay/PeerSync.h
@@ -28,16 +28,19 @@
     using ChangesHandler =
         std::function<void(Catalog::ItemChanges, const Common::InstanceId &from)>;
 
-    PeerSync(std::shared_ptr<OutboundPool> pool, ChangesHandler changes);
+    PeerSync(std::shared_ptr<OutboundPool> pool, Common::RegionName home, ChangesHandler changes);
     ~PeerSync();
 
-    void tick(const std::vector<Fleet::Peer> &peers, Catalog::Revision known, Common::Time now);
+    /// @param listens this instance does not watch the store and has nothing else to wait for
+    void tick(const std::vector<Fleet::Peer> &peers, Catalog::Revision known, bool listens,
+              Common::Time now);
 
 private:
     const Fleet::Peer *choose(const std::vector<Fleet::Peer> &peers, Catalog::Revision known) const;
     void begin(const Fleet::Peer &peer, Catalog::Revision known, Common::Time now);
 
     std::shared_ptr<OutboundPool> pool_;
+    Common::RegionName home_;
     ChangesHandler changes_;
     std::shared_ptr<OutboundCall> call_;
     std::string body_;
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -32,12 +32,16 @@
 /// Callers keep the directory's answers for this long, some three times as long: short enough that
 /// they have left an instance before it stops.
 constexpr milliseconds DirectoryLifetime{1000};
-/// From the request to stop: when answers begin to close their connections, and when no new
-/// connection is taken. By then callers have asked the directory again.
-constexpr milliseconds CloseAfter{2600};
-constexpr milliseconds RefuseAfter{3300};
-/// Before the end by force, what is still under way gets its last answer.
-constexpr milliseconds LastAnswersBefore{900};
+/// From the request to stop: when answers begin to close their connections; when requests that
+/// still come are told to go elsewhere, since a long one would no longer end in time; and when no
+/// new connection is taken. By then callers have asked the directory again.
+constexpr milliseconds CloseAfter{2200};
+constexpr milliseconds RefuseRequestsAfter{2800};
+constexpr milliseconds RefuseConnectionsAfter{3200};
+constexpr milliseconds StoppingRetryAfter{50};
+constexpr milliseconds ConnectionsEndWithin{1700};
+/// What is still under way this long before the end by force is cut off.
+constexpr milliseconds LastAnswersBefore{300};
 /// Descriptors that are left for files, and the part of the rest that connections of callers get:
 /// the others are for endpoints, other instances and the store.
 constexpr int ReservedDescriptors = 200;
@@ -147,7 +151,7 @@
           [this](StoreState state, const std::string &reason) {
               storeStateChanged(state, reason);
           })
-    , peerSync_(pool_,
+    , peerSync_(pool_, settings_.region,
                 [this](Catalog::ItemChanges changes, const Common::InstanceId &from) {
                     takeChanges(changes, from.text());
                 })
@@ -280,7 +284,7 @@
 {
     const auto now = steadyNow();
     const auto before = catalog_.items().upTo();
-    const auto news = catalog_.apply(changes, store_.settled(now), now);
+    const auto news = catalog_.apply(changes, storeSettled(now), now);
     for (const auto &[key, reason] : news.undecodable) {
         EventLine line("item-unreadable");
         line.add("key", key).add("reason", reason).add("source", source);
@@ -350,7 +354,20 @@
 
 bool RelayGateway::catalogFresh(Common::Time now) const
 {
-    return now - store_.lastAnswer() < settings_.bounds.configuration;
+    const auto age = Fleet::knowledgeAge(now - store_.lastAnswer(), catalog_.items().upTo(),
+                                         knownPeers_);
+    return age < settings_.bounds.configuration;
+}
+
+/// A listener has no trouble of its own to judge by: that of the instances it hears counts.
+bool RelayGateway::storeSettled(Common::Time now) const
+{
+    const bool peersSettled =
+        std::all_of(knownPeers_.begin(), knownPeers_.end(), [this](const Fleet::Peer &peer) {
+            return !peer.reachable || peer.record.region != settings_.region
+                   || peer.record.storeSettled;
+        });
+    return store_.settled(now) && peersSettled;
 }
 
 bool RelayGateway::ready() const
@@ -415,6 +432,16 @@
         }
     }
     scheduler_.setFleet(own, all, {reachable.begin(), reachable.end()});
+    const auto duty = Fleet::watchDuty(roster_.self(), knownPeers_, Fleet::WatchOptions());
+    if (duty != duty_) {
+        duty_ = duty;
+        store_.setDuty(duty);
+        EventLine line("store-duty");
+        line.add("duty", duty == Fleet::WatchDuty::Watches   ? "watches"
+                         : duty == Fleet::WatchDuty::Listens ? "listens"
+                                                             : "looks");
+        log_.write(line, now);
+    }
 }
 
 std::optional<Fleet::InstanceRecord> RelayGateway::peerIn(const Common::RegionName &region)
@@ -436,6 +463,7 @@
 void RelayGateway::heartbeat(Common::Time now)
 {
     roster_.setReady(ready());
+    roster_.setStoreContact(now - store_.lastAnswer(), store_.settled(now));
     roster_.setShares(Peers::encodeValue(scheduler_.regionShare(now)),
                       Peers::encodeValue(scheduler_.worldShare(now)));
     sendAll(roster_.tick(now));
@@ -478,6 +506,11 @@
         refuse(connection, BadRequest, "", head.error().message, std::nullopt);
         return;
     }
+    if (stoppingSince_ && now - *stoppingSince_ >= RefuseRequestsAfter) {
+        refuse(connection, ServiceUnavailable, head->requestId, "this instance stops",
+               StoppingRetryAfter);
+        return;
+    }
     const auto routes = catalog_.routes();
     if (!routes) {
         refuse(connection, ServiceUnavailable, head->requestId, "no configuration is known yet",
@@ -763,7 +796,7 @@
         heartbeatAt_ = now + options_.roster.interval;
         heartbeat(now);
     }
-    peerSync_.tick(knownPeers_, catalog_.items().upTo(), now);
+    peerSync_.tick(knownPeers_, catalog_.items().upTo(), duty_ == Fleet::WatchDuty::Listens, now);
     if (catalog_.expire(now)) {
         endpointsChanged(now);
     }
@@ -839,11 +872,18 @@
         closing_ = true;
         callers_.closeSoon();
     }
-    if (since >= RefuseAfter) {
+    if (since >= RefuseConnectionsAfter) {
         callers_.stopAccepting();
+        // Those that came meanwhile and sent nothing.
+        callers_.closeSoon();
     }
     const bool outOfTime = since >= settings_.bounds.shutdown - LastAnswersBefore;
-    if ((since >= RefuseAfter && calls_.empty()) || outOfTime) {
+    // A process that ends with unread bytes resets its connections, and an answer that is still on
+    // its way is lost: connections are given the time to end in order.
+    const bool quiet = calls_.empty()
+                       && (callers_.connections() == 0
+                           || since >= RefuseConnectionsAfter + ConnectionsEndWithin);
+    if ((since >= RefuseConnectionsAfter && quiet) || outOfTime) {
         EventLine line("stop");
         line.add("requests", static_cast<std::int64_t>(calls_.size())).add("after", since);
         log_.write(line, now);
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -104,6 +104,7 @@
     bool tooMuchInMemory(const InboundRequest &request) const;
     /// The store, or a peer that hears it, has answered lately.
     bool catalogFresh(Common::Time now) const;
+    bool storeSettled(Common::Time now) const;
 
     void takeChanges(const Catalog::ItemChanges &changes, const std::string &source);
     void storeStateChanged(StoreState state, const std::string &reason);
@@ -151,6 +152,7 @@
     std::unordered_map<Dispatch::CallId, std::shared_ptr<RelayedCall>> calls_;
     Dispatch::CallId nextCall_ = 1;
     std::vector<Fleet::Peer> knownPeers_;
+    Fleet::WatchDuty duty_ = Fleet::WatchDuty::Watches;
     std::map<Common::InstanceId, bool> peerAlive_;
     Common::Time heartbeatAt_{};
     Common::Time settingsAt_{};
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -186,7 +186,7 @@
     note.kind = static_cast<std::uint8_t>(facts.kind);
     note.resumable = plan_.resumable;
     note.priority = facts.priority;
-    note.attempts = facts.attempts;
+    note.attempts = effect.attempts;
     note.objectiveLeftMs = inMilliseconds(facts.objectiveAt - now);
     note.objectiveMs = inMilliseconds(facts.objectiveAt - facts.arrivedAt);
     note.deadlineLeftMs = timeLeft(now).count();
--- a/Source/Core/Relay/StoreWatcher.cpp
+++ b/Source/Core/Relay/StoreWatcher.cpp
@@ -57,6 +57,11 @@
     options_ = options;
 }
 
+void StoreWatcher::setDuty(Fleet::WatchDuty duty)
+{
+    duty_ = duty;
+}
+
 bool StoreWatcher::settled(Common::Time now) const
 {
     return now - lastTrouble_ > Catalog::StoreSettled;
@@ -82,7 +87,9 @@
         call_.reset();
         failed("no answer in time", now);
     }
-    if (!call_ && now >= nextAt_) {
+    // A listing that was begun is finished: the first one makes the instance ready.
+    const bool wanted = duty_ != Fleet::WatchDuty::Listens || step_ == Step::List;
+    if (!call_ && wanted && now >= nextAt_) {
         begin(now);
     }
 }
@@ -192,7 +199,8 @@
 {
     lastTrouble_ = now;
     retry_ = std::min(options_.retryMax, std::max(options_.retryFirst, retry_ * 2));
-    nextAt_ = now + retry_;
+    const bool looks = duty_ == Fleet::WatchDuty::Looks;
+    nextAt_ = now + (looks ? std::max(retry_, options_.lookInterval) : retry_);
     if (reported_ != StoreState::Failing) {
         reported_ = StoreState::Failing;
         state_(reported_, reason);
--- a/Source/Core/Relay/StoreWatcher.h
+++ b/Source/Core/Relay/StoreWatcher.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "Catalog/Catalog.h"
+#include "Fleet/Fleet.h"
 #include "Relay/OutboundCall.h"
 
 namespace LaburnumChute::Relay {
@@ -30,6 +31,9 @@
         /// Between two waiting calls when the first brought changes: those that follow within this
         /// time come together, and each call has a price.
         Common::milliseconds pause{60};
+        /// Between two calls of an instance that is no watcher and only looks whether the store
+        /// answers it.
+        Common::milliseconds lookInterval{1500};
     };
 
     /// Told of each answer: changes, or none.
@@ -43,6 +47,8 @@
 
     void setAddress(const std::string &address);
     void setOptions(const Options &options);
+    /// Whether calls are made, and how often.
+    void setDuty(Fleet::WatchDuty duty);
     void tick(Common::Time now);
     /// Changes up to the revision have come from elsewhere.
     void advance(Catalog::Revision revision);
@@ -75,6 +81,7 @@
     ChangesHandler changes_;
     StateHandler state_;
     std::string address_;
+    Fleet::WatchDuty duty_ = Fleet::WatchDuty::Watches;
     Step step_ = Step::List;
     std::shared_ptr<OutboundCall> call_;
     unsigned status_ = 0;
--- a/Source/UnitTests/Dispatch/RetryTest.cpp
+++ b/Source/UnitTests/Dispatch/RetryTest.cpp
@@ -18,6 +18,21 @@
     EXPECT_NE(only<Fail>(effects), nullptr);
 }
 
+// A lookup failed at home and goes on to another region. Were the instance there told of all the
+// tries that the route allows, it would run on one endpoint too many.
+TEST_F(SchedulerTest, TriesMadeAtHomeAreNotMadeAgainElsewhere)
+{
+    setEndpoints({endpoint("a", Plain)});
+    const auto call = facts(Plain);
+    offerAway(Plain, 10);
+    ASSERT_NE(only<Send>(scheduler_.submit(call, now_)), nullptr);
+    scheduler_.setEndpoints({}, {}, now_);
+    const auto effects = scheduler_.ended(call.id, TryOutcome::Error, true, now_);
+    const auto *forward = only<Forward>(effects);
+    ASSERT_NE(forward, nullptr);
+    EXPECT_EQ(forward->attempts, call.attempts - 1);
+}
+
 // An endpoint answers a lookup with an error of its own. The caller would see a failure although a
 // second run would most likely succeed.
 TEST_F(SchedulerTest, RepeatableRequestIsTriedOnceMoreAfterAnError)
--- a/Source/UnitTests/Dispatch/Support.h
+++ b/Source/UnitTests/Dispatch/Support.h
@@ -85,15 +85,15 @@
         return effects.size() == 1 ? std::get_if<Kind>(&effects.front()) : nullptr;
     }
 
-    /// Places free in the region "away", told by its instance "far".
-    void offerAway(const char *service, int places)
+    /// Requests a second that the region "away" would take, told by its instance "far".
+    void offerAway(const char *service, int perSecond)
     {
         scheduler_.setFleet({InstanceId("one")}, 2, {RegionName("away")});
         WorldShare share;
         ServiceRoom room;
         room.service = shortId(ServiceName(service));
         room.endpoints = 4;
-        room.freePlaces = static_cast<std::uint32_t>(places);
+        room.freePerSecond = static_cast<std::uint32_t>(perSecond);
         room.waitMs = 30;
         share.rooms = {room};
         scheduler_.setWorldShare(RegionName("away"), InstanceId("far"), share, now_);
