Ask engines and a neighbour at the start what engines' memory holds

Cause: after a restart of all instances nobody knows which engine holds which part, and all are read again in the seconds in which callers come back. Ruled out: engines lose nothing then (their lists name 46 parts).

--- a/Source/Core/Dispatch/EndpointBook.cpp
+++ b/Source/Core/Dispatch/EndpointBook.cpp
@@ -8,11 +8,12 @@
 
 /// Placements travel with every heartbeat for this long, so that a lost one does no harm.
 constexpr milliseconds PlacementLifetime{1000};
-constexpr std::size_t MaxPlacements = 24;
+constexpr std::size_t MaxPlacements = 64;
+/// What a new process learns at once is told in batches that far apart: each is in two heartbeats to
+/// the own region and in one to the others.
+constexpr milliseconds BatchInterval{500};
 constexpr std::size_t MaxUses = 64;
 constexpr std::int64_t MaxBacklogMs = 60000;
-/// A part that other requests share, too: the last one is the request's own.
-constexpr std::size_t OwnParts = 1;
 
 } // namespace
 
@@ -148,13 +149,31 @@
 void EndpointBook::setShare(const InstanceId &instance, const RegionShare &share, Time now)
 {
     shares_[instance] = share;
-    for (const auto &placement : share.placements) {
+    learn(share.placements);
+    sumShares(now);
+}
+
+void EndpointBook::learn(const std::vector<PartPlacement> &placements)
+{
+    for (const auto &placement : placements) {
         const auto found = byShortId_.find(placement.endpoint);
         if (found != byShortId_.end()) {
             found->second->cache.use(Dialect::PromptPart{placement.part, placement.tokens});
         }
     }
-    sumShares(now);
+}
+
+std::vector<PartPlacement> EndpointBook::caches() const
+{
+    std::vector<PartPlacement> placements;
+    for (const auto &[id, state] : byShortId_) {
+        for (const auto &part : state->cache.parts()) {
+            if (part.tokens >= options_->copyMinimumTokens) {
+                placements.push_back({id, part.id, static_cast<std::uint32_t>(part.tokens)});
+            }
+        }
+    }
+    return placements;
 }
 
 void EndpointBook::keepShares(const std::vector<InstanceId> &instances)
@@ -232,15 +251,18 @@
 void EndpointBook::placed(const EndpointState &endpoint,
                           const std::vector<Dialect::PromptPart> &parts, Time now)
 {
-    for (std::size_t index = 0; index + OwnParts < parts.size(); ++index) {
-        if (parts[index].tokens < options_->copyMinimumTokens) {
+    std::size_t told = 0;
+    for (const auto &part : parts) {
+        if (part.tokens < options_->copyMinimumTokens) {
             continue;
         }
         PartPlacement placement;
         placement.endpoint = shortId(endpoint.listed.record.id);
-        placement.part = parts[index].id;
-        placement.tokens = static_cast<std::uint32_t>(parts[index].tokens);
-        placements_.push_back({now, placement});
+        placement.part = part.id;
+        placement.tokens = static_cast<std::uint32_t>(part.tokens);
+        const auto batch = static_cast<int>(told / MaxPlacements);
+        placements_.push_back({now + batch * BatchInterval, placement});
+        ++told;
     }
     while (!placements_.empty() && now - placements_.front().at > PlacementLifetime) {
         placements_.pop_front();
@@ -265,6 +287,9 @@
         }
     }
     for (auto recent = placements_.rbegin(); recent != placements_.rend(); ++recent) {
+        if (recent->at > now) {
+            continue;
+        }
         if (now - recent->at > PlacementLifetime || share.placements.size() >= MaxPlacements) {
             break;
         }
--- a/Source/Core/Dispatch/EndpointBook.h
+++ b/Source/Core/Dispatch/EndpointBook.h
@@ -103,7 +103,9 @@
     /// Work of the service that waits at the region's other instances.
     Duration othersQueue(const ServiceName &name) const;
     RegionShare share(Time now) const;
-    /// Remembers a large part for the next share.
+    std::vector<PartPlacement> caches() const;
+    void learn(const std::vector<PartPlacement> &placements);
+    /// Remembers large parts for the next shares.
     void placed(const EndpointState &endpoint, const std::vector<Dialect::PromptPart> &parts,
                 Time now);
 
--- a/Source/Core/Dispatch/PartCache.cpp
+++ b/Source/Core/Dispatch/PartCache.cpp
@@ -47,6 +47,11 @@
     return tokens;
 }
 
+std::vector<Dialect::PromptPart> PartCache::parts() const
+{
+    return {order_.rbegin(), order_.rend()};
+}
+
 void PartCache::clear()
 {
     order_.clear();
--- a/Source/Core/Dispatch/PartCache.h
+++ b/Source/Core/Dispatch/PartCache.h
@@ -23,6 +23,8 @@
     /// Tokens from the start of the prompt that need not be read again: a part counts only when all
     /// before it are held too.
     std::int64_t cachedTokens(const std::vector<Dialect::PromptPart> &parts) const;
+    /// The least recently used first.
+    std::vector<Dialect::PromptPart> parts() const;
     void clear();
 
 private:
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -133,6 +133,51 @@
     book_.setRemoteEndpoints(endpoints);
 }
 
+void Scheduler::setCache(const EndpointId &endpoint,
+                         const std::vector<Dialect::PromptPart> &parts, Time now)
+{
+    if (auto *state = book_.find(endpoint)) {
+        for (const auto &part : parts) {
+            state->cache.use(part);
+        }
+        book_.placed(*state, parts, now);
+    }
+}
+
+std::vector<PartPlacement> Scheduler::caches() const
+{
+    return book_.caches();
+}
+
+void Scheduler::learnCaches(const std::vector<PartPlacement> &placements)
+{
+    book_.learn(placements);
+}
+
+std::vector<Catalog::EndpointRecord> Scheduler::enginesToAsk() const
+{
+    std::vector<Catalog::EndpointRecord> records;
+    for (const auto &[name, service] : book_.services()) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const auto *endpoint : book_.usable(name)) {
+            const auto &record = endpoint->listed.record;
+            const auto weight = [&](const InstanceId &instance) {
+                return Common::rendezvousWeight(record.id.text(), instance.text());
+            };
+            const auto own = weight(self_);
+            const bool mine =
+                std::all_of(instances_.begin(), instances_.end(),
+                            [&](const auto &instance) { return weight(instance) <= own; });
+            if (mine) {
+                records.push_back(record);
+            }
+        }
+    }
+    return records;
+}
+
 void Scheduler::setBounds(const Catalog::Bounds &bounds)
 {
     bounds_ = bounds;
@@ -548,7 +593,9 @@
     const auto reading = book_.engine(call.facts.service).readTime(candidate.tokensToRead);
     endpoint.backlogUntil = std::max(endpoint.backlogUntil, now) + reading;
     endpoint.cache.use(call.facts.parts);
-    book_.placed(endpoint, call.facts.parts, now);
+    // The last part is the request's own: nobody else asks for it.
+    const auto &parts = call.facts.parts;
+    book_.placed(endpoint, {parts.begin(), parts.empty() ? parts.end() : parts.end() - 1}, now);
     endpoint.trial = endpoint.restsUntil.has_value();
     if (endpoint.cold(now)) {
         endpoint.coldGate.sent(now);
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -42,6 +42,15 @@
                          const std::set<Common::FailureDomainName> &evacuated, Time now);
     /// Endpoints of other regions, for what their memory holds.
     void setRemoteEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints);
+    /// What an endpoint of the own region says that its memory holds.
+    void setCache(const EndpointId &endpoint, const std::vector<Dialect::PromptPart> &parts,
+                  Time now);
+    /// All that is known of the memory of the own region's endpoints, for another instance.
+    std::vector<PartPlacement> caches() const;
+    void learnCaches(const std::vector<PartPlacement> &placements);
+    /// Engines of the own region whose memory this instance is to ask about, so that each is asked
+    /// by one of the region's instances.
+    std::vector<Catalog::EndpointRecord> enginesToAsk() const;
     void setBounds(const Catalog::Bounds &bounds);
     /// Live instances of the own region, this one among them, of all regions together, and the
     /// other regions that can be reached.
--- a/Source/Core/Relay/PeerSync.cpp
+++ b/Source/Core/Relay/PeerSync.cpp
@@ -3,7 +3,6 @@
 #include <charconv>
 
 #include "Peers/ValueCodec.h"
-#include "Relay/HttpText.h"
 
 namespace LaburnumChute::Relay {
 
@@ -15,7 +14,6 @@
 constexpr Common::milliseconds Patience{200};
 constexpr Common::milliseconds Timeout{800};
 constexpr Common::milliseconds Pause{150};
-constexpr Common::milliseconds PeerIdle{5000};
 constexpr std::string_view Query = "?after=";
 
 } // namespace
@@ -42,19 +40,12 @@
 
 PeerSync::PeerSync(std::shared_ptr<OutboundPool> pool, Common::RegionName home,
                    ChangesHandler changes)
-    : pool_(std::move(pool))
-    , home_(std::move(home))
+    : home_(std::move(home))
     , changes_(std::move(changes))
+    , fetch_(std::move(pool))
 {
 }
 
-PeerSync::~PeerSync()
-{
-    if (call_) {
-        call_->cancel();
-    }
-}
-
 const Fleet::Peer *PeerSync::choose(const std::vector<Fleet::Peer> &peers,
                                     Catalog::Revision known) const
 {
@@ -75,13 +66,7 @@
 void PeerSync::tick(const std::vector<Fleet::Peer> &peers, Catalog::Revision known, bool listens,
                     Common::Time now)
 {
-    if (call_) {
-        call_->tick(now);
-    }
-    if (call_ && now >= giveUpAt_) {
-        call_->cancel();
-        call_.reset();
-    }
+    fetch_.tick(now);
     const auto *peer = choose(peers, known);
     if (peer == nullptr) {
         behindSince_.reset();
@@ -90,7 +75,7 @@
     behindSince_ = behindSince_.value_or(now);
     // One that knows nothing yet has no watch to wait for.
     const bool patient = listens || known == 0 || now - *behindSince_ >= Patience;
-    if (patient && !call_ && now >= nextAt_) {
+    if (patient && !asking_ && now >= nextAt_) {
         begin(*peer, known, now);
     }
 }
@@ -98,31 +83,18 @@
 void PeerSync::begin(const Fleet::Peer &peer, Catalog::Revision known, Common::Time now)
 {
     nextAt_ = now + Pause;
-    giveUpAt_ = now + Timeout;
-    OutboundRequest request;
-    request.address = peer.record.peerAddress;
-    request.head = requestHead("GET", itemsTarget(known), {{"Host", request.address}});
-    request.body = std::make_shared<const std::string>();
-    request.maxIdle = PeerIdle;
-    request.assumedKeep = PeerIdle;
-    body_.clear();
-    status_ = 0;
-    CallEvents events;
-    events.head = [this](const AnswerHead &head) {
-        status_ = head.status;
-        return true;
-    };
-    events.body = [this](std::string bytes) { body_ += bytes; };
-    events.end = [this, from = peer.record.id] {
-        call_.reset();
-        auto changes = Peers::decodeValue<Catalog::ItemChanges>(body_);
-        if (status_ == Ok && changes) {
-            changes_(std::move(*changes), from);
-        }
-    };
-    events.failed = [this](CallFailure, const std::string &) { call_.reset(); };
-    call_ = std::make_shared<OutboundCall>(pool_, std::move(request), std::move(events));
-    call_->start(now);
+    asking_ = true;
+    fetch_.get(
+        peer.record.peerAddress, itemsTarget(known), Timeout,
+        [this, from = peer.record.id](unsigned status, const std::string &body) {
+            asking_ = false;
+            auto changes = Peers::decodeValue<Catalog::ItemChanges>(body);
+            // What failed is asked for again, from whoever then knows most.
+            if (status == Ok && changes) {
+                changes_(std::move(*changes), from);
+            }
+        },
+        now);
 }
 
 } // namespace LaburnumChute::Relay
--- a/Source/Core/Relay/PeerSync.h
+++ b/Source/Core/Relay/PeerSync.h
@@ -7,7 +7,7 @@
 
 #include "Catalog/Catalog.h"
 #include "Fleet/Fleet.h"
-#include "Relay/OutboundCall.h"
+#include "Relay/SimpleFetch.h"
 
 namespace LaburnumChute::Relay {
 
@@ -29,7 +29,6 @@
         std::function<void(Catalog::ItemChanges, const Common::InstanceId &from)>;
 
     PeerSync(std::shared_ptr<OutboundPool> pool, Common::RegionName home, ChangesHandler changes);
-    ~PeerSync();
 
     /// @param listens this instance does not watch the store and has nothing else to wait for
     void tick(const std::vector<Fleet::Peer> &peers, Catalog::Revision known, bool listens,
@@ -39,14 +38,11 @@
     const Fleet::Peer *choose(const std::vector<Fleet::Peer> &peers, Catalog::Revision known) const;
     void begin(const Fleet::Peer &peer, Catalog::Revision known, Common::Time now);
 
-    std::shared_ptr<OutboundPool> pool_;
     Common::RegionName home_;
     ChangesHandler changes_;
-    std::shared_ptr<OutboundCall> call_;
-    std::string body_;
-    unsigned status_ = 0;
+    SimpleFetch fetch_;
+    bool asking_ = false;
     std::optional<Common::Time> behindSince_;
-    Common::Time giveUpAt_{};
     Common::Time nextAt_{};
 };
 
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -52,6 +52,11 @@
 /// The store's waiting call takes at most this; by then a machine that is alone with a silent store
 /// has used half of the time in which it must act on what it would have said.
 constexpr int BoundParts = 2;
+/// From the start until the engines' memory is asked about: by then the other instances are known, so
+/// that each engine is asked by one of them.
+constexpr milliseconds LearnCachesAfter{700};
+constexpr milliseconds CacheTimeout{1000};
+constexpr const char *CachesPath = "/laburnumchute/caches";
 constexpr std::string_view MetricsPath = "/metrics";
 constexpr std::string_view DumpPath = "/dump";
 constexpr int StandardOutput = 1;
@@ -155,6 +160,7 @@
                 [this](Catalog::ItemChanges changes, const Common::InstanceId &from) {
                     takeChanges(changes, from.text());
                 })
+    , fetch_(pool_)
     , gossip_(context_, [this](std::string_view datagram) { takeHeartbeat(datagram); })
     , callers_(
           context_, callerConnectionLimit(settings_),
@@ -219,6 +225,7 @@
         return gossip;
     }
     applySettings(now);
+    learnCachesAt_ = now + LearnCachesAfter;
     waitForSignal();
     waitForReload();
     EventLine line("start");
@@ -607,6 +614,10 @@
         serveItems(connection, *known);
         return;
     }
+    if (request.target == CachesPath) {
+        serveCaches(connection);
+        return;
+    }
     const auto *note = Common::findHeader(request.headers, ForwardHeader);
     auto plan = note != nullptr ? planForwarded(request, *note, now)
                                 : Common::Result<RelayPlan>(Common::makeError(
@@ -688,6 +699,52 @@
                        Peers::encodeValue(catalog_.items().since(known)));
 }
 
+void RelayGateway::serveCaches(const Connection &connection)
+{
+    connection->answer(Ok, {{"Content-Type", "application/octet-stream"}},
+                       Peers::encodeValue(scheduler_.caches()));
+}
+
+void RelayGateway::learnCaches(Common::Time now)
+{
+    cachesLearnt_ = true;
+    for (const auto &record : scheduler_.enginesToAsk()) {
+        fetch_.get(
+            record.address, Platform::cacheListTarget(), CacheTimeout,
+            [this, id = record.id](unsigned status, const std::string &body) {
+                const auto at = steadyNow();
+                const auto parts = Platform::readCacheList(body);
+                EventLine line("cache-list");
+                line.add("endpoint", id).add("status", static_cast<std::int64_t>(status));
+                if (status == Ok && parts) {
+                    line.add("parts", static_cast<std::int64_t>(parts->size()));
+                    scheduler_.setCache(id, *parts, at);
+                } else {
+                    // Without it prompts are read that the engine may hold.
+                    line.add("reason", status == Ok ? parts.error().message : body);
+                }
+                log_.write(line, at);
+            },
+            now);
+    }
+    for (const auto &peer : knownPeers_) {
+        const bool asked = peer.reachable && peer.record.region == settings_.region;
+        if (!asked) {
+            continue;
+        }
+        fetch_.get(
+            peer.record.peerAddress, CachesPath, CacheTimeout,
+            [this](unsigned status, const std::string &body) {
+                const auto placements = Peers::decodeValue<std::vector<Dispatch::PartPlacement>>(body);
+                if (status == Ok && placements) {
+                    scheduler_.learnCaches(*placements);
+                }
+            },
+            now);
+        break;
+    }
+}
+
 void RelayGateway::serveReadiness(const Connection &connection, const InboundRequest &request)
 {
     if (!Platform::isReadinessCall(request.method, request.target)) {
@@ -796,6 +853,10 @@
         heartbeatAt_ = now + options_.roster.interval;
         heartbeat(now);
     }
+    fetch_.tick(now);
+    if (!cachesLearnt_ && now >= learnCachesAt_ && ready()) {
+        learnCaches(now);
+    }
     peerSync_.tick(knownPeers_, catalog_.items().upTo(), duty_ == Fleet::WatchDuty::Listens, now);
     if (catalog_.expire(now)) {
         endpointsChanged(now);
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -21,6 +21,7 @@
 #include "Relay/PeerSync.h"
 #include "Relay/RelayedCall.h"
 #include "Relay/RelayOptions.h"
+#include "Relay/SimpleFetch.h"
 #include "Relay/StoreWatcher.h"
 #include "Relay/UdpSocket.h"
 
@@ -95,6 +96,10 @@
     void serveReadiness(const Connection &connection, const InboundRequest &request);
     void serveDirectory(const Connection &connection, const InboundRequest &request);
     void serveMetrics(const Connection &connection, const InboundRequest &request);
+    void serveCaches(const Connection &connection);
+    /// A new process asks the region's engines, and an instance that has run for longer, what the
+    /// engines' memory holds.
+    void learnCaches(Common::Time now);
     void serveItems(const Connection &connection, Catalog::Revision known);
     void refuse(const Connection &connection, unsigned status, const std::string &requestId,
                 const std::string &detail, std::optional<Common::milliseconds> retryAfter);
@@ -140,6 +145,7 @@
     std::shared_ptr<OutboundPool> pool_;
     StoreWatcher store_;
     PeerSync peerSync_;
+    SimpleFetch fetch_;
     UdpSocket gossip_;
     InboundServer callers_;
     InboundServer peers_;
@@ -155,6 +161,8 @@
     Fleet::WatchDuty duty_ = Fleet::WatchDuty::Watches;
     std::map<Common::InstanceId, bool> peerAlive_;
     Common::Time heartbeatAt_{};
+    Common::Time learnCachesAt_{};
+    bool cachesLearnt_ = false;
     Common::Time settingsAt_{};
     Common::Time housekeepingAt_{};
     std::optional<Common::Time> stoppingSince_;
--- /dev/null
+++ b/Source/Core/Relay/SimpleFetch.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "Relay/OutboundCall.h"
+
+namespace LaburnumChute::Relay {
+
+/// GET calls whose answers are wanted whole, some at a time.
+class SimpleFetch
+{
+public:
+    /// Status 0 when no answer came; the body then says why.
+    using Done = std::function<void(unsigned status, std::string body)>;
+
+    explicit SimpleFetch(std::shared_ptr<OutboundPool> pool);
+    ~SimpleFetch();
+
+    void get(const std::string &address, const std::string &target, Common::milliseconds timeout,
+             Done done, Common::Time now);
+    void tick(Common::Time now);
+
+private:
+    struct Running
+    {
+        std::shared_ptr<OutboundCall> call;
+        Common::Time giveUpAt{};
+        unsigned status = 0;
+        std::string body;
+        Done done;
+    };
+
+    void finish(std::uint64_t id, unsigned status, std::string body);
+
+    std::shared_ptr<OutboundPool> pool_;
+    std::map<std::uint64_t, Running> running_;
+    std::uint64_t nextId_ = 0;
+};
+
+} // namespace LaburnumChute::Relay
