Tell other regions of placements for four seconds

Cause: an instance sends heartbeats to 6 of 24 instances of other regions, so that a placement told for one second reached half of them; the others had their engines read the part again.

--- a/Source/Core/Dispatch/EndpointBook.cpp
+++ b/Source/Core/Dispatch/EndpointBook.cpp
@@ -6,8 +6,11 @@
 
 namespace {
 
-/// Placements travel with every heartbeat for this long, so that a lost one does no harm.
+/// Placements travel with every heartbeat for this long, so that a lost one does no harm: within the
+/// region, where everyone hears everyone four times a second, and to other regions, where each
+/// heartbeat goes to a few instances only.
 constexpr milliseconds PlacementLifetime{1000};
+constexpr milliseconds PlacementLifetimeElsewhere{4000};
 constexpr std::size_t MaxPlacements = 64;
 /// What a new process learns at once is told in batches that far apart: each is in two heartbeats to
 /// the own region and in one to the others.
@@ -264,7 +267,7 @@
         placements_.push_back({now + batch * BatchInterval, placement});
         ++told;
     }
-    while (!placements_.empty() && now - placements_.front().at > PlacementLifetime) {
+    while (!placements_.empty() && now - placements_.front().at > PlacementLifetimeElsewhere) {
         placements_.pop_front();
     }
 }
@@ -286,16 +289,25 @@
                                   static_cast<std::uint16_t>(bounded)});
         }
     }
+    share.placements = recentPlacements(PlacementLifetime, now);
+    return share;
+}
+
+std::vector<PartPlacement> EndpointBook::placementsForElsewhere(Time now) const
+{
+    return recentPlacements(PlacementLifetimeElsewhere, now);
+}
+
+std::vector<PartPlacement> EndpointBook::recentPlacements(Duration age, Time now) const
+{
+    std::vector<PartPlacement> result;
     for (auto recent = placements_.rbegin(); recent != placements_.rend(); ++recent) {
-        if (recent->at > now) {
-            continue;
+        const bool tellable = recent->at <= now && now - recent->at <= age;
+        if (tellable && result.size() < MaxPlacements) {
+            result.push_back(recent->placement);
         }
-        if (now - recent->at > PlacementLifetime || share.placements.size() >= MaxPlacements) {
-            break;
-        }
-        share.placements.push_back(recent->placement);
     }
-    return share;
+    return result;
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/EndpointBook.h
+++ b/Source/Core/Dispatch/EndpointBook.h
@@ -103,6 +103,7 @@
     /// Work of the service that waits at the region's other instances.
     Duration othersQueue(const ServiceName &name) const;
     RegionShare share(Time now) const;
+    std::vector<PartPlacement> placementsForElsewhere(Time now) const;
     std::vector<PartPlacement> caches() const;
     void learn(const std::vector<PartPlacement> &placements);
     /// Remembers large parts for the next shares.
@@ -116,6 +117,7 @@
         PartPlacement placement;
     };
 
+    std::vector<PartPlacement> recentPlacements(Duration age, Time now) const;
     void rebuild();
     void sumShares(Time now);
     std::int64_t cacheCapacity(const ServiceName &name) const;
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -16,7 +16,8 @@
 constexpr double LoadCostMs = 60;
 /// An endpoint whose record has lapsed is used when the others are this much slower.
 constexpr double MissingCostMs = 80;
-/// What a copy costs in money, put in time: 0.5 of the 11 to 16 that a long request is worth.
+/// What a copy costs beside its time, put in time. Each copy displaces another part from the memory
+/// of the engine that gets it, and where memory is short that part is read again later.
 constexpr double CopyCostMs = 150;
 /// Prompt of the request for which other regions are told the wait.
 constexpr std::int64_t NominalTokens = 400;
@@ -276,7 +277,7 @@
     WorldShare share;
     auto own = regionShare(now);
     share.suspects = std::move(own.suspects);
-    share.placements = std::move(own.placements);
+    share.placements = book_.placementsForElsewhere(now);
     for (const auto &[name, service] : book_.services()) {
         ServiceRoom room;
         room.service = shortId(name);
