--- a/Source/Core/Decisions/Decisions.h
+++ b/Source/Core/Decisions/Decisions.h
@@ -6,6 +6,6 @@
 
 #include "Decisions/Facts.h"
 #include "Decisions/Options.h"
-#include "Decisions/Quarantine.h"
 #include "Decisions/Placement.h"
+#include "Decisions/Quarantine.h"
 #include "Decisions/Scheduler.h"
--- a/Source/Core/Dispatch/EndpointBook.cpp
+++ b/Source/Core/Dispatch/EndpointBook.cpp
@@ -1,19 +1,20 @@
 #include "Dispatch/EndpointBook.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace LaburnumChute::Dispatch {
 
 namespace {
 
-/// Placements travel with every heartbeat for this long, so that a lost one does no harm: within the
-/// region, where everyone hears everyone four times a second, and to other regions, where each
+/// Placements travel with every heartbeat for this long, so that a lost one does no harm: within
+/// the region, where everyone hears everyone four times a second, and to other regions, where each
 /// heartbeat goes to a few instances only.
 constexpr milliseconds PlacementLifetime{1000};
 constexpr milliseconds PlacementLifetimeElsewhere{4000};
 constexpr std::size_t MaxPlacements = 64;
-/// What a new process learns at once is told in batches that far apart: each is in two heartbeats to
-/// the own region and in one to the others.
+/// What a new process learns at once is told in batches that far apart: each is in two heartbeats
+/// to the own region and in one to the others.
 constexpr milliseconds BatchInterval{500};
 constexpr std::size_t MaxUses = 64;
 constexpr std::int64_t MaxBacklogMs = 60000;
@@ -78,8 +79,7 @@
     std::map<std::string, const EndpointState *> newestAt;
     for (const auto &[id, state] : endpoints_) {
         auto &newest = newestAt[state->listed.record.address];
-        if (newest == nullptr
-            || newest->listed.record.startedAt < state->listed.record.startedAt) {
+        if (newest == nullptr || newest->listed.record.startedAt < state->listed.record.startedAt) {
             newest = state.get();
         }
     }
@@ -144,9 +144,9 @@
 
 const std::vector<const RemoteEndpoint *> &EndpointBook::remote(const ServiceName &name) const
 {
-    static const std::vector<const RemoteEndpoint *> None;
+    static const std::vector<const RemoteEndpoint *> none;
     const auto found = remoteByService_.find(name);
-    return found == remoteByService_.end() ? None : found->second;
+    return found == remoteByService_.end() ? none : found->second;
 }
 
 void EndpointBook::setShare(const InstanceId &instance, const RegionShare &share, Time now)
@@ -219,16 +219,16 @@
 
 const std::vector<EndpointState *> &EndpointBook::usable(const ServiceName &name) const
 {
-    static const std::vector<EndpointState *> None;
+    static const std::vector<EndpointState *> none;
     const auto found = usable_.find(name);
-    return found == usable_.end() ? None : found->second;
+    return found == usable_.end() ? none : found->second;
 }
 
 const std::vector<EndpointState *> &EndpointBook::running(const ServiceName &name) const
 {
-    static const std::vector<EndpointState *> None;
+    static const std::vector<EndpointState *> none;
     const auto found = running_.find(name);
-    return found == running_.end() ? None : found->second;
+    return found == running_.end() ? none : found->second;
 }
 
 EndpointState *EndpointBook::find(const EndpointId &id)
@@ -301,10 +301,10 @@
 std::vector<PartPlacement> EndpointBook::recentPlacements(Duration age, Time now) const
 {
     std::vector<PartPlacement> result;
-    for (auto recent = placements_.rbegin(); recent != placements_.rend(); ++recent) {
-        const bool tellable = recent->at <= now && now - recent->at <= age;
+    for (const auto &recent : std::ranges::reverse_view(placements_)) {
+        const bool tellable = recent.at <= now && now - recent.at <= age;
         if (tellable && result.size() < MaxPlacements) {
-            result.push_back(recent->placement);
+            result.push_back(recent.placement);
         }
     }
     return result;
--- a/Source/Core/Dispatch/EngineModel.cpp
+++ b/Source/Core/Dispatch/EngineModel.cpp
@@ -33,8 +33,8 @@
         return;
     }
     const std::chrono::duration<double, std::milli> reading(firstEvent - floor_);
-    const auto seen = std::clamp(static_cast<double>(tokens) / reading.count(), SlowestRate,
-                                 FastestRate);
+    const auto seen =
+        std::clamp(static_cast<double>(tokens) / reading.count(), SlowestRate, FastestRate);
     rate_ += SampleWeight * (seen - rate_);
 }
 
--- a/Source/Core/Dispatch/Options.h
+++ b/Source/Core/Dispatch/Options.h
@@ -14,8 +14,8 @@
     /// Tokens of a prompt that an engine reads in a millisecond, until answers have shown it. The
     /// sheets of the engines in use say 38 and 57.
     double prefillRate = 40;
-    /// From sending a request whose prompt is cached to its first event, on an idle engine: 16 to 19
-    /// ms by the engines' sheets, and the way there and back.
+    /// From sending a request whose prompt is cached to its first event, on an idle engine: 16 to
+    /// 19 ms by the engines' sheets, and the way there and back.
     milliseconds firstEventFloor{25};
     /// Each request that runs beside it delays a request by so much: 0.09 to 0.15 ms a step by the
     /// sheets, over the ten steps that a first chunk takes.
@@ -40,15 +40,16 @@
     /// A request is sent while the first event is expected within this share of its objective. The
     /// expectation errs by about a third.
     double objectiveShare = 0.8;
-    /// How far one step of priority moves a request in the queue: a quarter of the objectives, which
-    /// are 0.5 to 1.2 s. Strict order would starve the lower kind under overload.
+    /// How far one step of priority moves a request in the queue: a quarter of the objectives,
+    /// which are 0.5 to 1.2 s. Strict order would starve the lower kind under overload.
     milliseconds priorityStep{200};
     /// Requests looked at in one round before the rest is taken to find no place either.
     std::size_t lookAhead = 8;
     /// Requests that wait at most, of all services: bounds memory.
     std::size_t queueLimit = 2000;
-    /// Bounds of what a rejected caller is told to wait. The lower one is the time in which the load
-    /// of an endpoint changes, the upper one what callers with a few seconds left still honour.
+    /// Bounds of what a rejected caller is told to wait. The lower one is the time in which the
+    /// load of an endpoint changes, the upper one what callers with a few seconds left still
+    /// honour.
     milliseconds retryAfterMin{300};
     milliseconds retryAfterMax{2000};
     /// Callers are told times spread by this share, so that they do not come back together.
@@ -84,8 +85,8 @@
     /// A region is preferred to home when it is faster by this share of the objective: the bytes
     /// between regions cost, and its caches are cold.
     double spillMargin = 0.25;
-    /// Share of another region's free rate that the instances of this one use, and for how long they
-    /// may save it up: about the interval of the reports.
+    /// Share of another region's free rate that the instances of this one use, and for how long
+    /// they may save it up: about the interval of the reports.
     double spillShare = 0.5;
     milliseconds spillBurst{500};
 };
--- a/Source/Core/Dispatch/PartCache.cpp
+++ b/Source/Core/Dispatch/PartCache.cpp
@@ -1,5 +1,7 @@
 #include "Dispatch/PartCache.h"
 
+#include <ranges>
+
 namespace LaburnumChute::Dispatch {
 
 PartCache::PartCache(std::int64_t capacityTokens)
@@ -30,8 +32,8 @@
 {
     // From the last to the first: a part without those before it is worth nothing, so that the
     // first one has to be the last to yield.
-    for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
-        use(*part);
+    for (const auto &part : std::ranges::reverse_view(parts)) {
+        use(part);
     }
 }
 
--- a/Source/Core/Dispatch/RegionRooms.h
+++ b/Source/Core/Dispatch/RegionRooms.h
@@ -11,10 +11,11 @@
 
 /// What other regions could take, as their instances tell it.
 ///
-/// Load pattern: the peaks of the regions differ, and one region's slack covers another's rush. What
-/// is known of a region is half a second old. If all instances sent there what they see free, each
-/// would fill it alone, the region would turn the rest away, and the next report would turn the
-/// stream off: so each has a bucket that fills with its part of the rate that the region has free.
+/// Load pattern: the peaks of the regions differ, and one region's slack covers another's rush.
+/// What is known of a region is half a second old. If all instances sent there what they see free,
+/// each would fill it alone, the region would turn the rest away, and the next report would turn
+/// the stream off: so each has a bucket that fills with its part of the rate that the region has
+/// free.
 class RegionRooms
 {
 public:
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -134,8 +134,8 @@
     book_.setRemoteEndpoints(endpoints);
 }
 
-void Scheduler::setCache(const EndpointId &endpoint,
-                         const std::vector<Dialect::PromptPart> &parts, Time now)
+void Scheduler::setCache(const EndpointId &endpoint, const std::vector<Dialect::PromptPart> &parts,
+                         Time now)
 {
     if (auto *state = book_.find(endpoint)) {
         for (const auto &part : parts) {
@@ -290,10 +290,9 @@
             const int free = std::max(0, endpoint->listed.record.slots - endpoint->load());
             room.freePerSecond += static_cast<std::uint32_t>(
                 free / std::max(ShortestHold, Common::toSeconds(endpoint->hold)));
-            const auto wait = service.engine
-                                  ? engineWait(*endpoint, now) + options_.firstEventFloor
-                                        + book_.engine(name).readTime(NominalTokens)
-                                  : plainWait(*endpoint);
+            const auto wait = service.engine ? engineWait(*endpoint, now) + options_.firstEventFloor
+                                                   + book_.engine(name).readTime(NominalTokens)
+                                             : plainWait(*endpoint);
             best = best ? std::min(*best, wait) : wait;
         }
         const auto wait = best.value_or(Duration(0)) + queueWait(name);
@@ -329,8 +328,8 @@
 
 int Scheduler::coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const
 {
-    const double bound = (service.coldRate * bounds_.coldOvershoot + bounds_.coldSlack)
-                         * options_.sharedBoundUse;
+    const double bound =
+        (service.coldRate * bounds_.coldOvershoot + bounds_.coldSlack) * options_.sharedBoundUse;
     return ColdGate::quota(bound, endpoint.listed.record.id, self_, instances_);
 }
 
@@ -423,8 +422,8 @@
         if (copies) {
             cached = holder.tokens;
             candidate.copyFrom = holder.address;
-            copying = holder.endpoint != nullptr ? options_.copyTime
-                                                 : options_.copyTimeBetweenRegions;
+            copying =
+                holder.endpoint != nullptr ? options_.copyTime : options_.copyTimeBetweenRegions;
             extraMs += CopyCostMs;
         }
         candidate.tokensToRead = std::max<std::int64_t>(0, call.facts.promptTokens - cached);
@@ -451,8 +450,7 @@
         return std::nullopt;
     }
     const auto holder = service->engine ? holderOf(call, now) : Holder();
-    const bool heldHere =
-        holder.endpoint != nullptr && holder.tokens >= options_.copyMinimumTokens;
+    const bool heldHere = holder.endpoint != nullptr && holder.tokens >= options_.copyMinimumTokens;
     const auto *home = service->engine && !heldHere ? homeEndpoint(call) : nullptr;
     std::optional<Candidate> best;
     std::optional<Candidate> atHome;
@@ -548,10 +546,9 @@
     }
     const bool atHome = homeAllowed(facts) && !book_.usable(facts.service).empty();
     if (!atHome) {
-        const auto offer =
-            facts.forwarded
-                ? std::nullopt
-                : rooms_.any(facts.service, facts.homes, call.triedRegions, now);
+        const auto offer = facts.forwarded
+                               ? std::nullopt
+                               : rooms_.any(facts.service, facts.homes, call.triedRegions, now);
         if (!forward(call, offer, now, effects)) {
             reject(call, RejectReason::NoEndpoint, NoEndpointRetryAfter, now, effects);
         }
@@ -726,8 +723,8 @@
             continue;
         }
         const auto candidate = choose(call, now);
-        const bool sent = candidate && fits(call, *candidate, now)
-                          && send(call, *candidate, now, effects);
+        const bool sent =
+            candidate && fits(call, *candidate, now) && send(call, *candidate, now, effects);
         if (!sent && !forwardIfBetter(call, bestWait(call, now), now, effects)) {
             ++misses[service];
         }
@@ -866,8 +863,8 @@
     if (atEndpoint) {
         leaveEndpoint(call, outcome, now);
     }
-    const bool over = call.withdrawn || outcome == TryOutcome::Completed
-                      || outcome == TryOutcome::Cancelled;
+    const bool over =
+        call.withdrawn || outcome == TryOutcome::Completed || outcome == TryOutcome::Cancelled;
     if (over) {
         calls_.erase(found);
         pump(now, effects);
@@ -884,8 +881,8 @@
     const bool triesLeft = call.tries < call.facts.attempts + SpareTries;
     const bool allowed =
         notRun ? triesLeft : call.facts.repeatable && call.runs < call.facts.attempts;
-    const bool again = mayGoOn && allowed && now < call.facts.deadline
-                       && (unsent || budgetOfService.take(now));
+    const bool again =
+        mayGoOn && allowed && now < call.facts.deadline && (unsent || budgetOfService.take(now));
     const auto &usable = book_.usable(call.facts.service);
     const bool allTried = std::all_of(usable.begin(), usable.end(), [&](const auto *endpoint) {
         return contains(call.tried, endpoint->listed.record.id);
@@ -910,14 +907,14 @@
 void Scheduler::takeBackSilent(Time now, Effects &effects)
 {
     for (auto &[id, call] : calls_) {
-        const bool waits = !call.queued && !call.answering && !call.takenBack && !call.withdrawn
-                           && call.tries > 0;
+        const bool waits =
+            !call.queued && !call.answering && !call.takenBack && !call.withdrawn && call.tries > 0;
         const bool may = waits && call.facts.repeatable && call.runs + 1 < call.facts.attempts;
         if (!may) {
             continue;
         }
-        const auto patience = std::max<Duration>(
-            options_.silenceFloor, scaled(call.expected, options_.silenceFactor));
+        const auto patience = std::max<Duration>(options_.silenceFloor,
+                                                 scaled(call.expected, options_.silenceFactor));
         if (now - call.sentAt > patience && budget(call.facts.service).available(now)) {
             call.takenBack = true;
             effects.push_back(TakeBack{id});
@@ -950,12 +947,9 @@
                              {"slowness", endpoint->slowness},
                              {"error_share", endpoint->errorShare}});
     }
-    return {{"instance", self_.text()},
-            {"region", home_.text()},
-            {"instances", instances_.size()},
-            {"requests", calls_.size()},
-            {"waiting", queue_.size()},
-            {"endpoints", endpoints},
+    return {{"instance", self_.text()},           {"region", home_.text()},
+            {"instances", instances_.size()},     {"requests", calls_.size()},
+            {"waiting", queue_.size()},           {"endpoints", endpoints},
             {"quarantine", quarantine_.dump(now)}};
 }
 
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -20,12 +20,12 @@
 /// All decisions on the relayed requests of one instance: where and when each is sent, and when it
 /// is turned away instead.
 ///
-/// Load pattern: long prompts with large shared parts beside many short ones; the rush of one region
-/// while others idle; endpoints that come and go. A request goes to the endpoint of its region with
-/// the shortest expected time to the first byte, where prompts that wait to be read there, parts of
-/// this prompt that are not in its memory, and its past slowness count. What cannot be sent in time
-/// waits here, where it costs nothing should its caller leave; what will not be in time at all is
-/// rejected at once.
+/// Load pattern: long prompts with large shared parts beside many short ones; the rush of one
+/// region while others idle; endpoints that come and go. A request goes to the endpoint of its
+/// region with the shortest expected time to the first byte, where prompts that wait to be read
+/// there, parts of this prompt that are not in its memory, and its past slowness count. What cannot
+/// be sent in time waits here, where it costs nothing should its caller leave; what will not be in
+/// time at all is rejected at once.
 ///
 /// For each request submitted there is exactly one of: Reject; Fail; or a Send or Forward that ends
 /// with ended(), which may return the next effect. Not thread-safe.
@@ -163,7 +163,8 @@
     void pump(Time now, Effects &effects);
     void takeBackSilent(Time now, Effects &effects);
     bool homeAllowed(const CallFacts &facts) const;
-    /// Work of the service that waits here, in time of one engine or of one place of a plain endpoint.
+    /// Work of the service that waits here, in time of one engine or of one place of a plain
+    /// endpoint.
     Duration queuedWork(const ServiceName &service);
     /// How long the work that waits at all instances of the region keeps its endpoints busy.
     Duration queueWait(const ServiceName &service);
--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -74,8 +74,8 @@
     for (const auto &[id, entry] : entries_) {
         if (alive(entry, now) && heartbeat.heard.size() < MaxHeard) {
             const auto age = std::chrono::duration_cast<milliseconds>(now - entry.heard).count();
-            const auto bounded = static_cast<std::uint16_t>(std::clamp<std::int64_t>(
-                age, 0, MaxAgeMs));
+            const auto bounded =
+                static_cast<std::uint16_t>(std::clamp<std::int64_t>(age, 0, MaxAgeMs));
             heartbeat.heard.push_back({shortId(id), bounded});
         }
     }
@@ -167,9 +167,8 @@
         }
     }
     ++round_;
-    std::erase_if(entries_, [&](const auto &item) {
-        return now - item.second.heard > options_.forgetAfter;
-    });
+    std::erase_if(entries_,
+                  [&](const auto &item) { return now - item.second.heard > options_.forgetAfter; });
     return sends;
 }
 
--- a/Source/Core/Fleet/StoreWatch.h
+++ b/Source/Core/Fleet/StoreWatch.h
@@ -20,8 +20,8 @@
 struct WatchOptions
 {
     /// Watchers of a region. Each change of the store wakes every waiting call, and each call has a
-    /// price: with 300 changes and 26 instances that was a twentieth of what a day is worth. Two, so
-    /// that the loss of one is not noticed.
+    /// price: with 300 changes and 26 instances that was a twentieth of what a day is worth. Two,
+    /// so that the loss of one is not noticed.
     std::size_t watchers = 2;
     /// A watcher that has had no answer for so long does not count: its waiting call takes up to a
     /// second or two.
--- a/Source/Core/Relay/EventCutter.h
+++ b/Source/Core/Relay/EventCutter.h
@@ -6,9 +6,9 @@
 
 namespace LaburnumChute::Relay {
 
-/// Cuts a stream of server-sent events into whole ones and passes them on byte by byte as they came,
-/// so that a stream that breaks inside an event can go on elsewhere without half of it having been
-/// passed on.
+/// Cuts a stream of server-sent events into whole ones and passes them on byte by byte as they
+/// came, so that a stream that breaks inside an event can go on elsewhere without half of it having
+/// been passed on.
 class EventCutter
 {
 public:
--- a/Source/Core/Relay/EventLog.cpp
+++ b/Source/Core/Relay/EventLog.cpp
@@ -107,9 +107,9 @@
     auto [place, isNew] = buckets_.try_emplace(line.event());
     auto &bucket = place->second;
     const double elapsed = Common::toSeconds(now - bucket.filledAt);
-    bucket.tokens = isNew ? options_.burst
-                          : std::min(options_.burst,
-                                     bucket.tokens + elapsed * options_.linesPerSecond);
+    bucket.tokens =
+        isNew ? options_.burst
+              : std::min(options_.burst, bucket.tokens + elapsed * options_.linesPerSecond);
     bucket.filledAt = now;
     if (bucket.tokens < 1) {
         ++bucket.dropped;
--- a/Source/Core/Relay/EventLog.h
+++ b/Source/Core/Relay/EventLog.h
@@ -45,10 +45,10 @@
 
 /// Writes structured lines to a descriptor.
 ///
-/// Load pattern: ten times the usual requests, or a reader of the log that has stopped reading. Each
-/// kind of line has a bucket of its own, so that a flood of one kind does not hide the others; what
-/// is left out is counted and told. Lines wait in a bounded buffer and are written without waiting:
-/// a write that blocks would stop every request of the process.
+/// Load pattern: ten times the usual requests, or a reader of the log that has stopped reading.
+/// Each kind of line has a bucket of its own, so that a flood of one kind does not hide the others;
+/// what is left out is counted and told. Lines wait in a bounded buffer and are written without
+/// waiting: a write that blocks would stop every request of the process.
 class EventLog
 {
 public:
--- a/Source/Core/Relay/ForwardNote.h
+++ b/Source/Core/Relay/ForwardNote.h
@@ -9,8 +9,9 @@
 
 namespace LaburnumChute::Relay {
 
-/// What an instance tells another one of a request that it forwards. The receiver looks up no route:
-/// it may know another version of the configuration, and the request keeps the one it came in under.
+/// What an instance tells another one of a request that it forwards. The receiver looks up no
+/// route: it may know another version of the configuration, and the request keeps the one it came
+/// in under.
 struct ForwardNote
 {
     std::string service;
--- a/Source/Core/Relay/HttpText.cpp
+++ b/Source/Core/Relay/HttpText.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> ConnectionHeaders = {
-    "Connection",          "Keep-Alive",        "Transfer-Encoding",   "Content-Length", "TE",
-    "Trailer",             "Upgrade",           "Proxy-Authorization", "Expect"};
+    "Connection", "Keep-Alive", "Transfer-Encoding",   "Content-Length", "TE",
+    "Trailer",    "Upgrade",    "Proxy-Authorization", "Expect"};
 /// Headers on which the system relies, so that "Connection" cannot name them away.
 constexpr std::array<std::string_view, 2> NeverNamed = {"Host", "Connection"};
 
@@ -53,9 +53,10 @@
 
 std::string answerHead(unsigned status, const Common::Headers &headers)
 {
-    const auto reason = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
-    std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status,
-                                   std::string_view(reason.data(), reason.size()));
+    const auto reason =
+        boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
+    std::string text =
+        fmt::format("HTTP/1.1 {} {}\r\n", status, std::string_view(reason.data(), reason.size()));
     appendHeaders(text, headers);
     return text;
 }
--- a/Source/Core/Relay/InboundConnection.cpp
+++ b/Source/Core/Relay/InboundConnection.cpp
@@ -68,16 +68,16 @@
         return;
     }
     readPending_ = true;
-    socket_.async_read_some(asio::buffer(buffer_), [self = shared_from_this()](
-                                                       const boost::system::error_code &error,
-                                                       std::size_t size) {
-        self->readPending_ = false;
-        if (error) {
-            self->lost();
-            return;
-        }
-        self->received(size);
-    });
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+            self->readPending_ = false;
+            if (error) {
+                self->lost();
+                return;
+            }
+            self->received(size);
+        });
 }
 
 void InboundConnection::received(std::size_t size)
--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -103,13 +103,13 @@
     newParser();
     const std::array<asio::const_buffer, 2> buffers = {asio::buffer(request_.head),
                                                        asio::buffer(*request_.body)};
-    asio::async_write(connection_->socket, buffers,
-                      [self = shared_from_this()](const boost::system::error_code &error,
-                                                  std::size_t) {
-                          // After an error the read tells what came of the call: an answer may be
-                          // there already.
-                          self->written_ = !error;
-                      });
+    asio::async_write(
+        connection_->socket, buffers,
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+            // After an error the read tells what came of the call: an answer may be
+            // there already.
+            self->written_ = !error;
+        });
     read();
 }
 
@@ -232,10 +232,10 @@
     if (body.empty()) {
         return;
     }
-    auto bytes = std::exchange(body, {});
+    const auto bytes = std::exchange(body, {});
     if (!skipping_) {
         const auto self = shared_from_this();
-        events_.body(std::move(bytes));
+        events_.body(bytes);
     }
 }
 
@@ -243,8 +243,8 @@
 {
     const auto self = shared_from_this();
     over_ = true;
-    const bool reusable = written_ && in_.empty() && parser_->is_done() && parser_->get().keep_alive()
-                          && !parser_->need_eof();
+    const bool reusable = written_ && in_.empty() && parser_->is_done()
+                          && parser_->get().keep_alive() && !parser_->need_eof();
     if (reusable) {
         pool_->give(request_.address, std::move(connection_), keptFor_,
                     std::chrono::steady_clock::now());
--- a/Source/Core/Relay/OutboundCall.h
+++ b/Source/Core/Relay/OutboundCall.h
@@ -51,7 +51,7 @@
 {
     /// False when the answer belongs to another request; it is then skipped.
     std::function<bool(const AnswerHead &)> head;
-    std::function<void(std::string)> body;
+    std::function<void(const std::string &)> body;
     /// The answer is whole.
     std::function<void()> end;
     std::function<void(CallFailure, const std::string &reason)> failed;
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -52,8 +52,8 @@
 /// The store's waiting call takes at most this; by then a machine that is alone with a silent store
 /// has used half of the time in which it must act on what it would have said.
 constexpr int BoundParts = 2;
-/// From the start until the engines' memory is asked about: by then the other instances are known, so
-/// that each engine is asked by one of them.
+/// From the start until the engines' memory is asked about: by then the other instances are known,
+/// so that each engine is asked by one of them.
 constexpr milliseconds LearnCachesAfter{700};
 constexpr milliseconds CacheTimeout{1000};
 constexpr const char *CachesPath = "/laburnumchute/caches";
@@ -126,8 +126,8 @@
                                 "Requests refused that have not run"))
     , failed(registry.counter("laburnumchute_relay_failed_total",
                               "Requests that ended without a whole answer"))
-    , timedOut(registry.counter("laburnumchute_relay_timed_out_total",
-                                "Requests whose time was over"))
+    , timedOut(
+          registry.counter("laburnumchute_relay_timed_out_total", "Requests whose time was over"))
     , abandoned(registry.counter("laburnumchute_relay_abandoned_total",
                                  "Requests whose caller left before the end"))
     , resumed(registry.counter("laburnumchute_relay_resumed_total",
@@ -153,9 +153,7 @@
     , store_(
           pool_, watchOptions(settings_.bounds),
           [this](Catalog::ItemChanges changes) { takeChanges(changes, "store"); },
-          [this](StoreState state, const std::string &reason) {
-              storeStateChanged(state, reason);
-          })
+          [this](StoreState state, const std::string &reason) { storeStateChanged(state, reason); })
     , peerSync_(pool_, settings_.region,
                 [this](Catalog::ItemChanges changes, const Common::InstanceId &from) {
                     takeChanges(changes, from.text());
@@ -351,8 +349,7 @@
     std::vector<Catalog::ListedEndpoint> remote;
     for (auto &endpoint : catalog_.endpoints()) {
         const auto region = settings_.regions.find(endpoint.record.failureDomain);
-        const bool isOwn =
-            region != settings_.regions.end() && region->second == settings_.region;
+        const bool isOwn = region != settings_.regions.end() && region->second == settings_.region;
         (isOwn ? own : remote).push_back(std::move(endpoint));
     }
     scheduler_.setRemoteEndpoints(remote);
@@ -361,8 +358,8 @@
 
 bool RelayGateway::catalogFresh(Common::Time now) const
 {
-    const auto age = Fleet::knowledgeAge(now - store_.lastAnswer(), catalog_.items().upTo(),
-                                         knownPeers_);
+    const auto age =
+        Fleet::knowledgeAge(now - store_.lastAnswer(), catalog_.items().upTo(), knownPeers_);
     return age < settings_.bounds.configuration;
 }
 
@@ -557,9 +554,9 @@
     facts.outputTokens = head->expectedOutputTokens.value_or(head->maxOutputTokens);
     facts.homes = route->homes;
     facts.attempts = std::max(1, route->attempts);
-    facts.fingerprint = Common::stableHash(
-        *request.body,
-        Common::stableHash(connection->remoteIp() + request.method + " " + request.target));
+    facts.fingerprint =
+        Common::stableHash(*request.body, Common::stableHash(connection->remoteIp() + request.method
+                                                             + " " + request.target));
     plan.head = std::move(*head);
     plan.headers = endToEnd(request.headers);
     plan.method = std::move(request.method);
@@ -735,7 +732,8 @@
         fetch_.get(
             peer.record.peerAddress, CachesPath, CacheTimeout,
             [this](unsigned status, const std::string &body) {
-                const auto placements = Peers::decodeValue<std::vector<Dispatch::PartPlacement>>(body);
+                const auto placements =
+                    Peers::decodeValue<std::vector<Dispatch::PartPlacement>>(body);
                 if (status == Ok && placements) {
                     scheduler_.learnCaches(*placements);
                 }
@@ -941,9 +939,9 @@
     const bool outOfTime = since >= settings_.bounds.shutdown - LastAnswersBefore;
     // A process that ends with unread bytes resets its connections, and an answer that is still on
     // its way is lost: connections are given the time to end in order.
-    const bool quiet = calls_.empty()
-                       && (callers_.connections() == 0
-                           || since >= RefuseConnectionsAfter + ConnectionsEndWithin);
+    const bool quiet =
+        calls_.empty()
+        && (callers_.connections() == 0 || since >= RefuseConnectionsAfter + ConnectionsEndWithin);
     if ((since >= RefuseConnectionsAfter && quiet) || outOfTime) {
         EventLine line("stop");
         line.add("requests", static_cast<std::int64_t>(calls_.size())).add("after", since);
--- a/Source/Core/Relay/RelayOptions.cpp
+++ b/Source/Core/Relay/RelayOptions.cpp
@@ -6,11 +6,15 @@
 
 using Common::Setting;
 
-const Setting<std::string> ConfigSetting{
-    "config", "platform", "", "Settings file that the platform writes", "a path"};
+const Setting<std::string> ConfigSetting{"config", "platform", "",
+                                         "Settings file that the platform writes", "a path"};
 const Setting<std::int64_t> MetricsSetting{
-    "metrics-port", "metrics", 0, "Port of metrics and state dump; 0 for none",
-    "a whole number from 0 to 65535", [](const std::int64_t &v) { return v >= 0 && v <= 65535; }};
+    "metrics-port",
+    "metrics",
+    0,
+    "Port of metrics and state dump; 0 for none",
+    "a whole number from 0 to 65535",
+    [](const std::int64_t &v) { return v >= 0 && v <= 65535; }};
 const Setting<std::int64_t> LinesSetting{"log-lines-per-second",
                                          "logs",
                                          100,
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -123,7 +123,7 @@
     everSent_ = true;
     CallEvents events;
     events.head = [this](const AnswerHead &head) { return takeHead(head); };
-    events.body = [this](std::string bytes) { takeBody(std::move(bytes)); };
+    events.body = [this](const std::string &bytes) { takeBody(bytes); };
     events.end = [this] { takeEnd(); };
     events.failed = [this](CallFailure failure, const std::string &reason) {
         takeFailure(failure, reason);
@@ -263,7 +263,7 @@
     return true;
 }
 
-void RelayedCall::takeBody(std::string bytes)
+void RelayedCall::takeBody(const std::string &bytes)
 {
     const auto self = shared_from_this();
     if (mode_ == Mode::Events) {
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -87,7 +87,7 @@
     void startCall(OutboundRequest request, Common::Time now);
     bool takeHead(const AnswerHead &head);
     void readPeerState(const AnswerHead &head);
-    void takeBody(std::string bytes);
+    void takeBody(const std::string &bytes);
     void passEvents(const std::string &events);
     void takeEnd();
     void takeFailure(CallFailure failure, const std::string &reason);
--- a/Source/Core/Relay/SimpleFetch.cpp
+++ b/Source/Core/Relay/SimpleFetch.cpp
@@ -36,7 +36,7 @@
         running_.at(id).status = head.status;
         return true;
     };
-    events.body = [this, id](std::string bytes) { running_.at(id).body += bytes; };
+    events.body = [this, id](const std::string &bytes) { running_.at(id).body += bytes; };
     events.end = [this, id] {
         auto &running = running_.at(id);
         finish(id, running.status, std::move(running.body));
--- a/Source/Core/Relay/StoreWatcher.cpp
+++ b/Source/Core/Relay/StoreWatcher.cpp
@@ -112,7 +112,7 @@
         status_ = head.status;
         return true;
     };
-    events.body = [this](std::string bytes) { body_ += bytes; };
+    events.body = [this](const std::string &bytes) { body_ += bytes; };
     events.end = [this] {
         call_.reset();
         answered(steadyNow());
--- /dev/null
+++ b/Source/IntegrationTests/test_relay.py
@@ -0,0 +1,326 @@
+"""The relay as separate processes before stand-ins of the users' platform, judged from what callers
+and endpoints saw."""
+
+import http.client
+import itertools
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "platform" / "tests"))
+
+import standin  # noqa: E402
+
+PROGRAM = pathlib.Path(os.environ["BUILD_DIR"]) / "bin" / "laburnumchute"
+ZONES = {"north-a": "north", "south-a": "south"}
+ENDPOINTS = [
+    ("m-north-1", "model", "north-a"),
+    ("m-north-2", "model", "north-a"),
+    ("m-south-1", "model", "south-a"),
+    ("d-north-1", "desk", "north-a"),
+    ("d-south-1", "desk", "south-a"),
+]
+INSTANCES = {
+    "north-1": ("127.0.0.11", "north-a"),
+    "north-2": ("127.0.0.12", "north-a"),
+    "south-1": ("127.0.0.13", "south-a"),
+}
+ROUTES = [
+    standin.route("draft", "/stream/", "model", "streaming", resumable=True, gapTargetMs=400),
+    standin.route("order", "/order/", "desk", "unsafe"),
+    standin.route("status", "/status/", "desk", "safe"),
+]
+SERVICES = [standin.service("model", model=True), standin.service("desk")]
+
+
+def free_ports(count):
+    """The first of some ports in a row that are free on all loopback addresses used here."""
+    for first in random.sample(range(20000, 30000, 20), 400):
+        sockets = []
+        try:
+            for port in range(first, first + count):
+                for ip, _ in INSTANCES.values():
+                    taken = socket.socket()
+                    sockets.append(taken)
+                    taken.bind((ip, port))
+            return first
+        except OSError:
+            continue
+        finally:
+            for taken in sockets:
+                taken.close()
+    raise RuntimeError("no free ports")
+
+
+class Fleet:
+    """The processes of one deployment."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.platform = standin.Platform(ENDPOINTS)
+        self.ports = free_ports(12)
+        self.processes = {}
+        self.platform.publish(1, ROUTES, SERVICES)
+        for name in INSTANCES:
+            self.start(name)
+
+    def start(self, name):
+        ip, zone = INSTANCES[name]
+        settings = standin.settings(
+            name,
+            ip,
+            zone,
+            ZONES[zone],
+            ZONES,
+            ["127.0.0.11", "127.0.0.99"],
+            self.platform.store.server.port,
+            self.ports,
+        )
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        log = open(self.folder / f"{name}.log", "ab")
+        arguments = [str(PROGRAM), "relay", "--config", str(path)]
+        arguments += ["--metrics-port", str(self.ports + 11)]
+        self.processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log)
+
+    def get(self, name, port_offset, target):
+        connection = http.client.HTTPConnection(
+            INSTANCES[name][0], self.ports + port_offset, timeout=2
+        )
+        connection.request("GET", target)
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+
+    def ready(self, name):
+        try:
+            return self.get(name, 1, standin.READY_TARGET)[0] == 200
+        except OSError:
+            return False
+
+    def wait_ready(self):
+        end = time.monotonic() + 20
+        while time.monotonic() < end:
+            if all(self.ready(name) for name in self.processes):
+                return
+            time.sleep(0.05)
+        raise AssertionError("the instances did not get ready")
+
+    def resolve(self, region, zone):
+        """The addresses that the directory names, from whichever instance answers."""
+        target = standin.DIRECTORY_TARGET.format(region=region, zone=zone)
+        for name in random.sample(list(INSTANCES), len(INSTANCES)):
+            try:
+                status, body = self.get(name, 3, target)
+            except OSError:
+                continue
+            if status == 200:
+                return json.loads(body)["addresses"]
+        return []
+
+    def log_lines(self, name):
+        text = (self.folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self.platform.stop()
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    deployment = Fleet(tmp_path)
+    try:
+        deployment.wait_ready()
+        yield deployment
+    finally:
+        deployment.stop()
+
+
+NUMBERS = itertools.count(1)
+
+
+def attempt(address, method, path, body=b"", headers=None):
+    """One attempt of a caller: id, status (None without an answer), headers, body."""
+    identity = f"{next(NUMBERS):016x}"
+    connection = http.client.HTTPConnection(*address.split(":"), timeout=5)
+    sent = {"Host": "shop.example", standin.ATTEMPT: identity, standin.DEADLINE: "4000"}
+    try:
+        connection.request(method, path, body=body or None, headers={**sent, **(headers or {})})
+        answer = connection.getresponse()
+        return identity, answer.status, dict(answer.getheaders()), answer.read()
+    except (OSError, http.client.HTTPException):
+        return identity, None, {}, b""
+    finally:
+        connection.close()
+
+
+def whole(kind, identity, headers, body):
+    """Whether a success is the endpoint's own and whole."""
+    if headers.get(standin.SEAL) != f"seal-{identity}":
+        return False
+    if kind != "draft":
+        return body == f"done {identity}".encode()
+    numbers = range(1, standin.Endpoint.EVENTS + 1)
+    return body == b"".join(f"id: {n}\ndata: {identity}\n\n".encode() for n in numbers)
+
+
+class Callers:
+    """Callers of both regions, each with a few connections one after the other."""
+
+    KINDS = {"draft": ("POST", "/stream/x"), "order": ("POST", "/order/x"), "status": ("GET", "/status/x")}
+
+    def __init__(self, fleet, count=10):
+        self.fleet = fleet
+        self.ended = threading.Event()
+        self.outcomes = []
+        self.threads = [threading.Thread(target=self._call, args=(index,)) for index in range(count)]
+        for thread in self.threads:
+            thread.start()
+
+    def _call(self, index):
+        zone = list(ZONES)[index % len(ZONES)]
+        asked = 0.0
+        addresses = []
+        failed = set()
+        while not self.ended.is_set():
+            if time.monotonic() - asked > 1 or not addresses:
+                addresses = self.fleet.resolve(ZONES[zone], zone) or addresses
+                asked = time.monotonic()
+            # As clients of the platform do, addresses that have failed are left out.
+            usable = [address for address in addresses if address not in failed] or addresses
+            if not usable:
+                continue
+            kind = random.choice(list(self.KINDS))
+            method, path = self.KINDS[kind]
+            address = random.choice(usable)
+            outcome = attempt(address, method, path, b"x" if method == "POST" else b"")
+            if outcome[1] is None:
+                failed.add(address)
+            else:
+                failed.discard(address)
+            self.outcomes.append((kind, *outcome))
+            time.sleep(0.03)
+
+    def stop(self):
+        self.ended.set()
+        for thread in self.threads:
+            thread.join()
+        return self.outcomes
+
+
+def runs_of(platform):
+    """How often each attempt has run, over all endpoints."""
+    count = {}
+    for runs in platform.runs().values():
+        for identity, _ in runs:
+            count[identity] = count.get(identity, 0) + 1
+    return count
+
+
+def check_promises(fleet, outcomes):
+    runs = runs_of(fleet.platform)
+    for kind, identity, status, headers, body in outcomes:
+        if status == 200:
+            assert whole(kind, identity, headers, body), (kind, identity, headers, body)
+        if kind == "order":
+            assert runs.get(identity, 0) <= 1, f"order {identity} ran twice"
+            assert status != 503 or identity not in runs, f"order {identity} was said not to have run"
+
+
+def test_a_deployment_keeps_its_promises_through_a_kill_a_drain_and_a_configuration(fleet):
+    """One instance is killed, an endpoint says that it leaves, a configuration adds a route, and
+    another instance is stopped, all within ten seconds of traffic. Callers should notice little: a
+    request that was on the killed instance, and nothing else."""
+    callers = Callers(fleet)
+    time.sleep(2)
+    fleet.processes["north-2"].kill()
+    time.sleep(1)
+    fleet.platform.drain("m-north-2")
+    drained = time.monotonic()
+    time.sleep(1)
+    fleet.platform.publish(9, ROUTES + [standin.route("new", "/new/", "desk", "safe")], SERVICES)
+    time.sleep(1)
+    new_route = [
+        attempt(f"{INSTANCES[name][0]}:{fleet.ports}", "GET", "/new/x")[1]
+        for name in ("north-1", "south-1")
+    ]
+    fleet.start("north-2")
+    time.sleep(2)
+    fleet.processes["north-1"].send_signal(signal.SIGTERM)
+    time.sleep(5)
+    outcomes = callers.stop()
+
+    check_promises(fleet, outcomes)
+    assert new_route == [200, 200]
+    late = [at for _, at in fleet.platform.runs()["m-north-2"] if at > drained + 3]
+    assert not late, "a leaving endpoint got work after three seconds"
+    assert fleet.processes["north-1"].poll() == 0
+    assert len(outcomes) > 200
+    served = sum(1 for outcome in outcomes if outcome[2] == 200)
+    assert served >= 0.95 * len(outcomes), f"{served} of {len(outcomes)} served"
+
+
+def test_a_request_without_a_route_is_not_found_and_one_before_the_configuration_is_refused(fleet):
+    """A path that no route has is told so, with 404: retrying would not help its caller."""
+    address = f"{INSTANCES['north-1'][0]}:{fleet.ports}"
+    assert attempt(address, "GET", "/nowhere/")[1] == 404
+    assert attempt(address, "GET", "/status")[1] == 404
+
+
+def test_a_failed_request_is_found_in_the_log_by_its_id(fleet):
+    """All endpoints of a service have gone. The caller is turned away at once with a time to come
+    back, and its id leads from the log to the reason."""
+    for identity in ("d-north-1", "d-south-1"):
+        fleet.platform.drain(identity)
+    time.sleep(0.7)
+    address = f"{INSTANCES['south-1'][0]}:{fleet.ports}"
+    start = time.monotonic()
+    identity, status, headers, _ = attempt(address, "POST", "/order/x", b"x")
+    assert status == 503
+    assert time.monotonic() - start < 0.3
+    assert float(headers["Retry-After"]) > 0
+    time.sleep(0.3)
+    lines = [line for line in fleet.log_lines("south-1") if line.get("request") == identity]
+    assert [line["reason"] for line in lines if line["event"] == "reject"] == ["no endpoint"]
+    assert runs_of(fleet.platform).get(identity) is None
+
+
+def test_settings_that_change_without_a_signal_are_read_and_wrong_ones_are_not_put_in_force(fleet):
+    """The settings file is replaced by half a file, and later by a whole one. The instance goes on
+    with what it had, says so, and takes the new one."""
+    path = fleet.folder / "south-1.json"
+    text = path.read_text()
+    path.write_text(text[: len(text) // 2])
+    time.sleep(1.6)
+    assert fleet.ready("south-1")
+    path.write_text(text.replace('"retrySlack": 50', '"retrySlack": 60'))
+    fleet.processes["south-1"].send_signal(signal.SIGHUP)
+    time.sleep(0.5)
+    reloads = [line for line in fleet.log_lines("south-1") if line["event"] == "reload"]
+    assert [line["outcome"] for line in reloads] == ["kept the old settings", "applied"]
+
+
+def test_metrics_and_state_are_served(fleet):
+    """On call, one asks an instance for its counters and for what it believes."""
+    address = f"{INSTANCES['north-1'][0]}:{fleet.ports}"
+    assert attempt(address, "GET", "/status/x")[1] == 200
+    status, text = fleet.get("north-1", 11, "/metrics")
+    assert status == 200
+    assert b"laburnumchute_relay_requests_total 1" in text
+    status, text = fleet.get("north-1", 11, "/dump")
+    dump = json.loads(text)
+    assert dump["ready"] and dump["configuration"] == 1
+    assert len(dump["scheduler"]["endpoints"]) == 3
--- a/Source/Laburnumchute/Main.cpp
+++ b/Source/Laburnumchute/Main.cpp
@@ -99,11 +99,12 @@
     Operator::Verb verb;
     verb.name = "relay";
     verb.summary = "Run an instance that relays requests by host and path";
-    verb.description = "Takes its identity, addresses and bounds from the settings file that the "
-                       "platform writes, and routes and endpoints from the platform's store. Writes "
-                       "its log as lines of JSON to standard output. SIGTERM ends it without "
-                       "cutting off a request; SIGHUP, or a change of the file, makes it read the "
-                       "settings again.";
+    verb.description =
+        "Takes its identity, addresses and bounds from the settings file that the "
+        "platform writes, and routes and endpoints from the platform's store. Writes "
+        "its log as lines of JSON to standard output. SIGTERM ends it without "
+        "cutting off a request; SIGHUP, or a change of the file, makes it read the "
+        "settings again.";
     verb.statuses = {
         {Operator::StatusDone, "it has shut down"},
         {Operator::StatusRefused, "it could not start, say because an address is taken"},
--- a/Source/UnitTests/Catalog/CatalogTest.cpp
+++ b/Source/UnitTests/Catalog/CatalogTest.cpp
@@ -50,8 +50,8 @@
     EXPECT_EQ(catalog_.version(), 3U);
 }
 
-// An old version is written again under a new revision, or read from a copy that lags. Callers would
-// see routes go and come back.
+// An old version is written again under a new revision, or read from a copy that lags. Callers
+// would see routes go and come back.
 TEST_F(CatalogTest, VersionsOnlyGrow)
 {
     apply("c", 1, "7");
--- a/Source/UnitTests/Catalog/EndpointRegistryTest.cpp
+++ b/Source/UnitTests/Catalog/EndpointRegistryTest.cpp
@@ -9,7 +9,8 @@
 class EndpointRegistryTest : public testing::Test
 {
 protected:
-    static EndpointRecord record(std::int64_t startedAt, std::int64_t sequence, bool draining = false)
+    static EndpointRecord record(std::int64_t startedAt, std::int64_t sequence,
+                                 bool draining = false)
     {
         EndpointRecord record;
         record.id = EndpointId("e");
@@ -50,8 +51,8 @@
     EXPECT_EQ(only().record.startedAt, 2);
 }
 
-// A copy of the former life's record arrives after the new life's. What it says is of a process that
-// has ended.
+// A copy of the former life's record arrives after the new life's. What it says is of a process
+// that has ended.
 TEST_F(EndpointRegistryTest, RecordOfAFormerLifeIsIgnored)
 {
     registry_.update(record(2, 1), now_);
--- a/Source/UnitTests/Dispatch/LoadTest.cpp
+++ b/Source/UnitTests/Dispatch/LoadTest.cpp
@@ -123,9 +123,9 @@
         arrive(facts(Plain));
         advance(milliseconds(10));
     }
-    const auto served =
-        std::count_if(callers_.begin(), callers_.end(),
-                      [](const auto &entry) { return entry.second.sentAt.has_value(); });
+    const auto served = std::count_if(callers_.begin(), callers_.end(), [](const auto &entry) {
+        return entry.second.sentAt.has_value();
+    });
     constexpr double Possible = 2000.0 / 60 * 6;
     EXPECT_GT(static_cast<double>(served), 0.9 * Possible);
 }
--- a/Source/UnitTests/Dispatch/PlacementTest.cpp
+++ b/Source/UnitTests/Dispatch/PlacementTest.cpp
@@ -2,8 +2,8 @@
 
 namespace LaburnumChute::Dispatch {
 
-// A prompt's large shared part lies in one engine's memory. Reading it again elsewhere takes a third
-// of a second of an engine, for which others wait.
+// A prompt's large shared part lies in one engine's memory. Reading it again elsewhere takes a
+// third of a second of an engine, for which others wait.
 TEST_F(SchedulerTest, RequestGoesWhereItsPromptIsHeld)
 {
     setEndpoints({endpoint("a", Model), endpoint("b", Model), endpoint("c", Model)});
@@ -191,12 +191,12 @@
     EXPECT_NE(only<Forward>(scheduler_.submit(facts(Plain), now_)), nullptr);
 }
 
-// One request crashes whatever runs it, and its caller sends it again. Without a bound it takes down
-// one endpoint after the other.
+// One request crashes whatever runs it, and its caller sends it again. Without a bound it takes
+// down one endpoint after the other.
 TEST_F(SchedulerTest, RequestThatCrashesItsEndpointsIsRejected)
 {
-    setEndpoints({endpoint("a", Plain), endpoint("b", Plain), endpoint("c", Plain),
-                  endpoint("d", Plain)});
+    setEndpoints(
+        {endpoint("a", Plain), endpoint("b", Plain), endpoint("c", Plain), endpoint("d", Plain)});
     int crashes = 0;
     for (int attempt = 0; attempt < 8; ++attempt) {
         auto poison = facts(Plain);
@@ -217,8 +217,9 @@
             auto tried = scheduler_.submit(innocent, now_);
             while (only<Send>(tried) != nullptr) {
                 const bool dead = only<Send>(tried)->endpoint == crashed;
-                tried = scheduler_.ended(
-                    innocent.id, dead ? TryOutcome::NotConnected : TryOutcome::Completed, true, now_);
+                tried = scheduler_.ended(innocent.id,
+                                         dead ? TryOutcome::NotConnected : TryOutcome::Completed,
+                                         true, now_);
             }
         }
         // The crashed endpoint comes back as a new life under its id.
--- a/Source/UnitTests/Fleet/RosterTest.cpp
+++ b/Source/UnitTests/Fleet/RosterTest.cpp
@@ -27,7 +27,8 @@
         record.region = Common::RegionName(region);
         record.gossipAddress = name;
         record.ready = true;
-        auto roster = std::make_unique<Roster>(RosterOptions(), record, incarnation * 31 + rosters_.size());
+        auto roster =
+            std::make_unique<Roster>(RosterOptions(), record, incarnation * 31 + rosters_.size());
         roster->setSeeds(seeds_);
         rosters_[name] = std::move(roster);
     }
--- a/Source/UnitTests/Fleet/StoreWatchTest.cpp
+++ b/Source/UnitTests/Fleet/StoreWatchTest.cpp
@@ -32,8 +32,7 @@
     std::map<WatchDuty, int> count;
     for (const auto &self : all) {
         auto others = all;
-        std::erase_if(others,
-                      [&](const Peer &each) { return each.record.id == self.record.id; });
+        std::erase_if(others, [&](const Peer &each) { return each.record.id == self.record.id; });
         ++count[watchDuty(self.record, others, WatchOptions())];
     }
     return count;
--- a/Source/UnitTests/Relay/DirectoryAnswerTest.cpp
+++ b/Source/UnitTests/Relay/DirectoryAnswerTest.cpp
@@ -17,9 +17,8 @@
 std::vector<DirectoryCandidate> without(const std::string &region)
 {
     auto candidates = Everywhere;
-    std::erase_if(candidates, [&](const auto &candidate) {
-        return candidate.region == RegionName(region);
-    });
+    std::erase_if(candidates,
+                  [&](const auto &candidate) { return candidate.region == RegionName(region); });
     return candidates;
 }
 
@@ -37,7 +36,9 @@
 TEST(DirectoryAnswerTest, CallersOfALostRegionAreLedToTheHomesOfMostRoutes)
 {
     const std::vector<std::vector<RegionName>> homes = {
-        {RegionName("north"), RegionName("central")}, {RegionName("central")}, {RegionName("north")}};
+        {RegionName("north"), RegionName("central")},
+        {RegionName("central")},
+        {RegionName("north")}};
     const auto addresses = chooseAddresses(without("north"), RegionName("north"), homes, NoLimit);
     EXPECT_EQ(addresses, (std::vector<std::string>{"c1"}));
 }
@@ -48,8 +49,8 @@
     EXPECT_EQ(addresses, (std::vector<std::string>{"c1", "s1"}));
 }
 
-// The instances are replaced one after the other: those of the caller's region and of the only other
-// home are about to stop, the next one has not started yet. They still serve for seconds; an
+// The instances are replaced one after the other: those of the caller's region and of the only
+// other home are about to stop, the next one has not started yet. They still serve for seconds; an
 // instance of a region that is no home must not read the requests at all.
 TEST(DirectoryAnswerTest, InstancesThatLeaveAreNamedBeforeThoseOutsideTheHomes)
 {
--- a/Source/UnitTests/Relay/EventLogTest.cpp
+++ b/Source/UnitTests/Relay/EventLogTest.cpp
@@ -69,8 +69,10 @@
 {
     auto events = log(10);
     EventLine line("reject");
-    line.add("request", "a\"b\n").add("waited", Common::milliseconds(12)).add("sent", true).add("n",
-                                                                                               std::int64_t(3));
+    line.add("request", "a\"b\n")
+        .add("waited", Common::milliseconds(12))
+        .add("sent", true)
+        .add("n", std::int64_t(3));
     events.write(line, now_);
     events.flush(now_);
     const auto written = lines();
--- a/Source/UnitTests/Relay/InboundConnectionTest.cpp
+++ b/Source/UnitTests/Relay/InboundConnectionTest.cpp
@@ -12,18 +12,18 @@
 protected:
     InboundConnectionTest()
         : server_(
-              context_, 100, [this] { return limits_; },
-              [this](const std::shared_ptr<InboundConnection> &connection, InboundRequest request) {
-                  requests_.push_back(std::move(request));
-                  handler_(connection);
-              })
+            context_, 100, [this] { return limits_; },
+            [this](const std::shared_ptr<InboundConnection> &connection, InboundRequest request) {
+                requests_.push_back(std::move(request));
+                handler_(connection);
+            })
         , address_(*server_.listen("127.0.0.1:0"))
         , caller_(callerContext_)
     {
         limits_.bodyBytes = 1000;
         const auto port = std::stoi(address_.substr(address_.find(':') + 1));
-        caller_.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"),
-                                      static_cast<std::uint16_t>(port)));
+        caller_.connect(
+            tcp::endpoint(asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)));
         caller_.non_blocking(true);
     }
 
@@ -87,13 +87,14 @@
 
 TEST_F(InboundConnectionTest, ChunkedBodyIsRead)
 {
-    say("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    say("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     ASSERT_EQ(requests_.size(), 1U);
     EXPECT_EQ(*requests_[0].body, "abcde");
 }
 
-// A request states its length in two ways, or in a coding that an endpoint may read differently. The
-// part that only one of the two sees would be a request of its own there.
+// A request states its length in two ways, or in a coding that an endpoint may read differently.
+// The part that only one of the two sees would be a request of its own there.
 TEST_F(InboundConnectionTest, RequestThatCouldHideAnotherIsRefused)
 {
     const std::vector<std::string> heads = {
@@ -107,8 +108,8 @@
     for (const auto &head : heads) {
         caller_.close();
         const auto port = std::stoi(address_.substr(address_.find(':') + 1));
-        caller_.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"),
-                                      static_cast<std::uint16_t>(port)));
+        caller_.connect(
+            tcp::endpoint(asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)));
         caller_.non_blocking(true);
         say("POST /a HTTP/1.1\r\nHost: h\r\n" + head + "\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
         EXPECT_EQ(heard().substr(0, 12), "HTTP/1.1 400") << head;
--- a/Source/UnitTests/Relay/OutboundCallTest.cpp
+++ b/Source/UnitTests/Relay/OutboundCallTest.cpp
@@ -25,8 +25,8 @@
     {
         OutboundRequest request;
         request.address = address;
-        request.head = requestHead("POST", "/x",
-                                   {{"Host", "h"}, {"Content-Length", std::to_string(body.size())}});
+        request.head = requestHead(
+            "POST", "/x", {{"Host", "h"}, {"Content-Length", std::to_string(body.size())}});
         request.body = std::make_shared<const std::string>(body);
         request.maxIdle = Common::seconds(5);
         return request;
@@ -176,15 +176,14 @@
 // They come a moment later, while the connection idles.
 TEST_F(OutboundCallTest, IdleConnectionThatSpeaksIsNotUsed)
 {
-    ScriptedServer server({[](tcp::socket &socket) {
-                               ScriptedServer::readHead(socket);
-                               ScriptedServer::write(
-                                   socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-                               std::this_thread::sleep_for(std::chrono::milliseconds(30));
-                               ScriptedServer::write(
-                                   socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
-                           },
-                           answer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nours")});
+    ScriptedServer server(
+        {[](tcp::socket &socket) {
+             ScriptedServer::readHead(socket);
+             ScriptedServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+             std::this_thread::sleep_for(std::chrono::milliseconds(30));
+             ScriptedServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+         },
+         answer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nours")});
     EXPECT_EQ(call(request(server.address())).body, "ok");
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     EXPECT_EQ(call(request(server.address())).body, "ours");
--- a/Source/UnitTests/Relay/PeerMessagesTest.cpp
+++ b/Source/UnitTests/Relay/PeerMessagesTest.cpp
@@ -21,7 +21,8 @@
     EXPECT_EQ(read->fromRegion, "north");
 }
 
-// A text that is no note, or a damaged one whose lengths lie. It must not cost memory or the process.
+// A text that is no note, or a damaged one whose lengths lie. It must not cost memory or the
+// process.
 TEST(ForwardNoteTest, OtherTextsAreErrors)
 {
     EXPECT_FALSE(decodeNote(""));
--- a/Tools/format.sh
+++ b/Tools/format.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mode=(-i)
 [ "${1:-}" = --check ] && mode=(--dry-run --Werror)
-git ls-files -co --exclude-standard 'Source/*.cpp' 'Source/*.h' 'examples/*.cpp' \
+git ls-files -co --exclude-standard 'Source/*.cpp' 'Source/*.h' 'platform/*.cpp' 'platform/*.h' 'examples/*.cpp' \
     | xargs -r clang-format "${mode[@]}"
--- a/Tools/lint.sh
+++ b/Tools/lint.sh
@@ -5,7 +5,7 @@
 build=${BUILD_DIR:-$root/Build}
 cd "$root" || exit 1
 files=("$@")
-[ "${#files[@]}" -gt 0 ] || mapfile -t files < <(git ls-files -co --exclude-standard 'Source/*.cpp' 'examples/*.cpp')
+[ "${#files[@]}" -gt 0 ] || mapfile -t files < <(git ls-files -co --exclude-standard 'Source/*.cpp' 'platform/*.cpp' 'examples/*.cpp')
 # clang 14 needs to be told that the standard library's coroutines may be used with this Boost.
 printf '%s\0' "${files[@]}" | xargs -0 -n 1 -P "${LINT_JOBS:-$(nproc)}" \
     clang-tidy --quiet -p "$build" --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT \
