--- a/Source/Core/Dispatch/EndpointBook.cpp
+++ b/Source/Core/Dispatch/EndpointBook.cpp
@@ -1,7 +1,6 @@
 #include "Dispatch/EndpointBook.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace LaburnumChute::Dispatch {
 
@@ -301,7 +300,8 @@
 std::vector<PartPlacement> EndpointBook::recentPlacements(Duration age, Time now) const
 {
     std::vector<PartPlacement> result;
-    for (const auto &recent : std::ranges::reverse_view(placements_)) {
+    for (auto left = placements_.size(); left > 0; --left) {
+        const auto &recent = placements_[left - 1];
         const bool tellable = recent.at <= now && now - recent.at <= age;
         if (tellable && result.size() < MaxPlacements) {
             result.push_back(recent.placement);
--- a/Source/Core/Dispatch/PartCache.cpp
+++ b/Source/Core/Dispatch/PartCache.cpp
@@ -1,7 +1,5 @@
 #include "Dispatch/PartCache.h"
 
-#include <ranges>
-
 namespace LaburnumChute::Dispatch {
 
 PartCache::PartCache(std::int64_t capacityTokens)
@@ -32,8 +30,8 @@
 {
     // From the last to the first: a part without those before it is worth nothing, so that the
     // first one has to be the last to yield.
-    for (const auto &part : std::ranges::reverse_view(parts)) {
-        use(part);
+    for (auto left = parts.size(); left > 0; --left) {
+        use(parts[left - 1]);
     }
 }
 
--- a/Source/UnitTests/Dispatch/LoadTest.cpp
+++ b/Source/UnitTests/Dispatch/LoadTest.cpp
@@ -249,6 +249,17 @@
     EXPECT_NE(only<TakeBack>(scheduler_.tick(now_)), nullptr);
 }
 
+// A request was forwarded, and the instance there takes it off a silent endpoint and sends it to
+// another one. Were it taken back here in the same moment, its caller would get an error just as the
+// answer comes.
+TEST_F(LoadTest, ForwardedRequestIsLeftToTheInstanceThatHasIt)
+{
+    offerAway(Plain, 100);
+    ASSERT_NE(only<Forward>(scheduler_.submit(facts(Plain), now_)), nullptr);
+    pass(seconds(3));
+    EXPECT_TRUE(scheduler_.tick(now_).empty());
+}
+
 TEST_F(LoadTest, OrderIsNeverTakenOffItsEndpoint)
 {
     setEndpoints({endpoint("a", Plain), endpoint("b", Plain)});
