--- a/Source/Core/Fleet/Heartbeat.h
+++ b/Source/Core/Fleet/Heartbeat.h
@@ -27,7 +27,7 @@
     /// It is about to stop and takes no new callers.
     bool leaving = false;
     /// All changes of the platform's store up to here are known to it.
-    std::uint64_t storeRevision = 0;
+    std::uint64_t knownRevision = 0;
     /// Time since the store last answered it, bounded by a minute.
     std::uint16_t storeAgeMs = 0;
     /// The store has answered it without a break for some seconds.
@@ -38,7 +38,7 @@
     void serialize(Archive &archive)
     {
         archive(id, incarnation, sequence, region, failureDomain, callerAddress, gossipAddress,
-                peerAddress, ready, leaving, storeRevision, storeAgeMs, storeSettled);
+                peerAddress, ready, leaving, knownRevision, storeAgeMs, storeSettled);
     }
 };
 
--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -45,7 +45,7 @@
 
 void Roster::setStoreRevision(std::uint64_t revision)
 {
-    self_.storeRevision = std::max(self_.storeRevision, revision);
+    self_.knownRevision = std::max(self_.knownRevision, revision);
 }
 
 void Roster::setStoreContact(Duration sinceAnswer, bool settled)
--- a/Source/Core/Fleet/StoreWatch.cpp
+++ b/Source/Core/Fleet/StoreWatch.cpp
@@ -49,7 +49,7 @@
 {
     auto age = ownAnswerAge;
     for (const auto &peer : peers) {
-        if (peer.reachable && peer.record.storeRevision <= ownRevision) {
+        if (peer.reachable && peer.record.knownRevision <= ownRevision) {
             age = std::min<Duration>(age, milliseconds(peer.record.storeAgeMs) + HeartbeatAge);
         }
     }
--- a/Source/Core/Relay/PeerSync.cpp
+++ b/Source/Core/Relay/PeerSync.cpp
@@ -51,11 +51,11 @@
 {
     // Of the own region if possible: bytes between regions cost more. Then who knows most.
     const auto rank = [this](const Fleet::Peer &peer) {
-        return std::pair(peer.record.region == home_, peer.record.storeRevision);
+        return std::pair(peer.record.region == home_, peer.record.knownRevision);
     };
     const Fleet::Peer *best = nullptr;
     for (const auto &peer : peers) {
-        const bool helps = peer.reachable && peer.record.storeRevision > known;
+        const bool helps = peer.reachable && peer.record.knownRevision > known;
         if (helps && (best == nullptr || rank(peer) > rank(*best))) {
             best = &peer;
         }
@@ -88,10 +88,10 @@
         peer.record.peerAddress, itemsTarget(known), Timeout,
         [this, from = peer.record.id](unsigned status, const std::string &body) {
             asking_ = false;
-            auto changes = Peers::decodeValue<Catalog::ItemChanges>(body);
+            const auto changes = Peers::decodeValue<Catalog::ItemChanges>(body);
             // What failed is asked for again, from whoever then knows most.
             if (status == Ok && changes) {
-                changes_(std::move(*changes), from);
+                changes_(*changes, from);
             }
         },
         now);
--- a/Source/Core/Relay/PeerSync.h
+++ b/Source/Core/Relay/PeerSync.h
@@ -26,7 +26,7 @@
 {
 public:
     using ChangesHandler =
-        std::function<void(Catalog::ItemChanges, const Common::InstanceId &from)>;
+        std::function<void(const Catalog::ItemChanges &, const Common::InstanceId &from)>;
 
     PeerSync(std::shared_ptr<OutboundPool> pool, Common::RegionName home, ChangesHandler changes);
 
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -152,10 +152,10 @@
     , pool_(std::make_shared<OutboundPool>(context_))
     , store_(
           pool_, watchOptions(settings_.bounds),
-          [this](Catalog::ItemChanges changes) { takeChanges(changes, "store"); },
+          [this](const Catalog::ItemChanges &changes) { takeChanges(changes, "store"); },
           [this](StoreState state, const std::string &reason) { storeStateChanged(state, reason); })
     , peerSync_(pool_, settings_.region,
-                [this](Catalog::ItemChanges changes, const Common::InstanceId &from) {
+                [this](const Catalog::ItemChanges &changes, const Common::InstanceId &from) {
                     takeChanges(changes, from.text());
                 })
     , fetch_(pool_)
@@ -218,7 +218,7 @@
             return tl::unexpected(bound.error());
         }
     }
-    const auto gossip = gossip_.open(withPort(settings_.ip, settings_.gossipPort));
+    auto gossip = gossip_.open(withPort(settings_.ip, settings_.gossipPort));
     if (!gossip) {
         return gossip;
     }
@@ -326,7 +326,7 @@
 {
     const auto revision = catalog_.items().upTo();
     const bool first = std::all_of(knownPeers_.begin(), knownPeers_.end(), [&](const auto &peer) {
-        return peer.record.storeRevision < revision;
+        return peer.record.knownRevision < revision;
     });
     if (first) {
         sendAll(roster_.announce(now));
@@ -804,7 +804,7 @@
                          {"reachable", peer.reachable},
                          {"ready", peer.record.ready},
                          {"leaving", peer.record.leaving},
-                         {"store_revision", peer.record.storeRevision}});
+                         {"store_revision", peer.record.knownRevision}});
     }
     return {{"ready", ready()},
             {"configuration", catalog_.version()},
--- a/Source/Core/Relay/StoreWatcher.cpp
+++ b/Source/Core/Relay/StoreWatcher.cpp
@@ -169,12 +169,13 @@
     revision_ = std::max(revision_, listing_.upTo);
     listed_ = true;
     step_ = Step::Watch;
-    changes_(std::move(listing_));
+    changes_(listing_);
+    listing_ = {};
 }
 
 void StoreWatcher::takeChanges(Common::Time now)
 {
-    auto changes = Platform::readChanges(body_);
+    const auto changes = Platform::readChanges(body_);
     if (!changes) {
         failed(changes.error().message, now);
         return;
@@ -182,7 +183,7 @@
     succeeded(now);
     revision_ = std::max(revision_, changes->upTo);
     nextAt_ = changes->items.empty() ? now : now + options_.pause;
-    changes_(std::move(*changes));
+    changes_(*changes);
 }
 
 void StoreWatcher::succeeded(Common::Time now)
--- a/Source/Core/Relay/StoreWatcher.h
+++ b/Source/Core/Relay/StoreWatcher.h
@@ -37,7 +37,7 @@
     };
 
     /// Told of each answer: changes, or none.
-    using ChangesHandler = std::function<void(Catalog::ItemChanges)>;
+    using ChangesHandler = std::function<void(const Catalog::ItemChanges &)>;
     /// Told when the store is lost or back, with the reason.
     using StateHandler = std::function<void(StoreState, const std::string &reason)>;
 
--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -36,9 +36,9 @@
     "south-1": ("127.0.0.13", "south-a"),
 }
 ROUTES = [
-    standin.route("draft", "/stream/", "model", "streaming", resumable=True, gapTargetMs=400),
-    standin.route("order", "/order/", "desk", "unsafe"),
-    standin.route("status", "/status/", "desk", "safe"),
+    standin.route("draft", "/stream/", "model", "stream", resumable=True, gap=400),
+    standin.route("order", "/order/", "desk", "once"),
+    standin.route("status", "/status/", "desk", "idempotent"),
 ]
 SERVICES = [standin.service("model", model=True), standin.service("desk")]
 
@@ -251,7 +251,7 @@
     fleet.platform.drain("m-north-2")
     drained = time.monotonic()
     time.sleep(1)
-    fleet.platform.publish(9, ROUTES + [standin.route("new", "/new/", "desk", "safe")], SERVICES)
+    fleet.platform.publish(9, ROUTES + [standin.route("new", "/new/", "desk", "idempotent")], SERVICES)
     time.sleep(1)
     new_route = [
         attempt(f"{INSTANCES[name][0]}:{fleet.ports}", "GET", "/new/x")[1]
@@ -306,7 +306,7 @@
     path.write_text(text[: len(text) // 2])
     time.sleep(1.6)
     assert fleet.ready("south-1")
-    path.write_text(text.replace('"retrySlack": 50', '"retrySlack": 60'))
+    path.write_text(text.replace(standin.RETRY_SLACK.format(50), standin.RETRY_SLACK.format(60)))
     fleet.processes["south-1"].send_signal(signal.SIGHUP)
     time.sleep(0.5)
     reloads = [line for line in fleet.log_lines("south-1") if line["event"] == "reload"]
--- a/Source/UnitTests/Dispatch/LoadTest.cpp
+++ b/Source/UnitTests/Dispatch/LoadTest.cpp
@@ -250,8 +250,8 @@
 }
 
 // A request was forwarded, and the instance there takes it off a silent endpoint and sends it to
-// another one. Were it taken back here in the same moment, its caller would get an error just as the
-// answer comes.
+// another one. Were it taken back here in the same moment, its caller would get an error just as
+// the answer comes.
 TEST_F(LoadTest, ForwardedRequestIsLeftToTheInstanceThatHasIt)
 {
     offerAway(Plain, 100);
--- a/Source/UnitTests/Fleet/StoreWatchTest.cpp
+++ b/Source/UnitTests/Fleet/StoreWatchTest.cpp
@@ -12,7 +12,7 @@
     result.record.id = Common::InstanceId(name);
     result.record.region = Common::RegionName(region);
     result.record.storeAgeMs = static_cast<std::uint16_t>(storeAge.count());
-    result.record.storeRevision = 10;
+    result.record.knownRevision = 10;
     result.alive = true;
     result.reachable = true;
     return result;
