Spare cold endpoints until the neighbours are known, and find them sooner

The first one tried its seeds every two seconds only; taking itself to be alone it sent a cold endpoint the bound of all instances, as did the second. Ruled out: the gate's window (each kept its own quota).

--- a/Source/Core/Dispatch/Options.h
+++ b/Source/Core/Dispatch/Options.h
@@ -74,6 +74,9 @@
     /// Share of a bound that holds for all instances together which they use in all: their views of
     /// each other differ for a heartbeat or two.
     double sharedBoundUse = 0.7;
+    /// A process that has just started knows its neighbours after this long: they answer its first
+    /// heartbeat within milliseconds, and those that start with it follow within a few intervals.
+    milliseconds neighboursKnownAfter{1500};
 
     // Other regions.
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -98,10 +98,12 @@
     return "unknown";
 }
 
-Scheduler::Scheduler(DispatchOptions options, InstanceId self, RegionName home, std::uint64_t seed)
+Scheduler::Scheduler(DispatchOptions options, InstanceId self, RegionName home, std::uint64_t seed,
+                     Time startedAt)
     : options_(options)
     , self_(std::move(self))
     , home_(std::move(home))
+    , startedAt_(startedAt)
     , random_(seed)
     , book_(options_)
     , rooms_(options_)
@@ -340,6 +342,12 @@
         return false;
     }
     const bool limited = endpoint.cold(now) && service.coldRate > 0;
+    // A region's instances and endpoints come back together after a loss of power. An instance that
+    // has not heard of its neighbours yet would take the whole bound for itself, as would they.
+    const bool alone = now - startedAt_ < options_.neighboursKnownAfter;
+    if (limited && alone) {
+        return false;
+    }
     if (limited && !endpoint.coldGate.allows(coldQuota(endpoint, service), now)) {
         return false;
     }
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -32,7 +32,9 @@
 class Scheduler
 {
 public:
-    Scheduler(DispatchOptions options, InstanceId self, RegionName home, std::uint64_t seed);
+    /// @param startedAt start of this process
+    Scheduler(DispatchOptions options, InstanceId self, RegionName home, std::uint64_t seed,
+              Time startedAt);
 
     // What is known.
 
@@ -184,6 +186,7 @@
     DispatchOptions options_;
     InstanceId self_;
     RegionName home_;
+    Time startedAt_;
     Catalog::Bounds bounds_;
     std::mt19937_64 random_;
     EndpointBook book_;
--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -159,8 +159,11 @@
             addTo(sends, *entry, now);
         }
     }
-    if (round_ % options_.retryEvery == 0) {
+    const bool introduces = round_ % options_.retryEvery == 0;
+    if (introduces || round_ < options_.eagerRounds) {
         addRetries(sends, now);
+    }
+    if (introduces) {
         if (!sends.empty()) {
             std::uniform_int_distribution<std::size_t> index(0, sends.size() - 1);
             sends[index(random_)].heartbeat.introductions = introductions(now);
--- a/Source/Core/Fleet/Roster.h
+++ b/Source/Core/Fleet/Roster.h
@@ -34,6 +34,9 @@
     std::size_t otherFanout = 6;
     /// Addresses of silent instances and seeds are tried with every such round.
     int retryEvery = 8;
+    /// In its first rounds, five seconds of them, an instance tries them with every one: its seeds
+    /// may be starting, too, and until one answers it takes itself to be alone.
+    int eagerRounds = 20;
     /// A silent instance is forgotten after this long.
     milliseconds forgetAfter{120000};
 };
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -148,7 +148,8 @@
     , log_(StandardOutput, options_.log, settings_.instance.text())
     , catalog_(&Platform::readItem)
     , roster_(options_.roster, recordOf(settings_), randomNumber())
-    , scheduler_(options_.dispatch, settings_.instance, settings_.region, randomNumber())
+    , scheduler_(options_.dispatch, settings_.instance, settings_.region, randomNumber(),
+                 steadyNow())
     , pool_(std::make_shared<OutboundPool>(context_))
     , store_(
           pool_, watchOptions(settings_.bounds),
--- a/Source/UnitTests/Dispatch/ColdGateTest.cpp
+++ b/Source/UnitTests/Dispatch/ColdGateTest.cpp
@@ -52,6 +52,29 @@
     EXPECT_GE(sends.size(), 12U);
 }
 
+// A region loses its power, and instances and endpoints come back in the same second. No instance
+// has heard of another; each would send a cold endpoint what all may send together, and it would
+// crash before it has served anything.
+TEST_F(SchedulerTest, InstanceThatHasJustStartedSparesColdEndpoints)
+{
+    Scheduler fresh(DispatchOptions(), InstanceId("one"), RegionName("home"), 7, now_);
+    Catalog::Bounds bounds;
+    bounds.coldOvershoot = 1.5;
+    bounds.coldSlack = 3;
+    fresh.setBounds(bounds);
+    Catalog::Service model;
+    model.name = ServiceName(Model);
+    model.coldRate = 4.5;
+    model.engine = Catalog::EngineTraits{8, 300000, true};
+    fresh.setServices({{model.name, model}}, now_);
+    auto cold = endpoint("a", Model);
+    cold.coldUntil = now_ + seconds(3);
+    fresh.setEndpoints({cold}, {}, now_);
+    EXPECT_EQ(only<Send>(fresh.submit(facts(Model), now_)), nullptr);
+    pass(milliseconds(2000));
+    EXPECT_NE(only<Send>(fresh.submit(facts(Model), now_)), nullptr);
+}
+
 // A burst meets a region whose only endpoint is cold. What goes beyond its rate waits or is
 // rejected; sent on, it would crash the endpoint and lose all.
 TEST_F(SchedulerTest, BurstDoesNotOverrunAColdEndpoint)
--- a/Source/UnitTests/Dispatch/PlacementTest.cpp
+++ b/Source/UnitTests/Dispatch/PlacementTest.cpp
@@ -68,7 +68,7 @@
 // each would have another engine read it.
 TEST_F(SchedulerTest, InstancesAgreeOnTheEngineOfANewPart)
 {
-    Scheduler other(DispatchOptions(), InstanceId("two"), RegionName("home"), 99);
+    Scheduler other(DispatchOptions(), InstanceId("two"), RegionName("home"), 99, Time());
     Catalog::Service model;
     model.name = ServiceName(Model);
     model.engine = Catalog::EngineTraits{8, 300000, true};
--- a/Source/UnitTests/Dispatch/Support.h
+++ b/Source/UnitTests/Dispatch/Support.h
@@ -20,7 +20,7 @@
     static constexpr std::int64_t OwnTokens = 3000;
 
     SchedulerTest()
-        : scheduler_(DispatchOptions(), InstanceId("one"), RegionName("home"), 7)
+        : scheduler_(DispatchOptions(), InstanceId("one"), RegionName("home"), 7, Time())
     {
         Catalog::Bounds bounds;
         bounds.retrySlack = 50;
--- a/Source/UnitTests/Fleet/RosterTest.cpp
+++ b/Source/UnitTests/Fleet/RosterTest.cpp
@@ -139,6 +139,20 @@
     EXPECT_EQ(bus.alive("c"), 2U);
 }
 
+// All instances start in the same second, and the first one's seeds are not up yet. If it tried
+// them every two seconds only, it would take itself to be alone for as long and, say, send an
+// endpoint that has just started what all instances together may send.
+TEST(RosterTest, FirstInstanceIsKnownAsSoonAsItsSeedsAreUp)
+{
+    Bus bus({"seed"});
+    bus.start("first", "north");
+    bus.run(milliseconds(500));
+    bus.start("seed", "north");
+    bus.run(milliseconds(500));
+    EXPECT_EQ(bus.alive("first"), 1U);
+    EXPECT_EQ(bus.alive("seed"), 1U);
+}
+
 // An instance is killed. Callers that are still told of it lose a second on a connection that
 // nobody answers.
 TEST(RosterTest, KilledInstanceIsMissedWithinSeconds)
