--- a/Source/UnitTests/Catalog/ItemStoreTest.cpp
+++ b/Source/UnitTests/Catalog/ItemStoreTest.cpp
@@ -106,7 +106,7 @@
     for (int index = 0; index < count; ++index) {
         const auto key = std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 3)));
         const bool deletes = *rc::gen::arbitrary<bool>();
-        const auto revision = static_cast<Revision>(index + 1);
+        const auto revision = static_cast<Revision>(index) + 1;
         history.push_back(deletes ? deletion(key, revision)
                                   : item(key, revision, std::to_string(index)));
     }
--- a/Source/UnitTests/Catalog/RouteTableTest.cpp
+++ b/Source/UnitTests/Catalog/RouteTableTest.cpp
@@ -69,7 +69,7 @@
         EXPECT_EQ(serviceFor(split, id), serviceFor(split, id));
         atY += serviceFor(split, id) == ServiceName("y") ? 1 : 0;
     }
-    EXPECT_NEAR(atY, Requests / 10, Requests / 40);
+    EXPECT_NEAR(atY, Requests / 10.0, Requests / 40.0);
 }
 
 TEST(RouteTableTest, SplitWithoutWeightsStillNamesAService)
