--- a/Source/Core/Fleet/Heartbeat.h
+++ b/Source/Core/Fleet/Heartbeat.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,8 +29,8 @@
     bool leaving = false;
     /// All changes of the platform's store up to here are known to it.
     std::uint64_t knownRevision = 0;
-    /// Time since the store last answered it, bounded by a minute.
-    std::uint16_t storeAgeMs = 0;
+    /// Time since the store last answered it, bounded by a minute; nothing when it never has.
+    std::optional<std::uint16_t> storeAgeMs;
     /// The store has answered it without a break for some seconds.
     bool storeSettled = false;
 
--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -48,10 +48,13 @@
     self_.knownRevision = std::max(self_.knownRevision, revision);
 }
 
-void Roster::setStoreContact(Duration sinceAnswer, bool settled)
+void Roster::setStoreContact(std::optional<Duration> sinceAnswer, bool settled)
 {
-    const auto age = std::chrono::duration_cast<milliseconds>(sinceAnswer).count();
-    self_.storeAgeMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(age, 0, MaxAgeMs));
+    self_.storeAgeMs.reset();
+    if (sinceAnswer) {
+        const auto age = std::chrono::duration_cast<milliseconds>(*sinceAnswer).count();
+        self_.storeAgeMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(age, 0, MaxAgeMs));
+    }
     self_.storeSettled = settled;
 }
 
--- a/Source/Core/Fleet/Roster.h
+++ b/Source/Core/Fleet/Roster.h
@@ -74,7 +74,8 @@
     void setReady(bool ready);
     void setLeaving();
     void setStoreRevision(std::uint64_t revision);
-    void setStoreContact(Duration sinceAnswer, bool settled);
+    /// @param sinceAnswer nothing when the store has never answered
+    void setStoreContact(std::optional<Duration> sinceAnswer, bool settled);
     /// What the next heartbeats carry to this region and to others.
     void setShares(std::string ownRegion, std::string otherRegions);
 
--- a/Source/Core/Fleet/StoreWatch.cpp
+++ b/Source/Core/Fleet/StoreWatch.cpp
@@ -39,19 +39,23 @@
     });
     ahead.resize(options.watchers);
     const bool heard = std::any_of(ahead.begin(), ahead.end(), [&](const Peer *watcher) {
-        return milliseconds(watcher->record.storeAgeMs) <= options.answerAge;
+        const auto &age = watcher->record.storeAgeMs;
+        return age && milliseconds(*age) <= options.answerAge;
     });
     return heard ? WatchDuty::Listens : WatchDuty::Looks;
 }
 
-Duration knowledgeAge(Duration ownAnswerAge, std::uint64_t ownRevision,
-                      const std::vector<Peer> &peers)
+std::optional<Duration> knowledgeAge(std::optional<Duration> ownAnswerAge,
+                                     std::uint64_t ownRevision, const std::vector<Peer> &peers)
 {
     auto age = ownAnswerAge;
     for (const auto &peer : peers) {
-        if (peer.reachable && peer.record.knownRevision <= ownRevision) {
-            age = std::min<Duration>(age, milliseconds(peer.record.storeAgeMs) + HeartbeatAge);
+        const bool knowsNoMore = peer.reachable && peer.record.knownRevision <= ownRevision;
+        if (!knowsNoMore || !peer.record.storeAgeMs) {
+            continue;
         }
+        const Duration peerAge = milliseconds(*peer.record.storeAgeMs) + HeartbeatAge;
+        age = age ? std::min(*age, peerAge) : peerAge;
     }
     return age;
 }
--- a/Source/Core/Fleet/StoreWatch.h
+++ b/Source/Core/Fleet/StoreWatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "Fleet/Roster.h"
@@ -35,8 +36,8 @@
                     const WatchOptions &options);
 
 /// What the instance knows of the store was the latest at most this long ago, be it by its own
-/// answers or by those of a peer that knows no more.
-Duration knowledgeAge(Duration ownAnswerAge, std::uint64_t ownRevision,
-                      const std::vector<Peer> &peers);
+/// answers or by those of a peer that knows no more. Nothing when neither has had an answer.
+std::optional<Duration> knowledgeAge(std::optional<Duration> ownAnswerAge,
+                                     std::uint64_t ownRevision, const std::vector<Peer> &peers);
 
 } // namespace LaburnumChute::Fleet
--- a/Source/Core/Relay/EventLog.cpp
+++ b/Source/Core/Relay/EventLog.cpp
@@ -82,6 +82,16 @@
     return add(std::string(name) + "_ms", static_cast<std::int64_t>(whole.count()));
 }
 
+EventLine &EventLine::add(std::string_view name, std::optional<Common::Duration> value)
+{
+    if (value) {
+        return add(name, *value);
+    }
+    key(std::string(name) + "_ms");
+    text_ += "null";
+    return *this;
+}
+
 EventLog::EventLog(int descriptor, Options options, std::string instance)
     : descriptor_(descriptor)
     , options_(options)
--- a/Source/Core/Relay/EventLog.h
+++ b/Source/Core/Relay/EventLog.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,8 @@
     EventLine &add(std::string_view name, bool value);
     /// In milliseconds, under NAME_ms.
     EventLine &add(std::string_view name, Common::Duration value);
+    /// As above; null says that there is no such time.
+    EventLine &add(std::string_view name, std::optional<Common::Duration> value);
     template <typename Tag>
     EventLine &add(std::string_view name, const Common::Name<Tag> &value)
     {
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -32,16 +32,8 @@
 /// Callers keep the directory's answers for this long, some three times as long: short enough that
 /// they have left an instance before it stops.
 constexpr milliseconds DirectoryLifetime{1000};
-/// From the request to stop: when answers begin to close their connections; when requests that
-/// still come are told to go elsewhere, since a long one would no longer end in time; and when no
-/// new connection is taken. By then callers have asked the directory again.
-constexpr milliseconds CloseAfter{2200};
-constexpr milliseconds RefuseRequestsAfter{2800};
-constexpr milliseconds RefuseConnectionsAfter{3200};
+/// Callers that are sent elsewhere have another instance's address already.
 constexpr milliseconds StoppingRetryAfter{50};
-constexpr milliseconds ConnectionsEndWithin{1700};
-/// What is still under way this long before the end by force is cut off.
-constexpr milliseconds LastAnswersBefore{300};
 /// Descriptors that are left for files, and the part of the rest that connections of callers get:
 /// the others are for endpoints, other instances and the store.
 constexpr int ReservedDescriptors = 200;
@@ -339,7 +331,7 @@
     const auto now = steadyNow();
     EventLine line(state == StoreState::Answering ? "store-back" : "store-lost");
     line.add("reason", reason)
-        .add("last_answer", now - store_.lastAnswer())
+        .add("last_answer", store_.answerAge(now))
         .add("revision", static_cast<std::int64_t>(catalog_.items().upTo()));
     log_.write(line, now);
 }
@@ -360,8 +352,8 @@
 bool RelayGateway::catalogFresh(Common::Time now) const
 {
     const auto age =
-        Fleet::knowledgeAge(now - store_.lastAnswer(), catalog_.items().upTo(), knownPeers_);
-    return age < settings_.bounds.configuration;
+        Fleet::knowledgeAge(store_.answerAge(now), catalog_.items().upTo(), knownPeers_);
+    return age && *age < settings_.bounds.configuration;
 }
 
 /// A listener has no trouble of its own to judge by: that of the instances it hears counts.
@@ -377,7 +369,7 @@
 
 bool RelayGateway::ready() const
 {
-    return catalog_.routes() != nullptr && catalog_.items().upTo() > 0 && !stoppingSince_;
+    return catalog_.routes() != nullptr && catalog_.items().upTo() > 0 && !shutdown_;
 }
 
 // Other instances.
@@ -468,7 +460,7 @@
 void RelayGateway::heartbeat(Common::Time now)
 {
     roster_.setReady(ready());
-    roster_.setStoreContact(now - store_.lastAnswer(), store_.settled(now));
+    roster_.setStoreContact(store_.answerAge(now), store_.settled(now));
     roster_.setShares(Peers::encodeValue(scheduler_.regionShare(now)),
                       Peers::encodeValue(scheduler_.worldShare(now)));
     sendAll(roster_.tick(now));
@@ -487,7 +479,7 @@
         .add("status", static_cast<std::int64_t>(status))
         .add("reason", detail)
         .add("configuration", static_cast<std::int64_t>(catalog_.version()))
-        .add("store_answer_age", now - store_.lastAnswer());
+        .add("store_answer_age", store_.answerAge(now));
     log_.write(line, now);
     auto headers = Platform::ownAnswerHeaders(requestId, retryAfter);
     headers.push_back({"Content-Type", "text/plain"});
@@ -511,7 +503,7 @@
         refuse(connection, BadRequest, "", head.error().message, std::nullopt);
         return;
     }
-    if (stoppingSince_ && now - *stoppingSince_ >= RefuseRequestsAfter) {
+    if (shutdownStep(now).refuseRequests) {
         refuse(connection, ServiceUnavailable, head->requestId, "this instance stops",
                StoppingRetryAfter);
         return;
@@ -765,8 +757,8 @@
         return;
     }
     std::vector<DirectoryCandidate> candidates;
-    if (ready() || (stoppingSince_ && !closing_)) {
-        const bool leaving = stoppingSince_.has_value();
+    if (ready() || (shutdown_ && !closing_)) {
+        const bool leaving = shutdown_.has_value();
         candidates.push_back({settings_.callerAddress, settings_.region, leaving});
     }
     for (const auto &peer : knownPeers_) {
@@ -836,7 +828,7 @@
 
 void RelayGateway::scheduleTick()
 {
-    const bool busy = !calls_.empty() || stoppingSince_;
+    const bool busy = !calls_.empty() || shutdown_;
     tickTimer_.expires_after(busy ? BusyTick : IdleTick);
     tickTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -880,7 +872,7 @@
         housekeepingAt_ = now + HousekeepingInterval;
         pool_->expire(now);
     }
-    if (stoppingSince_) {
+    if (shutdown_) {
         continueShutdown(now);
     }
     log_.flush(now);
@@ -913,9 +905,10 @@
 
 void RelayGateway::beginShutdown(Common::Time now)
 {
-    if (stoppingSince_) {
+    if (shutdown_) {
         return;
     }
+    shutdown_.emplace(now, settings_.bounds.shutdown);
     stoppingSince_ = now;
     roster_.setReady(false);
     roster_.setLeaving();
@@ -925,27 +918,27 @@
     log_.write(line, now);
 }
 
+ShutdownStep RelayGateway::shutdownStep(Common::Time now) const
+{
+    return shutdown_ ? shutdown_->step(calls_.size(), callers_.connections(), now) : ShutdownStep();
+}
+
 void RelayGateway::continueShutdown(Common::Time now)
 {
-    const auto since = now - *stoppingSince_;
-    if (since >= CloseAfter && !closing_) {
+    const auto step = shutdownStep(now);
+    if (step.closeConnections && !closing_) {
         closing_ = true;
         callers_.closeSoon();
     }
-    if (since >= RefuseConnectionsAfter) {
+    if (step.refuseConnections) {
         callers_.stopAccepting();
         // Those that came meanwhile and sent nothing.
         callers_.closeSoon();
     }
-    const bool outOfTime = since >= settings_.bounds.shutdown - LastAnswersBefore;
-    // A process that ends with unread bytes resets its connections, and an answer that is still on
-    // its way is lost: connections are given the time to end in order.
-    const bool quiet =
-        calls_.empty()
-        && (callers_.connections() == 0 || since >= RefuseConnectionsAfter + ConnectionsEndWithin);
-    if ((since >= RefuseConnectionsAfter && quiet) || outOfTime) {
+    if (step.end) {
         EventLine line("stop");
-        line.add("requests", static_cast<std::int64_t>(calls_.size())).add("after", since);
+        line.add("requests", static_cast<std::int64_t>(calls_.size()))
+            .add("after", now - stoppingSince_);
         log_.write(line, now);
         log_.flush(now);
         context_.stop();
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -21,6 +21,7 @@
 #include "Relay/PeerSync.h"
 #include "Relay/RelayOptions.h"
 #include "Relay/RelayedCall.h"
+#include "Relay/ShutdownPlan.h"
 #include "Relay/SimpleFetch.h"
 #include "Relay/StoreWatcher.h"
 #include "Relay/UdpSocket.h"
@@ -128,6 +129,7 @@
     void waitForReload();
     void beginShutdown(Common::Time now);
     void continueShutdown(Common::Time now);
+    ShutdownStep shutdownStep(Common::Time now) const;
     bool ready() const;
     nlohmann::json dump(Common::Time now) const;
 
@@ -165,7 +167,8 @@
     bool cachesLearnt_ = false;
     Common::Time settingsAt_{};
     Common::Time housekeepingAt_{};
-    std::optional<Common::Time> stoppingSince_;
+    std::optional<ShutdownPlan> shutdown_;
+    Common::Time stoppingSince_{};
     bool closing_ = false;
 };
 
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -283,6 +283,11 @@
 void RelayedCall::passEvents(const std::string &events)
 {
     const auto now = steadyNow();
+    if (firstEventAfter_) {
+        longestPause_ = std::max(longestPause_, now - lastEventAt_);
+    } else {
+        firstEventAfter_ = now - plan_.facts.arrivedAt;
+    }
     lastEventAt_ = now;
     if (!answering_) {
         answering_ = true;
@@ -542,6 +547,9 @@
         .add("instance_asked", peer_)
         .add("from_peer", plan_.fromPeer)
         .add("took", now - plan_.facts.arrivedAt);
+    if (firstEventAfter_) {
+        line.add("first_event", *firstEventAfter_).add("longest_pause", longestPause_);
+    }
     gateway_.log().write(line, now);
     if (call_) {
         call_->cancel();
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -114,6 +114,9 @@
     Common::InstanceId peer_;
     Common::Time sentAt_{};
     Common::Time lastEventAt_{};
+    /// From taking the request to the first event passed on, and the longest pause after it.
+    std::optional<Common::Duration> firstEventAfter_;
+    Common::Duration longestPause_{0};
     Common::Duration expected_{0};
     std::string lastReason_;
     bool started_ = false;
--- a/Source/Core/Relay/StoreWatcher.cpp
+++ b/Source/Core/Relay/StoreWatcher.cpp
@@ -67,6 +67,14 @@
     return now - lastTrouble_ > Catalog::StoreSettled;
 }
 
+std::optional<Common::Duration> StoreWatcher::answerAge(Common::Time now) const
+{
+    if (!lastAnswer_) {
+        return std::nullopt;
+    }
+    return now - *lastAnswer_;
+}
+
 void StoreWatcher::advance(Catalog::Revision revision)
 {
     if (listed_ && !call_) {
--- a/Source/Core/Relay/StoreWatcher.h
+++ b/Source/Core/Relay/StoreWatcher.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,11 +54,8 @@
     /// Changes up to the revision have come from elsewhere.
     void advance(Catalog::Revision revision);
 
-    /// The last answer came at this time.
-    Common::Time lastAnswer() const
-    {
-        return lastAnswer_;
-    }
+    /// Time since the last answer; nothing when the store has never answered this process.
+    std::optional<Common::Duration> answerAge(Common::Time now) const;
     /// The store has answered without a break for so long.
     bool settled(Common::Time now) const;
     /// The store's contents have been read once.
@@ -88,7 +86,7 @@
     std::string body_;
     Common::Time giveUpAt_{};
     Common::Time nextAt_{};
-    Common::Time lastAnswer_{};
+    std::optional<Common::Time> lastAnswer_;
     Common::Time lastTrouble_{};
     Common::milliseconds retry_{0};
     Catalog::Revision revision_ = 0;
--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -324,3 +324,33 @@
     dump = json.loads(text)
     assert dump["ready"] and dump["configuration"] == 1
     assert len(dump["scheduler"]["endpoints"]) == 3
+
+
+def test_a_process_that_never_heard_the_store_does_not_log_an_age(tmp_path):
+    """An instance starts while the platform's store is away. The line that says so gave the age of
+    the machine's clock as the time since the store's last answer, and whoever was on call looked
+    for a store that had been silent for twenty hours."""
+    ip, zone = INSTANCES["north-1"]
+    first_port = free_ports(12)
+    nobody_listens = first_port + 10
+    settings = standin.settings(
+        "north-1", ip, zone, ZONES[zone], ZONES, [ip], nobody_listens, first_port
+    )
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings))
+    log = tmp_path / "log"
+    with open(log, "ab") as output:
+        process = subprocess.Popen(
+            [str(PROGRAM), "relay", "--config", str(path)], stdout=output, stderr=output
+        )
+    try:
+        end = time.monotonic() + 10
+        while "store-lost" not in log.read_text() and time.monotonic() < end:
+            time.sleep(0.05)
+    finally:
+        process.kill()
+        process.wait()
+    lines = [json.loads(line) for line in log.read_text().splitlines() if line.startswith("{")]
+    lost = [line for line in lines if line["event"] == "store-lost"]
+    assert lost, "the log does not say that the store is away"
+    assert lost[0]["last_answer_ms"] is None
--- a/Source/UnitTests/Fleet/StoreWatchTest.cpp
+++ b/Source/UnitTests/Fleet/StoreWatchTest.cpp
@@ -73,8 +73,23 @@
 TEST(StoreWatchTest, KnowledgeIsAsFreshAsThatOfAPeerWhoKnowsNoMore)
 {
     const auto others = fleet(3, milliseconds(200));
-    EXPECT_LT(knowledgeAge(std::chrono::seconds(60), 10, others), std::chrono::seconds(2));
+    const auto known = knowledgeAge(std::chrono::seconds(60), 10, others);
+    ASSERT_TRUE(known.has_value());
+    EXPECT_LT(*known, std::chrono::seconds(2));
     EXPECT_EQ(knowledgeAge(std::chrono::seconds(60), 9, others), std::chrono::seconds(60));
 }
 
+// All instances of a region are started while the platform's store is away. None of them knows
+// anything of the store; none may take another's ignorance for knowledge, or it would tell callers
+// that their route does not exist.
+TEST(StoreWatchTest, WhoeverNeverHeardTheStoreKnowsNothing)
+{
+    auto others = fleet(3, milliseconds(200));
+    for (auto &other : others) {
+        other.record.storeAgeMs.reset();
+    }
+    EXPECT_FALSE(knowledgeAge(std::nullopt, 10, others).has_value());
+    EXPECT_EQ(knowledgeAge(std::chrono::seconds(3), 10, others), std::chrono::seconds(3));
+}
+
 } // namespace LaburnumChute::Fleet
