--- /dev/null
+++ b/Source/Core/Dispatch/Call.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <vector>
+
+#include "Dispatch/Facts.h"
+
+namespace LaburnumChute::Dispatch {
+
+/// A request that the scheduler has taken and that has not ended.
+struct Call
+{
+    CallFacts facts;
+    bool queued = false;
+    bool withdrawn = false;
+    Time queuedAt{};
+    /// Where it is now.
+    EndpointId endpoint;
+    RegionName region;
+    Time sentAt{};
+    Duration expected{0};
+    std::int64_t tokensToRead = 0;
+    bool answering = false;
+    bool takenBack = false;
+    bool backlogCounted = false;
+    /// The engine had nothing else to read as it was sent.
+    bool aloneAtSend = false;
+    /// Tries after which it may have run.
+    int runs = 0;
+    /// Tries of any outcome.
+    int tries = 0;
+    std::vector<EndpointId> tried;
+    std::vector<RegionName> triedRegions;
+};
+
+} // namespace LaburnumChute::Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -0,0 +1,205 @@
+#include "Dispatch/Placement.h"
+
+#include <algorithm>
+
+#include "Dispatch/Util.h"
+
+namespace LaburnumChute::Dispatch {
+
+namespace {
+
+/// What a full endpoint costs beside an empty one, as each request slows all others there.
+constexpr double LoadCostMs = 60;
+/// An endpoint whose record has lapsed is used when the others are this much slower.
+constexpr double MissingCostMs = 80;
+/// What a copy costs beside its time, put in time. Each copy displaces another part from the memory
+/// of the engine that gets it, and where memory is short that part is read again later.
+constexpr double CopyCostMs = 150;
+/// An endpoint that says it is full is believed for this long.
+constexpr milliseconds SampleLifetime{150};
+
+} // namespace
+
+Placement::Placement(const DispatchOptions &options, EndpointBook &book, InstanceId self,
+                     std::uint64_t seed, Time startedAt)
+    : options_(&options)
+    , book_(&book)
+    , self_(std::move(self))
+    , random_(seed)
+    , startedAt_(startedAt)
+    , instances_({self_})
+{
+}
+
+void Placement::setBounds(const Catalog::Bounds &bounds)
+{
+    bounds_ = bounds;
+}
+
+void Placement::setInstances(const std::vector<InstanceId> &instances)
+{
+    instances_ = instances;
+}
+
+int Placement::coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const
+{
+    const double bound =
+        (service.coldRate * bounds_.coldOvershoot + bounds_.coldSlack) * options_->sharedBoundUse;
+    return ColdGate::quota(bound, endpoint.listed.record.id, self_, instances_);
+}
+
+bool Placement::available(const EndpointState &endpoint, const Catalog::Service &service,
+                          const Call &call, Time now) const
+{
+    if (endpoint.restsUntil && (now < *endpoint.restsUntil || endpoint.trial)) {
+        return false;
+    }
+    const bool limited = endpoint.cold(now) && service.coldRate > 0;
+    // A region's instances and endpoints come back together after a loss of power. An instance that
+    // has not heard of its neighbours yet would take the whole bound for itself, as would they.
+    const bool alone = now - startedAt_ < options_->neighboursKnownAfter;
+    if (limited && alone) {
+        return false;
+    }
+    if (limited && !endpoint.coldGate.allows(coldQuota(endpoint, service), now)) {
+        return false;
+    }
+    const auto &sample = endpoint.sample;
+    const bool saysFull = now - endpoint.sampledAt < SampleLifetime && sample.waiting > 0
+                          && sample.running >= sample.slots;
+    const bool room = endpoint.load() < endpoint.listed.record.slots && !saysFull;
+    return room && !contains(call.tried, endpoint.listed.record.id);
+}
+
+Duration Placement::engineWait(const EndpointState &endpoint, Time now) const
+{
+    const auto own = std::max(Duration(0), endpoint.backlogUntil - now);
+    const auto others = std::max(Duration(0), endpoint.othersBacklogUntil - now);
+    const auto running = endpoint.load() * options_->delayPerRunning;
+    return scaled(own + others + running, endpoint.slowness);
+}
+
+Duration Placement::plainWait(const EndpointState &endpoint) const
+{
+    const int slots = endpoint.listed.record.slots;
+    const int excess = std::max(0, endpoint.load() + 1 - slots);
+    return scaled(endpoint.hold, 1 + static_cast<double>(excess) / slots);
+}
+
+Placement::Holder Placement::holderOf(const Call &call, Time now) const
+{
+    Holder holder;
+    for (const auto *endpoint : book_->running(call.facts.service)) {
+        const bool reachable = !endpoint->restsUntil && !endpoint->evacuated
+                               && (!endpoint->listed.endsAt || now < *endpoint->listed.endsAt);
+        const auto held = reachable ? endpoint->cache.cachedTokens(call.facts.parts) : 0;
+        if (held > holder.tokens) {
+            holder = {endpoint->listed.record.address, endpoint, held};
+        }
+    }
+    // A prompt that is bound to its homes may have been read only there.
+    for (const auto *remote : book_->remote(call.facts.service)) {
+        const auto held = remote->cache.cachedTokens(call.facts.parts);
+        if (held >= holder.tokens + options_->copyMinimumTokens) {
+            holder = {remote->listed.record.address, nullptr, held};
+        }
+    }
+    return holder;
+}
+
+const EndpointState *Placement::homeEndpoint(const Call &call) const
+{
+    const auto &parts = call.facts.parts;
+    const auto large = std::find_if(parts.begin(), parts.end(), [this](const auto &part) {
+        return part.tokens >= options_->copyMinimumTokens;
+    });
+    if (large == parts.end()) {
+        return nullptr;
+    }
+    const auto key = std::to_string(large->id);
+    const EndpointState *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const auto *endpoint : book_->usable(call.facts.service)) {
+        const auto weight = Common::rendezvousWeight(key, endpoint->listed.record.id.text());
+        if (!endpoint->restsUntil && (best == nullptr || weight > bestWeight)) {
+            best = endpoint;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+Candidate Placement::evaluate(EndpointState &endpoint, const Catalog::Service &service,
+                                         const Call &call, const Holder &holder, Time now)
+{
+    Candidate candidate;
+    candidate.endpoint = &endpoint;
+    double extraMs = 0;
+    if (service.engine) {
+        auto cached = endpoint.cache.cachedTokens(call.facts.parts);
+        const bool copies = service.engine->transfers && holder.endpoint != &endpoint
+                            && holder.tokens - cached >= options_->copyMinimumTokens;
+        Duration copying{0};
+        if (copies) {
+            cached = holder.tokens;
+            candidate.copyFrom = holder.address;
+            copying =
+                holder.endpoint != nullptr ? options_->copyTime : options_->copyTimeBetweenRegions;
+            extraMs += CopyCostMs;
+        }
+        candidate.tokensToRead = std::max<std::int64_t>(0, call.facts.promptTokens - cached);
+        candidate.wait = engineWait(endpoint, now);
+        candidate.expected = options_->firstEventFloor + copying + candidate.wait
+                             + book_->engine(service.name).readTime(candidate.tokensToRead);
+    } else {
+        candidate.expected = plainWait(endpoint);
+        candidate.wait = candidate.expected - endpoint.hold;
+    }
+    const auto objective = inMilliseconds(call.facts.objectiveAt - call.facts.arrivedAt).count();
+    const double slots = endpoint.listed.record.slots;
+    std::uniform_real_distribution<double> tieBreak(0, 1);
+    candidate.cost = inMilliseconds(candidate.expected).count() + extraMs
+                     + endpoint.errorShare * objective + LoadCostMs * endpoint.load() / slots
+                     + (endpoint.listed.missing ? MissingCostMs : 0) + tieBreak(random_);
+    return candidate;
+}
+
+std::optional<Candidate> Placement::choose(const Call &call, Time now)
+{
+    const auto *service = book_->service(call.facts.service);
+    if (service == nullptr) {
+        return std::nullopt;
+    }
+    const auto holder = service->engine ? holderOf(call, now) : Holder();
+    const bool heldHere = holder.endpoint != nullptr && holder.tokens >= options_->copyMinimumTokens;
+    const auto *home = service->engine && !heldHere ? homeEndpoint(call) : nullptr;
+    std::optional<Candidate> best;
+    std::optional<Candidate> atHome;
+    for (auto *endpoint : book_->usable(call.facts.service)) {
+        if (!available(*endpoint, *service, call, now)) {
+            continue;
+        }
+        const auto candidate = evaluate(*endpoint, *service, call, holder, now);
+        if (endpoint == home) {
+            atHome = candidate;
+        }
+        if (!best || candidate.cost < best->cost) {
+            best = candidate;
+        }
+    }
+    const auto tolerance = inMilliseconds(options_->homeTolerance).count();
+    return atHome && atHome->cost <= best->cost + tolerance ? atHome : best;
+}
+
+bool Placement::fits(const Call &call, const Candidate &candidate, Time now) const
+{
+    const auto objective = call.facts.objectiveAt - call.facts.arrivedAt;
+    const auto left = call.facts.objectiveAt - now;
+    // A prompt that takes longer than the objective even on an idle engine is judged by what it has
+    // to wait for others; else the largest requests would never be sent.
+    constexpr double WaitShare = 0.25;
+    return candidate.expected <= scaled(left, options_->objectiveShare)
+           || candidate.wait <= scaled(objective, WaitShare);
+}
+
+} // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/RegionRooms.cpp
+++ b/Source/Core/Dispatch/RegionRooms.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Dispatch/Util.h"
+
 namespace LaburnumChute::Dispatch {
 
 namespace {
@@ -9,11 +11,6 @@
 /// What a region that has no more room than it was sent counts for beside one that has.
 constexpr Duration FullRoomWait = milliseconds(500);
 
-bool contains(const std::vector<RegionName> &regions, const RegionName &region)
-{
-    return std::find(regions.begin(), regions.end(), region) != regions.end();
-}
-
 } // namespace
 
 RegionRooms::RegionRooms(const DispatchOptions &options)
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -2,33 +2,16 @@
 
 #include <algorithm>
 
+#include "Dispatch/Util.h"
+
 namespace LaburnumChute::Dispatch {
 
 namespace {
 
-using Milliseconds = std::chrono::duration<double, std::milli>;
-
-/// Weight of one answer in an endpoint's averages.
-constexpr double AverageWeight = 0.1;
-constexpr double SlownessMin = 0.5;
-constexpr double SlownessMax = 6;
-/// What a full endpoint costs beside an empty one, as each request slows all others there.
-constexpr double LoadCostMs = 60;
-/// An endpoint whose record has lapsed is used when the others are this much slower.
-constexpr double MissingCostMs = 80;
-/// What a copy costs beside its time, put in time. Each copy displaces another part from the memory
-/// of the engine that gets it, and where memory is short that part is read again later.
-constexpr double CopyCostMs = 150;
 /// Prompt of the request for which other regions are told the wait.
 constexpr std::int64_t NominalTokens = 400;
 /// In seconds; bounds what an endpoint of very quick calls is said to take.
 constexpr double ShortestHold = 0.005;
-/// An endpoint that says it is full is believed for this long.
-constexpr milliseconds SampleLifetime{150};
-/// Requests whose connection broke within this time of an endpoint's end were on board.
-constexpr seconds OnBoardTime{3};
-/// An endpoint that rested this long may have been restarted meanwhile.
-constexpr milliseconds RestartRest{1000};
 /// Tries beside the runs that a route allows: endpoints that do not take a request cost little.
 constexpr int SpareTries = 2;
 constexpr milliseconds NoEndpointRetryAfter{700};
@@ -37,29 +20,6 @@
 /// A request waits for its turn no closer than this to the end of its caller's patience.
 constexpr milliseconds DeadlineMargin{60};
 
-Milliseconds inMilliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<Milliseconds>(duration);
-}
-
-Duration scaled(Duration duration, double factor)
-{
-    return std::chrono::duration_cast<Duration>(duration * factor);
-}
-
-template <typename T>
-bool contains(const std::vector<T> &values, const T &value)
-{
-    return std::find(values.begin(), values.end(), value) != values.end();
-}
-
-/// One life of an endpoint: a crashed one often comes back under its id.
-EndpointId lifeOf(const EndpointState &endpoint)
-{
-    const auto &record = endpoint.listed.record;
-    return EndpointId(fmt::format("{}@{}", record.id, record.startedAt));
-}
-
 } // namespace
 
 std::string_view toString(TryOutcome outcome)
@@ -103,11 +63,12 @@
     : options_(options)
     , self_(std::move(self))
     , home_(std::move(home))
-    , startedAt_(startedAt)
     , random_(seed)
     , book_(options_)
     , rooms_(options_)
     , quarantine_(Decisions::QuarantineOptions())
+    , placement_(options_, book_, self_, seed + 1, startedAt)
+    , health_(options_, book_, quarantine_)
     , instances_({self_})
 {
 }
@@ -184,6 +145,7 @@
 void Scheduler::setBounds(const Catalog::Bounds &bounds)
 {
     bounds_ = bounds;
+    placement_.setBounds(bounds);
     boundBudgets();
 }
 
@@ -191,6 +153,7 @@
                          const std::vector<RegionName> &reachableRegions)
 {
     instances_ = ownRegion;
+    placement_.setInstances(instances_);
     allInstances_ = std::max<std::size_t>(1, allInstances);
     book_.keepShares(instances_);
     rooms_.setOwnInstances(instances_.size());
@@ -292,9 +255,9 @@
             const int free = std::max(0, endpoint->listed.record.slots - endpoint->load());
             room.freePerSecond += static_cast<std::uint32_t>(
                 free / std::max(ShortestHold, Common::toSeconds(endpoint->hold)));
-            const auto wait = service.engine ? engineWait(*endpoint, now) + options_.firstEventFloor
+            const auto wait = service.engine ? placement_.engineWait(*endpoint, now) + options_.firstEventFloor
                                                    + book_.engine(name).readTime(NominalTokens)
-                                             : plainWait(*endpoint);
+                                             : placement_.plainWait(*endpoint);
             best = best ? std::min(*best, wait) : wait;
         }
         const auto wait = best.value_or(Duration(0)) + queueWait(name);
@@ -328,167 +291,6 @@
     return facts.homes.empty() || contains(facts.homes, home_);
 }
 
-int Scheduler::coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const
-{
-    const double bound =
-        (service.coldRate * bounds_.coldOvershoot + bounds_.coldSlack) * options_.sharedBoundUse;
-    return ColdGate::quota(bound, endpoint.listed.record.id, self_, instances_);
-}
-
-bool Scheduler::available(const EndpointState &endpoint, const Catalog::Service &service,
-                          const Call &call, Time now) const
-{
-    if (endpoint.restsUntil && (now < *endpoint.restsUntil || endpoint.trial)) {
-        return false;
-    }
-    const bool limited = endpoint.cold(now) && service.coldRate > 0;
-    // A region's instances and endpoints come back together after a loss of power. An instance that
-    // has not heard of its neighbours yet would take the whole bound for itself, as would they.
-    const bool alone = now - startedAt_ < options_.neighboursKnownAfter;
-    if (limited && alone) {
-        return false;
-    }
-    if (limited && !endpoint.coldGate.allows(coldQuota(endpoint, service), now)) {
-        return false;
-    }
-    const auto &sample = endpoint.sample;
-    const bool saysFull = now - endpoint.sampledAt < SampleLifetime && sample.waiting > 0
-                          && sample.running >= sample.slots;
-    const bool room = endpoint.load() < endpoint.listed.record.slots && !saysFull;
-    return room && !contains(call.tried, endpoint.listed.record.id);
-}
-
-Duration Scheduler::engineWait(const EndpointState &endpoint, Time now) const
-{
-    const auto own = std::max(Duration(0), endpoint.backlogUntil - now);
-    const auto others = std::max(Duration(0), endpoint.othersBacklogUntil - now);
-    const auto running = endpoint.load() * options_.delayPerRunning;
-    return scaled(own + others + running, endpoint.slowness);
-}
-
-Duration Scheduler::plainWait(const EndpointState &endpoint) const
-{
-    const int slots = endpoint.listed.record.slots;
-    const int excess = std::max(0, endpoint.load() + 1 - slots);
-    return scaled(endpoint.hold, 1 + static_cast<double>(excess) / slots);
-}
-
-Scheduler::Holder Scheduler::holderOf(const Call &call, Time now) const
-{
-    Holder holder;
-    for (const auto *endpoint : book_.running(call.facts.service)) {
-        const bool reachable = !endpoint->restsUntil && !endpoint->evacuated
-                               && (!endpoint->listed.endsAt || now < *endpoint->listed.endsAt);
-        const auto held = reachable ? endpoint->cache.cachedTokens(call.facts.parts) : 0;
-        if (held > holder.tokens) {
-            holder = {endpoint->listed.record.address, endpoint, held};
-        }
-    }
-    // A prompt that is bound to its homes may have been read only there.
-    for (const auto *remote : book_.remote(call.facts.service)) {
-        const auto held = remote->cache.cachedTokens(call.facts.parts);
-        if (held >= holder.tokens + options_.copyMinimumTokens) {
-            holder = {remote->listed.record.address, nullptr, held};
-        }
-    }
-    return holder;
-}
-
-const EndpointState *Scheduler::homeEndpoint(const Call &call) const
-{
-    const auto &parts = call.facts.parts;
-    const auto large = std::find_if(parts.begin(), parts.end(), [this](const auto &part) {
-        return part.tokens >= options_.copyMinimumTokens;
-    });
-    if (large == parts.end()) {
-        return nullptr;
-    }
-    const auto key = std::to_string(large->id);
-    const EndpointState *best = nullptr;
-    std::uint64_t bestWeight = 0;
-    for (const auto *endpoint : book_.usable(call.facts.service)) {
-        const auto weight = Common::rendezvousWeight(key, endpoint->listed.record.id.text());
-        if (!endpoint->restsUntil && (best == nullptr || weight > bestWeight)) {
-            best = endpoint;
-            bestWeight = weight;
-        }
-    }
-    return best;
-}
-
-Scheduler::Candidate Scheduler::evaluate(EndpointState &endpoint, const Catalog::Service &service,
-                                         const Call &call, const Holder &holder, Time now)
-{
-    Candidate candidate;
-    candidate.endpoint = &endpoint;
-    double extraMs = 0;
-    if (service.engine) {
-        auto cached = endpoint.cache.cachedTokens(call.facts.parts);
-        const bool copies = service.engine->transfers && holder.endpoint != &endpoint
-                            && holder.tokens - cached >= options_.copyMinimumTokens;
-        Duration copying{0};
-        if (copies) {
-            cached = holder.tokens;
-            candidate.copyFrom = holder.address;
-            copying =
-                holder.endpoint != nullptr ? options_.copyTime : options_.copyTimeBetweenRegions;
-            extraMs += CopyCostMs;
-        }
-        candidate.tokensToRead = std::max<std::int64_t>(0, call.facts.promptTokens - cached);
-        candidate.wait = engineWait(endpoint, now);
-        candidate.expected = options_.firstEventFloor + copying + candidate.wait
-                             + book_.engine(service.name).readTime(candidate.tokensToRead);
-    } else {
-        candidate.expected = plainWait(endpoint);
-        candidate.wait = candidate.expected - endpoint.hold;
-    }
-    const auto objective = inMilliseconds(call.facts.objectiveAt - call.facts.arrivedAt).count();
-    const double slots = endpoint.listed.record.slots;
-    std::uniform_real_distribution<double> tieBreak(0, 1);
-    candidate.cost = inMilliseconds(candidate.expected).count() + extraMs
-                     + endpoint.errorShare * objective + LoadCostMs * endpoint.load() / slots
-                     + (endpoint.listed.missing ? MissingCostMs : 0) + tieBreak(random_);
-    return candidate;
-}
-
-std::optional<Scheduler::Candidate> Scheduler::choose(const Call &call, Time now)
-{
-    const auto *service = book_.service(call.facts.service);
-    if (service == nullptr) {
-        return std::nullopt;
-    }
-    const auto holder = service->engine ? holderOf(call, now) : Holder();
-    const bool heldHere = holder.endpoint != nullptr && holder.tokens >= options_.copyMinimumTokens;
-    const auto *home = service->engine && !heldHere ? homeEndpoint(call) : nullptr;
-    std::optional<Candidate> best;
-    std::optional<Candidate> atHome;
-    for (auto *endpoint : book_.usable(call.facts.service)) {
-        if (!available(*endpoint, *service, call, now)) {
-            continue;
-        }
-        const auto candidate = evaluate(*endpoint, *service, call, holder, now);
-        if (endpoint == home) {
-            atHome = candidate;
-        }
-        if (!best || candidate.cost < best->cost) {
-            best = candidate;
-        }
-    }
-    const auto tolerance = inMilliseconds(options_.homeTolerance).count();
-    return atHome && atHome->cost <= best->cost + tolerance ? atHome : best;
-}
-
-bool Scheduler::fits(const Call &call, const Candidate &candidate, Time now) const
-{
-    const auto objective = call.facts.objectiveAt - call.facts.arrivedAt;
-    const auto left = call.facts.objectiveAt - now;
-    // A prompt that takes longer than the objective even on an idle engine is judged by what it has
-    // to wait for others; else the largest requests would never be sent.
-    constexpr double WaitShare = 0.25;
-    return candidate.expected <= scaled(left, options_.objectiveShare)
-           || candidate.wait <= scaled(objective, WaitShare);
-}
-
 // Steps of a request.
 
 Effects Scheduler::submit(CallFacts facts, Time now)
@@ -539,7 +341,7 @@
     const auto *service = book_.service(call.facts.service);
     std::optional<Duration> best;
     for (const auto *endpoint : book_.usable(call.facts.service)) {
-        const auto wait = service->engine ? engineWait(*endpoint, now) : plainWait(*endpoint);
+        const auto wait = service->engine ? placement_.engineWait(*endpoint, now) : placement_.plainWait(*endpoint);
         best = best ? std::min(*best, wait) : wait;
     }
     return best.value_or(Duration(0)) + queueWait(call.facts.service);
@@ -562,8 +364,8 @@
         }
         return;
     }
-    const auto candidate = choose(call, now);
-    if (candidate && fits(call, *candidate, now) && send(call, *candidate, now, effects)) {
+    const auto candidate = placement_.choose(call, now);
+    if (candidate && placement_.fits(call, *candidate, now) && send(call, *candidate, now, effects)) {
         return;
     }
     const auto wait = bestWait(call, now);
@@ -730,9 +532,9 @@
         if (misses[service] >= options_.lookAhead) {
             continue;
         }
-        const auto candidate = choose(call, now);
+        const auto candidate = placement_.choose(call, now);
         const bool sent =
-            candidate && fits(call, *candidate, now) && send(call, *candidate, now, effects);
+            candidate && placement_.fits(call, *candidate, now) && send(call, *candidate, now, effects);
         if (!sent && !forwardIfBetter(call, bestWait(call, now), now, effects)) {
             ++misses[service];
         }
@@ -779,69 +581,7 @@
     if (call.aloneAtSend) {
         book_.engine(call.facts.service).sample(call.tokensToRead, took);
     }
-    constexpr double RatioMin = 0.3;
-    constexpr double RatioMax = 3;
-    const auto expected = std::max<Duration>(call.expected, options_.firstEventFloor);
-    const auto ratio =
-        std::clamp(inMilliseconds(took) / inMilliseconds(expected), RatioMin, RatioMax);
-    endpoint->slowness = std::clamp(endpoint->slowness * (1 + AverageWeight * (ratio - 1)),
-                                    SlownessMin, SlownessMax);
-}
-
-void Scheduler::rest(EndpointState &endpoint, Time now)
-{
-    const auto doubled = std::max<Duration>(options_.restFirst, endpoint.rest * 2);
-    endpoint.rest = std::min<Duration>(doubled, options_.restMax);
-    endpoint.restsUntil = now + endpoint.rest;
-    endpoint.trial = false;
-}
-
-void Scheduler::noteOutcome(EndpointState &endpoint, const Call &call, TryOutcome outcome, Time now)
-{
-    const auto *service = book_.service(call.facts.service);
-    const bool good = outcome == TryOutcome::Completed || outcome == TryOutcome::Error
-                      || outcome == TryOutcome::NotRun;
-    if (outcome == TryOutcome::Completed || outcome == TryOutcome::Error) {
-        const double error = outcome == TryOutcome::Error ? 1 : 0;
-        endpoint.errorShare += options_.errorWeight * (error - endpoint.errorShare);
-        quarantine_.completed(call.facts.fingerprint, now);
-        if (service != nullptr) {
-            endpoint.hold += scaled(now - call.sentAt - endpoint.hold, AverageWeight);
-        }
-    }
-    if (good) {
-        endpoint.failures = 0;
-        if (endpoint.restsUntil && endpoint.rest >= RestartRest && service != nullptr) {
-            endpoint.coldUntil = std::max(endpoint.coldUntil, now + service->coldTime);
-        }
-        endpoint.restsUntil.reset();
-        endpoint.rest = Duration(0);
-        endpoint.trial = false;
-        return;
-    }
-    if (outcome == TryOutcome::Cancelled) {
-        endpoint.trial = false;
-        return;
-    }
-    ++endpoint.failures;
-    if (outcome == TryOutcome::Broken) {
-        endpoint.lost.emplace_back(now, call.facts.fingerprint);
-    }
-    while (!endpoint.lost.empty() && now - endpoint.lost.front().first > OnBoardTime) {
-        endpoint.lost.pop_front();
-    }
-    if (outcome == TryOutcome::NotConnected && !endpoint.restsUntil && !endpoint.lost.empty()) {
-        std::vector<std::uint64_t> onBoard;
-        for (const auto &[at, fingerprint] : endpoint.lost) {
-            onBoard.push_back(fingerprint);
-        }
-        quarantine_.endpointDied(lifeOf(endpoint), onBoard, now);
-        endpoint.lost.clear();
-        endpoint.cache.clear();
-    }
-    if (outcome == TryOutcome::NotConnected || endpoint.failures >= options_.failuresInRow) {
-        rest(endpoint, now);
-    }
+    health_.noteFirstEvent(*endpoint, call, took);
 }
 
 void Scheduler::leaveEndpoint(Call &call, TryOutcome outcome, Time now)
@@ -856,7 +596,7 @@
         const auto reading = book_.engine(call.facts.service).readTime(call.tokensToRead);
         endpoint->backlogUntil = endpoint->unread == 0 ? now : endpoint->backlogUntil - reading;
     }
-    noteOutcome(*endpoint, call, outcome, now);
+    health_.noteOutcome(*endpoint, call, outcome, now);
 }
 
 Effects Scheduler::ended(CallId id, TryOutcome outcome, bool mayGoOn, Time now)
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -9,9 +9,12 @@
 #include <nlohmann/json.hpp>
 
 #include "Decisions/Decisions.h"
+#include "Dispatch/Call.h"
 #include "Dispatch/EndpointBook.h"
+#include "Dispatch/EndpointHealth.h"
 #include "Dispatch/Facts.h"
 #include "Dispatch/Options.h"
+#include "Dispatch/Placement.h"
 #include "Dispatch/RegionRooms.h"
 #include "Dispatch/RetryBudget.h"
 
@@ -92,71 +95,12 @@
     nlohmann::json dump(Time now) const;
 
 private:
-    struct Call
-    {
-        CallFacts facts;
-        bool queued = false;
-        bool withdrawn = false;
-        Time queuedAt{};
-        /// Where it is now.
-        EndpointId endpoint;
-        RegionName region;
-        Time sentAt{};
-        Duration expected{0};
-        std::int64_t tokensToRead = 0;
-        bool answering = false;
-        bool takenBack = false;
-        bool backlogCounted = false;
-        /// The engine had nothing else to read as it was sent.
-        bool aloneAtSend = false;
-        /// Tries after which it may have run.
-        int runs = 0;
-        /// Tries of any outcome.
-        int tries = 0;
-        std::vector<EndpointId> tried;
-        std::vector<RegionName> triedRegions;
-    };
-
-    /// Who holds the most of a prompt.
-    struct Holder
-    {
-        /// Empty when nobody holds any of it.
-        std::string address;
-        /// Null for one of another region.
-        const EndpointState *endpoint = nullptr;
-        std::int64_t tokens = 0;
-    };
-
-    struct Candidate
-    {
-        EndpointState *endpoint = nullptr;
-        /// Until the first event, and the part of it that the endpoint's other work takes.
-        Duration expected{0};
-        Duration wait{0};
-        double cost = 0;
-        std::int64_t tokensToRead = 0;
-        std::optional<std::string> copyFrom;
-    };
-
-    // Placing.
-    std::optional<Candidate> choose(const Call &call, Time now);
-    bool available(const EndpointState &endpoint, const Catalog::Service &service, const Call &call,
-                   Time now) const;
-    Candidate evaluate(EndpointState &endpoint, const Catalog::Service &service, const Call &call,
-                       const Holder &holder, Time now);
-    Holder holderOf(const Call &call, Time now) const;
-    const EndpointState *homeEndpoint(const Call &call) const;
-    Duration engineWait(const EndpointState &endpoint, Time now) const;
-    Duration plainWait(const EndpointState &endpoint) const;
-    int coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const;
-
     // Steps of a request.
     void place(Call &call, bool mayWait, Time now, Effects &effects);
     bool send(Call &call, const Candidate &candidate, Time now, Effects &effects);
     bool forward(Call &call, const std::optional<RegionRooms::Offer> &offer, Time now,
                  Effects &effects);
     bool forwardIfBetter(Call &call, Duration homeWait, Time now, Effects &effects);
-    bool fits(const Call &call, const Candidate &candidate, Time now) const;
     Time waitsUntil(const Call &call) const;
     void reject(Call &call, RejectReason reason, Duration wait, Time now, Effects &effects);
     void fail(Call &call, Effects &effects);
@@ -180,18 +124,17 @@
 
     // What tries tell of endpoints.
     void leaveEndpoint(Call &call, TryOutcome outcome, Time now);
-    void noteOutcome(EndpointState &endpoint, const Call &call, TryOutcome outcome, Time now);
-    void rest(EndpointState &endpoint, Time now);
 
     DispatchOptions options_;
     InstanceId self_;
     RegionName home_;
-    Time startedAt_;
     Catalog::Bounds bounds_;
     std::mt19937_64 random_;
     EndpointBook book_;
     RegionRooms rooms_;
     Decisions::Quarantine quarantine_;
+    Placement placement_;
+    EndpointHealth health_;
     std::vector<InstanceId> instances_;
     std::size_t allInstances_ = 1;
     std::map<ServiceName, RetryBudget> budgets_;
