Deal out the slots of engines among instances, and use plain endpoints' queues

Cause: instances hear of each other's work every quarter of a second. At plain services the same reports made instances leave places empty that had long been free again.

Ruled out: pauses between events (under 300 ms in all but 1% of streams).

Change: beyond a quarter of an engine's slots each instance keeps to its quota; a plain endpoint gets up to two requests a place in its own queue, which is the only one that all instances share, and the time that a place is held is learnt only from requests that found one free.

The fake plain endpoint of LoadTest had served any number of requests at once; it has places now, as real ones have, and three tests that filled an endpoint fill its queue, too. They ask for the same as before.

--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -22,6 +22,8 @@
     bool answering = false;
     bool takenBack = false;
     bool backlogCounted = false;
+    /// The endpoint had a free place as it was sent.
+    bool placeFreeAtSend = false;
     /// The engine had nothing else to read as it was sent.
     bool aloneAtSend = false;
     /// Tries after which it may have run.
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -62,7 +62,8 @@
         const double error = outcome == TryOutcome::Error ? 1 : 0;
         endpoint.errorShare += options_->errorWeight * (error - endpoint.errorShare);
         quarantine_->completed(call.facts.fingerprint, now);
-        if (service != nullptr) {
+        // What waited for its turn at the endpoint says nothing of the time that a place is held.
+        if (service != nullptr && call.placeFreeAtSend) {
             endpoint.hold += scaled(now - call.sentAt - endpoint.hold, AverageWeight);
         }
     }
--- a/Source/Core/Dispatch/Options.h
+++ b/Source/Core/Dispatch/Options.h
@@ -35,6 +35,17 @@
     /// rest.
     double cacheShare = 0.7;
 
+    // Places.
+
+    /// While an engine has less than this share of its slots in use, instances take any of them;
+    /// beyond it each keeps to its quota. The same for all instances, so that they fill a quarter
+    /// before any of them knows of the others.
+    double calmShare = 0.25;
+    /// A plain endpoint is sent more than it has places for, up to this share of the objective in
+    /// its own queue, and up to so many requests for each place: endpoints keep three to four.
+    double plainQueueShare = 0.4;
+    double plainQueueRounds = 2;
+
     // Waiting.
 
     /// A request is sent while the first event is expected within this share of its objective. The
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Dispatch/SlotQuota.h"
 #include "Dispatch/Util.h"
 
 namespace LaburnumChute::Dispatch {
@@ -39,6 +40,9 @@
 void Placement::setInstances(const std::vector<InstanceId> &instances)
 {
     instances_ = instances;
+    rank_ = static_cast<std::size_t>(
+        std::count_if(instances.begin(), instances.end(),
+                      [this](const InstanceId &instance) { return instance < self_; }));
 }
 
 int Placement::coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const
@@ -48,8 +52,31 @@
     return ColdGate::quota(bound, endpoint.listed.record.id, self_, instances_);
 }
 
-bool Placement::available(const EndpointState &endpoint, const Catalog::Service &service,
-                          const Call &call, Time now) const
+bool Placement::hasRoom(const EndpointState &endpoint, std::size_t position,
+                        const Catalog::Service &service, const Call &call, Time now) const
+{
+    const int slots = endpoint.listed.record.slots;
+    const auto &sample = endpoint.sample;
+    const bool sampled = now - endpoint.sampledAt < SampleLifetime;
+    if (service.engine) {
+        const bool saysFull = sampled && sample.waiting > 0 && sample.running >= sample.slots;
+        const int quota = slotQuota(position, slots, rank_, instances_.size());
+        // The others are taken to have sent as much here since their last report as this one has.
+        const auto sentByAll = endpoint.own * static_cast<int>(instances_.size());
+        const bool calm = endpoint.others + sentByAll < slots * options_->calmShare;
+        return !saysFull && (calm || endpoint.own < quota);
+    }
+    // The endpoint's own queue is the only one that all instances share.
+    const auto objective = call.facts.objectiveAt - call.facts.arrivedAt;
+    const auto rounds = inMilliseconds(objective).count() * options_->plainQueueShare
+                        / std::max(1.0, inMilliseconds(endpoint.hold).count());
+    const int queue = static_cast<int>(slots * std::min(rounds, options_->plainQueueRounds));
+    const bool saysFull = sampled && sample.waiting >= queue && sample.running >= sample.slots;
+    return !saysFull && endpoint.load() < slots + queue;
+}
+
+bool Placement::available(const EndpointState &endpoint, std::size_t position,
+                          const Catalog::Service &service, const Call &call, Time now) const
 {
     if (endpoint.restsUntil && (now < *endpoint.restsUntil || endpoint.trial)) {
         return false;
@@ -64,11 +91,8 @@
     if (limited && !endpoint.coldGate.allows(coldQuota(endpoint, service), now)) {
         return false;
     }
-    const auto &sample = endpoint.sample;
-    const bool saysFull = now - endpoint.sampledAt < SampleLifetime && sample.waiting > 0
-                          && sample.running >= sample.slots;
-    const bool room = endpoint.load() < endpoint.listed.record.slots && !saysFull;
-    return room && !contains(call.tried, endpoint.listed.record.id);
+    return hasRoom(endpoint, position, service, call, now)
+           && !contains(call.tried, endpoint.listed.record.id);
 }
 
 Duration Placement::engineWait(const EndpointState &endpoint, Time now) const
@@ -175,8 +199,10 @@
     const auto *home = service->engine && !heldHere ? homeEndpoint(call) : nullptr;
     std::optional<Candidate> best;
     std::optional<Candidate> atHome;
-    for (auto *endpoint : book_->usable(call.facts.service)) {
-        if (!available(*endpoint, *service, call, now)) {
+    const auto &usable = book_->usable(call.facts.service);
+    for (std::size_t position = 0; position < usable.size(); ++position) {
+        auto *endpoint = usable[position];
+        if (!available(*endpoint, position, *service, call, now)) {
             continue;
         }
         const auto candidate = evaluate(*endpoint, *service, call, holder, now);
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -57,8 +57,11 @@
         std::int64_t tokens = 0;
     };
 
-    bool available(const EndpointState &endpoint, const Catalog::Service &service, const Call &call,
-                   Time now) const;
+    /// @param position of the endpoint among those of its service
+    bool available(const EndpointState &endpoint, std::size_t position,
+                   const Catalog::Service &service, const Call &call, Time now) const;
+    bool hasRoom(const EndpointState &endpoint, std::size_t position,
+                 const Catalog::Service &service, const Call &call, Time now) const;
     Candidate evaluate(EndpointState &endpoint, const Catalog::Service &service, const Call &call,
                        const Holder &holder, Time now);
     Holder holderOf(const Call &call, Time now) const;
@@ -72,6 +75,8 @@
     Time startedAt_;
     Catalog::Bounds bounds_;
     std::vector<InstanceId> instances_;
+    /// Of this instance among them, by id.
+    std::size_t rank_ = 0;
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -394,6 +394,7 @@
     call.answering = false;
     call.takenBack = false;
     call.aloneAtSend = endpoint.load() == 0;
+    call.placeFreeAtSend = endpoint.load() < record.slots;
     call.tried.push_back(record.id);
     ++call.tries;
     ++endpoint.own;
--- a/Source/UnitTests/Dispatch/LoadTest.cpp
+++ b/Source/UnitTests/Dispatch/LoadTest.cpp
@@ -6,9 +6,13 @@
 
 namespace {
 
-/// A plain endpoint that serves each request in the same time.
+/// A plain endpoint serves each request in the same time, as many at once as it has places; the
+/// others wait there for their turn.
 constexpr milliseconds Hold{60};
 
+/// Requests on an endpoint with six places when its own queue is full, too.
+constexpr std::uint16_t FullWithQueue = 18;
+
 } // namespace
 
 /// Plays requests against endpoints of fixed speed, tick by tick.
@@ -34,7 +38,7 @@
         for (const auto &effect : effects) {
             if (const auto *send = std::get_if<Send>(&effect)) {
                 callers_[send->call].sentAt = now_;
-                endings_.push_back({now_ + holdOf(send->endpoint), send->call});
+                endings_.push_back({endOf(send->endpoint), send->call});
             } else if (const auto *reject = std::get_if<Reject>(&effect)) {
                 auto &caller = callers_[reject->call];
                 caller.rejected = true;
@@ -48,6 +52,19 @@
         const auto found = slow_.find(endpoint);
         return found == slow_.end() ? Duration(Hold) : found->second;
     }
+    /// When a request that is sent to the endpoint now will have been served.
+    Time endOf(const EndpointId &endpoint)
+    {
+        auto &places = places_[endpoint];
+        for (const auto &listed : endpoints_) {
+            if (listed.record.id == endpoint) {
+                places.resize(static_cast<std::size_t>(listed.record.slots));
+            }
+        }
+        const auto first = std::min_element(places.begin(), places.end());
+        *first = std::max(*first, now_) + holdOf(endpoint);
+        return *first;
+    }
     CallId arrive(CallFacts facts)
     {
         callers_[facts.id] = {now_, std::nullopt, false, {}, {}};
@@ -82,6 +99,8 @@
     }
 
     std::map<EndpointId, Duration> slow_;
+    /// When each place of an endpoint is free again.
+    std::map<EndpointId, std::vector<Time>> places_;
     std::map<CallId, Caller> callers_;
     std::vector<Ending> endings_;
 };
@@ -137,7 +156,7 @@
 {
     setEndpoints({endpoint("a", Plain, 6)});
     RegionShare busy;
-    busy.uses = {{shortId(EndpointId("a")), 6, 0}};
+    busy.uses = {{shortId(EndpointId("a")), FullWithQueue, 0}};
     busy.queues = {{shortId(ServiceName(Plain)), 12000}};
     scheduler_.setRegionShare(InstanceId("two"), busy, now_);
     const auto id = arrive(facts(Plain));
@@ -153,7 +172,7 @@
     pass(milliseconds(400));
     offerAway(Plain, 1000);
     RegionShare busy;
-    busy.uses = {{shortId(EndpointId("a")), 6, 0}};
+    busy.uses = {{shortId(EndpointId("a")), FullWithQueue, 0}};
     busy.queues = {{shortId(ServiceName(Plain)), 5000}};
     scheduler_.setFleet({InstanceId("one"), InstanceId("two")}, 3, {RegionName("away")});
     scheduler_.setRegionShare(InstanceId("two"), busy, now_);
@@ -227,7 +246,9 @@
 TEST_F(LoadTest, AbandonedRequestLeavesTheQueue)
 {
     setEndpoints({endpoint("a", Plain, 1)});
-    arrive(facts(Plain));
+    for (int index = 0; index < 3; ++index) {
+        arrive(facts(Plain));
+    }
     const auto waiting = arrive(facts(Plain));
     ASSERT_EQ(scheduler_.waiting(), 1U);
     scheduler_.withdraw(waiting, now_);
