Use other regions' room in full, and reckon the wait for a place

Cause: an instance sent to another region half of what is free there, divided among its region's instances. The bucket was also filled only when a report came. Second: the wait at home counted prompts to be read but not the slots, which is what binds at a peak, so that neither the choice between home and another region nor the time told to refused callers was right. Third: a request without a large shared part hardly costs bytes between regions and meets no cold cache; the margin for it is a fifth of the other's.

--- a/Source/Core/Dispatch/Options.h
+++ b/Source/Core/Dispatch/Options.h
@@ -96,13 +96,17 @@
     milliseconds regionRoundTrip{120};
     /// What another region tells of its room counts for this long.
     milliseconds roomLifetime{1500};
-    /// A region is preferred to home when it is faster by this share of the objective: the bytes
-    /// between regions cost, and its caches are cold.
+    /// A region is preferred to home when it is faster by this share of the objective: prompts with
+    /// large parts cost bytes between regions and meet cold caches there, others hardly anything.
     double spillMargin = 0.25;
+    double spillMarginSmall = 0.05;
     /// Share of another region's free rate that the instances of this one use, and for how long
     /// they may save it up: about the interval of the reports.
     double spillShare = 0.5;
     milliseconds spillBurst{500};
+    /// The rate at which an instance sends to another region is averaged over this time: the age of
+    /// the reports. Shorter, the rate would swing; longer, a peak of a few seconds would be over.
+    milliseconds spillMemory{500};
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/RegionRooms.cpp
+++ b/Source/Core/Dispatch/RegionRooms.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/RegionRooms.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "Dispatch/Util.h"
 
@@ -72,9 +73,11 @@
 
 void RegionRooms::fill(Room &room, Time now) const
 {
-    const double rate = summarize(room, now).freePerSecond * options_->spillShare
-                        / static_cast<double>(ownInstances_);
     const double elapsed = room.filledAt == Time() ? 0 : Common::toSeconds(now - room.filledAt);
+    room.sentPerSecond *= std::exp(-elapsed / Common::toSeconds(options_->spillMemory));
+    const double rate = room.sentPerSecond
+                        + summarize(room, now).freePerSecond * options_->spillShare
+                              / static_cast<double>(ownInstances_);
     const double most = std::max(1.0, rate * Common::toSeconds(options_->spillBurst));
     room.allowance = std::min(most, room.allowance + rate * elapsed);
     room.filledAt = now;
@@ -83,13 +86,14 @@
 std::optional<RegionRooms::Offer> RegionRooms::best(const ServiceName &service,
                                                     const std::vector<RegionName> &allowed,
                                                     const std::vector<RegionName> &excluded,
-                                                    Time now) const
+                                                    Time now)
 {
     std::optional<Offer> best;
-    for (const auto &[key, room] : rooms_) {
+    for (auto &[key, room] : rooms_) {
         if (key.second != shortId(service) || !eligible(key.first, allowed, excluded)) {
             continue;
         }
+        fill(room, now);
         const auto summary = summarize(room, now);
         const bool hasRoom = summary.hasEndpoint && room.allowance >= 1;
         if (hasRoom && (!best || summary.wait < best->wait)) {
@@ -102,13 +106,14 @@
 std::optional<RegionRooms::Offer> RegionRooms::any(const ServiceName &service,
                                                    const std::vector<RegionName> &allowed,
                                                    const std::vector<RegionName> &excluded,
-                                                   Time now) const
+                                                   Time now)
 {
     std::optional<Offer> best;
-    for (const auto &[key, room] : rooms_) {
+    for (auto &[key, room] : rooms_) {
         if (key.second != shortId(service) || !eligible(key.first, allowed, excluded)) {
             continue;
         }
+        fill(room, now);
         const auto summary = summarize(room, now);
         // A region whose bucket is empty gets the request only when no other is left.
         const auto wait = summary.wait + (room.allowance >= 1 ? Duration(0) : FullRoomWait);
@@ -124,6 +129,7 @@
     auto &room = rooms_[{region, shortId(service)}];
     fill(room, now);
     room.allowance = std::max(0.0, room.allowance - 1);
+    room.sentPerSecond += 1 / Common::toSeconds(options_->spillMemory);
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/RegionRooms.h
+++ b/Source/Core/Dispatch/RegionRooms.h
@@ -15,7 +15,9 @@
 /// What is known of a region is half a second old. If all instances sent there what they see free,
 /// each would fill it alone, the region would turn the rest away, and the next report would turn
 /// the stream off: so each has a bucket that fills with its part of the rate that the region has
-/// free.
+/// free, beside the rate at which it sends there already. Without the latter the rate would come to
+/// rest where it is a part of what is left: a replay used 12 of 200 calls a second that the other
+/// region could take, while callers were turned away here.
 class RegionRooms
 {
 public:
@@ -36,10 +38,10 @@
 
     /// The region among those allowed with the shortest wait; none has room to spare: nothing.
     std::optional<Offer> best(const ServiceName &service, const std::vector<RegionName> &allowed,
-                              const std::vector<RegionName> &excluded, Time now) const;
+                              const std::vector<RegionName> &excluded, Time now);
     /// As best(), but any region with an endpoint will do.
     std::optional<Offer> any(const ServiceName &service, const std::vector<RegionName> &allowed,
-                             const std::vector<RegionName> &excluded, Time now) const;
+                             const std::vector<RegionName> &excluded, Time now);
     void sent(const RegionName &region, const ServiceName &service, Time now);
 
 private:
@@ -54,6 +56,8 @@
         /// Requests that this instance may send now.
         double allowance = 0;
         Time filledAt{};
+        /// Requests a second that this instance has sent, averaged.
+        double sentPerSecond = 0;
     };
     using Key = std::pair<RegionName, std::uint32_t>;
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -336,6 +336,23 @@
     return scaled(queuedWork(service) + book_.othersQueue(service), 1 / std::max(1.0, places));
 }
 
+Duration Scheduler::placeWait(const ServiceName &service) const
+{
+    double freedPerSecond = 0;
+    for (const auto *endpoint : book_.usable(service)) {
+        freedPerSecond +=
+            endpoint->own / std::max(ShortestHold, Common::toSeconds(endpoint->hold));
+    }
+    if (freedPerSecond <= 0) {
+        return Duration(0);
+    }
+    const auto ahead = std::count_if(queue_.begin(), queue_.end(), [&](const auto &entry) {
+        return calls_.at(entry.second).facts.service == service;
+    });
+    const std::chrono::duration<double> wait(static_cast<double>(ahead + 1) / freedPerSecond);
+    return std::chrono::duration_cast<Duration>(wait);
+}
+
 Duration Scheduler::bestWait(const Call &call, Time now)
 {
     const auto *service = book_.service(call.facts.service);
@@ -344,7 +361,9 @@
         const auto wait = service->engine ? placement_.engineWait(*endpoint, now) : placement_.plainWait(*endpoint);
         best = best ? std::min(*best, wait) : wait;
     }
-    return best.value_or(Duration(0)) + queueWait(call.facts.service);
+    const auto wait = best.value_or(Duration(0)) + queueWait(call.facts.service);
+    const bool anyPlace = placement_.choose(call, now).has_value();
+    return anyPlace ? wait : std::max(wait, placeWait(call.facts.service));
 }
 
 void Scheduler::place(Call &call, bool mayWait, Time now, Effects &effects)
@@ -451,8 +470,12 @@
         return false;
     }
     const auto objective = facts.objectiveAt - facts.arrivedAt;
+    const bool large = std::any_of(facts.parts.begin(), facts.parts.end(), [this](const auto &part) {
+        return part.tokens >= options_.copyMinimumTokens;
+    });
+    const auto margin = large ? options_.spillMargin : options_.spillMarginSmall;
     const auto there = offer->wait + options_.regionRoundTrip;
-    const bool better = there + scaled(objective, options_.spillMargin) < homeWait;
+    const bool better = there + scaled(objective, margin) < homeWait;
     return better && forward(call, offer, now, effects);
 }
 
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -114,6 +114,8 @@
     Duration queuedWork(const ServiceName &service);
     /// How long the work that waits at all instances of the region keeps its endpoints busy.
     Duration queueWait(const ServiceName &service);
+    /// Until the requests of this instance have freed a place for one that comes now.
+    Duration placeWait(const ServiceName &service) const;
     Duration bestWait(const Call &call, Time now);
     Duration spread(Duration wait);
     RetryBudget &budget(const ServiceName &service);
--- a/Source/UnitTests/Dispatch/LoadTest.cpp
+++ b/Source/UnitTests/Dispatch/LoadTest.cpp
@@ -194,6 +194,44 @@
     EXPECT_LE(forwards, 10);
 }
 
+// Home is crowded, and another region could take two hundred short calls a second. What is free
+// there shrinks with each that was sent; whoever sends half of what is free comes to rest at a part
+// of it, and callers are turned away while places are empty.
+TEST_F(LoadTest, OtherRegionsRoomIsUsedAsFarAsItGoes)
+{
+    constexpr int Possible = 200;
+    constexpr milliseconds ReportInterval{250};
+    setEndpoints({endpoint("a", Plain, 6)});
+    RegionShare busy;
+    busy.uses = {{shortId(EndpointId("a")), FullWithQueue, 0}};
+    busy.queues = {{shortId(ServiceName(Plain)), 2500}};
+    std::vector<Time> sent;
+    const auto start = now_;
+    const auto sentWithin = [&](Duration span) {
+        return std::count_if(sent.begin(), sent.end(), [&](Time at) { return now_ - at <= span; });
+    };
+    auto reportAt = now_;
+    while (now_ - start < seconds(5)) {
+        if (now_ >= reportAt) {
+            reportAt += ReportInterval;
+            const auto rate = 4 * static_cast<int>(sentWithin(ReportInterval));
+            offerAway(Plain, std::max(0, Possible - rate));
+            scheduler_.setFleet({InstanceId("one"), InstanceId("two")}, 3, {RegionName("away")});
+            scheduler_.setRegionShare(InstanceId("two"), busy, now_);
+        }
+        for (int index = 0; index < 2; ++index) {
+            const auto call = facts(Plain);
+            if (only<Forward>(scheduler_.submit(call, now_)) != nullptr) {
+                sent.push_back(now_);
+                scheduler_.ended(call.id, TryOutcome::Completed, false, now_);
+            }
+        }
+        pass(milliseconds(5));
+    }
+    EXPECT_GT(sentWithin(seconds(2)), 2 * Possible * 3 / 4);
+    EXPECT_LT(sentWithin(seconds(2)), 2 * Possible * 5 / 4);
+}
+
 // One endpoint of three takes ten times as long. It gets less than its share, since what it has not
 // finished counts.
 TEST_F(LoadTest, SlowEndpointGetsLess)
