--- a/Source/UnitTests/Relay/PeerMessagesTest.cpp
+++ b/Source/UnitTests/Relay/PeerMessagesTest.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "Relay/ForwardNote.h"
+#include "Relay/GossipMessage.h"
 #include "Relay/PeerSync.h"
 
 namespace LaburnumChute::Relay {
@@ -32,6 +33,34 @@
     EXPECT_FALSE(decodeNote(whole.substr(0, whole.size() / 2)));
 }
 
+// Each long prompt is told to every neighbour at once. The message has to stay small, or the
+// notices of a peak would fill the links that requests need.
+TEST(GossipMessageTest, NoticeOfAPromptTravelsInAFewBytes)
+{
+    Dispatch::PromptNotices notices;
+    notices.sender = Common::InstanceId("edge-asahikawa-a-2");
+    notices.prompts = {{7, 4100, {{0xfedcba98U, 13000}}}};
+    const auto bytes = Peers::encodeValue(GossipMessage(notices));
+    constexpr std::size_t SmallDatagram = 100;
+    EXPECT_LT(bytes.size(), SmallDatagram);
+    const auto read = Peers::decodeValue<GossipMessage>(bytes);
+    ASSERT_TRUE(read);
+    const auto *same = std::get_if<Dispatch::PromptNotices>(&*read);
+    ASSERT_NE(same, nullptr);
+    ASSERT_EQ(same->prompts.size(), 1U);
+    EXPECT_EQ(same->prompts[0].tokensToRead, 4100U);
+    EXPECT_EQ(same->prompts[0].parts[0].tokens, 13000U);
+}
+
+// A damaged datagram, or one of an older version. It must not cost memory or the process.
+TEST(GossipMessageTest, OtherBytesAreErrors)
+{
+    EXPECT_FALSE(Peers::decodeValue<GossipMessage>(""));
+    EXPECT_FALSE(Peers::decodeValue<GossipMessage>("what is this"));
+    const auto whole = Peers::encodeValue(GossipMessage(Fleet::Heartbeat()));
+    EXPECT_FALSE(Peers::decodeValue<GossipMessage>(whole.substr(0, whole.size() / 2)));
+}
+
 TEST(PeerSyncTest, TargetNamesTheRevision)
 {
     EXPECT_EQ(readItemsTarget(itemsTarget(42)), 42U);
