Ask for the engines' memory right after the first configuration

Now 150 ms after the first configuration, which the region's other instances have answered a heartbeat by.

--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -28,9 +28,10 @@
 /// The store's waiting call takes at most this; by then a machine that is alone with a silent store
 /// has used half of the time in which it must act on what it would have said.
 constexpr int BoundParts = 2;
-/// From the start until the engines' memory is asked about: by then the other instances are known,
-/// so that each engine is asked by one of them.
-constexpr milliseconds LearnCachesAfter{700};
+/// From the first configuration until the engines' memory is asked about: by then the region's
+/// other instances have answered a heartbeat, so that each engine is asked by one of them. Until it
+/// is known, prompts are read again that some engine holds.
+constexpr milliseconds LearnCachesAfter{150};
 constexpr int StandardOutput = 1;
 
 std::uint64_t randomNumber()
@@ -191,7 +192,6 @@
         return gossip;
     }
     applySettings(now);
-    learnCachesAt_ = now + LearnCachesAfter;
     waitForSignal();
     waitForReload();
     EventLine line("start");
@@ -272,7 +272,10 @@
         heartbeat(now);
     }
     fetch_.tick(now);
-    if (!cachesLearnt_ && now >= learnCachesAt_ && ready()) {
+    if (!learnCachesAt_ && ready()) {
+        learnCachesAt_ = now + LearnCachesAfter;
+    }
+    if (!cachesLearnt_ && learnCachesAt_ && now >= *learnCachesAt_) {
         learnCaches(now);
     }
     peerSync_.tick(knownPeers_, catalog_.items().upTo(), duty_ == Fleet::WatchDuty::Listens, now);
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -166,7 +166,7 @@
     Fleet::WatchDuty duty_ = Fleet::WatchDuty::Watches;
     std::map<Common::InstanceId, bool> peerAlive_;
     Common::Time heartbeatAt_{};
-    Common::Time learnCachesAt_{};
+    std::optional<Common::Time> learnCachesAt_;
     bool cachesLearnt_ = false;
     Common::Time settingsAt_{};
     Common::Time housekeepingAt_{};
