--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -12,7 +12,6 @@
     CallFacts facts;
     bool queued = false;
     bool withdrawn = false;
-    Time queuedAt{};
     /// Where it is now.
     EndpointId endpoint;
     RegionName region;
@@ -20,6 +19,8 @@
     Duration expected{0};
     std::int64_t tokensToRead = 0;
     bool answering = false;
+    /// Events of its answer so far, of all tries.
+    int events = 0;
     bool takenBack = false;
     /// The endpoint had a free place as it was sent.
     bool placeFreeAtSend = false;
--- a/Source/Core/Dispatch/EndpointBook.cpp
+++ b/Source/Core/Dispatch/EndpointBook.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Dispatch/Util.h"
+
 namespace LaburnumChute::Dispatch {
 
 namespace {
@@ -171,7 +173,8 @@
         return;
     }
     auto &state = *found->second;
-    state.reading.add(now, engine(state.listed.record.service).readTime(notice.tokensToRead));
+    const auto reading = engine(state.listed.record.service).readTime(notice.tokensToRead);
+    state.reading.add(now, scaled(reading, 1 / options_->readShare));
     // Until that instance's next share says so itself.
     ++state.others;
     for (const auto &part : notice.parts) {
--- a/Source/Core/Dispatch/EndpointBook.h
+++ b/Source/Core/Dispatch/EndpointBook.h
@@ -10,6 +10,7 @@
 
 #include "Dispatch/ColdGate.h"
 #include "Dispatch/EngineModel.h"
+#include "Dispatch/EventPace.h"
 #include "Dispatch/Options.h"
 #include "Dispatch/PartCache.h"
 #include "Dispatch/ReadingQueue.h"
@@ -29,6 +30,7 @@
     int own = 0;
     int others = 0;
     ReadingQueue reading;
+    EventPace pace;
     /// The time to the first event as a multiple of what was expected, averaged.
     double slowness = 1;
     /// Share of answers that are errors of its own, averaged.
--- a/Source/Core/Dispatch/EngineModel.cpp
+++ b/Source/Core/Dispatch/EngineModel.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Dispatch/Util.h"
+
 namespace LaburnumChute::Dispatch {
 
 namespace {
@@ -12,6 +14,10 @@
 /// Bounds of what is believed: a tenth of the slowest and ten times the fastest engine in use.
 constexpr double SlowestRate = 4;
 constexpr double FastestRate = 600;
+/// The sums over answers keep so much of themselves at each answer.
+constexpr double AnswerMemory = 0.999;
+/// The fastest pause is forgotten by this much at each event, should all engines get slower.
+constexpr double FastestPauseGrowth = 1.0001;
 
 } // namespace
 
@@ -38,4 +44,25 @@
     rate_ += SampleWeight * (seen - rate_);
 }
 
+void EngineModel::answerSeen(std::int64_t expectedTokens, int events)
+{
+    if (expectedTokens <= 0 || events <= 0) {
+        return;
+    }
+    expectedTokens_ = expectedTokens_ * AnswerMemory + static_cast<double>(expectedTokens);
+    events_ = events_ * AnswerMemory + events;
+}
+
+double EngineModel::expectedEvents(std::int64_t expectedTokens) const
+{
+    return expectedTokens_ > 0 ? static_cast<double>(expectedTokens) * events_ / expectedTokens_
+                               : 0;
+}
+
+void EngineModel::paceSeen(Duration pause)
+{
+    const bool none = fastestPause_ == Duration(0);
+    fastestPause_ = none ? pause : std::min(scaled(fastestPause_, FastestPauseGrowth), pause);
+}
+
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/EngineModel.h
+++ b/Source/Core/Dispatch/EngineModel.h
@@ -19,9 +19,26 @@
         return rate_;
     }
 
+    /// An answer of which so many tokens were expected has ended after so many events.
+    void answerSeen(std::int64_t expectedTokens, int events);
+    /// Events that an answer of which so many tokens are expected will have; 0 until some answers
+    /// have shown how many tokens are in an event.
+    double expectedEvents(std::int64_t expectedTokens) const;
+    /// Some engine of the service makes events with this pause.
+    void paceSeen(Duration pause);
+    /// Pause between events of an engine that does little else; 0 until some were seen.
+    Duration fastestPause() const
+    {
+        return fastestPause_;
+    }
+
 private:
     Duration floor_;
     double rate_;
+    /// Sums over answers; recent ones count more.
+    double expectedTokens_ = 0;
+    double events_ = 0;
+    Duration fastestPause_{0};
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Options.h
+++ b/Source/Core/Dispatch/Options.h
@@ -24,11 +24,12 @@
     /// much, 18 to 26 ms by the sheets. Shorter ones come several times between two heartbeats and
     /// average out.
     std::int64_t noticeTokens = 1000;
-    /// Reading a prompt delays all that the engine already serves. Weight of that delay, added up
-    /// over them, beside the delay of the request itself, on an engine whose slots are all in use;
-    /// less in proportion on others, whose streams end in time in any case. At a peak of 26
-    /// instances before 90 engines it lowered the requests that failed from 3.1% to 2.0%.
-    double disturbanceWeight = 4;
+    /// Weights of the time that an answer takes to be made, and of the time for which reading its
+    /// prompt holds up the answers that the engine makes already, each as its part of the deadline
+    /// beside the first event's part of the objective. Above 1: an answer that misses its deadline
+    /// is lost, one whose first event is late is not.
+    double generationWeight = 8;
+    double disturbanceWeight = 1.5;
     /// Each request that runs beside it delays a request by so much: 0.09 to 0.15 ms a step by the
     /// sheets, over the ten steps that a first chunk takes.
     Duration delayPerRunning = std::chrono::microseconds(1500);
@@ -40,6 +41,13 @@
     milliseconds copyTime{15};
     /// The same from an endpoint of another region.
     milliseconds copyTimeBetweenRegions{130};
+    /// What a copy costs beside its time, put in time: it displaces another part from the memory of
+    /// the engine that gets it, and where memory is short that part is read again later.
+    milliseconds copyCost{150};
+    /// What a full endpoint costs beside an empty one, as each request slows all others there.
+    milliseconds loadCost{60};
+    /// An endpoint whose record has lapsed is used when the others are this much slower.
+    milliseconds missingCost{80};
     /// A prompt whose parts no endpoint is known to hold goes to the endpoint that all instances
     /// compute for its first large part, unless that one is slower than the best by this much.
     milliseconds homeTolerance{120};
@@ -60,9 +68,13 @@
 
     // Waiting.
 
-    /// A request is sent while the first event is expected within this share of its objective. The
-    /// expectation errs by about a third.
-    double objectiveShare = 0.8;
+    /// A request is sent while the first event is expected within this share of the objective, and
+    /// before it. What waits here instead costs nothing should its caller leave, and goes to
+    /// whichever engine or region is free first.
+    double objectiveShare = 0.45;
+    /// A prompt that takes longer than the objective even on an idle engine is judged by what it
+    /// has to wait for others, as a share of the objective; else the largest would never be sent.
+    double waitShare = 0.1;
     /// How far one step of priority moves a request in the queue: a quarter of the objectives,
     /// which are 0.5 to 1.2 s. Strict order would starve the lower kind under overload.
     milliseconds priorityStep{200};
@@ -108,10 +120,6 @@
     milliseconds regionRoundTrip{120};
     /// What another region tells of its room counts for this long.
     milliseconds roomLifetime{1500};
-    /// A region is preferred to home when it is faster by this share of the objective: prompts with
-    /// large parts cost bytes between regions and meet cold caches there, others hardly anything.
-    double spillMargin = 0.25;
-    double spillMarginSmall = 0.05;
     /// Share of another region's free rate that the instances of this one use, and for how long
     /// they may save it up: about the interval of the reports.
     double spillShare = 0.5;
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -9,14 +9,6 @@
 
 namespace {
 
-/// What a full endpoint costs beside an empty one, as each request slows all others there. An
-/// estimate: a token takes 1.4 ms longer among 16, a stream has about 45.
-constexpr double LoadCostMs = 60;
-/// An endpoint whose record has lapsed is used when the others are this much slower. An estimate.
-constexpr double MissingCostMs = 80;
-/// What a copy costs beside its time, put in time. Each copy displaces another part from the memory
-/// of the engine that gets it, and where memory is short that part is read again later.
-constexpr double CopyCostMs = 150;
 /// An endpoint that says it is full is believed for this long.
 constexpr milliseconds SampleLifetime{150};
 
@@ -98,7 +90,7 @@
 
 Duration Placement::engineWait(const EndpointState &endpoint, Time now) const
 {
-    const auto reading = endpoint.reading.wait(options_->readShare, now);
+    const auto reading = endpoint.reading.wait(now);
     const auto running = endpoint.load() * options_->delayPerRunning;
     return scaled(reading + running, endpoint.slowness);
 }
@@ -153,12 +145,22 @@
     return best;
 }
 
-/// What reading the prompt costs the streams that the engine serves already, in milliseconds.
-double Placement::disturbance(const EndpointState &endpoint, Duration reading) const
+/// What it costs to make the answer there, and to hold up the answers that are made there already
+/// while the prompt is read. In milliseconds of waiting for the first event: what delays the rest
+/// of an answer counts by its part of the deadline, what delays the first event by its part of the
+/// objective.
+double Placement::generationCost(const EndpointState &endpoint, const Call &call, Duration reading,
+                                 Time now) const
 {
-    const double load = endpoint.load();
-    const double filled = load / std::max(1, endpoint.listed.record.slots);
-    return inMilliseconds(reading).count() * load * filled * options_->disturbanceWeight;
+    const auto &facts = call.facts;
+    const auto patience = inMilliseconds(facts.deadline - facts.arrivedAt).count();
+    const auto objective = inMilliseconds(facts.objectiveAt - facts.arrivedAt).count();
+    const double share = std::min(1.0, objective / std::max(1.0, patience));
+    const auto &engine = book_->engine(facts.service);
+    const auto pause = inMilliseconds(endpoint.pace.pause(engine.fastestPause(), now)).count();
+    const auto generating = engine.expectedEvents(facts.outputTokens) * pause;
+    const auto heldUp = inMilliseconds(reading).count() * endpoint.load();
+    return share * (options_->generationWeight * generating + options_->disturbanceWeight * heldUp);
 }
 
 Candidate Placement::evaluate(EndpointState &endpoint, const Catalog::Service &service,
@@ -177,13 +179,13 @@
             candidate.copyFrom = holder.address;
             copying =
                 holder.endpoint != nullptr ? options_->copyTime : options_->copyTimeBetweenRegions;
-            extraMs += CopyCostMs;
+            extraMs += inMilliseconds(options_->copyCost).count();
         }
         candidate.tokensToRead = std::max<std::int64_t>(0, call.facts.promptTokens - cached);
         const auto reading = book_->engine(service.name).readTime(candidate.tokensToRead);
-        extraMs += disturbance(endpoint, reading);
         candidate.wait = engineWait(endpoint, now);
         candidate.expected = options_->firstEventFloor + copying + candidate.wait + reading;
+        extraMs += generationCost(endpoint, call, reading, now);
     } else {
         candidate.expected = plainWait(endpoint);
         candidate.wait = candidate.expected - endpoint.hold;
@@ -191,9 +193,10 @@
     const auto objective = inMilliseconds(call.facts.objectiveAt - call.facts.arrivedAt).count();
     const double slots = endpoint.listed.record.slots;
     std::uniform_real_distribution<double> tieBreak(0, 1);
-    candidate.cost = inMilliseconds(candidate.expected).count() + extraMs
-                     + endpoint.errorShare * objective + LoadCostMs * endpoint.load() / slots
-                     + (endpoint.listed.missing ? MissingCostMs : 0) + tieBreak(random_);
+    const auto loadCost = scaled(options_->loadCost, endpoint.load() / slots);
+    const auto missingCost = endpoint.listed.missing ? options_->missingCost : milliseconds(0);
+    candidate.cost = inMilliseconds(candidate.expected + loadCost + missingCost).count() + extraMs
+                     + endpoint.errorShare * objective + tieBreak(random_);
     return candidate;
 }
 
@@ -231,11 +234,11 @@
 {
     const auto objective = call.facts.objectiveAt - call.facts.arrivedAt;
     const auto left = call.facts.objectiveAt - now;
+    const auto soon = scaled(objective, options_->objectiveShare);
     // A prompt that takes longer than the objective even on an idle engine is judged by what it has
     // to wait for others; else the largest requests would never be sent.
-    constexpr double WaitShare = 0.25;
-    return candidate.expected <= scaled(left, options_->objectiveShare)
-           || candidate.wait <= scaled(objective, WaitShare);
+    return candidate.expected <= std::min<Duration>(soon, left)
+           || candidate.wait <= scaled(objective, options_->waitShare);
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -64,7 +64,8 @@
                  const Catalog::Service &service, const Call &call, Time now) const;
     Candidate evaluate(EndpointState &endpoint, const Catalog::Service &service, const Call &call,
                        const Holder &holder, Time now);
-    double disturbance(const EndpointState &endpoint, Duration reading) const;
+    double generationCost(const EndpointState &endpoint, const Call &call, Duration reading,
+                          Time now) const;
     Holder holderOf(const Call &call, Time now) const;
     const EndpointState *homeEndpoint(const Call &call) const;
     int coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const;
--- a/Source/Core/Dispatch/ReadingQueue.cpp
+++ b/Source/Core/Dispatch/ReadingQueue.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "Dispatch/Util.h"
-
 namespace LaburnumChute::Dispatch {
 
 namespace {
@@ -59,10 +57,10 @@
     }
 }
 
-Duration ReadingQueue::wait(double share, Time now) const
+Duration ReadingQueue::wait(Time now) const
 {
-    const auto passed = scaled(std::max(Duration(0), now - drainedAt_), share);
-    return scaled(std::max(Duration(0), total_ - passed), 1 / share);
+    const auto passed = std::max(Duration(0), now - drainedAt_);
+    return std::max(Duration(0), total_ - passed);
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/ReadingQueue.h
+++ b/Source/Core/Dispatch/ReadingQueue.h
@@ -16,14 +16,14 @@
 class ReadingQueue
 {
 public:
-    /// @param work time to read it on an engine that does nothing else
+    /// @param work time that the engine takes for it beside its other work
     void add(Time sentAt, Duration work);
     /// The first event of a prompt sent at that time has come, so all before it has been read.
     void readUpTo(Time sentAt, Time now);
     /// The prompt sent at that time is not read any more, or was read out of turn.
     void remove(Time sentAt, Time now);
-    /// @param share part of the engine's time that reading gets
-    Duration wait(double share, Time now) const;
+    /// Until all of them have been read.
+    Duration wait(Time now) const;
 
 private:
     struct Prompt
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -247,7 +247,7 @@
 {
     auto share = book_.share(now);
     for (const auto &[name, service] : book_.services()) {
-        const auto work = std::chrono::duration_cast<milliseconds>(queuedWork(name));
+        const auto work = std::chrono::duration_cast<milliseconds>(backlog(name).work);
         if (work > milliseconds(0)) {
             share.queues.push_back({shortId(name), static_cast<std::uint32_t>(work.count())});
         }
@@ -292,7 +292,8 @@
                                   : placement_.plainWait(*endpoint);
             best = best ? std::min(*best, wait) : wait;
         }
-        const auto wait = best.value_or(Duration(0)) + queueWait(name);
+        const auto wait =
+            best.value_or(Duration(0)) + queueWait(capacity(name, now), backlog(name));
         constexpr std::int64_t MaxWaitMs = 60000;
         room.waitMs = static_cast<std::uint16_t>(std::min<std::int64_t>(
             std::chrono::duration_cast<milliseconds>(wait).count(), MaxWaitMs));
@@ -338,64 +339,77 @@
     return effects;
 }
 
-Duration Scheduler::queuedWork(const ServiceName &service)
+Duration Scheduler::meanHold(const ServiceName &service) const
 {
     const auto &endpoints = book_.usable(service);
-    const auto *traits = book_.service(service);
-    const bool engine = traits != nullptr && traits->engine.has_value();
     Duration hold{0};
     for (const auto *endpoint : endpoints) {
         hold += endpoint->hold / static_cast<int>(endpoints.size());
     }
-    Duration work{0};
+    return hold;
+}
+
+Duration Scheduler::workOf(const CallFacts &facts, Duration meanHold)
+{
+    const auto *service = book_.service(facts.service);
+    const bool engine = service != nullptr && service->engine.has_value();
+    return engine ? book_.engine(facts.service).readTime(facts.promptTokens) : meanHold;
+}
+
+Scheduler::Backlog Scheduler::backlog(const ServiceName &service)
+{
+    const auto hold = meanHold(service);
+    Backlog backlog;
     for (const auto &[key, id] : queue_) {
         const auto &facts = calls_.at(id).facts;
         if (facts.service == service) {
-            work += engine ? book_.engine(service).readTime(facts.promptTokens) : hold;
+            backlog.work += workOf(facts, hold);
+            ++backlog.calls;
         }
     }
-    return work;
+    return backlog;
 }
 
-Duration Scheduler::queueWait(const ServiceName &service)
+Scheduler::Capacity Scheduler::capacity(const ServiceName &service, Time now) const
 {
     const auto *traits = book_.service(service);
     const bool engine = traits != nullptr && traits->engine.has_value();
-    double places = 0;
+    Capacity capacity;
+    std::optional<Duration> shortest;
     for (const auto *endpoint : book_.usable(service)) {
-        places += engine ? 1 : endpoint->listed.record.slots;
+        const auto wait =
+            engine ? placement_.engineWait(*endpoint, now) : placement_.plainWait(*endpoint);
+        shortest = shortest ? std::min(*shortest, wait) : wait;
+        capacity.places += engine ? 1 : endpoint->listed.record.slots;
+        capacity.freedPerSecond +=
+            endpoint->own / std::max(ShortestHold, Common::toSeconds(endpoint->hold));
     }
-    return scaled(queuedWork(service) + book_.othersQueue(service), 1 / std::max(1.0, places));
+    capacity.shortestWait = shortest.value_or(Duration(0));
+    capacity.othersWork = book_.othersQueue(service);
+    return capacity;
 }
 
-Duration Scheduler::placeWait(const ServiceName &service) const
+Duration Scheduler::queueWait(const Capacity &capacity, const Backlog &ahead)
 {
-    double freedPerSecond = 0;
-    for (const auto *endpoint : book_.usable(service)) {
-        freedPerSecond += endpoint->own / std::max(ShortestHold, Common::toSeconds(endpoint->hold));
-    }
-    if (freedPerSecond <= 0) {
-        return Duration(0);
+    return scaled(ahead.work + capacity.othersWork, 1 / std::max(1.0, capacity.places));
+}
+
+Duration Scheduler::waitBehind(const Capacity &capacity, const Backlog &ahead, bool anyPlace)
+{
+    const auto wait = capacity.shortestWait + queueWait(capacity, ahead);
+    if (anyPlace || capacity.freedPerSecond <= 0) {
+        return wait;
     }
-    const auto ahead = std::count_if(queue_.begin(), queue_.end(), [&](const auto &entry) {
-        return calls_.at(entry.second).facts.service == service;
-    });
-    const std::chrono::duration<double> wait(static_cast<double>(ahead + 1) / freedPerSecond);
-    return std::chrono::duration_cast<Duration>(wait);
+    const std::chrono::duration<double> place(static_cast<double>(ahead.calls + 1)
+                                              / capacity.freedPerSecond);
+    return std::max(wait, std::chrono::duration_cast<Duration>(place));
 }
 
 Duration Scheduler::bestWait(const Call &call, Time now)
 {
-    const auto *service = book_.service(call.facts.service);
-    std::optional<Duration> best;
-    for (const auto *endpoint : book_.usable(call.facts.service)) {
-        const auto wait = service->engine ? placement_.engineWait(*endpoint, now)
-                                          : placement_.plainWait(*endpoint);
-        best = best ? std::min(*best, wait) : wait;
-    }
-    const auto wait = best.value_or(Duration(0)) + queueWait(call.facts.service);
+    const auto &service = call.facts.service;
     const bool anyPlace = placement_.choose(call, now).has_value();
-    return anyPlace ? wait : std::max(wait, placeWait(call.facts.service));
+    return waitBehind(capacity(service, now), backlog(service), anyPlace);
 }
 
 void Scheduler::place(Call &call, bool mayWait, Time now, Effects &effects)
@@ -425,12 +439,10 @@
     if (forwardIfBetter(call, wait, now, effects)) {
         return;
     }
-    const bool hopeless = wait > facts.objectiveAt - now;
-    if (hopeless || !mayWait || queue_.size() >= options_.queueLimit) {
+    if (hopeless(call, wait, now) || !mayWait || queue_.size() >= options_.queueLimit) {
         reject(call, RejectReason::Overloaded, wait, now, effects);
         return;
     }
-    call.queuedAt = now;
     enqueue(call);
 }
 
@@ -452,7 +464,7 @@
     ++call.tries;
     ++endpoint.own;
     const auto reading = book_.engine(call.facts.service).readTime(candidate.tokensToRead);
-    endpoint.reading.add(now, reading);
+    endpoint.reading.add(now, scaled(reading, 1 / options_.readShare));
     notice(endpoint, call);
     endpoint.cache.use(call.facts.parts);
     // The last part is the request's own: nobody else asks for it.
@@ -506,13 +518,7 @@
     if (!offer) {
         return false;
     }
-    const auto objective = facts.objectiveAt - facts.arrivedAt;
-    const bool large =
-        std::any_of(facts.parts.begin(), facts.parts.end(),
-                    [this](const auto &part) { return part.tokens >= options_.copyMinimumTokens; });
-    const auto margin = large ? options_.spillMargin : options_.spillMarginSmall;
-    const auto there = offer->wait + options_.regionRoundTrip;
-    const bool better = there + scaled(objective, margin) < homeWait;
+    const bool better = offer->wait + options_.regionRoundTrip < homeWait;
     return better && forward(call, offer, now, effects);
 }
 
@@ -563,16 +569,24 @@
     call.queued = false;
 }
 
-Time Scheduler::waitsUntil(const Call &call) const
+/// A request that would wait for longer than its caller wants is told so at once: it could come
+/// back when there is room, or go elsewhere, and those behind it would be late for its sake.
+bool Scheduler::hopeless(const Call &call, Duration wait, Time now) const
 {
-    const auto objective = call.facts.objectiveAt - call.facts.arrivedAt;
-    const auto end = std::max(call.facts.objectiveAt, call.queuedAt + objective / 2);
-    return std::min<Time>(end, call.facts.deadline - DeadlineMargin);
+    const auto until = std::min<Time>(call.facts.objectiveAt, call.facts.deadline - DeadlineMargin);
+    return wait > until - now;
 }
 
 void Scheduler::pump(Time now, Effects &effects)
 {
-    std::map<ServiceName, std::size_t> misses;
+    struct Line
+    {
+        Capacity capacity;
+        Duration meanHold{0};
+        Backlog ahead;
+        std::size_t misses = 0;
+    };
+    std::map<ServiceName, Line> lines;
     std::vector<CallId> order;
     order.reserve(queue_.size());
     for (const auto &[key, id] : queue_) {
@@ -581,24 +595,35 @@
     for (const auto id : order) {
         auto &call = calls_.at(id);
         const auto service = call.facts.service;
-        if (now >= waitsUntil(call)) {
-            reject(call, RejectReason::Overloaded, bestWait(call, now), now, effects);
-            continue;
-        }
         if (book_.usable(service).empty()) {
             dequeue(call);
             place(call, false, now, effects);
             continue;
         }
-        if (misses[service] >= options_.lookAhead) {
-            continue;
+        const auto [entry, isNew] = lines.try_emplace(service);
+        auto &line = entry->second;
+        if (isNew) {
+            line.capacity = capacity(service, now);
+            line.meanHold = meanHold(service);
         }
-        const auto candidate = placement_.choose(call, now);
+        const bool looks = line.misses < options_.lookAhead;
+        const auto candidate = looks ? placement_.choose(call, now) : std::nullopt;
         const bool sent = candidate && placement_.fits(call, *candidate, now)
                           && send(call, *candidate, now, effects);
-        if (!sent && !forwardIfBetter(call, bestWait(call, now), now, effects)) {
-            ++misses[service];
+        if (sent) {
+            continue;
+        }
+        const auto wait = waitBehind(line.capacity, line.ahead, candidate.has_value());
+        if (looks && forwardIfBetter(call, wait, now, effects)) {
+            continue;
+        }
+        if (hopeless(call, wait, now)) {
+            reject(call, RejectReason::Overloaded, wait, now, effects);
+            continue;
         }
+        ++line.misses;
+        line.ahead.work += workOf(call.facts, line.meanHold);
+        ++line.ahead.calls;
     }
 }
 
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -79,6 +79,9 @@
     void withdraw(CallId call, Time now);
     /// The first event or byte of the answer came.
     void answering(CallId call, Time now);
+    /// More events of the answer came.
+    /// @param pause since the last event before them
+    void progressed(CallId call, int events, Duration pause, Time now);
     /// @param mayGoOn whether another try may follow: false once a part of the answer was passed on
     ///        and cannot be continued
     Effects ended(CallId call, TryOutcome outcome, bool mayGoOn, Time now);
@@ -106,7 +109,7 @@
     bool forward(Call &call, const std::optional<RegionRooms::Offer> &offer, Time now,
                  Effects &effects);
     bool forwardIfBetter(Call &call, Duration homeWait, Time now, Effects &effects);
-    Time waitsUntil(const Call &call) const;
+    bool hopeless(const Call &call, Duration wait, Time now) const;
     void reject(Call &call, RejectReason reason, Duration wait, Time now, Effects &effects);
     void fail(Call &call, Effects &effects);
     void enqueue(Call &call);
@@ -114,13 +117,36 @@
     void pump(Time now, Effects &effects);
     void takeBackSilent(Time now, Effects &effects);
     bool homeAllowed(const CallFacts &facts) const;
-    /// Work of the service that waits here, in time of one engine or of one place of a plain
-    /// endpoint.
-    Duration queuedWork(const ServiceName &service);
+
+    /// Requests that wait here before another one.
+    struct Backlog
+    {
+        /// In time of one engine or of one place of a plain endpoint.
+        Duration work{0};
+        std::size_t calls = 0;
+    };
+    /// What the endpoints of a service do with what waits.
+    struct Capacity
+    {
+        /// Until the least busy endpoint would begin with a request.
+        Duration shortestWait{0};
+        /// Engines, or places of plain endpoints.
+        double places = 0;
+        /// Places that the requests of this instance free in a second.
+        double freedPerSecond = 0;
+        /// Work that waits at the region's other instances.
+        Duration othersWork{0};
+    };
+    Duration workOf(const CallFacts &facts, Duration meanHold);
+    Duration meanHold(const ServiceName &service) const;
+    Backlog backlog(const ServiceName &service);
+    Capacity capacity(const ServiceName &service, Time now) const;
     /// How long the work that waits at all instances of the region keeps its endpoints busy.
-    Duration queueWait(const ServiceName &service);
-    /// Until the requests of this instance have freed a place for one that comes now.
-    Duration placeWait(const ServiceName &service) const;
+    static Duration queueWait(const Capacity &capacity, const Backlog &ahead);
+    /// How long a request waits behind others.
+    /// @param anyPlace some endpoint would take it now
+    static Duration waitBehind(const Capacity &capacity, const Backlog &ahead, bool anyPlace);
+    /// The same for a request that comes now.
     Duration bestWait(const Call &call, Time now);
     Duration spread(Duration wait);
     RetryBudget &budget(const ServiceName &service);
--- a/Source/Core/Dispatch/SchedulerTries.cpp
+++ b/Source/Core/Dispatch/SchedulerTries.cpp
@@ -43,6 +43,21 @@
     health_.noteFirstEvent(*endpoint, call, took);
 }
 
+void Scheduler::progressed(CallId id, int events, Duration pause, Time now)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    auto &call = found->second;
+    call.events += events;
+    if (auto *endpoint = book_.find(call.endpoint)) {
+        auto &engine = book_.engine(call.facts.service);
+        endpoint->pace.seen(events, pause, now);
+        engine.paceSeen(endpoint->pace.pause(engine.fastestPause(), now));
+    }
+}
+
 void Scheduler::leaveEndpoint(Call &call, TryOutcome outcome, Time now)
 {
     auto *endpoint = book_.find(call.endpoint);
@@ -68,6 +83,9 @@
     if (atEndpoint) {
         leaveEndpoint(call, outcome, now);
     }
+    if (outcome == TryOutcome::Completed && call.facts.kind == RequestKind::Stream) {
+        book_.engine(call.facts.service).answerSeen(call.facts.outputTokens, call.events);
+    }
     const bool over =
         call.withdrawn || outcome == TryOutcome::Completed || outcome == TryOutcome::Cancelled;
     if (over) {
--- a/Source/Core/Relay/EventCutter.cpp
+++ b/Source/Core/Relay/EventCutter.cpp
@@ -101,6 +101,7 @@
         lastId_ = std::move(id);
     }
     repeating_ = false;
+    ++events_;
     out += event;
 }
 
--- a/Source/Core/Relay/EventCutter.h
+++ b/Source/Core/Relay/EventCutter.h
@@ -14,6 +14,11 @@
 public:
     /// Takes bytes and returns all events that they complete.
     std::string feed(std::string_view bytes);
+    /// Whole events that were passed on.
+    int events() const
+    {
+        return events_;
+    }
     /// What is left of an event that has not ended.
     std::string takeRest();
     /// Another connection goes on with the stream: the half event comes again, and whole events up
@@ -33,6 +38,7 @@
     std::size_t scanned_ = 0;
     std::optional<std::string> lastId_;
     bool repeating_ = false;
+    int events_ = 0;
 };
 
 } // namespace LaburnumChute::Relay
--- a/Source/Core/Relay/RelayOptions.cpp
+++ b/Source/Core/Relay/RelayOptions.cpp
@@ -21,6 +21,15 @@
                                          "Lines of one kind of event a second",
                                          "a whole number above 0",
                                          [](const std::int64_t &v) { return v > 0; }};
+const Setting<std::string> DecisionsSetting{
+    "decisions",
+    "decisions",
+    "",
+    "For trials: options of the decisions under load, NAME=VALUE separated by commas",
+    "NAME=VALUE,NAME=VALUE; names and units: docs/operating/decisions.md",
+    [](const std::string &text) {
+        return Dispatch::withOverrides(Dispatch::DispatchOptions(), text).has_value();
+    }};
 
 } // namespace
 
@@ -29,6 +38,7 @@
     settings.declare(ConfigSetting);
     settings.declare(MetricsSetting);
     settings.declare(LinesSetting);
+    settings.declare(DecisionsSetting);
 }
 
 Common::Result<RelayOptions> readRelayOptions(const Common::Settings &settings)
@@ -43,6 +53,11 @@
     constexpr double BurstSeconds = 2;
     options.log.linesPerSecond = static_cast<double>(settings.get(LinesSetting));
     options.log.burst = options.log.linesPerSecond * BurstSeconds;
+    auto dispatch = Dispatch::withOverrides(options.dispatch, settings.get(DecisionsSetting));
+    if (!dispatch) {
+        return tl::unexpected(dispatch.error());
+    }
+    options.dispatch = *dispatch;
     return options;
 }
 
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -170,6 +170,7 @@
         .add("expected", effect.expected)
         .add("prompt_tokens", plan_.facts.promptTokens)
         .add("tokens_to_read", effect.tokensToRead)
+        .add("output_tokens", plan_.facts.outputTokens)
         .add("own_there", static_cast<std::int64_t>(effect.own))
         .add("others_there", static_cast<std::int64_t>(effect.others))
         .add("copies_cache", effect.copyCacheFrom.has_value())
@@ -305,6 +306,11 @@
 void RelayedCall::passEvents(const std::string &events)
 {
     const auto now = steadyNow();
+    const int more = cutter_.events() - eventsPassed_;
+    eventsPassed_ = cutter_.events();
+    if (answering_) {
+        gateway_.scheduler().progressed(plan_.facts.id, more, now - lastEventAt_, now);
+    }
     if (firstEventAfter_) {
         longestPause_ = std::max(longestPause_, now - lastEventAt_);
     } else {
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -119,6 +119,7 @@
     /// From taking the request to the first event passed on, and the longest pause after it.
     std::optional<Common::Duration> firstEventAfter_;
     Common::Duration longestPause_{0};
+    int eventsPassed_ = 0;
     Common::Duration expected_{0};
     std::string lastReason_;
     bool started_ = false;
--- a/Source/UnitTests/Dispatch/LoadTest.cpp
+++ b/Source/UnitTests/Dispatch/LoadTest.cpp
@@ -164,6 +164,26 @@
     EXPECT_EQ(callers_[id].heardAfter, Duration(0));
 }
 
+// A request waits for its turn, and before that comes, the other instances of the region get more
+// work than the endpoints can do in time. Held on until its caller's patience is over, it would be
+// told a second later what was known at once, with no time left to try again.
+TEST_F(LoadTest, WaitingRequestIsTurnedAwayAsSoonAsItsTurnComesTooLate)
+{
+    setEndpoints({endpoint("a", Plain, 6)});
+    scheduler_.setFleet({InstanceId("one"), InstanceId("two")}, 2, {});
+    RegionShare busy;
+    busy.uses = {{shortId(EndpointId("a")), FullWithQueue}};
+    scheduler_.setRegionShare(InstanceId("two"), busy, now_);
+    const auto id = arrive(facts(Plain));
+    ASSERT_FALSE(callers_[id].rejected);
+    advance(milliseconds(50));
+    busy.queues = {{shortId(ServiceName(Plain)), 12000}};
+    take(scheduler_.setRegionShare(InstanceId("two"), busy, now_));
+    EXPECT_TRUE(callers_[id].rejected);
+    EXPECT_LE(callers_[id].heardAfter, Duration(milliseconds(60)));
+    EXPECT_GT(callers_[id].retryAfter, Duration(milliseconds(700)));
+}
+
 // The same, and another region has room: it helps before the caller's objective is missed.
 TEST_F(LoadTest, CrowdedRegionIsHelpedByOneWithRoom)
 {
