--- a/Source/Core/Dispatch/EndpointBook.h
+++ b/Source/Core/Dispatch/EndpointBook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -56,6 +57,13 @@
     {
         return own + others;
     }
+    /// Mean time that a request holds a place, in seconds and above 0.
+    double holdSeconds() const
+    {
+        /// Bounds what an endpoint of very quick calls is said to take.
+        constexpr double Shortest = 0.005;
+        return std::max(Shortest, Common::toSeconds(hold));
+    }
     bool cold(Time now) const
     {
         return now < coldUntil;
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -10,8 +10,8 @@
 
 /// Weight of one answer in an endpoint's averages.
 constexpr double AverageWeight = 0.1;
-/// Bounds of what is believed of an endpoint: twice as fast as expected, six times as slow.
-/// Estimates; beyond them it is not its speed that makes the difference.
+/// Bounds of what is believed of an endpoint: twice as fast as expected, six times as slow. Beyond
+/// them it is not its speed that makes the difference.
 constexpr double SlownessMin = 0.5;
 constexpr double SlownessMax = 6;
 /// Requests whose connection broke within this time of an endpoint's end were on board.
--- a/Source/Core/Dispatch/Options.h
+++ b/Source/Core/Dispatch/Options.h
@@ -6,23 +6,19 @@
 
 namespace LaburnumChute::Dispatch {
 
-/// All thresholds of the decisions on relayed requests, with their source.
+/// All thresholds of the decisions on relayed requests.
 struct DispatchOptions
 {
     // Prompts.
 
-    /// Tokens of a prompt that an engine reads in a millisecond, until answers have shown it. The
-    /// sheets of the engines in use say 38 and 57.
+    /// Tokens of a prompt that an engine reads in a millisecond, until answers have shown it.
     double prefillRate = 40;
-    /// From sending a request whose prompt is cached to its first event, on an idle engine: 16 to
-    /// 19 ms by the engines' sheets, and the way there and back.
+    /// From sending a request whose prompt is cached to its first event, on an idle engine.
     milliseconds firstEventFloor{25};
-    /// Part of an engine's time that reading prompts gets while it makes tokens for other requests:
-    /// by the sheets a chunk of 1,024 tokens takes 18 to 27 ms, a token of the others 4 to 6 ms.
+    /// Part of an engine's time that reading prompts gets while it makes tokens for other requests.
     double readShare = 0.8;
     /// The region's other instances are told at once of prompts of which an engine has to read this
-    /// much, 18 to 26 ms by the sheets. Shorter ones come several times between two heartbeats and
-    /// average out.
+    /// much. Shorter ones come several times between two heartbeats and average out.
     std::int64_t noticeTokens = 1000;
     /// Weights of the time that an answer takes to be made, and of the time for which reading its
     /// prompt holds up the answers that the engine makes already, each as its part of the deadline
@@ -30,14 +26,12 @@
     /// is lost, one whose first event is late is not.
     double generationWeight = 8;
     double disturbanceWeight = 1.5;
-    /// Each request that runs beside it delays a request by so much: 0.09 to 0.15 ms a step by the
-    /// sheets, over the ten steps that a first chunk takes.
+    /// Each request that runs beside it delays the first event of a request by so much.
     Duration delayPerRunning = std::chrono::microseconds(1500);
-    /// Smallest part of a prompt that is worth copying between endpoints: a copy takes 5 ms to set
-    /// up, which is what reading 200 tokens takes; with a margin.
+    /// Smallest part of a prompt that is worth copying between endpoints: less is read in the time
+    /// that it takes to set up a copy.
     std::int64_t copyMinimumTokens = 512;
-    /// What a copy adds to the wait: 5 ms to set up and 5 ms for 13,000 tokens at 370 Gbit/s, twice
-    /// that between failure domains.
+    /// What a copy adds to the wait.
     milliseconds copyTime{15};
     /// The same from an endpoint of another region.
     milliseconds copyTimeBetweenRegions{130};
@@ -62,7 +56,7 @@
     /// before any of them knows of the others.
     double calmShare = 0.25;
     /// A plain endpoint is sent more than it has places for, up to this share of the objective in
-    /// its own queue, and up to so many requests for each place: endpoints keep three to four.
+    /// its own queue, and up to so many requests for each place.
     double plainQueueShare = 0.4;
     double plainQueueRounds = 2;
 
@@ -75,8 +69,8 @@
     /// A prompt that takes longer than the objective even on an idle engine is judged by what it
     /// has to wait for others, as a share of the objective; else the largest would never be sent.
     double waitShare = 0.1;
-    /// How far one step of priority moves a request in the queue: a quarter of the objectives,
-    /// which are 0.5 to 1.2 s. Strict order would starve the lower kind under overload.
+    /// How far one step of priority moves a request in the queue. Strict order would starve the
+    /// lower kind under overload.
     milliseconds priorityStep{200};
     /// Requests looked at in one round before the rest is taken to find no place either.
     std::size_t lookAhead = 8;
@@ -115,8 +109,7 @@
 
     // Other regions.
 
-    /// Time from here to another region's instance and back, beside its wait: twice 55 ms and a
-    /// little.
+    /// Time from here to another region's instance and back, beside its wait.
     milliseconds regionRoundTrip{120};
     /// What another region tells of its room counts for this long.
     milliseconds roomLifetime{1500};
--- a/Source/Core/Dispatch/RegionRooms.h
+++ b/Source/Core/Dispatch/RegionRooms.h
@@ -16,8 +16,7 @@
 /// each would fill it alone, the region would turn the rest away, and the next report would turn
 /// the stream off: so each has a bucket that fills with its part of the rate that the region has
 /// free, beside the rate at which it sends there already. Without the latter the rate would come to
-/// rest where it is a part of what is left: a replay used 12 of 200 calls a second that the other
-/// region could take, while callers were turned away here.
+/// rest at a small part of what is left, while callers are turned away here.
 class RegionRooms
 {
 public:
--- /dev/null
+++ b/Source/Core/Dispatch/SchedulerWaiting.cpp
@@ -0,0 +1,164 @@
+#include <algorithm>
+
+#include "Dispatch/Scheduler.h"
+#include "Dispatch/Util.h"
+
+namespace LaburnumChute::Dispatch {
+
+namespace {
+
+/// A request waits for its turn no closer than this to the end of its caller's patience.
+constexpr milliseconds DeadlineMargin{60};
+
+} // namespace
+
+// How long requests wait, and who goes next.
+
+Duration Scheduler::meanHold(const ServiceName &service) const
+{
+    const auto &endpoints = book_.usable(service);
+    Duration hold{0};
+    for (const auto *endpoint : endpoints) {
+        hold += endpoint->hold / static_cast<int>(endpoints.size());
+    }
+    return hold;
+}
+
+Duration Scheduler::workOf(const CallFacts &facts, Duration meanHold)
+{
+    const auto *service = book_.service(facts.service);
+    const bool engine = service != nullptr && service->engine.has_value();
+    return engine ? book_.engine(facts.service).readTime(facts.promptTokens) : meanHold;
+}
+
+Scheduler::Backlog Scheduler::backlog(const ServiceName &service)
+{
+    const auto hold = meanHold(service);
+    Backlog backlog;
+    for (const auto &[key, id] : queue_) {
+        const auto &facts = calls_.at(id).facts;
+        if (facts.service == service) {
+            backlog.work += workOf(facts, hold);
+            ++backlog.calls;
+        }
+    }
+    return backlog;
+}
+
+Scheduler::Capacity Scheduler::capacity(const ServiceName &service, Time now) const
+{
+    const auto *traits = book_.service(service);
+    const bool engine = traits != nullptr && traits->engine.has_value();
+    Capacity capacity;
+    std::optional<Duration> shortest;
+    for (const auto *endpoint : book_.usable(service)) {
+        const auto wait =
+            engine ? placement_.engineWait(*endpoint, now) : placement_.plainWait(*endpoint);
+        shortest = shortest ? std::min(*shortest, wait) : wait;
+        capacity.places += engine ? 1 : endpoint->listed.record.slots;
+        capacity.freedPerSecond += endpoint->own / endpoint->holdSeconds();
+    }
+    capacity.shortestWait = shortest.value_or(Duration(0));
+    capacity.othersWork = book_.othersQueue(service);
+    return capacity;
+}
+
+Duration Scheduler::queueWait(const Capacity &capacity, const Backlog &ahead)
+{
+    return scaled(ahead.work + capacity.othersWork, 1 / std::max(1.0, capacity.places));
+}
+
+Duration Scheduler::waitBehind(const Capacity &capacity, const Backlog &ahead, bool anyPlace)
+{
+    const auto wait = capacity.shortestWait + queueWait(capacity, ahead);
+    if (anyPlace || capacity.freedPerSecond <= 0) {
+        return wait;
+    }
+    const std::chrono::duration<double> place(static_cast<double>(ahead.calls + 1)
+                                              / capacity.freedPerSecond);
+    return std::max(wait, std::chrono::duration_cast<Duration>(place));
+}
+
+Duration Scheduler::bestWait(const Call &call, Time now)
+{
+    const auto &service = call.facts.service;
+    const bool anyPlace = placement_.choose(call, now).has_value();
+    return waitBehind(capacity(service, now), backlog(service), anyPlace);
+}
+
+void Scheduler::enqueue(Call &call)
+{
+    const auto key = call.facts.arrivedAt + call.facts.priority * options_.priorityStep;
+    call.queued = true;
+    queuePlaces_[call.facts.id] = queue_.emplace(key, call.facts.id);
+}
+
+void Scheduler::dequeue(Call &call)
+{
+    const auto found = queuePlaces_.find(call.facts.id);
+    if (found != queuePlaces_.end()) {
+        queue_.erase(found->second);
+        queuePlaces_.erase(found);
+    }
+    call.queued = false;
+}
+
+/// A request that would wait for longer than its caller wants is told so at once: it could come
+/// back when there is room, or go elsewhere, and those behind it would be late for its sake.
+bool Scheduler::hopeless(const Call &call, Duration wait, Time now) const
+{
+    const auto until = std::min<Time>(call.facts.objectiveAt, call.facts.deadline - DeadlineMargin);
+    return wait > until - now;
+}
+
+void Scheduler::pump(Time now, Effects &effects)
+{
+    struct Line
+    {
+        Capacity capacity;
+        Duration meanHold{0};
+        Backlog ahead;
+        std::size_t misses = 0;
+    };
+    std::map<ServiceName, Line> lines;
+    std::vector<CallId> order;
+    order.reserve(queue_.size());
+    for (const auto &[key, id] : queue_) {
+        order.push_back(id);
+    }
+    for (const auto id : order) {
+        auto &call = calls_.at(id);
+        const auto service = call.facts.service;
+        if (book_.usable(service).empty()) {
+            dequeue(call);
+            place(call, false, now, effects);
+            continue;
+        }
+        const auto [entry, isNew] = lines.try_emplace(service);
+        auto &line = entry->second;
+        if (isNew) {
+            line.capacity = capacity(service, now);
+            line.meanHold = meanHold(service);
+        }
+        const bool looks = line.misses < options_.lookAhead;
+        const auto candidate = looks ? placement_.choose(call, now) : std::nullopt;
+        const bool sent = candidate && placement_.fits(call, *candidate, now)
+                          && send(call, *candidate, now, effects);
+        if (sent) {
+            continue;
+        }
+        const auto wait = waitBehind(line.capacity, line.ahead, candidate.has_value());
+        if (looks && forwardIfBetter(call, wait, now, effects)) {
+            continue;
+        }
+        if (hopeless(call, wait, now)) {
+            reject(call, RejectReason::Overloaded, wait, now, effects);
+            continue;
+        }
+        ++line.misses;
+        line.ahead.work += workOf(call.facts, line.meanHold);
+        ++line.ahead.calls;
+    }
+}
+
+} // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/SlotQuota.h
+++ b/Source/Core/Dispatch/SlotQuota.h
@@ -8,9 +8,8 @@
 ///
 /// Load pattern: a peak, with many instances before the same engines. What the others have there is
 /// known by reports that are a quarter of a second old, in which an engine gets as many requests as
-/// it has slots. Without a quota all instances see the same engine idle and fill it at once: in a
-/// replay of 12 instances before 16 engines at nine tenths of their capacity, 149 requests waited
-/// at one engine, and a fifth of all were late. With it at most 4 do.
+/// it has slots. Without a quota all instances see the same engine idle and fill it at once, and
+/// their requests wait there while other engines have free slots.
 ///
 /// The slots of all engines of a service are dealt out in turn, so that instances differ by one
 /// slot at most over all engines together. Instances that see different fleets for a moment deal
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -15,7 +15,7 @@
 
 /// A new process has the configuration from a neighbour or the store within half a second.
 constexpr milliseconds UnknownConfigurationRetryAfter{500};
-/// Bodies are held for as long as a request lasts, about a second. An estimate.
+/// Bodies are held for as long as a request lasts, about a second.
 constexpr milliseconds MemoryRetryAfter{1000};
 /// Callers that are sent elsewhere have another instance's address already.
 constexpr milliseconds StoppingRetryAfter{50};
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -129,8 +129,7 @@
 /// A process that lacks processor time reads requests late, some of them after their callers have
 /// given up: the close stands behind the request in the same socket. Sent on, they would take
 /// places from requests that are still wanted, just when there are too few. Endpoints see requests
-/// that are cancelled as soon as they begin. With half of a region's instances gone, 9 to 70
-/// requests of a few seconds were sent on like that in five of twelve plays.
+/// that are cancelled as soon as they begin.
 bool RelayedCall::endedAsCallerLeft(Common::Time now)
 {
     if (!connection_->otherSideLeft()) {
