--- a/Source/UnitTests/Dispatch/UnlikeEnginesTest.cpp
+++ b/Source/UnitTests/Dispatch/UnlikeEnginesTest.cpp
@@ -49,7 +49,7 @@
     {
         Catalog::Service model;
         model.name = ServiceName(ModelName);
-        model.engine = Catalog::EngineTraits{static_cast<std::size_t>(kind.slots), 300000, true};
+        model.engine = Catalog::EngineTraits{kind.slots, 300000, true};
         scheduler_.setServices({{model.name, model}}, now_);
         std::vector<Catalog::ListedEndpoint> listed;
         for (int index = 0; index < Engines; ++index) {
