--- a/Source/Core/Decisions/ConcurrencyLimit.h
+++ b/Source/Core/Decisions/ConcurrencyLimit.h
@@ -14,8 +14,7 @@
 /// Netflix's concurrency-limits ("Gradient2"): limit * (usual delay * tolerance / recent delay),
 /// plus a square root of headroom for probing upwards. Delay is measured as a multiple of what the
 /// request should have taken by its length and the prefill queued before it, so that long prompts
-/// do not look like load: measured against an idle endpoint the limit shrank under them, and p99 on
-/// the caroni trace was 6.9 s where 2.8 s was possible.
+/// do not look like load: measured against an idle endpoint the limit would shrink under them.
 class ConcurrencyLimit
 {
 public:
--- a/Source/Core/Decisions/Options.h
+++ b/Source/Core/Decisions/Options.h
@@ -12,9 +12,7 @@
 using Common::milliseconds;
 using Common::seconds;
 
-// All thresholds of the decisions. Where a default comes from is said beside it: "aim" is the 0.84
-// s to the first token for 95 in 100 that the users want; "driver" is a run of
-// laburnumchute-decisions, recorded in docs/PERFORMANCE-decisions.md; else the source is named.
+// All thresholds of the decisions.
 
 /// Endpoint by expected time to first token; the default.
 struct ExpectedCostPolicy
@@ -25,18 +23,15 @@
     /// With at most this many candidates all are compared.
     int compareAllUpTo = 16;
     /// What a second of prefill costs beside a second until the first token: prefill also delays
-    /// everything else on that endpoint. 0 looks at this request's own wait alone. Driver: from 1
-    /// to 10 the p99 of otaru falls from 0.98 s to 0.82 s.
+    /// everything else on that endpoint. 0 looks at this request's own wait alone.
     double prefillWeight = 10.0;
     /// What a second of an engine's steps costs that would not run without this request. A step of
     /// an empty engine costs nearly as much as one of a full batch, so this gathers work on engines
     /// that run anyway and lets others stand idle at a
-    /// low load. Driver, otaru at load 0.75: cost 0.4232 against 0.4454 of the baselines. Larger
-    /// values save more and cost tail.
+    /// low load. Larger values save more and cost tail.
     double packWeight = 0.1;
     /// A request rather waits this long at most for a better endpoint, which is full now, than
-    /// takes a place behind a long prefill or far from its prefix. Driver, with prefillWeight 10:
-    /// 0.82 s to 0.71 s on otaru, 2.67 s to 2.07 s on caroni.
+    /// takes a place behind a long prefill or far from its prefix.
     Duration holdForBetter = seconds(1);
 };
 /// The built-in baselines send at once and look at nothing else.
@@ -76,7 +71,7 @@
     /// Limit before an endpoint has reported a batch limit.
     double assumedLimit = 8;
     /// Waiting requests allowed on an endpoint beyond its batch limit: they keep places from
-    /// standing empty until the next send. Driver: 1 gives 0.83 s, 4 gives 0.71 s on otaru.
+    /// standing empty until the next send.
     double slack = 4;
     /// Delay may grow to this many times its usual value before the limit shrinks.
     double tolerance = 2.0;
@@ -123,9 +118,8 @@
 {
     /// Off: everything is let in, as the baselines do.
     bool enabled = true;
-    /// Longest wait before the first token that is let in, by patience. Driver, load 1.2: half of
-    /// these refuse callers who come back and have lost their place; p99 of caroni's lines was 30
-    /// s.
+    /// Longest wait before the first token that is let in, by patience. Much shorter bounds would
+    /// refuse callers who come back and have lost their place.
     Duration maxWaitShort = seconds(5);
     Duration maxWaitNormal = seconds(10);
     Duration maxWaitLong = seconds(30);
--- a/Source/Core/Entry/CallerRequest.h
+++ b/Source/Core/Entry/CallerRequest.h
@@ -52,7 +52,7 @@
 /// for a caller who wants a whole answer, with the usage in the stream.
 std::string engineBody(const std::string &body, int priorityLevel);
 
-/// Tokens are estimated from bytes; 4 bytes a token is the common rule of thumb for English text,
+/// Tokens are counted by bytes; 4 bytes a token is the common rule of thumb for English text,
 /// and what the load reports of engines are reckoned in.
 inline constexpr std::size_t BytesPerToken = 4;
 inline constexpr std::size_t PrefixBlockTokens = 64;
--- a/Source/Core/Gateway/RequestHandler.cpp
+++ b/Source/Core/Gateway/RequestHandler.cpp
@@ -17,8 +17,8 @@
 constexpr std::string_view ServicesPrefix = "/services/";
 
 /// An instance of another region serves the caller too, but over the slow link and with cold
-/// caches. It is named as the way out when the own region's instances are gone. With a tenth of the
-/// weight a sixth of the hotline's requests were served away from home while all was well.
+/// caches. It is named as the way out when the own region's instances are gone, with so little
+/// weight that hardly anybody goes there while all is well.
 constexpr double HomeWeight = 1.0;
 constexpr double AwayWeight = 0.01;
 
