Make a second try late rather than give it up

Cause: a request that may have run can't be refused, so that whoever finds no place for its second try in time fails it. Since requests are sent only within 0.45 of the objective or a wait of a tenth of it, a second try after the objective had passed was given up where every engine had a wait of 80 ms. Found in review; the test failed before. Now such a request is sent wherever its first event is expected before the deadline. The retry budget and the attempts of the route bound it as before.

--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -234,6 +234,10 @@
 {
     const auto objective = call.facts.objectiveAt - call.facts.arrivedAt;
     const auto left = call.facts.objectiveAt - now;
+    // Whoever may have run can't be told to come back. Late is better than an error.
+    if (call.runs > 0 && now + candidate.expected < call.facts.deadline) {
+        return true;
+    }
     const auto soon = scaled(objective, options_->objectiveShare);
     // A prompt that takes longer than the objective even on an idle engine is judged by what it has
     // to wait for others; else the largest requests would never be sent.
--- a/Source/UnitTests/Dispatch/RetryTest.cpp
+++ b/Source/UnitTests/Dispatch/RetryTest.cpp
@@ -116,4 +116,22 @@
     EXPECT_LE(retries, 0.2 * Requests + 10);
 }
 
+// An endpoint breaks off a request after its objective has passed. It may have run, so that its
+// caller can't be told to come back; the other engine would begin with it after an eighth of a
+// second, long before the deadline. Late is better than an error.
+TEST_F(SchedulerTest, SecondTryIsMadeLateRatherThanGivenUp)
+{
+    setEndpoints({endpoint("a", Model), endpoint("b", Model)});
+    const auto call = facts(Model);
+    const auto effects = scheduler_.submit(call, now_);
+    ASSERT_NE(only<Send>(effects), nullptr);
+    const auto first = only<Send>(effects)->endpoint;
+    const auto other = first == EndpointId("a") ? EndpointId("b") : EndpointId("a");
+    pass(milliseconds(1000));
+    scheduler_.learn({InstanceId("two"), {{shortId(other), 4000, {}}}}, now_);
+    const auto next = scheduler_.ended(call.id, TryOutcome::Broken, true, now_);
+    ASSERT_NE(only<Send>(next), nullptr);
+    EXPECT_EQ(only<Send>(next)->endpoint, other);
+}
+
 } // namespace LaburnumChute::Dispatch
