Enforce keys, homes, priorities and usage limits of customers in the relay

Cause: tenants and anonymous routes of a configuration were skipped, keys were passed on to endpoints, and the homes of customers were not known. Callers could send a forged forward header, or ask the port for instances for the items of the store, which contain keys.

Change: the adapter decodes customers; decideAccess finds route, customer and allowed regions; 401, 403 and 404 are given only by an instance whose configuration is current, others ask the caller to return. Heartbeats carry the configuration in force and usage rates. Forwards and queries between instances bear the incarnation of the receiver, which callers do not know.

--- a/Source/Core/Catalog/InstanceSettings.h
+++ b/Source/Core/Catalog/InstanceSettings.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,11 @@
     /// number.
     double coldOvershoot = 1;
     double coldSlack = 0;
+    /// Amount by which all instances together may exceed a customer's usage limit in any window.
+    double usageSlack = 0;
+    /// Set if API keys must not be accepted once a removal of keys could have gone unnoticed for
+    /// this long.
+    std::optional<Common::milliseconds> keyRemoval;
     /// Longest lifetime of a directory response that callers honor.
     Common::milliseconds directoryLifetime{5000};
 };
--- a/Source/Core/Catalog/Types.h
+++ b/Source/Core/Catalog/Types.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "Common/Common.h"
+#include "Customers/Customers.h"
 
 namespace LaburnumChute::Catalog {
 
@@ -60,6 +62,8 @@
     bool resumable = false;
     /// Regions that may serve the route; empty allows all.
     std::vector<RegionName> homes;
+    /// Requests need no API key, even if there are customers.
+    bool anonymous = false;
 
     /// Whether repeated execution is harmless.
     bool repeatable() const
@@ -108,6 +112,8 @@
     std::vector<Route> routes;
     std::map<ServiceName, Service> services;
     CallerLimits limits;
+    /// Never null.
+    std::shared_ptr<const Customers::CustomerTable> customers = Customers::CustomerTable::none();
 };
 
 /// The record that an endpoint publishes about itself in the platform's store.
--- a/Source/Core/Dialect/Dialect.h
+++ b/Source/Core/Dialect/Dialect.h
@@ -30,6 +30,8 @@
     /// Zero for requests that are not for a model.
     std::int64_t promptTokens = 0;
     std::int64_t maxOutputTokens = 0;
+    /// The request states the numbers of prompt and output tokens.
+    bool statesTokens = false;
     /// The caller's estimate of the output length; accurate only in the median.
     std::optional<std::int64_t> expectedOutputTokens;
     /// Parts in prompt order; the last one is specific to this request.
@@ -46,6 +48,8 @@
     Common::milliseconds deadline{0};
     /// Expected receiver; any other endpoint rejects the request, since addresses are reused.
     Common::EndpointId endpoint;
+    /// Customer that the request is served for; empty if there is none.
+    std::optional<Common::CustomerName> customer;
     /// 0 is the most urgent; if empty, the endpoint's default applies.
     std::optional<int> urgency;
     /// "ip:port" of an endpoint from which cached prompt parts are copied before execution.
--- a/Source/Core/Fleet/Heartbeat.h
+++ b/Source/Core/Fleet/Heartbeat.h
@@ -29,6 +29,8 @@
     bool leaving = false;
     /// The instance has applied all changes of the platform's store up to this revision.
     std::uint64_t knownRevision = 0;
+    /// Version of the configuration in force.
+    Common::ConfigurationNumber configuration = 0;
     /// Time since the instance's last response from the store, at most 65535 ms; empty if there was
     /// none.
     std::optional<std::uint16_t> storeAgeMs;
@@ -40,7 +42,7 @@
     void serialize(Archive &archive)
     {
         archive(id, incarnation, sequence, region, failureDomain, callerAddress, gossipAddress,
-                peerAddress, ready, leaving, knownRevision, storeAgeMs, storeSettled);
+                peerAddress, ready, leaving, knownRevision, configuration, storeAgeMs, storeSettled);
     }
 };
 
@@ -71,12 +73,14 @@
     /// Encoded load report of the sender, in the format for its own region or for other regions.
     /// Not interpreted by this library.
     std::string loadReport;
+    /// Encoded report on the usage of customers, likewise.
+    std::string usageReport;
 
     /// For cereal.
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(self, heard, instanceRecords, loadReport);
+        archive(self, heard, instanceRecords, loadReport, usageReport);
     }
 };
 
--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -50,6 +50,11 @@
     self_.knownRevision = std::max(self_.knownRevision, revision);
 }
 
+void Roster::setConfiguration(Common::ConfigurationNumber version)
+{
+    self_.configuration = version;
+}
+
 void Roster::setStoreContact(std::optional<Duration> sinceAnswer, bool settled)
 {
     self_.storeAgeMs.reset();
@@ -60,10 +65,10 @@
     self_.storeSettled = settled;
 }
 
-void Roster::setLoadReports(std::string ownRegion, std::string otherRegions)
+void Roster::setReports(Reports ownRegion, Reports otherRegions)
 {
-    ownRegionLoadReport_ = std::move(ownRegion);
-    otherRegionsLoadReport_ = std::move(otherRegions);
+    ownRegionReports_ = std::move(ownRegion);
+    otherRegionsReports_ = std::move(otherRegions);
 }
 
 bool Roster::alive(const Entry &entry, Time now) const
@@ -75,8 +80,9 @@
 {
     Heartbeat heartbeat;
     heartbeat.self = self_;
-    heartbeat.loadReport =
-        receiver == self_.region ? ownRegionLoadReport_ : otherRegionsLoadReport_;
+    const auto &reports = receiver == self_.region ? ownRegionReports_ : otherRegionsReports_;
+    heartbeat.loadReport = reports.load;
+    heartbeat.usageReport = reports.usage;
     heartbeat.heard = nextHeardBatch(receiver, now);
     return heartbeat;
 }
--- a/Source/Core/Fleet/Roster.h
+++ b/Source/Core/Fleet/Roster.h
@@ -59,6 +59,13 @@
 
 using Sends = std::vector<SendHeartbeat>;
 
+/// Encoded reports that heartbeats carry.
+struct Reports
+{
+    std::string load;
+    std::string usage;
+};
+
 /// Gossip-based membership. At short intervals, every instance sends some of its peers its own
 /// record and the times at which it last heard of others. A new instance contacts the seeds and
 /// learns the remaining instances from their responses.
@@ -77,10 +84,11 @@
     void setReady(bool ready);
     void setLeaving();
     void setStoreRevision(std::uint64_t revision);
+    void setConfiguration(Common::ConfigurationNumber version);
     /// @param sinceAnswer empty if the store has never answered
     void setStoreContact(std::optional<Duration> sinceAnswer, bool settled);
-    /// Sets the load reports that heartbeats carry to the own region and to other regions.
-    void setLoadReports(std::string ownRegion, std::string otherRegions);
+    /// Sets the reports that heartbeats carry to the own region and to other regions.
+    void setReports(Reports ownRegion, Reports otherRegions);
 
     /// Returns the heartbeats of one round. To be called once per interval.
     Sends tick(Time now);
@@ -118,8 +126,8 @@
     InstanceRecord self_;
     std::set<std::string> seeds_;
     std::map<Common::InstanceId, Entry> entries_;
-    std::string ownRegionLoadReport_;
-    std::string otherRegionsLoadReport_;
+    Reports ownRegionReports_;
+    Reports otherRegionsReports_;
     std::mt19937_64 random_;
     int round_ = 0;
     Time lastTick_{};
--- a/Source/Core/Relay/ForwardMetadata.h
+++ b/Source/Core/Relay/ForwardMetadata.h
@@ -26,13 +26,18 @@
     std::int64_t gapMs = 0;
     std::uint64_t fingerprint = 0;
     std::string fromRegion;
+    /// Name of the customer that the request is served for; empty if there is none.
+    std::string customer;
+    /// Incarnation of the receiving process. Callers do not know it, and an address may have been
+    /// reused by another process.
+    std::uint64_t receiver = 0;
 
     /// Serializes the fields for cereal. Their order is part of the wire format.
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(service, kind, resumable, priority, attempts, objectiveLeftMs, deadlineLeftMs,
-                objectiveMs, gapMs, fingerprint, fromRegion);
+                objectiveMs, gapMs, fingerprint, fromRegion, customer, receiver);
     }
 };
 
--- a/Source/Core/Relay/PeerSync.cpp
+++ b/Source/Core/Relay/PeerSync.cpp
@@ -1,5 +1,6 @@
 #include "Relay/PeerSync.h"
 
+#include <algorithm>
 #include <charconv>
 #include <tuple>
 
@@ -18,28 +19,46 @@
 constexpr Common::milliseconds RequestInterval{150};
 /// Longer than the time for which an unresponsive instance is still considered reachable.
 constexpr Common::milliseconds RecentFailurePeriod{3000};
-constexpr std::string_view RevisionQuery = "?after=";
+constexpr std::string_view ItemsPath = "/laburnumchute/items?process=";
+constexpr std::string_view CachesPath = "/laburnumchute/caches?process=";
+constexpr std::string_view RevisionSeparator = "&after=";
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(value) : std::nullopt;
+}
 
 } // namespace
 
-std::string itemsTarget(Catalog::Revision known)
+std::string peerTarget(const PeerTarget &target)
 {
-    return fmt::format("{}{}{}", ItemsPath, RevisionQuery, known);
+    return target.itemsAfter
+               ? fmt::format("{}{}{}{}", ItemsPath, target.receiver, RevisionSeparator,
+                             *target.itemsAfter)
+               : fmt::format("{}{}", CachesPath, target.receiver);
 }
 
-std::optional<Catalog::Revision> parseItemsTarget(std::string_view target)
+std::optional<PeerTarget> parsePeerTarget(std::string_view target)
 {
-    if (target.substr(0, ItemsPath.size()) != ItemsPath) {
-        return std::nullopt;
+    const auto startsWith = [target](std::string_view path) {
+        return target.substr(0, path.size()) == path;
+    };
+    if (startsWith(CachesPath)) {
+        const auto receiver = parseNumber(target.substr(CachesPath.size()));
+        return receiver ? std::optional(PeerTarget{*receiver, std::nullopt}) : std::nullopt;
     }
-    target.remove_prefix(ItemsPath.size());
-    if (target.substr(0, RevisionQuery.size()) != RevisionQuery) {
+    if (!startsWith(ItemsPath)) {
         return std::nullopt;
     }
-    target.remove_prefix(RevisionQuery.size());
-    Catalog::Revision revision = 0;
-    const auto parsed = std::from_chars(target.data(), target.data() + target.size(), revision);
-    return parsed.ec == std::errc() ? std::optional(revision) : std::nullopt;
+    target.remove_prefix(ItemsPath.size());
+    const auto separator = std::min(target.find(RevisionSeparator), target.size());
+    const auto receiver = parseNumber(target.substr(0, separator));
+    target.remove_prefix(std::min(target.size(), separator + RevisionSeparator.size()));
+    const auto revision = parseNumber(target);
+    return receiver && revision ? std::optional(PeerTarget{*receiver, *revision}) : std::nullopt;
 }
 
 PeerSync::PeerSync(std::shared_ptr<OutboundPool> pool, Common::RegionName ownRegion,
@@ -98,7 +117,7 @@
     nextRequestAt_ = now + RequestInterval;
     requestPending_ = true;
     fetch_.get(
-        peer.record.peerAddress, itemsTarget(known), RequestTimeout,
+        peer.record.peerAddress, peerTarget({peer.record.incarnation, known}), RequestTimeout,
         [this, from = peer.record.id](unsigned status, const std::string &body) {
             requestPending_ = false;
             const auto changes = Peers::decodeValue<Catalog::ItemChanges>(body);
--- a/Source/Core/Relay/PeerSync.h
+++ b/Source/Core/Relay/PeerSync.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Catalog/Catalog.h"
@@ -12,14 +15,21 @@
 
 namespace LaburnumChute::Relay {
 
-/// Path at which an instance serves the prefix cache contents of its region's engines to peers.
-inline constexpr const char *CachesPath = "/laburnumchute/caches";
+/// A query between instances.
+struct PeerTarget
+{
+    /// Incarnation of the process that is asked. Only instances know it, and the answers contain
+    /// API keys.
+    std::uint64_t receiver = 0;
+    /// The changes of the store after this revision are asked for; if empty, the prefix cache
+    /// contents of the engines of the receiver's region.
+    std::optional<Catalog::Revision> itemsAfter;
+};
 
-/// Path of the request that fetches the store changes after a given revision from a peer.
-inline constexpr std::string_view ItemsPath = "/laburnumchute/items";
-std::string itemsTarget(Catalog::Revision known);
-/// Returns the revision in such a target, or nothing if the target is a different one.
-std::optional<Catalog::Revision> parseItemsTarget(std::string_view target);
+/// Request target of a query.
+std::string peerTarget(const PeerTarget &target);
+/// Returns nothing if the request target is not one of a query.
+std::optional<PeerTarget> parsePeerTarget(std::string_view target);
 
 /// Fetches missing changes of the platform's store from peers.
 ///
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -110,11 +110,13 @@
     , context_(1)
     , random_(randomNumber())
     , relayMetrics_(registry_)
+    , customerMetrics_(registry_)
     , log_(StandardOutput, options_.log, settings_.instance.text())
     , catalog_(&Platform::readItem)
     , roster_(options_.roster, makeInstanceRecord(settings_), randomNumber())
     , scheduler_(options_.dispatch, settings_.instance, settings_.region, randomNumber(),
                  steadyNow())
+    , limiter_(Customers::UsageLimiterOptions(), randomNumber(), steadyNow())
     , pool_(std::make_shared<OutboundPool>(context_))
     , store_(
           pool_, watchOptions(settings_.bounds),
@@ -217,6 +219,7 @@
     store_.setAddress(settings_.storeAddress);
     store_.setOptions(watchOptions(settings_.bounds));
     scheduler_.setBounds(settings_.bounds);
+    applyLimits(now);
     fleetChanged(now);
 }
 
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -13,8 +13,11 @@
 
 #include "Catalog/Catalog.h"
 #include "Common/Common.h"
+#include "Customers/Customers.h"
 #include "Dispatch/Dispatch.h"
 #include "Fleet/Fleet.h"
+#include "Relay/CallerAccess.h"
+#include "Relay/CustomerMetrics.h"
 #include "Relay/EventLog.h"
 #include "Relay/InboundServer.h"
 #include "Relay/OutboundPool.h"
@@ -88,6 +91,8 @@
     /// Returns a random instance in the region that is reachable and ready, if there is one.
     std::optional<Fleet::InstanceRecord> findPeerIn(const Common::RegionName &region);
     void removeCall(Dispatch::CallId call);
+    /// Returns the usage of a request that was admitted here and has not run.
+    void refundUsage(const RelayPlan &plan, Common::Time now);
 
 private:
     using Connection = std::shared_ptr<InboundConnection>;
@@ -101,6 +106,8 @@
     /// Queries the prefix cache contents after startup, from the region's engines and from a peer
     /// in the region.
     void queryPrefixCaches(Common::Time now);
+    void servePeerQuery(const Connection &connection, const PeerTarget &target);
+    void rejectForwarded(const Connection &connection, const std::string &reason, Common::Time now);
     void serveItems(const Connection &connection, Catalog::Revision known);
     void rejectRequest(const Connection &connection, unsigned status, const std::string &requestId,
                        const std::string &detail, std::optional<Common::milliseconds> retryAfter);
@@ -114,11 +121,26 @@
     bool isCatalogFresh(Common::Time now) const;
     bool storeSettled(Common::Time now) const;
 
+    /// Returns true if the configuration matched the store recently and no peer has a newer one.
+    bool isConfigurationCurrent(Common::Time now) const;
+    /// Returns true if removals of keys may have gone unnoticed for longer than allowed.
+    bool keysOutdated(Common::Time now) const;
+    void refuseAccess(const Connection &connection, const std::string &requestId,
+                      const AccessRefusal &refusal, Common::Time now);
+    /// Counts the request as usage of the customer, or rejects it if the limit is exceeded.
+    bool admitUsage(const Connection &connection, const std::string &requestId,
+                    const Customers::Customer &customer, double usage, Common::Time now);
+    bool hasCustomers() const;
+    void applyLimits(Common::Time now);
+    void updateCustomerUsage(Common::Time now);
+    void sendUsageNotices(Common::Time now);
+
     void applyChanges(const Catalog::ItemChanges &changes, const std::string &source);
     void storeStateChanged(StoreState state, const std::string &reason);
     void endpointsChanged(Common::Time now);
     void handleDatagram(std::string_view datagram);
     void handleHeartbeat(const Fleet::Heartbeat &heartbeat, Common::Time now);
+    void applyReports(const Fleet::Heartbeat &heartbeat, Common::Time now);
     /// Sends the pending prompt notices to the peers in the region.
     void sendPromptNotices();
     void sendAll(const Fleet::Sends &sends);
@@ -137,6 +159,7 @@
     ShutdownStep shutdownStep(Common::Time now) const;
     bool ready() const;
     nlohmann::json dump(Common::Time now) const;
+    nlohmann::json dumpCustomers(Common::Time now) const;
 
     RelayOptions options_;
     Catalog::InstanceSettings settings_;
@@ -145,10 +168,12 @@
     std::mt19937_64 random_;
     Common::MetricsRegistry registry_;
     RelayMetrics relayMetrics_;
+    CustomerMetrics customerMetrics_;
     EventLog log_;
     Catalog::Catalog catalog_;
     Fleet::Roster roster_;
     Dispatch::Scheduler scheduler_;
+    Customers::UsageLimiter limiter_;
     std::shared_ptr<OutboundPool> pool_;
     StoreWatcher store_;
     PeerSync peerSync_;
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -30,6 +30,7 @@
             .add("revision", static_cast<std::int64_t>(catalog_.items().upTo()))
             .add("source", source);
         log_.write(line, now);
+        applyLimits(now);
         applyEffects(scheduler_.setServices(catalog_.routes()->configuration().services, now), now);
     }
     if (update.endpoints || update.evacuations || update.configuration) {
@@ -44,6 +45,7 @@
         log_.write(line, now);
     }
     roster_.setStoreRevision(catalog_.items().upTo());
+    roster_.setConfiguration(catalog_.version());
     roster_.setReady(ready());
     if (catalog_.items().upTo() > before) {
         announceRevision(now);
@@ -144,6 +146,12 @@
         {
             gateway.scheduler_.learn(notices, now);
         }
+        void operator()(const UsageNotice &notice) const
+        {
+            if (notice.sender != gateway.settings_.instance) {
+                gateway.limiter_.setInstanceReport(notice.sender, notice.report, now);
+            }
+        }
     };
     std::visit(Visitor{*this, now}, *message);
 }
@@ -152,10 +160,28 @@
 {
     sendAll(roster_.receive(heartbeat, now));
     const auto &sender = heartbeat.self;
-    if (heartbeat.loadReport.empty() || sender.id == settings_.instance) {
+    if (sender.id == settings_.instance) {
+        return;
+    }
+    applyReports(heartbeat, now);
+}
+
+/// Reports that cannot be decoded are left out; they may come from an instance of another version.
+void RelayGateway::applyReports(const Fleet::Heartbeat &heartbeat, Common::Time now)
+{
+    const auto &sender = heartbeat.self;
+    const bool ownRegion = sender.region == settings_.region;
+    if (const auto usage = Peers::decodeValue<Customers::UsageReport>(heartbeat.usageReport)) {
+        if (ownRegion) {
+            limiter_.setInstanceReport(sender.id, *usage, now);
+        } else {
+            limiter_.setRegionReport(sender.region, *usage, now);
+        }
+    }
+    if (heartbeat.loadReport.empty()) {
         return;
     }
-    if (sender.region == settings_.region) {
+    if (ownRegion) {
         if (const auto share =
                 Peers::decodeValue<Dispatch::RegionLoadReport>(heartbeat.loadReport)) {
             applyEffects(scheduler_.setRegionLoadReport(sender.id, *share, now), now);
@@ -195,6 +221,9 @@
             log_.write(line, now);
         }
         aliveCount += peer.alive ? 1 : 0;
+        if (!peer.alive && peer.record.leaving) {
+            limiter_.removeInstance(peer.record.id, now);
+        }
         if (peer.alive && peer.record.region == settings_.region) {
             own.push_back(peer.record.id);
         }
@@ -203,6 +232,7 @@
             reachable.insert(peer.record.region);
         }
     }
+    limiter_.setInstances({own.begin() + 1, own.end()}, aliveCount, now);
     scheduler_.setFleet(own, aliveCount, {reachable.begin(), reachable.end()});
     const auto bound = std::min(settings_.bounds.endpointDrain, settings_.bounds.configuration);
     const auto duty = Fleet::watchDuty(roster_.self(), knownPeers_, Fleet::watchOptionsFor(bound));
@@ -237,10 +267,16 @@
 {
     roster_.setReady(ready());
     roster_.setStoreContact(store_.answerAge(now), store_.settled(now));
-    roster_.setLoadReports(Peers::encodeValue(scheduler_.regionLoadReport(now)),
-                           Peers::encodeValue(scheduler_.crossRegionLoadReport(now)));
+    Fleet::Reports ownRegion{Peers::encodeValue(scheduler_.regionLoadReport(now)), ""};
+    Fleet::Reports otherRegions{Peers::encodeValue(scheduler_.crossRegionLoadReport(now)), ""};
+    if (hasCustomers()) {
+        ownRegion.usage = Peers::encodeValue(limiter_.instanceReport(now));
+        otherRegions.usage = Peers::encodeValue(limiter_.regionReport(now));
+    }
+    roster_.setReports(std::move(ownRegion), std::move(otherRegions));
     sendAll(roster_.tick(now));
     fleetChanged(now);
+    updateCustomerUsage(now);
 }
 
 } // namespace LaburnumChute::Relay
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -13,7 +13,8 @@
 
 using Common::milliseconds;
 
-/// A new process gets the configuration from a peer or the store within half a second.
+/// A new process, or one that lacks the current configuration, gets it from a peer or the store
+/// within half a second.
 constexpr milliseconds UnknownConfigurationRetryAfter{500};
 /// Bodies are kept in memory until their request ends, about a second.
 constexpr milliseconds MemoryRetryAfter{1000};
@@ -23,6 +24,25 @@
 /// and buffered responses.
 constexpr double BodyMemoryFraction = 0.35;
 
+std::optional<double> statedTokens(const Dialect::CallerMetadata &head)
+{
+    if (!head.statesTokens) {
+        return std::nullopt;
+    }
+    return static_cast<double>(head.promptTokens) + static_cast<double>(head.maxOutputTokens);
+}
+
+/// Removes API keys, and headers by which a caller could pass for another instance.
+Common::Headers callerHeadersToPassOn(const Common::Headers &headers)
+{
+    auto result = endToEndHeaders(headers);
+    Platform::removeApiKeys(result);
+    std::erase_if(result, [](const Common::Header &header) {
+        return Common::sameHeaderName(header.name, ForwardHeader);
+    });
+    return result;
+}
+
 } // namespace
 
 // Requests.
@@ -44,6 +64,19 @@
     connection->respond(status, std::move(headers), detail);
 }
 
+/// A refusal that is final for the caller must be true. The route or the key may have been added
+/// since an instance that is partitioned off received its configuration.
+void RelayGateway::refuseAccess(const Connection &connection, const std::string &requestId,
+                                const AccessRefusal &refusal, Common::Time now)
+{
+    if (refusal.mayChange && !isConfigurationCurrent(now)) {
+        rejectRequest(connection, ServiceUnavailable, requestId,
+                      "the configuration may be outdated", UnknownConfigurationRetryAfter);
+        return;
+    }
+    rejectRequest(connection, refusal.status, requestId, std::string(refusal.reason), std::nullopt);
+}
+
 bool RelayGateway::exceedsBodyMemory(const InboundRequest &request) const
 {
     std::size_t totalBytes = request.body->size();
@@ -73,16 +106,16 @@
                       "no configuration is known yet", UnknownConfigurationRetryAfter);
         return;
     }
-    const auto *host = Common::findHeader(request.headers, "Host");
-    const auto *route = host != nullptr ? routes->find(*host, request.target) : nullptr;
-    if (route == nullptr && !isCatalogFresh(now)) {
-        // The route may have been added since the last response of the store.
-        rejectRequest(connection, ServiceUnavailable, head->requestId,
-                      "the configuration may be old", UnknownConfigurationRetryAfter);
+    const auto access =
+        decideAccess(*routes, {Common::findHeader(request.headers, "Host"), request.target,
+                               Platform::readApiKeys(request.headers)});
+    if (!access) {
+        refuseAccess(connection, head->requestId, access.error(), now);
         return;
     }
-    if (route == nullptr) {
-        rejectRequest(connection, NotFound, head->requestId, "no route to this path", std::nullopt);
+    if (access->customer != nullptr && keysOutdated(now)) {
+        rejectRequest(connection, ServiceUnavailable, head->requestId,
+                      "API keys cannot be verified", UnknownConfigurationRetryAfter);
         return;
     }
     if (exceedsBodyMemory(request)) {
@@ -90,13 +123,21 @@
                       "too many requests in memory", MemoryRetryAfter);
         return;
     }
-    relayMetrics_.requests.add();
     RelayPlan plan;
+    if (access->customer != nullptr) {
+        plan.customer = access->customer->name;
+        plan.usage = Customers::usageOf(*access->customer, statedTokens(*head));
+        if (!admitUsage(connection, head->requestId, *access->customer, plan.usage, now)) {
+            return;
+        }
+    }
+    relayMetrics_.requests.add();
+    const auto *route = access->route;
     auto &facts = plan.facts;
     facts.service = Catalog::serviceFor(*route, head->requestId);
     facts.kind = route->kind;
     facts.repeatable = route->repeatable();
-    facts.priority = route->priority;
+    facts.priority = access->priority;
     facts.arrivedAt = now;
     facts.objectiveAt = now + route->objective;
     const auto callerTimeout = head->deadline.value_or(route->timeout);
@@ -104,13 +145,13 @@
     facts.parts = head->promptParts;
     facts.promptTokens = head->promptTokens;
     facts.outputTokens = head->expectedOutputTokens.value_or(head->maxOutputTokens);
-    facts.allowedRegions = route->homes;
+    facts.allowedRegions = access->regions;
     facts.maxRuns = std::max(1, route->attempts);
     facts.fingerprint =
         Common::stableHash(*request.body, Common::stableHash(connection->remoteIp() + request.method
                                                              + " " + request.target));
     plan.head = std::move(*head);
-    plan.headers = endToEndHeaders(request.headers);
+    plan.headers = callerHeadersToPassOn(request.headers);
     plan.method = std::move(request.method);
     plan.target = std::move(request.target);
     plan.body = std::move(request.body);
@@ -127,6 +168,10 @@
     if (!metadata) {
         return tl::unexpected(metadata.error());
     }
+    if (metadata->receiver != roster_.self().incarnation) {
+        return Common::makeError(Common::ErrorCode::InvalidArgument,
+                                 "the request is not from an instance that knows this process");
+    }
     auto head = Platform::readCallerHead(request.headers);
     if (!head) {
         return tl::unexpected(head.error());
@@ -147,6 +192,7 @@
     facts.forwarded = true;
     facts.maxRuns = metadata->attempts;
     facts.fingerprint = metadata->fingerprint;
+    plan.customer = Common::CustomerName(metadata->customer);
     plan.head = std::move(*head);
     plan.resumable = metadata->resumable;
     if (metadata->gapMs > 0) {
@@ -156,24 +202,31 @@
     return plan;
 }
 
+/// The sender tries another instance.
+void RelayGateway::rejectForwarded(const Connection &connection, const std::string &reason,
+                                   Common::Time now)
+{
+    EventLine line("forward-refused");
+    line.add("reason", reason);
+    log_.write(line, now);
+    connection->respond(ServiceUnavailable, {{RunStateHeader, RunStateNotRun}}, reason);
+}
+
 void RelayGateway::servePeer(const Connection &connection, InboundRequest request)
 {
     const auto now = steadyNow();
-    if (const auto known = parseItemsTarget(request.target)) {
-        serveItems(connection, *known);
+    if (const auto target = parsePeerTarget(request.target)) {
+        servePeerQuery(connection, *target);
         return;
     }
-    if (request.target == CachesPath) {
-        servePrefixCaches(connection);
+    const auto *metadata = Common::findHeader(request.headers, ForwardHeader);
+    if (metadata == nullptr) {
+        rejectRequest(connection, BadRequest, "", "not a forwarded request", std::nullopt);
         return;
     }
-    const auto *metadata = Common::findHeader(request.headers, ForwardHeader);
-    auto plan = metadata != nullptr
-                    ? parseForwarded(request, *metadata, now)
-                    : Common::Result<RelayPlan>(Common::makeError(
-                        Common::ErrorCode::InvalidArgument, "not a forwarded request"));
+    auto plan = parseForwarded(request, *metadata, now);
     if (!plan) {
-        rejectRequest(connection, BadRequest, "", plan.error().message, std::nullopt);
+        rejectForwarded(connection, plan.error().message, now);
         return;
     }
     relayMetrics_.forwardedIn.add();
--- a/Source/Core/Relay/RelayServers.cpp
+++ b/Source/Core/Relay/RelayServers.cpp
@@ -25,6 +25,19 @@
 
 // Handlers of the peer, readiness, directory and metrics servers.
 
+void RelayGateway::servePeerQuery(const Connection &connection, const PeerTarget &target)
+{
+    if (target.receiver != roster_.self().incarnation) {
+        connection->respond(Forbidden, {}, "the query is not from an instance");
+        return;
+    }
+    if (target.itemsAfter) {
+        serveItems(connection, *target.itemsAfter);
+    } else {
+        servePrefixCaches(connection);
+    }
+}
+
 void RelayGateway::serveItems(const Connection &connection, Catalog::Revision known)
 {
     connection->respond(Ok, {{"Content-Type", "application/octet-stream"}},
@@ -66,7 +79,8 @@
             continue;
         }
         fetch_.get(
-            peer.record.peerAddress, CachesPath, CacheTimeout,
+            peer.record.peerAddress, peerTarget({peer.record.incarnation, std::nullopt}),
+            CacheTimeout,
             [this](unsigned status, const std::string &body) {
                 const auto placements =
                     Peers::decodeValue<std::vector<Dispatch::PartPlacement>>(body);
@@ -149,6 +163,7 @@
             {"peers", peers},
             {"requests", calls_.size()},
             {"connections", callers_.connections()},
+            {"customers", dumpCustomers(now)},
             {"scheduler", scheduler_.dump(now)}};
 }
 
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -161,6 +161,9 @@
     order.requestId = plan_.head.requestId;
     order.deadline = timeLeft(now);
     order.endpoint = effect.endpoint;
+    if (!plan_.customer.empty()) {
+        order.customer = plan_.customer;
+    }
     order.urgency = std::min(LowestUrgency, HighestPriorityUrgency + plan_.facts.priority);
     order.copyCacheFrom = effect.copyCacheFrom;
     if (streamStarted_) {
@@ -220,6 +223,8 @@
     metadata.gapMs = plan_.gap ? plan_.gap->count() : 0;
     metadata.fingerprint = facts.fingerprint;
     metadata.fromRegion = gateway_.settings().region.text();
+    metadata.customer = plan_.customer.text();
+    metadata.receiver = peer->incarnation;
     auto headers = plan_.headers;
     headers.push_back({ForwardHeader, encodeForwardMetadata(metadata)});
     if (streamStarted_) {
@@ -462,6 +467,7 @@
     if (plan_.fromPeer) {
         headers.push_back({RunStateHeader, notRun ? RunStateNotRun : RunStateUnknown});
     }
+    toldNotRun_ = notRun;
     connection_->respond(status, std::move(headers), detail);
 }
 
@@ -593,9 +599,13 @@
     }
     finished_ = true;
     const auto now = steadyNow();
+    if (toldNotRun_ || !everSent_) {
+        gateway_.refundUsage(plan_, now);
+    }
     EventLine line("request");
     line.add("request", plan_.head.requestId)
         .add("service", plan_.facts.service)
+        .add("customer", plan_.customer)
         .add("outcome", outcome)
         .add("endpoint", endpoint_)
         .add("instance_asked", peer_)
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -28,6 +28,10 @@
     std::shared_ptr<const std::string> body;
     bool resumable = false;
     std::optional<Common::milliseconds> gap;
+    /// Customer that the request is served for, empty if there is none, and the usage that was
+    /// counted for it.
+    Common::CustomerName customer;
+    double usage = 0;
     /// The request was forwarded by a peer, which passes the outcome on to the caller.
     bool fromPeer = false;
 };
@@ -129,6 +133,8 @@
     bool streamStarted_ = false;
     bool responding_ = false;
     bool everSent_ = false;
+    /// The caller was told that the request has not run.
+    bool toldNotRun_ = false;
     bool callerDisconnected_ = false;
     bool finished_ = false;
 };
--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -221,6 +221,15 @@
         return self.outcomes
 
 
+def runs_with_headers(platform, identity):
+    """The headers of each run of an attempt, over all endpoints."""
+    return [
+        endpoint.seen_headers[identity]
+        for endpoint in platform.endpoints.values()
+        if identity in endpoint.seen_headers
+    ]
+
+
 def runs_of(platform):
     """How often each attempt has run, over all endpoints."""
     count = {}
@@ -417,3 +426,113 @@
     lines = [line for name in ("north-1", "north-2") for line in fleet.log_lines(name)]
     limit_lines = [line for line in lines if line["event"] == "endpoint-limit"]
     assert {line["limited"] for line in limit_lines} == {True, False}
+
+
+CUSTOMERS = [
+    standin.customer("school", ["key-of-school"]),
+    standin.customer("club", ["key-of-club"], homes=["south"]),
+    standin.customer("ward", ["key-of-ward"], per_second=100, burst=100),
+]
+
+
+def publish_customers(fleet, version, customers):
+    fleet.platform.publish(version, ROUTES, SERVICES, customers)
+    time.sleep(0.7)
+
+
+def order(fleet, name, headers):
+    address = f"{INSTANCES[name][0]}:{fleet.ports}"
+    return attempt(address, "POST", "/order/x", b"x", headers)
+
+
+def test_endpoints_get_the_customer_and_never_the_key(fleet):
+    """A customer name that a caller sends itself, or a key that is passed on, would let an endpoint
+    serve the wrong customer."""
+    publish_customers(fleet, 2, CUSTOMERS)
+    identity, status, _, _ = order(
+        fleet, "north-1", {standin.KEY: "key-of-school", standin.CUSTOMER: "ward"}
+    )
+    assert status == 200
+    (headers,) = runs_with_headers(fleet.platform, identity)
+    assert headers[standin.CUSTOMER.lower()] == "school"
+    assert standin.KEY.lower() not in headers
+
+
+def test_requests_without_a_valid_key_do_not_run(fleet):
+    publish_customers(fleet, 2, CUSTOMERS)
+    for headers in ({}, {standin.KEY: ""}, {standin.KEY: "key-of-nobody"}):
+        identity, status, _, _ = order(fleet, "north-1", headers)
+        assert status == 401, headers
+        assert not runs_with_headers(fleet.platform, identity)
+
+
+def test_a_removed_key_is_refused_by_all_instances(fleet):
+    publish_customers(fleet, 2, CUSTOMERS)
+    assert order(fleet, "south-1", {standin.KEY: "key-of-school"})[1] == 200
+    publish_customers(fleet, 3, [standin.customer("school", ["another-key"])])
+    for name in INSTANCES:
+        assert order(fleet, name, {standin.KEY: "key-of-school"})[1] == 401
+        assert order(fleet, name, {standin.KEY: "another-key"})[1] == 200
+
+
+def test_requests_of_a_customer_stay_in_its_homes(fleet):
+    """An instance of another region forwards the request with the customer's name."""
+    publish_customers(fleet, 2, CUSTOMERS)
+    for _ in range(5):
+        identity, status, _, _ = order(fleet, "north-1", {standin.KEY: "key-of-club"})
+        assert status == 200
+        assert identity in [attempt for attempt, _ in fleet.platform.runs()["d-south-1"]]
+        (headers,) = runs_with_headers(fleet.platform, identity)
+        assert headers[standin.CUSTOMER.lower()] == "club"
+
+
+def test_instances_together_keep_a_customer_to_its_limit(fleet):
+    """Each of three instances would admit the whole limit on its own."""
+    publish_customers(fleet, 2, CUSTOMERS)
+    time.sleep(1)
+    started = time.monotonic()
+    statuses = []
+    while time.monotonic() - started < 4:
+        for name in INSTANCES:
+            headers = {standin.KEY: "key-of-ward", standin.TOKENS: "20,0"}
+            answer = order(fleet, name, headers)
+            statuses.append(answer[1])
+            if answer[1] == 429:
+                assert float(answer[2]["Retry-After"]) > 0
+                assert answer[0] not in runs_of(fleet.platform)
+    admitted = 20 * statuses.count(200)
+    assert set(statuses) == {200, 429}
+    allowed = 100 * 4 + 100
+    assert 0.7 * allowed <= admitted <= 1.25 * allowed + 3 * 20, admitted
+
+
+def test_callers_cannot_pass_for_an_instance(fleet):
+    """The port for instances serves forwarded requests without a key, and the configuration with
+    all keys."""
+    publish_customers(fleet, 2, CUSTOMERS)
+    port_of_instances = fleet.ports + 5
+    address = f"{INSTANCES['north-1'][0]}:{port_of_instances}"
+    _, status, _, body = attempt(address, "GET", "/laburnumchute/items?process=1&after=0")
+    assert status == 403
+    assert b"key-of" not in body
+    forged = {"Laburnumchute-Forward": "00" * 80}
+    identity, status, _, _ = attempt(address, "POST", "/order/x", b"x", forged)
+    assert status in (400, 503)
+    forged[standin.KEY] = "key-of-club"
+    identity, status, _, _ = order(fleet, "north-1", forged)
+    assert status == 200
+
+
+def test_keys_appear_in_no_log_metric_or_dump(fleet):
+    publish_customers(fleet, 2, CUSTOMERS)
+    for key in ("key-of-school", "key-of-club", "key-of-ward", "key-of-nobody"):
+        order(fleet, "north-1", {standin.KEY: key, standin.TOKENS: "90000,0"})
+        order(fleet, "north-1", {standin.KEY: key, standin.TOKENS: "90000,0"})
+    publish_customers(fleet, 3, CUSTOMERS + [standin.customer("twin", ["key-of-school"])])
+    time.sleep(0.3)
+    texts = [(fleet.folder / f"{name}.log").read_text() for name in INSTANCES]
+    texts += [fleet.get("north-1", 11, path)[1].decode() for path in ("/metrics", "/dump")]
+    assert "over-limit" in texts[0] and "item-unreadable" in texts[0]
+    assert 'customer="ward"' in texts[-2]
+    for text in texts:
+        assert "key-of" not in text
--- a/Source/UnitTests/Relay/PeerMessagesTest.cpp
+++ b/Source/UnitTests/Relay/PeerMessagesTest.cpp
@@ -63,10 +63,20 @@
 
 TEST(PeerSyncTest, ParsesTheRevisionInATarget)
 {
-    EXPECT_EQ(parseItemsTarget(itemsTarget(42)), 42U);
-    EXPECT_FALSE(parseItemsTarget("/laburnumchute/items"));
-    EXPECT_FALSE(parseItemsTarget("/other?after=3"));
-    EXPECT_FALSE(parseItemsTarget("/laburnumchute/items?after=x"));
+    const auto items = parsePeerTarget(peerTarget({7, 42}));
+    ASSERT_TRUE(items);
+    EXPECT_EQ(items->receiver, 7U);
+    EXPECT_EQ(items->itemsAfter, 42U);
+    const auto caches = parsePeerTarget(peerTarget({7, std::nullopt}));
+    ASSERT_TRUE(caches);
+    EXPECT_EQ(caches->receiver, 7U);
+    EXPECT_FALSE(caches->itemsAfter);
+    for (const std::string target :
+         {"/laburnumchute/items", "/other?process=7&after=3", "/laburnumchute/items?after=3",
+          "/laburnumchute/items?process=7", "/laburnumchute/items?process=7&after=x",
+          "/laburnumchute/items?process=7&after=3x", "/laburnumchute/caches"}) {
+        EXPECT_FALSE(parsePeerTarget(target)) << target;
+    }
 }
 
 } // namespace LaburnumChute::Relay
