--- a/Source/Core/Catalog/InstanceSettings.h
+++ b/Source/Core/Catalog/InstanceSettings.h
@@ -30,6 +30,8 @@
     /// number.
     double coldOvershoot = 1;
     double coldSlack = 0;
+    /// Window in which customers' usage limits are enforced.
+    Common::milliseconds usageWindow{1000};
     /// Amount by which all instances together may exceed a customer's usage limit in any window.
     double usageSlack = 0;
     /// Set if API keys must not be accepted once a removal of keys could have gone unnoticed for
--- a/Source/Core/Customers/UsageLimiter.cpp
+++ b/Source/Core/Customers/UsageLimiter.cpp
@@ -8,24 +8,21 @@
 
 /// Keeps a heartbeat with a report within one datagram.
 constexpr std::size_t MaxReportedCustomers = 64;
+/// Usage that others have admitted, but have not reported yet, is assumed to be that of this time.
+constexpr milliseconds ReportAge{250};
 /// Usage of another instance or region before its first report is assumed for at most this long.
 constexpr milliseconds MaxUnreportedTime{2000};
-/// Admitted usage above the limit is compensated within this time at most, so that a wrong estimate
-/// does not lock a customer out.
-constexpr double MaxCompensationSeconds = 3;
 /// Smallest burst, as time at the limit, for customers whose configured burst is too small to admit
 /// anything.
 constexpr double MinBurstSeconds = 0.1;
 /// Multiple of its equal share of the limit at which an instance announces its usage at once.
 constexpr double SuddenUsage = 2;
-/// Fraction of the limit that is assumed to be available to a caller that retries.
-constexpr double MinRefillFraction = 0.1;
 constexpr milliseconds MinRetryAfter{200};
 constexpr milliseconds MaxRetryAfter{3000};
 
-/// Fraction of the slack that adds to the burst. The rest is for usage that is admitted before the
-/// other instances learn of it, which is small for customers with low limits.
-constexpr double SlackFractionInBurst = 0.25;
+/// Fraction of the slack that adds to the allowed usage. The rest is for usage that is admitted
+/// before the other instances learn of it, which is small for customers with low limits.
+constexpr double UsedSlackFraction = 0.25;
 
 } // namespace
 
@@ -41,8 +38,9 @@
 {
 }
 
-void UsageLimiter::setSlack(double slack)
+void UsageLimiter::setBounds(Duration window, double slack)
 {
+    window_ = window;
     slack_ = slack;
 }
 
@@ -52,6 +50,17 @@
     return found == byShortId_.end() ? nullptr : found->second;
 }
 
+UsageLimiter::Account UsageLimiter::makeAccount(const UsageLimit &limit, Time now) const
+{
+    Account account{limit, 0, UsageWindow(window_, 0, now), {}, 0};
+    const double seconds = Common::toSeconds(window_);
+    account.limit.burst = std::max({limit.burst, limit.perSecond * MinBurstSeconds, 1.0});
+    account.allowed = limit.perSecond * seconds + account.limit.burst + UsedSlackFraction * slack_;
+    // If the whole system has just restarted, its usage is unknown and may be as high as allowed.
+    account.window = UsageWindow(window_, account.allowed / seconds, now);
+    return account;
+}
+
 void UsageLimiter::setCustomers(const std::vector<Customer> &customers, Time now)
 {
     std::unordered_map<CustomerName, Account> accounts;
@@ -59,27 +68,19 @@
         if (!customer.limit) {
             continue;
         }
+        auto account = makeAccount(*customer.limit, now);
         const auto known = accounts_.find(customer.name);
-        auto &account = accounts[customer.name];
         if (known != accounts_.end()) {
-            account = known->second;
-            advance(account, now);
-        } else {
-            // Starts empty: if the whole system has just restarted, the burst may be used already.
-            account.updatedAt = now;
+            advance(known->second, now);
+            account.window = known->second.window;
+            account.own = known->second.own;
         }
-        account.limit = *customer.limit;
-        account.limit.burst =
-            std::max({account.limit.burst, account.limit.perSecond * MinBurstSeconds, 1.0})
-            + SlackFractionInBurst * slack_;
-        account.level = std::min(account.level, account.limit.burst);
+        accounts.emplace(customer.name, std::move(account));
     }
     accounts_ = std::move(accounts);
     byShortId_.clear();
     for (auto &[name, account] : accounts_) {
         byShortId_[shortId(name)] = &account;
-        account.othersRate = 0;
-        account.unseenRate = 0;
     }
     for (const auto &[instance, source] : instances_) {
         addRates(source, 1, now);
@@ -89,18 +90,9 @@
     }
 }
 
-double UsageLimiter::levelAt(const Account &account, Time now) const
-{
-    const auto &limit = account.limit;
-    const double elapsed = std::max(0.0, Common::toSeconds(now - account.updatedAt));
-    const double level = account.level + (limit.perSecond - account.othersRate) * elapsed;
-    return std::clamp(level, -limit.perSecond * MaxCompensationSeconds, account.burst());
-}
-
-void UsageLimiter::advance(Account &account, Time now) const
+void UsageLimiter::advance(Account &account, Time now)
 {
-    account.level = levelAt(account, now);
-    account.updatedAt = std::max(account.updatedAt, now);
+    account.window.advance(account.othersRate, now);
 }
 
 // Reports.
@@ -113,31 +105,28 @@
             advance(*account, now);
             const double change = factor * usage.perSecond;
             account->othersRate = std::max(0.0, account->othersRate + change);
-            if (source.unseen) {
-                account->unseenRate = std::max(0.0, account->unseenRate + change);
-            }
         }
     }
 }
 
-void UsageLimiter::setRates(Source &source, Rates rates, bool unseen, Time now)
+void UsageLimiter::setRates(Source &source, Rates rates, Time now)
 {
     addRates(source, -1, now);
     source.rates = std::move(rates);
-    source.unseen = unseen;
     addRates(source, 1, now);
 }
 
 void UsageLimiter::applyReport(Source &source, const UsageReport &report, Time now)
 {
     const bool isFirst = source.reportedAt == Time();
-    setRates(source, report.usages, false, now);
+    setRates(source, report.usages, now);
+    source.unseen = false;
     source.shares = sharesOf(source.rates, now);
     if (isFirst) {
         const auto unreported = std::min<Duration>(now - startedAt_, MaxUnreportedTime);
         for (const auto &usage : source.rates) {
             if (auto *account = find(usage.customer)) {
-                account->level -= usage.perSecond * Common::toSeconds(unreported);
+                account->window.add(usage.perSecond * Common::toSeconds(unreported));
             }
         }
     }
@@ -166,7 +155,7 @@
 {
     const auto found = instances_.find(instance);
     if (found != instances_.end()) {
-        setRates(found->second, {}, false, now);
+        setRates(found->second, {}, now);
         instances_.erase(found);
     }
 }
@@ -189,13 +178,17 @@
     auto rates = source.rates;
     for (std::size_t index = 0; index < rates.size(); ++index) {
         auto &usage = rates[index];
-        if (const auto *account = find(usage.customer)) {
-            const double assumed =
-                options_.unseenFraction * source.shares[index] * account->limit.perSecond;
-            usage.perSecond = std::max(usage.perSecond, static_cast<std::uint32_t>(assumed));
+        if (auto *account = find(usage.customer)) {
+            const double share = options_.unseenFraction * source.shares[index];
+            usage.perSecond = std::max(
+                usage.perSecond, static_cast<std::uint32_t>(share * account->limit.perSecond));
+            // The other side may use its share of what the window still allows at once.
+            advance(*account, now);
+            account->window.add(share * std::max(0.0, account->remaining()));
         }
     }
-    setRates(source, std::move(rates), true, now);
+    setRates(source, std::move(rates), now);
+    source.unseen = true;
 }
 
 template <typename Key>
@@ -203,7 +196,7 @@
 {
     for (auto source = sources.begin(); source != sources.end();) {
         if (now - source->second.reportedAt > options_.unseenRetention) {
-            setRates(source->second, {}, false, now);
+            setRates(source->second, {}, now);
             source = sources.erase(source);
         } else {
             ++source;
@@ -215,6 +208,9 @@
                                 Time now)
 {
     allInstances_ = std::max<std::size_t>(1, allInstances);
+    for (auto &[name, account] : accounts_) {
+        advance(account, now);
+    }
     for (auto &[instance, source] : instances_) {
         if (!source.unseen && ownRegion.count(instance) == 0) {
             assumeUnseen(source, now);
@@ -301,7 +297,7 @@
         const double rate = account.own.perSecond(now);
         const double ifAllWereAlike = rate * static_cast<double>(allInstances_);
         const bool rises = ifAllWereAlike >= SuddenUsage * account.limit.perSecond;
-        const bool nearlyUsed = levelAt(account, now) < account.limit.burst / 2;
+        const bool nearlyUsed = account.remaining() < account.limit.burst;
         return rises || (nearlyUsed && isReported(account, rate));
     });
 }
@@ -314,7 +310,7 @@
     verdict.limit = account.limit.perSecond;
     verdict.ownRate = account.own.perSecond(now);
     verdict.othersRate = account.othersRate;
-    verdict.level = levelAt(account, now);
+    verdict.remaining = account.remaining() - account.othersRate * Common::toSeconds(ReportAge);
     return verdict;
 }
 
@@ -327,22 +323,18 @@
     auto &account = found->second;
     advance(account, now);
     auto verdict = describe(account, now);
-    // A request may exceed the level, or a small burst would reject every large request.
-    verdict.admitted = account.level > 0;
+    // Usage may exceed what remains, or small limits would reject every large request.
+    verdict.admitted = verdict.remaining > 0;
     if (verdict.admitted) {
-        account.level -= usage;
+        account.window.add(usage);
         account.own.add(usage, now);
         return verdict;
     }
-    const double refill =
-        std::max(verdict.limit - verdict.othersRate, verdict.limit * MinRefillFraction);
-    const std::chrono::duration<double> wait(-account.level / refill);
-    const auto bounded =
-        std::clamp<Duration>(std::chrono::duration_cast<Duration>(wait), MinRetryAfter,
-                             MaxRetryAfter);
+    const auto wait = std::clamp<Duration>(account.window.timeUntilLeft(-verdict.remaining, now),
+                                           MinRetryAfter, MaxRetryAfter);
     // Spread, so that the callers do not all return at the same time.
     std::uniform_real_distribution<double> factor(1, 2);
-    verdict.retryAfter = std::chrono::duration_cast<Duration>(bounded * factor(random_));
+    verdict.retryAfter = std::chrono::duration_cast<Duration>(wait * factor(random_));
     return verdict;
 }
 
@@ -354,7 +346,7 @@
     }
     auto &account = found->second;
     advance(account, now);
-    account.level = std::min(account.burst(), account.level + usage);
+    account.window.add(-usage);
     account.own.add(-usage, now);
 }
 
--- a/Source/Core/Customers/UsageLimiter.h
+++ b/Source/Core/Customers/UsageLimiter.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <random>
@@ -12,6 +11,7 @@
 #include "Customers/Customer.h"
 #include "Customers/UsageRate.h"
 #include "Customers/UsageReport.h"
+#include "Customers/UsageWindow.h"
 
 namespace LaburnumChute::Customers {
 
@@ -41,8 +41,8 @@
     double limit = 0;
     double ownRate = 0;
     double othersRate = 0;
-    /// Remaining burst; negative if more than the limit has been admitted.
-    double level = 0;
+    /// Usage that the limit still allows; negative if more than the limit has been admitted.
+    double remaining = 0;
 };
 
 /// Enforces customers' usage limits over all instances without a coordinator.
@@ -50,18 +50,19 @@
 /// Load pattern: a customer sends a multiple of its usual load to all instances at once, or its
 /// callers move to another region within a second, while other customers send one request per
 /// second to each of many instances. Fixed fractions per instance would reject large requests of
-/// small customers. Instead, every instance keeps an estimate of the same token bucket: it counts
-/// its own usage at once and that of others by integrating the rates that they report. What was
-/// admitted unseen shows up as a negative level and is compensated before more is admitted.
+/// small customers. Instead, every instance estimates the usage of all instances in the same
+/// sliding window: it counts its own usage at once and that of others by integrating the rates that
+/// they report. A limit allows the usage of the window at its rate plus the burst. Usage that was
+/// admitted before it was known is compensated before more is admitted.
 class UsageLimiter
 {
 public:
     /// @param startedAt start time of this process
     UsageLimiter(UsageLimiterOptions options, std::uint64_t seed, Time startedAt);
 
-    /// Sets the amount by which all instances together may exceed a limit. Takes effect with the next
-    /// configuration.
-    void setSlack(double slack);
+    /// Sets the window in which limits are enforced, and the amount by which all instances together
+    /// may exceed a limit. Takes effect with the next configuration.
+    void setBounds(Duration window, double slack);
     /// Applies the limits of a configuration. The usage of customers that stay is kept.
     void setCustomers(const std::vector<Customer> &customers, Time now);
     /// @param ownRegion live instances of this region, apart from this one
@@ -78,8 +79,9 @@
     /// Usage of this region, for instances of other regions.
     UsageReport regionReport(Time now) const;
 
-    /// Whether the usage of some customer, and of this instance among others, is close to its limit.
-    /// Then every instance of the region must learn of it within one interval of the reports.
+    /// Whether the usage of some customer, and of this instance among others, is close to its
+    /// limit. Then every instance of the region must learn of it within one interval of the
+    /// reports.
     bool nearLimit(Time now) const;
 
     /// Decides on a request and counts its usage if it is admitted.
@@ -93,18 +95,16 @@
     struct Account
     {
         UsageLimit limit;
-        /// Estimated level of the common token bucket at updatedAt.
-        double level = 0;
-        Time updatedAt{};
+        /// Usage that the limit allows in the window.
+        double allowed = 0;
+        /// Estimated usage of all instances.
+        UsageWindow window;
         UsageRate own;
         double othersRate = 0;
-        /// Part of othersRate that is assumed for unseen instances and regions.
-        double unseenRate = 0;
 
-        /// The unseen ones have their share of the burst, too.
-        double burst() const
+        double remaining() const
         {
-            return limit.burst * std::clamp(1 - unseenRate / limit.perSecond, 0.0, 1.0);
+            return allowed - window.sum();
         }
     };
     using Rates = std::vector<CustomerUsage>;
@@ -119,10 +119,10 @@
         bool unseen = false;
     };
 
-    double levelAt(const Account &account, Time now) const;
-    void advance(Account &account, Time now) const;
+    static void advance(Account &account, Time now);
+    Account makeAccount(const UsageLimit &limit, Time now) const;
     void applyReport(Source &source, const UsageReport &report, Time now);
-    void setRates(Source &source, Rates rates, bool unseen, Time now);
+    void setRates(Source &source, Rates rates, Time now);
     void addRates(const Source &source, double factor, Time now);
     std::vector<double> sharesOf(const Rates &rates, Time now);
     void assumeUnseen(Source &source, Time now);
@@ -142,6 +142,7 @@
     std::map<InstanceId, Source> instances_;
     std::map<RegionName, Source> regions_;
     std::size_t allInstances_ = 1;
+    Duration window_ = Common::seconds(1);
     double slack_ = 0;
 };
 
--- a/Source/Core/Relay/RelayCustomers.cpp
+++ b/Source/Core/Relay/RelayCustomers.cpp
@@ -46,7 +46,7 @@
         .add("customer", customer.name)
         .add("usage", rate(usage))
         .add("limit", rate(verdict.limit))
-        .add("level", rate(verdict.level))
+        .add("remaining", rate(verdict.remaining))
         .add("own_rate", rate(verdict.ownRate))
         .add("others_rate", rate(verdict.othersRate))
         .add("retry_after", verdict.retryAfter);
@@ -74,14 +74,14 @@
 
 void RelayGateway::applyLimits(Common::Time now)
 {
-    limiter_.setSlack(settings_.bounds.usageSlack);
+    limiter_.setBounds(settings_.bounds.usageWindow, settings_.bounds.usageSlack);
     if (const auto routes = catalog_.routes()) {
         limiter_.setCustomers(routes->configuration().customers->customers(), now);
     }
 }
 
-/// Heartbeats reach only a part of a large region in each round. Near a limit, every instance of the
-/// region has to know the usage of the others.
+/// Heartbeats reach only a part of a large region in each round. Near a limit, every instance of
+/// the region has to know the usage of the others.
 void RelayGateway::sendUsageNotices(Common::Time now)
 {
     std::vector<const Fleet::Peer *> peers;
@@ -120,7 +120,7 @@
         nlohmann::json entry = {{"name", customer.name.text()}, {"keys", customer.keys.size()}};
         if (const auto status = limiter_.status(customer.name, now)) {
             entry["limit"] = status->limit;
-            entry["level"] = status->level;
+            entry["remaining"] = status->remaining;
             entry["own_rate"] = status->ownRate;
             entry["others_rate"] = status->othersRate;
         }
--- a/Source/UnitTests/Customers/UsageSimulation.h
+++ b/Source/UnitTests/Customers/UsageSimulation.h
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Window in which the limit is enforced.
+    static Duration window()
+    {
+        return Common::seconds(8);
+    }
     void setConnected(Connected connected)
     {
         connected_ = std::move(connected);
@@ -84,7 +89,7 @@
     }
 
     /// Highest usage that was admitted in any span of the length, from a time on.
-    double highestUsage(Duration window, Duration from) const
+    double highestUsage(Duration from) const
     {
         double highest = 0;
         double sum = 0;
@@ -95,7 +100,7 @@
                 continue;
             }
             sum += each.usage;
-            while (each.at - admitted_[first].at > window) {
+            while (each.at - admitted_[first].at > window()) {
                 sum -= admitted_[first].usage;
                 ++first;
             }
@@ -125,21 +130,23 @@
         Time at{};
         double usage = 0;
     };
-    /// Token bucket of one instance that knows all usage.
-    struct ExactBucket
+    /// One instance that knows all usage.
+    struct ExactWindow
     {
-        double level = 0;
-        Time refilledAt{};
+        std::deque<Usage> usages;
+        double sum = 0;
 
-        void refill(double limit, Time now)
+        bool admit(double usage, double allowed, Time now)
         {
-            level = std::min(limit, level + limit * Common::toSeconds(now - refilledAt));
-            refilledAt = now;
-        }
-        bool admit(double usage)
-        {
-            const bool admitted = level > 0;
-            level -= admitted ? usage : 0;
+            while (!usages.empty() && now - usages.front().at > window()) {
+                sum -= usages.front().usage;
+                usages.pop_front();
+            }
+            const bool admitted = sum < allowed;
+            if (admitted) {
+                usages.push_back({now, usage});
+                sum += usage;
+            }
             return admitted;
         }
     };
@@ -195,7 +202,7 @@
         auto &node = nodes_[static_cast<std::size_t>(index)];
         const auto startsAt = std::max(now_, node.downUntil);
         node.limiter = std::make_unique<UsageLimiter>(UsageLimiterOptions(), random_(), startsAt);
-        node.limiter->setSlack(fleet_.slack);
+        node.limiter->setBounds(window(), fleet_.slack);
         node.limiter->setCustomers(customers(), startsAt);
         std::uniform_int_distribution<int> phase(0, 250);
         node.nextHeartbeat = startsAt + milliseconds(phase(random_));
@@ -243,8 +250,8 @@
             auto &limiter = *nodes_[static_cast<std::size_t>(index)].limiter;
             const auto verdict = limiter.admit(CustomerName("customer"), usage, now_);
             (verdict.admitted ? admitted_ : rejected_).push_back({now_, usage});
-            exact_.refill(limit_, now_);
-            if (!exact_.admit(usage)) {
+            const double allowed = limit_ * Common::toSeconds(window()) + limit_;
+            if (!exact_.admit(usage, allowed, now_)) {
                 exactlyRejected_.push_back({now_, usage});
             }
         }
@@ -255,7 +262,8 @@
         auto &node = nodes_[static_cast<std::size_t>(index)];
         std::set<InstanceId> alive;
         for (int other = 0; other < fleet_.instances; ++other) {
-            const bool heard = now_ - node.heard[static_cast<std::size_t>(other)] < milliseconds(4000);
+            const bool heard =
+                now_ - node.heard[static_cast<std::size_t>(other)] < milliseconds(4000);
             if (other != index && regionOf(other) == regionOf(index) && heard) {
                 alive.insert(name(other));
             }
@@ -332,7 +340,7 @@
     std::deque<Message> otherRegionMessages_;
     std::vector<Usage> admitted_;
     std::vector<Usage> rejected_;
-    ExactBucket exact_;
+    ExactWindow exact_;
     std::vector<Usage> exactlyRejected_;
 };
 
