--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -13,6 +13,9 @@
 constexpr std::int64_t NominalTokens = 400;
 /// An endpoint that is being replaced returns within a few seconds.
 constexpr milliseconds NoEndpointRetryAfter{700};
+/// Within this time after the start of a process, it receives load reports of all regions that can
+/// be reached.
+constexpr milliseconds RegionsKnownAfter{1500};
 /// Bounds the size of a heartbeat.
 constexpr std::size_t MaxReportedSuspects = 16;
 
@@ -66,6 +69,7 @@
     , placement_(options_, table_, self_, seed + 1, startedAt)
     , health_(options_, table_, quarantine_)
     , instances_({self_})
+    , startedAt_(startedAt)
 {
 }
 
@@ -367,7 +371,7 @@
         const auto offer = facts.forwarded ? std::nullopt
                                            : spareCapacity_.any(facts.service, facts.allowedRegions,
                                                                 call.attemptedRegions, now);
-        if (!forward(call, offer, now, effects)) {
+        if (!forward(call, offer, now, effects) && !waitForRegions(call, now)) {
             reject(call, RejectReason::NoEndpoint, NoEndpointRetryAfter, now, effects);
         }
         return;
@@ -455,6 +459,35 @@
     return true;
 }
 
+/// Load pattern: all processes are restarted at once, and requests that only other regions may serve
+/// arrive before the first load reports of these regions. A region that reported before and has no
+/// endpoint now is not waited for.
+bool Scheduler::waitForRegions(Call &call, Time now)
+{
+    const auto &facts = call.facts;
+    const bool regionsMayBeUnknown = now - startedAt_ < RegionsKnownAfter;
+    const auto objective = facts.objectiveAt - facts.arrivedAt;
+    const bool mayWait = regionsMayBeUnknown && !facts.forwarded && call.attempts == 0
+                         && now < facts.arrivedAt + objective / 2;
+    if (!mayWait) {
+        return false;
+    }
+    dequeue(call);
+    call.queued = true;
+    waitingForRegions_.push_back(facts.id);
+    return true;
+}
+
+void Scheduler::placeWaitingForRegions(Time now, Effects &effects)
+{
+    for (const auto id : std::exchange(waitingForRegions_, {})) {
+        const auto found = calls_.find(id);
+        if (found != calls_.end() && found->second.queued) {
+            place(found->second, true, now, effects);
+        }
+    }
+}
+
 bool Scheduler::forwardIfBetter(Call &call, Duration homeWait, Time now, Effects &effects)
 {
     const auto &facts = call.facts;
@@ -519,6 +552,7 @@
 {
     Effects effects;
     table_.divideLimits(self_, instances_, now);
+    placeWaitingForRegions(now, effects);
     dispatchQueue(now, effects);
     cancelSilentAttempts(now, effects);
     quarantine_.expire(now);
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -116,6 +116,10 @@
     void notice(const EndpointState &endpoint, const Call &call);
     bool forward(Call &call, const std::optional<SpareCapacity::Offer> &offer, Time now,
                  Effects &effects);
+    /// Returns true if the request has to wait until other regions are known.
+    bool waitForRegions(Call &call, Time now);
+    /// Places the requests that waited for other regions to become known.
+    void placeWaitingForRegions(Time now, Effects &effects);
     bool forwardIfBetter(Call &call, Duration homeWait, Time now, Effects &effects);
     bool cannotMeetObjective(const Call &call, const std::optional<Candidate> &candidate,
                              Duration wait, Time now);
@@ -183,6 +187,9 @@
     /// In the order in which requests are served.
     std::multimap<Time, CallId> queue_;
     std::unordered_map<CallId, std::multimap<Time, CallId>::iterator> queuePositions_;
+    /// Requests that may not be served here and wait until other regions are known.
+    std::vector<CallId> waitingForRegions_;
+    Time startedAt_{};
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Fleet/Heartbeat.h
+++ b/Source/Core/Fleet/Heartbeat.h
@@ -42,7 +42,8 @@
     void serialize(Archive &archive)
     {
         archive(id, incarnation, sequence, region, failureDomain, callerAddress, gossipAddress,
-                peerAddress, ready, leaving, knownRevision, configuration, storeAgeMs, storeSettled);
+                peerAddress, ready, leaving, knownRevision, configuration, storeAgeMs,
+                storeSettled);
     }
 };
 
--- a/Source/Core/Relay/CallerAccess.cpp
+++ b/Source/Core/Relay/CallerAccess.cpp
@@ -6,9 +6,12 @@
 
 namespace {
 
+/// Operators need longer than this to change the configuration.
+constexpr Common::milliseconds ConflictRetryAfter{30000};
+
 tl::unexpected<AccessRefusal> refuse(unsigned status, std::string_view reason, bool mayChange)
 {
-    return tl::unexpected(AccessRefusal{status, reason, mayChange});
+    return tl::unexpected(AccessRefusal{status, reason, mayChange, std::nullopt});
 }
 
 } // namespace
@@ -36,7 +39,9 @@
     access.priority = access.customer->priority.value_or(access.route->priority);
     auto regions = Customers::commonHomes(access.route->homes, access.customer->homes);
     if (!regions) {
-        return refuse(Forbidden, "no region may serve both the route and the customer", true);
+        return tl::unexpected(AccessRefusal{ServiceUnavailable,
+                                            "no region may serve both the route and the customer",
+                                            true, ConflictRetryAfter});
     }
     access.regions = std::move(*regions);
     return access;
--- a/Source/Core/Relay/CallerAccess.h
+++ b/Source/Core/Relay/CallerAccess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,9 +37,11 @@
 {
     unsigned status = 0;
     std::string_view reason;
-    /// A newer configuration may allow the request. The refusal is final for the caller, so an
-    /// instance must not give it unless its configuration is current.
+    /// A newer configuration may allow the request. An instance must not give the refusal unless its
+    /// configuration is current.
     bool mayChange = false;
+    /// Set if the request is valid, but cannot be served until operators change the configuration.
+    std::optional<Common::milliseconds> retryAfter;
 };
 
 /// Determines route, customer and allowed regions of a request.
--- a/Source/Core/Relay/PeerSync.cpp
+++ b/Source/Core/Relay/PeerSync.cpp
@@ -35,10 +35,9 @@
 
 std::string peerTarget(const PeerTarget &target)
 {
-    return target.itemsAfter
-               ? fmt::format("{}{}{}{}", ItemsPath, target.receiver, RevisionSeparator,
-                             *target.itemsAfter)
-               : fmt::format("{}{}", CachesPath, target.receiver);
+    return target.itemsAfter ? fmt::format("{}{}{}{}", ItemsPath, target.receiver,
+                                           RevisionSeparator, *target.itemsAfter)
+                             : fmt::format("{}{}", CachesPath, target.receiver);
 }
 
 std::optional<PeerTarget> parsePeerTarget(std::string_view target)
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -135,7 +135,7 @@
               return routes ? routes->configuration().limits : Catalog::CallerLimits();
           },
           [this](const Connection &connection, InboundRequest request) {
-              serveCaller(connection, std::move(request));
+              serveCaller(connection, std::move(request), steadyNow());
           })
     , peers_(
           context_, callerConnectionLimit(settings_), [] { return Catalog::CallerLimits(); },
@@ -282,6 +282,7 @@
         queryPrefixCaches(now);
     }
     peerSync_.tick(knownPeers_, catalog_.items().upTo(), duty_ == Fleet::WatchDuty::Listens, now);
+    rejectExpiredEarlyRequests(now);
     if (catalog_.expire(now)) {
         endpointsChanged(now);
     }
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -26,6 +26,7 @@
 #include "Relay/RelayedCall.h"
 #include "Relay/ShutdownPlan.h"
 #include "Relay/SimpleFetch.h"
+#include "Relay/StartupQueue.h"
 #include "Relay/StoreWatcher.h"
 #include "Relay/UdpSocket.h"
 
@@ -97,7 +98,13 @@
 private:
     using Connection = std::shared_ptr<InboundConnection>;
 
-    void serveCaller(const Connection &connection, InboundRequest request);
+    /// @param receivedAt when the request was read; it may have waited for the configuration since
+    void serveCaller(const Connection &connection, InboundRequest request, Common::Time receivedAt);
+    void waitForConfiguration(const Connection &connection, InboundRequest request,
+                              const std::string &requestId, Common::Time receivedAt);
+    /// Serves the requests that waited for the first configuration.
+    void serveEarlyRequests();
+    void rejectExpiredEarlyRequests(Common::Time now);
     void servePeer(const Connection &connection, InboundRequest request);
     void serveReadiness(const Connection &connection, const InboundRequest &request);
     void serveDirectory(const Connection &connection, const InboundRequest &request);
@@ -174,6 +181,7 @@
     Fleet::Roster roster_;
     Dispatch::Scheduler scheduler_;
     Customers::UsageLimiter limiter_;
+    StartupQueue startupQueue_;
     std::shared_ptr<OutboundPool> pool_;
     StoreWatcher store_;
     PeerSync peerSync_;
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -36,6 +36,9 @@
     if (update.endpoints || update.evacuations || update.configuration) {
         endpointsChanged(now);
     }
+    if (update.configuration) {
+        serveEarlyRequests();
+    }
     if (update.endpoints || update.evacuations) {
         EventLine line("catalog");
         line.add("revision", static_cast<std::int64_t>(catalog_.items().upTo()))
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -74,7 +74,8 @@
                       "the configuration may be outdated", UnknownConfigurationRetryAfter);
         return;
     }
-    rejectRequest(connection, refusal.status, requestId, std::string(refusal.reason), std::nullopt);
+    rejectRequest(connection, refusal.status, requestId, std::string(refusal.reason),
+                  refusal.retryAfter);
 }
 
 bool RelayGateway::exceedsBodyMemory(const InboundRequest &request) const
@@ -87,7 +88,34 @@
            > static_cast<double>(settings_.memoryBytes) * BodyMemoryFraction;
 }
 
-void RelayGateway::serveCaller(const Connection &connection, InboundRequest request)
+void RelayGateway::waitForConfiguration(const Connection &connection, InboundRequest request,
+                                        const std::string &requestId, Common::Time receivedAt)
+{
+    EarlyRequest early{connection, std::move(request), receivedAt};
+    if (!startupQueue_.add(early)) {
+        rejectRequest(connection, ServiceUnavailable, requestId, "no configuration is known yet",
+                      UnknownConfigurationRetryAfter);
+    }
+}
+
+void RelayGateway::serveEarlyRequests()
+{
+    for (auto &early : startupQueue_.takeAll()) {
+        serveCaller(early.connection, std::move(early.request), early.receivedAt);
+    }
+}
+
+void RelayGateway::rejectExpiredEarlyRequests(Common::Time now)
+{
+    for (const auto &early : startupQueue_.takeExpired(now)) {
+        const auto head = Platform::readCallerHead(early.request.headers);
+        rejectRequest(early.connection, ServiceUnavailable, head ? head->requestId : "",
+                      "no configuration is known yet", UnknownConfigurationRetryAfter);
+    }
+}
+
+void RelayGateway::serveCaller(const Connection &connection, InboundRequest request,
+                               Common::Time receivedAt)
 {
     const auto now = steadyNow();
     auto head = Platform::readCallerHead(request.headers);
@@ -102,8 +130,7 @@
     }
     const auto routes = catalog_.routes();
     if (!routes) {
-        rejectRequest(connection, ServiceUnavailable, head->requestId,
-                      "no configuration is known yet", UnknownConfigurationRetryAfter);
+        waitForConfiguration(connection, std::move(request), head->requestId, receivedAt);
         return;
     }
     const auto access =
@@ -138,10 +165,10 @@
     facts.kind = route->kind;
     facts.repeatable = route->repeatable();
     facts.priority = access->priority;
-    facts.arrivedAt = now;
-    facts.objectiveAt = now + route->objective;
+    facts.arrivedAt = receivedAt;
+    facts.objectiveAt = receivedAt + route->objective;
     const auto callerTimeout = head->deadline.value_or(route->timeout);
-    facts.deadline = now + std::min(callerTimeout, route->timeout);
+    facts.deadline = receivedAt + std::min(callerTimeout, route->timeout);
     facts.parts = head->promptParts;
     facts.promptTokens = head->promptTokens;
     facts.outputTokens = head->expectedOutputTokens.value_or(head->maxOutputTokens);
--- a/Source/UnitTests/Dispatch/PlacementTest.cpp
+++ b/Source/UnitTests/Dispatch/PlacementTest.cpp
@@ -230,6 +230,42 @@
     EXPECT_NE(only<Forward>(scheduler_.submit(away, now_)), nullptr);
 }
 
+// All processes were restarted. Guards against rejecting requests that only another region may serve
+// in the half second before its first load report.
+TEST_F(SchedulerTest, YoungProcessWaitsForTheFirstReportOfTheOnlyAllowedRegion)
+{
+    Scheduler young(DispatchOptions(), InstanceId("one"), RegionName("home"), 7, now_);
+    auto call = facts(Plain);
+    call.allowedRegions = {RegionName("away")};
+    EXPECT_TRUE(young.submit(call, now_).empty());
+    pass(milliseconds(200));
+    EXPECT_TRUE(young.tick(now_).empty());
+    young.setFleet({InstanceId("one")}, 2, {RegionName("away")});
+    CrossRegionLoadReport report;
+    report.spareCapacities = {{shortId(ServiceName(Plain)), 4, 100, 30}};
+    young.setCrossRegionLoadReport(RegionName("away"), InstanceId("far"), report, now_);
+    const auto effects = young.tick(now_);
+    EXPECT_NE(only<Forward>(effects), nullptr);
+}
+
+TEST_F(SchedulerTest, YoungProcessRejectsWhatNoRegionHasReportedInTime)
+{
+    Scheduler young(DispatchOptions(), InstanceId("one"), RegionName("home"), 7, now_);
+    auto call = facts(Plain);
+    call.allowedRegions = {RegionName("away")};
+    EXPECT_TRUE(young.submit(call, now_).empty());
+    pass(milliseconds(500));
+    const auto effects = young.tick(now_);
+    ASSERT_NE(only<Reject>(effects), nullptr);
+    EXPECT_EQ(only<Reject>(effects)->reason, RejectReason::NoEndpoint);
+    auto withdrawn = facts(Plain);
+    withdrawn.allowedRegions = {RegionName("away")};
+    EXPECT_TRUE(young.submit(withdrawn, now_).empty());
+    young.withdraw(withdrawn.id, now_);
+    EXPECT_FALSE(young.knows(withdrawn.id));
+    EXPECT_TRUE(young.tick(now_).empty());
+}
+
 TEST_F(SchedulerTest, ForwardedRequestIsNotForwardedAgain)
 {
     setSpareCapacityAway(Plain, 100);
