--- a/Source/Core/Customers/UsageLimiter.cpp
+++ b/Source/Core/Customers/UsageLimiter.cpp
@@ -31,10 +31,9 @@
     return static_cast<std::uint32_t>(Common::stableHash(name.text()));
 }
 
-UsageLimiter::UsageLimiter(UsageLimiterOptions options, std::uint64_t seed, Time startedAt)
+UsageLimiter::UsageLimiter(UsageLimiterOptions options, std::uint64_t seed)
     : options_(options)
     , random_(seed)
-    , startedAt_(startedAt)
 {
 }
 
@@ -56,8 +55,10 @@
     const double seconds = Common::toSeconds(window_);
     account.limit.burst = std::max({limit.burst, limit.perSecond * MinBurstSeconds, 1.0});
     account.allowed = limit.perSecond * seconds + account.limit.burst + UsedSlackFraction * slack_;
-    // If the whole system has just restarted, its usage is unknown and may be as high as allowed.
-    account.window = UsageWindow(window_, account.allowed / seconds, now);
+    // If the whole system has just restarted, its usage is unknown and may be as high as allowed. Half
+    // of the burst serves requests until the other instances have reported.
+    const double assumed = account.allowed - account.limit.burst / 2;
+    account.window = UsageWindow(window_, assumed / seconds, now);
     return account;
 }
 
@@ -78,6 +79,9 @@
         accounts.emplace(customer.name, std::move(account));
     }
     accounts_ = std::move(accounts);
+    if (!accounts_.empty()) {
+        limitedSince_ = limitedSince_.value_or(now);
+    }
     byShortId_.clear();
     for (auto &[name, account] : accounts_) {
         byShortId_[shortId(name)] = &account;
@@ -123,7 +127,8 @@
     source.unseen = false;
     source.shares = sharesOf(source.rates, now);
     if (isFirst) {
-        const auto unreported = std::min<Duration>(now - startedAt_, MaxUnreportedTime);
+        const auto unreported =
+            std::min<Duration>(now - limitedSince_.value_or(now), MaxUnreportedTime);
         for (const auto &usage : source.rates) {
             if (auto *account = find(usage.customer)) {
                 account->window.add(usage.perSecond * Common::toSeconds(unreported));
--- a/Source/Core/Customers/UsageLimiter.h
+++ b/Source/Core/Customers/UsageLimiter.h
@@ -57,8 +57,7 @@
 class UsageLimiter
 {
 public:
-    /// @param startedAt start time of this process
-    UsageLimiter(UsageLimiterOptions options, std::uint64_t seed, Time startedAt);
+    UsageLimiter(UsageLimiterOptions options, std::uint64_t seed);
 
     /// Sets the window in which limits are enforced, and the amount by which all instances together
     /// may exceed a limit. Takes effect with the next configuration.
@@ -136,7 +135,8 @@
 
     UsageLimiterOptions options_;
     std::mt19937_64 random_;
-    Time startedAt_{};
+    /// When the first customers with limits became known. Nothing was admitted before.
+    std::optional<Time> limitedSince_;
     std::unordered_map<CustomerName, Account> accounts_;
     std::unordered_map<std::uint32_t, Account *> byShortId_;
     std::map<InstanceId, Source> instances_;
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -116,7 +116,7 @@
     , roster_(options_.roster, makeInstanceRecord(settings_), randomNumber())
     , scheduler_(options_.dispatch, settings_.instance, settings_.region, randomNumber(),
                  steadyNow())
-    , limiter_(Customers::UsageLimiterOptions(), randomNumber(), steadyNow())
+    , limiter_(Customers::UsageLimiterOptions(), randomNumber())
     , pool_(std::make_shared<OutboundPool>(context_))
     , store_(
           pool_, watchOptions(settings_.bounds),
--- a/Source/UnitTests/Customers/UsageSimulation.h
+++ b/Source/UnitTests/Customers/UsageSimulation.h
@@ -201,7 +201,7 @@
         nodes_.resize(static_cast<std::size_t>(fleet_.instances));
         auto &node = nodes_[static_cast<std::size_t>(index)];
         const auto startsAt = std::max(now_, node.downUntil);
-        node.limiter = std::make_unique<UsageLimiter>(UsageLimiterOptions(), random_(), startsAt);
+        node.limiter = std::make_unique<UsageLimiter>(UsageLimiterOptions(), random_());
         node.limiter->setBounds(window(), fleet_.slack);
         node.limiter->setCustomers(customers(), startsAt);
         std::uniform_int_distribution<int> phase(0, 250);
