--- a/Source/Core/Configuration/Configuration.cpp
+++ b/Source/Core/Configuration/Configuration.cpp
@@ -82,8 +82,9 @@
     : tables_(std::move(tables))
 {
     for (const auto &[name, customer] : tables_.customers) {
+        tokenHolders_.push_back(&customer);
         for (const auto &token : customer.bearerTokens) {
-            customersByToken_[token] = &customer;
+            tokens_.add(token, tokenHolders_.size() - 1);
         }
     }
     for (const auto &[name, route] : tables_.routes) {
@@ -122,8 +123,8 @@
 
 const Customer *Configuration::customerByToken(std::string_view token) const
 {
-    const auto found = customersByToken_.find(std::string(token));
-    return found == customersByToken_.end() ? nullptr : found->second;
+    const auto holder = tokens_.find(token);
+    return holder ? tokenHolders_[*holder] : nullptr;
 }
 
 const Model *Configuration::model(const ModelName &name) const
--- a/Source/Core/Configuration/Model.h
+++ b/Source/Core/Configuration/Model.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <string_view>
-#include <unordered_map>
+#include <vector>
 
 #include "Configuration/Tables.h"
+#include "Customers/Customers.h"
 
 namespace LaburnumChute::Configuration {
 
@@ -48,7 +50,8 @@
 
 private:
     Tables tables_;
-    std::unordered_map<std::string, const Customer *> customersByToken_;
+    Customers::KeyTable tokens_;
+    std::vector<const Customer *> tokenHolders_;
     std::map<ModelName, std::map<std::string, const Route *, std::less<>>> modelRoutes_;
     /// Longest path first.
     std::map<ServiceName, std::vector<const Route *>> serviceRoutes_;
--- a/Source/Core/Customers/UsageLimiter.cpp
+++ b/Source/Core/Customers/UsageLimiter.cpp
@@ -55,8 +55,8 @@
     const double seconds = Common::toSeconds(window_);
     account.limit.burst = std::max({limit.burst, limit.perSecond * MinBurstSeconds, 1.0});
     account.allowed = limit.perSecond * seconds + account.limit.burst + UsedSlackFraction * slack_;
-    // If the whole system has just restarted, its usage is unknown and may be as high as allowed. Half
-    // of the burst serves requests until the other instances have reported.
+    // If the whole system has just restarted, its usage is unknown and may be as high as allowed.
+    // Half of the burst serves requests until the other instances have reported.
     const double assumed = account.allowed - account.limit.burst / 2;
     account.window = UsageWindow(window_, assumed / seconds, now);
     return account;
@@ -76,7 +76,7 @@
             account.window = known->second.window;
             account.own = known->second.own;
         }
-        accounts.emplace(customer.name, std::move(account));
+        accounts.emplace(customer.name, account);
     }
     accounts_ = std::move(accounts);
     if (!accounts_.empty()) {
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -459,9 +459,9 @@
     return true;
 }
 
-/// Load pattern: all processes are restarted at once, and requests that only other regions may serve
-/// arrive before the first load reports of these regions. A region that reported before and has no
-/// endpoint now is not waited for.
+/// Load pattern: all processes are restarted at once, and requests that only other regions may
+/// serve arrive before the first load reports of these regions. A region that reported before and
+/// has no endpoint now is not waited for.
 bool Scheduler::waitForRegions(Call &call, Time now)
 {
     const auto &facts = call.facts;
--- a/Source/Core/Relay/CallerAccess.h
+++ b/Source/Core/Relay/CallerAccess.h
@@ -37,8 +37,8 @@
 {
     unsigned status = 0;
     std::string_view reason;
-    /// A newer configuration may allow the request. An instance must not give the refusal unless its
-    /// configuration is current.
+    /// A newer configuration may allow the request. An instance must not give the refusal unless
+    /// its configuration is current.
     bool mayChange = false;
     /// Set if the request is valid, but cannot be served until operators change the configuration.
     std::optional<Common::milliseconds> retryAfter;
--- a/Source/UnitTests/Customers/UsageSimulation.h
+++ b/Source/UnitTests/Customers/UsageSimulation.h
@@ -309,7 +309,7 @@
         }
     }
 
-    void deliver(Message message)
+    void deliver(const Message &message)
     {
         auto &node = nodes_[static_cast<std::size_t>(message.to)];
         if (now_ < node.downUntil) {
--- a/Source/UnitTests/Dispatch/PlacementTest.cpp
+++ b/Source/UnitTests/Dispatch/PlacementTest.cpp
@@ -230,8 +230,8 @@
     EXPECT_NE(only<Forward>(scheduler_.submit(away, now_)), nullptr);
 }
 
-// All processes were restarted. Guards against rejecting requests that only another region may serve
-// in the half second before its first load report.
+// All processes were restarted. Guards against rejecting requests that only another region may
+// serve in the half second before its first load report.
 TEST_F(SchedulerTest, YoungProcessWaitsForTheFirstReportOfTheOnlyAllowedRegion)
 {
     Scheduler young(DispatchOptions(), InstanceId("one"), RegionName("home"), 7, now_);
--- a/Source/UnitTests/Relay/CallerAccessTest.cpp
+++ b/Source/UnitTests/Relay/CallerAccessTest.cpp
@@ -38,9 +38,9 @@
 tl::expected<CallerAccess, AccessRefusal> decide(const std::string &target,
                                                  const std::vector<std::string_view> &keys)
 {
-    static const auto Routes = makeRoutes();
-    static const std::string Host = "shop.example";
-    return decideAccess(Routes, {&Host, target, keys});
+    static const auto routes = makeRoutes();
+    const std::string host = "shop.example";
+    return decideAccess(routes, {&host, target, keys});
 }
 
 } // namespace
