--- a/Source/Core/Common/Common.h
+++ b/Source/Core/Common/Common.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // Public header of the library Common: names, time, errors, logs, metrics, settings and
-// read-copy-update cells that all other libraries use. Nothing here knows of sockets.
+// read-copy-update cells. All other libraries use it; it performs no network I/O.
 
 #include "Common/Error.h"
 #include "Common/Hash.h"
--- a/Source/Core/Common/Error.h
+++ b/Source/Core/Common/Error.h
@@ -7,13 +7,13 @@
 
 namespace LaburnumChute::Common {
 
-/// What the system may say about a request that it did not answer.
+/// What is known about the execution of a request that was not answered.
 enum class RunState {
-    /// The endpoint has not begun it and, under this key, will not without a new submission.
+    /// No endpoint has started it, and none will without a new submission of its key.
     NotRun,
-    /// It ran to its end.
+    /// It ran to completion.
     Ran,
-    /// It may have run, or may be running. The system never retries it by itself.
+    /// It may have run or may be running. It is never retried automatically.
     Unknown,
 };
 
@@ -31,7 +31,7 @@
     Internal,
 };
 
-/// The value that a function returns instead of a result.
+/// Returned by a function in place of a result.
 struct Error
 {
     ErrorCode code = ErrorCode::Internal;
@@ -41,9 +41,9 @@
 template <typename T>
 using Result = tl::expected<T, Error>;
 
-/// "not run", "ran" or "unknown": the wording of problem documents and dumps.
+/// "not run", "ran" or "unknown", as used in problem documents and dumps.
 std::string_view toString(RunState state);
-/// The kebab-case name that ends the type URI of a problem document.
+/// Last segment of the type URI of a problem document, in kebab case.
 std::string_view toString(ErrorCode code);
 
 inline tl::unexpected<Error> makeError(ErrorCode code, std::string message)
--- a/Source/Core/Common/Http.h
+++ b/Source/Core/Common/Http.h
@@ -20,13 +20,13 @@
     }
 };
 
-/// Header lines; order and repetition are kept.
+/// Header lines in their original order, including repeated ones.
 using Headers = std::vector<Header>;
 
-/// True when two header names are the same; they are ASCII and their case does not count.
+/// Compares header names, which are case-insensitive ASCII.
 bool sameHeaderName(std::string_view left, std::string_view right);
 
-/// The value of the first header of that name; nullptr when there is none.
+/// Value of the first header with the name; null if there is none.
 const std::string *findHeader(const Headers &headers, std::string_view name);
 
 } // namespace LaburnumChute::Common
--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -9,7 +9,7 @@
 
 namespace LaburnumChute::Common {
 
-/// A name that cannot be mixed up with a name of another kind.
+/// Strongly typed name: names of different kinds cannot be interchanged.
 template <typename Tag>
 class Name
 {
@@ -29,7 +29,7 @@
         return text_.empty();
     }
 
-    // clang-tidy 14 takes the defaulted operator for a null pointer.
+    // clang-tidy 14 mistakes the defaulted operator for a null pointer.
     auto operator<=>(const Name &) const = default; // NOLINT(modernize-use-nullptr)
 
     /// For cereal.
@@ -48,9 +48,9 @@
     std::string text_;
 };
 
-/// An instance of the system's own, as the platform's instance list names it.
+/// An instance of this system, as named in the platform's instance list.
 using InstanceId = Name<struct InstanceIdTag>;
-/// A model engine's runner or a runner of a plain service.
+/// A process that serves a model or a plain service.
 using EndpointId = Name<struct EndpointIdTag>;
 using RegionName = Name<struct RegionNameTag>;
 using FailureDomainName = Name<struct FailureDomainNameTag>;
@@ -58,14 +58,15 @@
 using ModelName = Name<struct ModelNameTag>;
 using AdapterName = Name<struct AdapterNameTag>;
 using ServiceName = Name<struct ServiceNameTag>;
-/// Follows one request through the logs of all processes.
+/// Identifies a request in the logs of all processes.
 using RequestId = Name<struct RequestIdTag>;
 
-/// One life of a process under an instance id. Wall clock milliseconds at its start, so that a
-/// replacement's number is higher than its predecessor's although nothing is stored.
+/// Identifies one run of a process under an instance id: wall clock milliseconds at its start,
+/// which makes the number of a replacement higher than that of its predecessor without stored
+/// state.
 using Incarnation = std::uint64_t;
 
-/// Number of a version of the configuration; 0 means that none is known yet.
+/// Version number of the configuration; 0 if none is known yet.
 using ConfigurationNumber = std::uint64_t;
 
 } // namespace LaburnumChute::Common
--- a/Source/Core/Common/Log.h
+++ b/Source/Core/Common/Log.h
@@ -11,7 +11,7 @@
 
 namespace LaburnumChute::Common {
 
-/// The part of the program that a line comes from; each has a fixed prefix and a level of its own.
+/// Component of the program that a line originates from. Each has a fixed prefix and its own level.
 enum class LogType {
     Common,
     Configuration,
@@ -38,15 +38,17 @@
 Result<LogLevel> parseLogLevel(std::string_view text);
 Result<LogType> parseLogType(std::string_view text);
 
-/// Sends the log to standard error in the given form. To be called once, before other threads run.
+/// Sends the log to standard error in the given format. Must be called once, before other threads
+/// are started.
 void startLog(LogFormat format, LogLevel level);
-/// Changes the level of one part while the program runs.
+/// Changes the level of one component at run time.
 void setLogLevel(LogType type, LogLevel level);
 LogLevel logLevel(LogType type);
-/// True when a line of this part and level would be written.
+/// Returns true if a line of this component and level would be written.
 bool logEnabled(LogType type, LogLevel level);
 
-/// Writes one line. Use the functions below, which format only what will be written.
+/// Writes one line. The functions below should be preferred, since they format only lines that are
+/// written.
 void writeLog(LogType type, LogLevel level, std::string_view request, const std::string &text);
 
 template <typename... Arguments>
@@ -58,7 +60,7 @@
     }
 }
 
-/// As log(), with the request id that lets one request be followed through several processes.
+/// Like log(), with the id of the request that the line belongs to.
 template <typename... Arguments>
 void logRequest(LogType type, LogLevel level, const RequestId &request,
                 fmt::format_string<Arguments...> format, Arguments &&...arguments)
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -13,7 +13,7 @@
 
 namespace LaburnumChute::Common {
 
-/// Label names and values of one time series, in a fixed order.
+/// Label names and values of a time series, sorted by name.
 using Labels = std::map<std::string, std::string>;
 
 class Counter
@@ -48,8 +48,8 @@
     std::atomic<double> value_{0};
 };
 
-/// Distribution of durations on a logarithmic axis from 10 µs to 1000 s, 20 bins a decade, so that
-/// a quantile is read with an error of at most 12%.
+/// Distribution of durations from 10 µs to 1000 s in 20 logarithmic bins per decade, which limits
+/// the error of a quantile to 12%.
 class DurationHistogram
 {
 public:
@@ -59,9 +59,9 @@
     void record(Duration duration);
     std::uint64_t count() const;
     double sumSeconds() const;
-    /// The upper edge of the bin in which the quantile (0 to 1) falls; zero when empty.
+    /// Upper edge of the bin that contains the quantile (0 to 1); zero if there are no values.
     Duration quantile(double fraction) const;
-    /// Cumulative counts at the given upper bounds in seconds, as Prometheus wants them.
+    /// Cumulative counts for the upper bounds, in seconds, in the form of Prometheus histograms.
     std::vector<std::uint64_t> cumulative(const std::vector<double> &bounds) const;
 
 private:
@@ -69,8 +69,8 @@
     std::unique_ptr<Storage> storage_;
 };
 
-/// Owns all metrics of a process. The references it hands out live as long as it does, so that the
-/// path of a request looks nothing up.
+/// Owns all metrics of a process. Returned references stay valid for its lifetime, so that no
+/// lookup is needed while a request is served.
 class MetricsRegistry
 {
 public:
--- a/Source/Core/Common/Rcu.h
+++ b/Source/Core/Common/Rcu.h
@@ -8,9 +8,9 @@
 
 namespace LaburnumChute::Common {
 
-/// A value that many threads read without a lock and that is replaced as a whole now and then.
-/// Readers hold the value for one short call and must not wait inside it: a writer that publishes
-/// meanwhile waits for them before it frees the old value.
+/// A value that many threads read without a lock and that is occasionally replaced as a whole.
+/// Readers access it within one short call and must not block: a writer that publishes meanwhile
+/// waits for them before it frees the old value.
 template <typename T>
 class RcuCell
 {
@@ -34,14 +34,14 @@
         return std::forward<Function>(function)(**current_.load(std::memory_order_acquire));
     }
 
-    /// A share of the current value, for callers that keep it over a suspension.
+    /// Shared ownership of the current value, for callers that keep it across a suspension.
     std::shared_ptr<const T> share() const
     {
         const ReadSection section;
         return *current_.load(std::memory_order_acquire);
     }
 
-    /// Makes the value the current one. Several threads may publish; the last one stays.
+    /// Replaces the current value. Several threads may publish; the last value remains.
     void publish(std::shared_ptr<const T> value)
     {
         auto *next = new std::shared_ptr<const T>(std::move(value));
--- a/Source/Core/Common/Settings.cpp
+++ b/Source/Core/Common/Settings.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::string_view EnvironmentPrefix = "LABURNUMCHUTE_";
 
-/// gflags keeps pointers to the storage of each flag for the life of the process.
+/// gflags keeps pointers to the storage of each flag for the lifetime of the process.
 struct FlagStorage
 {
     std::string name;
@@ -33,7 +33,7 @@
     }
     static std::list<FlagStorage> storage;
     auto &flag = storage.emplace_back(FlagStorage{flagName, info.help, {}, {}});
-    // NOLINTNEXTLINE(bugprone-unused-raii): the constructor enters the flag in gflags' own table.
+    // NOLINTNEXTLINE(bugprone-unused-raii): the constructor registers the flag with gflags.
     gflags::FlagRegisterer(flag.name.c_str(), flag.help.c_str(), "", &flag.value,
                            &flag.defaultValue);
 }
@@ -197,8 +197,8 @@
 
 Result<Settings::Words> Settings::splitWords(const std::vector<std::string> &arguments)
 {
-    // gflags ends the process on an unknown flag, with status 1 and without saying what was
-    // expected; so the names are checked before it sees them.
+    // gflags terminates the process on an unknown flag, with status 1 and without a list of the
+    // valid ones. Therefore, names are checked before they are passed to it.
     Words words;
     for (std::size_t index = 0; index < arguments.size(); ++index) {
         const auto &argument = arguments[index];
--- a/Source/Core/Common/Settings.h
+++ b/Source/Core/Common/Settings.h
@@ -13,21 +13,21 @@
 
 namespace LaburnumChute::Common {
 
-/// Where the value of a setting comes from; a higher layer hides the lower ones.
+/// Origin of the value of a setting. A higher layer overrides the lower ones.
 enum class SettingLayer { Default, Environment, Flag };
 
-/// A setting without its type: what --help, the man page and the state dump list.
+/// Type-independent properties of a setting, for --help, the man page and the state dump.
 struct SettingInfo
 {
-    /// Words joined by hyphens; the flag is --NAME, the variable LABURNUMCHUTE_NAME.
+    /// Words joined by hyphens. The flag is --NAME, the environment variable LABURNUMCHUTE_NAME.
     std::string name;
-    /// The part of the program under which --help lists it.
+    /// Section of --help that lists the setting.
     std::string part;
     std::string help;
     std::string defaultText;
-    /// What a value must look like, for errors: "a whole number from 1 to 65535".
+    /// Description of valid values for error messages, such as "a whole number from 1 to 65535".
     std::string expected;
-    /// The name alone means true; a value can only be given after "=".
+    /// The name alone means true; a value must follow "=".
     bool isSwitch = false;
 };
 
@@ -39,7 +39,7 @@
 Result<std::int64_t> parseSetting(std::string_view text, const std::int64_t *);
 Result<double> parseSetting(std::string_view text, const double *);
 Result<std::string> parseSetting(std::string_view text, const std::string *);
-/// A number and a unit: us, ms, s, min.
+/// Parses a number with a unit: us, ms, s or min.
 Result<milliseconds> parseSetting(std::string_view text, const milliseconds *);
 std::string settingText(bool value);
 std::string settingText(std::int64_t value);
@@ -48,7 +48,7 @@
 std::string settingText(milliseconds value);
 } // namespace Detail
 
-/// A typed setting: its name, its default and what a value must be.
+/// A typed setting with its name, default and valid values.
 template <typename T>
 struct Setting
 {
@@ -60,8 +60,8 @@
     bool (*valid)(const T &) = [](const T &) { return true; };
 };
 
-/// Reads the settings of one program from its flags and environment. Declare all settings first,
-/// then call parse() once, then get().
+/// Reads the settings of a program from its flags and environment. All settings must be declared
+/// before parse() is called once; get() may be called afterwards.
 class Settings
 {
 public:
@@ -77,8 +77,8 @@
                        });
     }
 
-    /// Takes flags out of the arguments and returns the positional words. An unknown flag or
-    /// variable and a bad value are errors that name the setting, the value and what was expected.
+    /// Parses the flags and returns the positional arguments. The error for an unknown flag or
+    /// variable, or an invalid value, names the setting, the value and the expected values.
     Result<std::vector<std::string>> parse(const std::vector<std::string> &arguments,
                                            const std::map<std::string, std::string> &environment);
 
@@ -94,12 +94,12 @@
     }
     SettingLayer layer(const std::string &name) const;
     std::string text(const std::string &name) const;
-    /// All declared settings in the order of their declaration.
+    /// All settings in the order of their declaration.
     const std::vector<SettingInfo> &all() const
     {
         return infos_;
     }
-    /// The text of --help: the settings by part.
+    /// Text of --help, which lists the settings by section.
     std::string helpText() const;
 
 private:
--- a/Source/Core/Configuration/Change.cpp
+++ b/Source/Core/Configuration/Change.cpp
@@ -43,7 +43,7 @@
     return configuration.service(service) != nullptr;
 }
 
-/// Finds what one route of the old version reached and the new version does not serve.
+/// Finds targets of a route of the old version that the new version does not serve.
 class StrandedTarget
 {
 public:
--- a/Source/Core/Configuration/Configuration.cpp
+++ b/Source/Core/Configuration/Configuration.cpp
@@ -19,7 +19,7 @@
     return count ? *count : 0;
 }
 
-/// A path that a service may read as another one.
+/// Returns true for paths that a service may normalize to another path.
 bool hasOtherSpellings(std::string_view path)
 {
     return path.find('%') != std::string_view::npos || path.find("//") != std::string_view::npos
@@ -70,7 +70,7 @@
         if (!covers || (best && best->pathPrefix.size() > call.pathPrefix.size())) {
             continue;
         }
-        // Between two entries of one length the one for this very method decides.
+        // Of two prefixes of equal length, the one for the specific method takes precedence.
         if (!best || call.pathPrefix.size() > best->pathPrefix.size() || call.method != "*") {
             best = &call;
         }
--- a/Source/Core/Configuration/Configuration.h
+++ b/Source/Core/Configuration/Configuration.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // Public header of the library Configuration: the typed model of what operators publish, its
-// validation, patches, and the check of a change. Nothing here knows of sockets or time of day.
+// validation, patches, and the check of changes. Performs no I/O and reads no clock.
 
 #include "Configuration/Change.h"
 #include "Configuration/Model.h"
--- a/Source/Core/Configuration/Model.h
+++ b/Source/Core/Configuration/Model.h
@@ -14,7 +14,7 @@
 class Configuration
 {
 public:
-    /// The tables must be free of dangling references; parse() makes sure of it.
+    /// @param tables without dangling references, as ensured by parse()
     explicit Configuration(Tables tables);
 
     const Tables &tables() const
@@ -26,7 +26,7 @@
         return tables_.limits;
     }
 
-    // Lookups by name give nullptr when there is no such thing.
+    // Lookups by name return null if there is no such entry.
     const Region *region(const RegionName &name) const;
     const Priority *priority(const PriorityName &name) const;
     const ResidencyRule *residencyRule(const ResidencyRuleName &name) const;
@@ -35,14 +35,14 @@
     const Model *model(const ModelName &name) const;
     const Service *service(const ServiceName &name) const;
 
-    /// The route of a model call: the path must be the route's own.
+    /// Route of a model call with exactly this path.
     const Route *route(std::string_view path, const ModelName &model) const;
-    /// The route of a service call, by the longest prefix of the path below /services/<name>.
+    /// Route of a service call with the longest matching prefix of the path below /services/<name>.
     const Route *route(const ServiceName &service, std::string_view path) const;
 
-    /// nullptr when nothing connects the two regions: no request may be forwarded between them.
+    /// Null if the regions are not connected, so that no request may be forwarded between them.
     const Link *link(const RegionName &left, const RegionName &right) const;
-    /// Runners of a model, or of a service, that the placement wants in a region.
+    /// Number of runners of a model or service that the placement specifies for a region.
     int runners(const ModelName &model, const RegionName &region) const;
     int runners(const ServiceName &service, const RegionName &region) const;
     /// Whether a call on this route may run twice; the path is the one below /services/<name>.
--- a/Source/Core/Configuration/ObjectReader.h
+++ b/Source/Core/Configuration/ObjectReader.h
@@ -13,16 +13,16 @@
 
 namespace LaburnumChute::Configuration {
 
-/// The bounds of a number, both allowed.
+/// Inclusive bounds of a number.
 struct Range
 {
     double lowest = 0;
     double highest = 0;
 };
 
-/// Reads the members of one JSON object. Each fault becomes a problem, and the reader goes on with
-/// a default, so that one reading finds all faults. finish() reports the members that nobody asked
-/// for; those that begin with "_comment" are free.
+/// Reads the members of one JSON object. Each error is recorded as a problem and the reader
+/// continues with a default, so that all errors are found at once. finish() reports members that
+/// were not read, except for those whose names begin with "_comment".
 class ObjectReader
 {
 public:
@@ -40,14 +40,14 @@
     std::optional<double> optionalNumber(const std::string &key, Range range);
     std::int64_t wholeNumber(const std::string &key, Range range);
     bool flag(const std::string &key, bool absent);
-    /// A member in milliseconds.
+    /// Reads a member in milliseconds.
     Common::Duration milliseconds(const std::string &key, Range range);
     std::optional<Common::Duration> optionalMilliseconds(const std::string &key, Range range);
 
-    /// The value of a member whose shape the caller checks; null when it is absent.
+    /// Value of a member that the caller validates; null if it is absent.
     const nlohmann::json *raw(const std::string &key);
-    /// Calls function(name, value, pointer) for each entry of a member that is an object of named
-    /// things; names are checked. An absent member has no entries.
+    /// Calls function(name, value, pointer) for each entry of a member that is an object and checks
+    /// the names. An absent member has no entries.
     template <typename Function>
     void forEach(const std::string &key, Function &&function)
     {
--- a/Source/Core/Configuration/Parser.cpp
+++ b/Source/Core/Configuration/Parser.cpp
@@ -15,12 +15,11 @@
 
 namespace {
 
-/// Deeper documents than the schema's are refused early.
+/// Documents with deeper nesting than the schema are rejected before they are parsed completely.
 constexpr int DeepestLevel = 16;
 
-/// Notices a name that stands twice in one object. JSON readers keep one of the two silently, so
-/// the operator's other entry would vanish without a word. Positions name the objects on the way;
-/// the schema has no objects inside arrays.
+/// Detects duplicate names in an object, of which JSON parsers silently drop one. Positions consist
+/// of object names only, since the schema has no objects inside arrays.
 class DuplicateNames
 {
 public:
@@ -68,7 +67,7 @@
     int deepest_ = 0;
 };
 
-/// The JSON value, or a discarded one with the problem that says why.
+/// Returns the JSON value, or a discarded one and adds a problem.
 json readJson(std::string_view content, Problems &problems)
 {
     if (content.size() > MaximumBytes) {
@@ -77,7 +76,7 @@
         return json(json::value_t::discarded);
     }
     DuplicateNames duplicates(problems);
-    // The position of a syntax error comes only with the library's exception.
+    // The library reports the position of a syntax error only in its exception.
     try {
         auto document = json::parse(content, std::ref(duplicates));
         if (duplicates.deepest() > DeepestLevel) {
--- a/Source/Core/Configuration/Parser.h
+++ b/Source/Core/Configuration/Parser.h
@@ -9,27 +9,27 @@
 
 namespace LaburnumChute::Configuration {
 
-/// The version of the document's schema that this release reads (member "schema").
+/// Supported version of the document schema (member "schema").
 inline constexpr int SchemaVersion = 1;
 
-/// The platform's service holds values up to a megabyte.
+/// Maximum size of a value in the platform's configuration service.
 inline constexpr std::size_t MaximumBytes = 1'000'000;
 
-/// All that is known of a document after one reading.
+/// Result of parsing a document.
 struct Report
 {
-    /// Null when there are problems.
+    /// Null if there are problems.
     std::shared_ptr<const Configuration> configuration;
-    /// What keeps the document from being put in force; all of it, not only the first.
+    /// All errors that prevent the document from being put in force.
     Problems problems;
-    /// What is valid but leaves some callers without an answer.
+    /// Valid entries because of which some requests can never be served.
     Problems warnings;
 };
 
-/// Reads and validates a document.
+/// Parses and validates a document.
 Report check(std::string_view content);
 
-/// The configuration, or an error whose message lists all problems, one a line.
+/// Returns the configuration, or an error whose message lists all problems, one per line.
 Common::Result<std::shared_ptr<const Configuration>> parse(std::string_view content);
 
 } // namespace LaburnumChute::Configuration
--- a/Source/Core/Configuration/Patch.cpp
+++ b/Source/Core/Configuration/Patch.cpp
@@ -31,7 +31,7 @@
         document.merge_patch(change);
         return document.dump(Indent, ' ', false, json::error_handler_t::replace);
     }
-    // The library tells of a patch that does not fit by exceptions only.
+    // The library reports a patch that cannot be applied only by exceptions.
     try {
         document = document.patch(change);
     } catch (const json::exception &exception) {
--- a/Source/Core/Configuration/Problem.h
+++ b/Source/Core/Configuration/Problem.h
@@ -7,14 +7,14 @@
 
 namespace LaburnumChute::Configuration {
 
-/// One fault of a document: where it is, what stands there and what should.
+/// An error in a document: its position, the value found and the expected one.
 struct Problem
 {
-    /// JSON Pointer (RFC 6901); empty for the document as a whole.
+    /// JSON Pointer (RFC 6901); empty for the whole document.
     std::string pointer;
-    /// The value found, as JSON, shortened; "nothing" when a member is missing.
+    /// The value as shortened JSON, or "nothing" for a missing member.
     std::string value;
-    /// What was expected there.
+    /// Description of valid values.
     std::string expected;
 
     bool operator==(const Problem &) const = default;
@@ -24,13 +24,13 @@
 
 /// "/routes/draft/model: the value "x" is not valid; expected ...".
 std::string toString(const Problem &problem);
-/// All problems, one a line.
+/// All problems, one per line.
 std::string toString(const Problems &problems);
 
-/// A problem whose value is shown as JSON, cut to a readable length.
+/// Creates a problem that contains the value as shortened JSON.
 Problem makeProblem(const nlohmann::json::json_pointer &at, const nlohmann::json &value,
                     std::string expected);
-/// A problem about a member that is not there.
+/// Creates a problem for a missing member.
 Problem makeMissing(const nlohmann::json::json_pointer &at, std::string expected);
 
 } // namespace LaburnumChute::Configuration
--- a/Source/Core/Configuration/References.cpp
+++ b/Source/Core/Configuration/References.cpp
@@ -28,7 +28,7 @@
     return names.empty() ? "none is defined" : fmt::format("{}", fmt::join(names, ", "));
 }
 
-/// Reports a name that the table does not have. An empty one was reported by the reader already.
+/// Reports a name that is not in the table. Empty names have already been reported by the reader.
 template <typename Key, typename Value>
 void checkName(const std::map<Key, Value> &table, const Key &name, const char *kind,
                const json::json_pointer &at, Problems &problems)
@@ -82,7 +82,7 @@
         for (const auto &token : customer.bearerTokens) {
             const auto [owner, fresh] = owners.emplace(token, name);
             if (!fresh) {
-                // The token itself is a secret and stays out of the message.
+                // The token is a secret and is not part of the message.
                 problems.push_back(
                     {(at / "bearer_tokens").to_string(), "a token",
                      fmt::format("tokens that customer \"{}\" does not have", owner->second)});
@@ -139,7 +139,7 @@
     }
 }
 
-/// The runners of a route's target; empty when nothing is placed.
+/// Runners of the target of a route; empty if it has no placement.
 RunnersByRegion runnersOf(const Tables &tables, const Route &route)
 {
     if (const auto *service = std::get_if<ServiceName>(&route.target)) {
@@ -150,7 +150,7 @@
     return found == tables.modelPlacements.end() ? RunnersByRegion() : found->second.runners;
 }
 
-/// Whether a caller at home in a region can be served somewhere under all the given rules.
+/// Whether some region may serve a caller from the given region under all rules.
 bool servedFrom(const RegionName &home, const RunnersByRegion &runners,
                 const std::vector<const ResidencyRule *> &rules)
 {
--- a/Source/Core/Configuration/References.h
+++ b/Source/Core/Configuration/References.h
@@ -5,11 +5,13 @@
 
 namespace LaburnumChute::Configuration {
 
-/// Dangling references, names that clash, and routes whose residency rule leaves them no runner.
+/// Finds dangling references, conflicting names, and routes without a runner in the regions that
+/// their residency rule allows.
 void checkReferences(const Tables &tables, Problems &problems);
 
-/// What is valid but refuses some callers always: a home region where a route has no runner that
-/// its rule allows, or a customer whose default rule and the route's have no region in common.
+/// Finds valid entries because of which some requests can never be served: home regions for which a
+/// route has no allowed runner, and customers whose default rule has no region in common with that
+/// of a route.
 Problems findWarnings(const Tables &tables);
 
 } // namespace LaburnumChute::Configuration
--- a/Source/Core/Configuration/Tables.h
+++ b/Source/Core/Configuration/Tables.h
@@ -30,26 +30,26 @@
     std::vector<FailureDomainName> failureDomains;
 };
 
-/// What lies between two regions, the same in both directions.
+/// Connection between two regions, with the same properties in both directions.
 struct Link
 {
     Duration oneWayDelay{};
-    /// Each way, shared by all traffic.
+    /// In each direction, shared by all traffic.
     double megabitsPerSecond = 0;
 };
 
-/// Two regions in no direction: the smaller name first.
+/// Unordered pair of regions: the smaller name comes first.
 using RegionPair = std::pair<RegionName, RegionName>;
 RegionPair makeRegionPair(const RegionName &left, const RegionName &right);
 
 struct Priority
 {
     PriorityName name;
-    /// 0 is served first.
+    /// 0 is the highest.
     int level = 0;
 };
 
-/// The regions a residency rule allows: any region, only the caller's, or those listed.
+/// Regions that a residency rule allows: any, only that of the caller, or the listed ones.
 struct AnyRegion
 {
 };
@@ -59,25 +59,25 @@
 using RegionSet = std::set<RegionName>;
 using ResidencyScope = std::variant<AnyRegion, HomeRegion, RegionSet>;
 
-/// A hard bound on where the data of a request may be.
+/// Regions in which the data of a request may be processed. Never violated.
 struct ResidencyRule
 {
     ResidencyRuleName name;
     ResidencyScope scope;
 
-    /// Whether the data of a caller at home in one region may be served in another.
+    /// Whether data of a caller from one region may be processed in another region.
     bool allows(const RegionName &home, const RegionName &region) const;
 };
 
 struct Customer
 {
     CustomerName name;
-    /// Weight of its part of a contended resource, relative to the other customers.
+    /// Weight in the sharing of contended resources, relative to other customers.
     double share = 1;
     PriorityName highestPriority;
-    /// Secrets: never to be logged or dumped.
+    /// Secrets; must not be logged or dumped.
     std::vector<std::string> bearerTokens;
-    /// Narrows the rule of each route when a request names no rule of its own.
+    /// Applies in addition to the rule of the route if the request names no rule.
     std::optional<ResidencyRuleName> defaultResidency;
 };
 
@@ -87,7 +87,7 @@
     std::string version;
     std::vector<AdapterName> adapters;
     std::int64_t contextLimitTokens = 0;
-    /// Whether every engine of its pool refuses orders with an old fencing number.
+    /// Whether all engines of the pool reject orders with an outdated fencing number.
     bool checksFences = false;
 };
 
@@ -102,7 +102,7 @@
 struct Service
 {
     ServiceName name;
-    /// For calls that no entry of `calls` covers.
+    /// Applies to calls that are not covered by an entry of `calls`.
     bool repeatable = false;
     std::vector<ServiceCall> calls;
 
@@ -114,7 +114,7 @@
     bool isRepeatable(std::string_view method, std::string_view path) const;
 };
 
-/// Where requests for one model (exact path) or one service (path prefix) go, and how.
+/// Rules for the requests to one model (exact path) or one service (path prefix).
 struct Route
 {
     RouteName name;
@@ -123,42 +123,41 @@
     std::variant<ModelName, ServiceName> target;
     PriorityName priority;
     ResidencyRuleName residency;
-    /// Only narrows: a call is repeatable if both the route and the service say so.
+    /// A call is repeatable only if both its route and its service allow it.
     bool repeatable = true;
-    /// For callers that name no deadline: how long they wait for the first byte.
+    /// Maximum time to the first byte for requests without a deadline.
     Duration deadline{};
 };
 
 using RunnersByRegion = std::map<RegionName, int>;
 
-/// How many runners of a model, or of a service, stand in each region.
+/// Number of runners of a model or service in each region.
 struct ModelPlacement
 {
     RunnersByRegion runners;
-    /// Of these, how many hold each adapter.
+    /// Number of these runners that have each adapter.
     std::map<AdapterName, RunnersByRegion> adapters;
 };
 
-/// Bounds of the decisions under load; one that is absent leaves the instance's own setting in
-/// force.
+/// Bounds of the decisions under load. The setting of the instance applies where one is absent.
 struct DecisionLimits
 {
-    /// Longest wait in a queue before a request is turned away.
+    /// Maximum time in the queue before a request is rejected.
     std::optional<Duration> queueWait;
-    /// Retries as a share of first tries, 0 to 1.
+    /// Retries as a fraction of first attempts, 0 to 1.
     std::optional<double> retryShare;
-    /// Share of a region's requests that may be sent away from it, 0 to 1.
+    /// Fraction of a region's requests that may be forwarded to other regions, 0 to 1.
     std::optional<double> awayShare;
-    /// Share of a pool's endpoints that may be ejected at once, 0 to 1.
+    /// Fraction of a pool's endpoints that may be ejected at the same time, 0 to 1.
     std::optional<double> ejectedShare;
 };
 
-/// All of one document, by name.
+/// Contents of a document, by name.
 struct Tables
 {
     std::map<RegionName, Region> regions;
     std::map<RegionPair, Link> links;
-    /// For pairs that `links` does not name.
+    /// Applies to pairs that are not in `links`.
     std::optional<Link> defaultLink;
     std::map<PriorityName, Priority> priorities;
     std::map<ResidencyRuleName, ResidencyRule> residencyRules;
@@ -171,8 +170,8 @@
     DecisionLimits limits;
 };
 
-/// Whether a path lies under a prefix, by whole segments: "/orders" covers "/orders/7" and not
-/// "/orders-archive".
+/// Returns true if the prefix consists of leading segments of the path: "/orders" covers
+/// "/orders/7" but not "/orders-archive".
 bool isUnder(std::string_view prefix, std::string_view path);
 
 } // namespace LaburnumChute::Configuration
--- a/Source/Core/Operator/CheckVerb.cpp
+++ b/Source/Core/Operator/CheckVerb.cpp
@@ -22,7 +22,7 @@
     }
 }
 
-/// Checks one file after the other, each against the same earlier version.
+/// Checks all files, each against the same earlier version.
 class Checker
 {
 public:
--- a/Source/Core/Operator/CommandLine.cpp
+++ b/Source/Core/Operator/CommandLine.cpp
@@ -107,8 +107,8 @@
 CommandLine::environmentOf(const Common::Settings &settings,
                            const std::map<std::string, std::string> &environment) const
 {
-    // A machine may hold the variables of one verb while another is called; a variable that no verb
-    // knows is left in, so that a misspelt one is still an error.
+    // The environment may contain variables for another verb. Variables that no verb declares are
+    // kept, so that misspelled ones are still reported.
     const auto own = variablesOf(settings);
     std::set<std::string> others;
     for (const auto &verb : verbs_) {
--- a/Source/Core/Operator/CommandLine.h
+++ b/Source/Core/Operator/CommandLine.h
@@ -9,13 +9,13 @@
 
 namespace LaburnumChute::Operator {
 
-/// Chooses the verb that the first word names and runs it with its own settings.
+/// Runs the verb that is named by the first argument with its settings.
 class CommandLine
 {
 public:
     CommandLine(std::vector<Verb> verbs, std::ostream &out, std::ostream &error);
 
-    /// Returns the exit status of the program.
+    /// @return the exit status of the program
     int run(const std::vector<std::string> &arguments,
             const std::map<std::string, std::string> &environment) const;
 
@@ -33,7 +33,7 @@
     std::ostream &error_;
 };
 
-/// The text of "laburnumchute VERB --help".
+/// Text of "laburnumchute VERB --help".
 std::string helpText(const Verb &verb);
 
 } // namespace LaburnumChute::Operator
--- a/Source/Core/Operator/Completion.h
+++ b/Source/Core/Operator/Completion.h
@@ -7,7 +7,7 @@
 
 namespace LaburnumChute::Operator {
 
-/// A bash script that completes the verbs, their settings and file names.
+/// Bash script that completes verbs, their settings and file names.
 std::string bashCompletion(const std::vector<Verb> &verbs);
 
 } // namespace LaburnumChute::Operator
--- a/Source/Core/Operator/DumpVerb.cpp
+++ b/Source/Core/Operator/DumpVerb.cpp
@@ -13,7 +13,8 @@
 constexpr unsigned HttpOk = 200;
 constexpr int Indent = 2;
 
-/// The part of the state at a pointer; the library tells of a bad pointer by an exception only.
+/// Returns the part of the state at a JSON pointer. The library reports an invalid pointer only by
+/// an exception.
 Common::Result<json> partOf(const json &state, const std::string &pointer)
 {
     try {
--- a/Source/Core/Operator/ManPage.cpp
+++ b/Source/Core/Operator/ManPage.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Text as roff shows it: hyphens that can be copied, no escapes, no line taken for a request.
+/// Escapes text for roff: hyphens can be copied, and no line is interpreted as a request.
 std::string escape(const std::string &text)
 {
     std::string result;
--- a/Source/Core/Operator/Operator.h
+++ b/Source/Core/Operator/Operator.h
@@ -1,7 +1,6 @@
 #pragma once
 
-// Public header of the library Operator: the verbs of the program and the command line that chooses
-// among them.
+// Public header of the library Operator: the command line and its verbs.
 
 #include "Operator/CommandLine.h"
 #include "Operator/Status.h"
--- a/Source/Core/Operator/OperatorClient.h
+++ b/Source/Core/Operator/OperatorClient.h
@@ -7,11 +7,11 @@
 
 namespace LaburnumChute::Operator {
 
-/// Settings of the verbs that call gateways.
+/// Settings of verbs that send queries to gateways.
 extern const Common::Setting<Common::milliseconds> TimeoutSetting;
 
-/// Sends all queries at once and waits for all answers, in the order of the queries. Each has its
-/// own timeout, so that one silent gateway does not hide the others.
+/// Sends all queries concurrently and returns the responses in the same order. Each query has its
+/// own timeout, so that an unresponsive gateway does not affect the others.
 std::vector<Common::Result<Readers::HttpClientResponse>>
 fetchAll(const std::vector<Readers::HttpClientRequest> &queries);
 
--- a/Source/Core/Operator/Status.cpp
+++ b/Source/Core/Operator/Status.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// The member of an object, or the default when it is absent or of another type.
+/// Member of an object, or the default if it is absent or has another type.
 template <typename T>
 T member(const json &object, const char *name, T absent)
 {
@@ -49,7 +49,7 @@
 
 using Row = std::vector<std::string>;
 
-/// Columns as wide as their widest cell, two spaces apart.
+/// Formats a table with columns as wide as their widest cell, separated by two spaces.
 std::string layOut(const std::vector<Row> &rows)
 {
     std::vector<std::size_t> widths;
--- a/Source/Core/Operator/Status.h
+++ b/Source/Core/Operator/Status.h
@@ -13,26 +13,26 @@
 
 namespace LaburnumChute::Operator {
 
-/// An endpoint as one gateway sees it.
+/// State of an endpoint according to one gateway.
 struct EndpointView
 {
     Common::EndpointId id;
     bool listed = false;
     bool leaving = false;
-    /// Ejected: this gateway sends it nothing for now.
+    /// The gateway currently sends it no requests.
     bool excluded = false;
-    /// Requests of this gateway on it.
+    /// Requests of the gateway that it is running.
     std::uint64_t ownInFlight = 0;
 };
 
-/// What the dump of one gateway says of the fleet.
+/// State of the fleet according to the dump of one gateway.
 struct InstanceView
 {
     Common::InstanceId instance;
     Common::RegionName region;
     bool draining = false;
     Common::ConfigurationNumber configuration = 0;
-    /// Why the newest version that was read is not in force; empty when there is no such thing.
+    /// Reason why the latest version was not put in force; empty if it is in force.
     std::string lastRejection;
     std::uint64_t requestsInFlight = 0;
     /// Members of its own region, with "alive", "suspect", "dead" or "leaving".
@@ -40,25 +40,25 @@
     std::vector<EndpointView> endpoints;
 };
 
-/// Reads a dump. Members that are absent or of another type are left at their defaults; a document
-/// that is no dump at all is a ProtocolViolation.
+/// Parses a dump. Members that are absent or have another type keep their defaults. A document that
+/// is not a dump is a ProtocolViolation.
 Common::Result<InstanceView> readInstanceView(std::string_view dump);
 
-/// One gateway that was asked: its view, or why there is none.
+/// Response of a gateway: its state, or the reason why there is none.
 struct AskedInstance
 {
     std::string address;
     Common::Result<InstanceView> view;
 };
 
-/// All gateways that were asked.
+/// Responses of all gateways.
 class FleetStatus
 {
 public:
     explicit FleetStatus(std::vector<AskedInstance> asked);
 
     bool allAnswered() const;
-    /// Whether those that answered have one configuration number in force.
+    /// Whether all gateways that responded have the same configuration in force.
     bool sameConfiguration() const;
 
     std::string table() const;
--- a/Source/Core/Operator/TextFile.h
+++ b/Source/Core/Operator/TextFile.h
@@ -8,7 +8,7 @@
 
 namespace LaburnumChute::Operator {
 
-/// The whole of a file.
+/// Reads a whole file.
 inline Common::Result<std::string> readTextFile(const std::string &path)
 {
     std::ifstream file(path, std::ios::binary);
--- a/Source/Core/Operator/TextVerbs.cpp
+++ b/Source/Core/Operator/TextVerbs.cpp
@@ -30,7 +30,7 @@
     return verb;
 }
 
-/// All verbs: those given and the two that describe them.
+/// The given verbs and the two that describe them.
 std::vector<Verb> describedVerbs(std::vector<Verb> others)
 {
     others.push_back(makeCompletion());
--- a/Source/Core/Operator/Verb.h
+++ b/Source/Core/Operator/Verb.h
@@ -9,15 +9,15 @@
 
 namespace LaburnumChute::Operator {
 
-/// Exit statuses, the same for all verbs.
+/// Exit statuses of all verbs.
 inline constexpr int StatusDone = 0;
-/// The answer is no: a document is not valid, or instances do not agree.
+/// A document is invalid, or instances disagree.
 inline constexpr int StatusRefused = 1;
-/// A word or a setting is wrong.
+/// An argument or setting is invalid.
 inline constexpr int StatusUsage = 2;
-/// A file could not be read, or a gateway did not answer.
+/// A file could not be read, or a gateway did not respond.
 inline constexpr int StatusUnreachable = 3;
-/// The patch is based on a version that is no longer the current one.
+/// The patch is based on an outdated version.
 inline constexpr int StatusConflict = 4;
 
 struct ExitStatus
@@ -26,36 +26,36 @@
     std::string meaning;
 };
 
-/// One call of a verb.
+/// Arguments and streams of one invocation.
 struct Invocation
 {
     const Common::Settings &settings;
-    /// The words after the verb.
+    /// Arguments after the verb.
     std::vector<std::string> words;
     std::ostream &out;
     std::ostream &error;
 };
 
-/// A verb of the program with all that --help, the man page and the completion say of it.
+/// A verb of the program and its description for --help, the man page and completion.
 struct Verb
 {
     std::string name;
-    /// The words that follow the name: "FILE...".
+    /// Synopsis of the arguments, such as "FILE...".
     std::string operands;
-    /// One line without a full stop.
+    /// One line without a period.
     std::string summary;
     std::string description;
     std::vector<ExitStatus> statuses;
-    /// Whether the operands are files, for completion.
+    /// The arguments are file names; for completion.
     bool takesFiles = false;
     std::function<void(Common::Settings &)> declareSettings;
     std::function<int(const Invocation &)> run;
 
-    /// The verb's settings with nothing but their defaults.
+    /// Settings of the verb with their default values.
     Common::Settings settings() const;
 };
 
-/// Prints one line on the error stream and gives the status back.
+/// Prints one line to the error stream and returns the status.
 int complain(const Invocation &invocation, const std::string &message, int status);
 
 } // namespace LaburnumChute::Operator
--- a/Source/Core/Operator/Verbs.h
+++ b/Source/Core/Operator/Verbs.h
@@ -6,19 +6,19 @@
 
 namespace LaburnumChute::Operator {
 
-/// Reads configuration files and says all that is wrong with them.
+/// Validates configuration files and prints all problems.
 Verb checkVerb();
-/// Asks a gateway what a patch makes of the version in force.
+/// Has a gateway apply a patch to the version in force.
 Verb patchVerb();
-/// Prints the state of one gateway.
+/// Prints the state of a gateway.
 Verb dumpVerb();
 /// Compares the states of several gateways.
 Verb statusVerb();
-/// Print the completion script and the man page of the program with these verbs (and these two).
+/// Print the completion script and the man page of the program with these verbs and themselves.
 Verb completionVerb(std::vector<Verb> others);
 Verb manVerb(std::vector<Verb> others);
 
-/// The verb given, such as "gateway", followed by all verbs for operators.
+/// Returns the given verb, such as "gateway", followed by all verbs for operators.
 std::vector<Verb> withOperatorVerbs(Verb first);
 
 } // namespace LaburnumChute::Operator
