Bound reported rates and the stated usage; fuzz usage reports and the items of the store

Cause: the usage of a request is what its caller states. A rate beyond 32 bits was undefined behaviour when reported, and a huge usage made the sums of the window inexact.

--- a/Source/Core/Customers/CustomerTable.cpp
+++ b/Source/Core/Customers/CustomerTable.cpp
@@ -5,12 +5,19 @@
 
 namespace LaburnumChute::Customers {
 
+namespace {
+
+/// Callers state their tokens themselves. A larger number would make sums of usage inexact.
+constexpr double MaxUsage = 1e9;
+
+} // namespace
+
 double usageOf(const Customer &customer, std::optional<double> tokens)
 {
     if (customer.unit == UsageUnit::Requests) {
         return 1;
     }
-    return tokens.value_or(customer.plainTokens);
+    return std::min(tokens.value_or(customer.plainTokens), MaxUsage);
 }
 
 Common::Result<std::shared_ptr<const CustomerTable>>
--- a/Source/Core/Customers/UsageLimiter.cpp
+++ b/Source/Core/Customers/UsageLimiter.cpp
@@ -1,6 +1,7 @@
 #include "Customers/UsageLimiter.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace LaburnumChute::Customers {
 
@@ -24,6 +25,12 @@
 /// before the other instances learn of it, which is small for customers with low limits.
 constexpr double UsedSlackFraction = 0.25;
 
+std::uint32_t reportedRate(double perSecond)
+{
+    constexpr double Largest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp(perSecond, 0.0, Largest));
+}
+
 } // namespace
 
 std::uint32_t shortId(const CustomerName &name)
@@ -185,8 +192,8 @@
         auto &usage = rates[index];
         if (auto *account = find(usage.customer)) {
             const double share = options_.unseenFraction * source.shares[index];
-            usage.perSecond = std::max(
-                usage.perSecond, static_cast<std::uint32_t>(share * account->limit.perSecond));
+            usage.perSecond =
+                std::max(usage.perSecond, reportedRate(share * account->limit.perSecond));
             // The other side may use its share of what the window still allows at once.
             advance(*account, now);
             account->window.add(share * std::max(0.0, account->remaining()));
@@ -244,7 +251,7 @@
     for (const auto &[name, account] : accounts_) {
         const double rate = account.own.perSecond(now);
         if (isReported(account, rate)) {
-            rates.push_back({shortId(name), static_cast<std::uint32_t>(rate)});
+            rates.push_back({shortId(name), reportedRate(rate)});
         }
     }
     return rates;
@@ -275,7 +282,7 @@
 UsageReport UsageLimiter::regionReport(Time now) const
 {
     UsageReport report;
-    std::map<std::uint32_t, std::uint32_t> sums;
+    std::map<std::uint32_t, double> sums;
     const auto addRates = [&sums](const Rates &rates) {
         for (const auto &usage : rates) {
             sums[usage.customer] += usage.perSecond;
@@ -289,7 +296,7 @@
         }
     }
     for (const auto &[customer, perSecond] : sums) {
-        report.usages.push_back({customer, perSecond});
+        report.usages.push_back({customer, reportedRate(perSecond)});
     }
     report.usages = limitedNumber(std::move(report.usages));
     return report;
--- a/Source/UnitTests/Customers/CustomerTableTest.cpp
+++ b/Source/UnitTests/Customers/CustomerTableTest.cpp
@@ -103,6 +103,7 @@
     customer.unit = UsageUnit::Tokens;
     EXPECT_EQ(usageOf(customer, 1540), 1540);
     EXPECT_EQ(usageOf(customer, std::nullopt), 200);
+    EXPECT_EQ(usageOf(customer, 9e18), 1e9) << "a caller's number must not spoil the sums";
 }
 
 } // namespace LaburnumChute::Customers
--- a/Source/UnitTests/Customers/UsageLimiterTest.cpp
+++ b/Source/UnitTests/Customers/UsageLimiterTest.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include <gtest/gtest.h>
 
 #include "Customers/Customers.h"
@@ -182,6 +184,17 @@
     EXPECT_LE(verdict.retryAfter, milliseconds(2600));
 }
 
+// A rate beyond the range of a report was undefined behavior, and others might have read it as 0.
+TEST_F(UsageLimiterTest, RateBeyondTheRangeOfAReportIsReportedAsTheLargestOne)
+{
+    limiter_.admit(School, 1e12, now_);
+    constexpr auto Largest = std::numeric_limits<std::uint32_t>::max();
+    ASSERT_EQ(limiter_.instanceReport(now_).usages.size(), 1U);
+    EXPECT_EQ(limiter_.instanceReport(now_).usages[0].perSecond, Largest);
+    limiter_.setInstanceReport(InstanceId("b"), report(Largest), now_);
+    EXPECT_EQ(limiter_.regionReport(now_).usages[0].perSecond, Largest);
+}
+
 // Damaged reports must neither crash nor raise the limit.
 TEST_F(UsageLimiterTest, ReportsWithUnknownOrRepeatedCustomersAreHarmless)
 {
--- a/Tools/fuzz.sh
+++ b/Tools/fuzz.sh
@@ -8,7 +8,8 @@
 runs=${1:-20000}
 shift || true
 names=("$@")
-[ "${#names[@]}" -gt 0 ] || names=(Configuration InstanceList Gossip ChannelFrame IdempotencyKey)
+[ "${#names[@]}" -gt 0 ] || names=(Configuration InstanceList Gossip ChannelFrame IdempotencyKey
+    UsageReport Records)
 
 mkdir -p "$build"
 cmake -S "$root" -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Release -DLC_FUZZERS=ON \
@@ -23,7 +24,10 @@
 failed=0
 for name in "${names[@]}"; do
     mkdir -p "$work/$name"
-    seeds=("$root/Source/Fuzzers/Seeds/$name")
+    seeds=()
+    for folder in "$root/Source/Fuzzers/Seeds/$name" "$root/platform/tests/Seeds/$name"; do
+        [ -d "$folder" ] && seeds+=("$folder")
+    done
     [ "$name" = Configuration ] && seeds+=("$root/examples")
     "$build/bin/Fuzz$name" -runs="$runs" -seed=20261202 -max_len=16384 -timeout=10 \
         -malloc_limit_mb=256 -rss_limit_mb=1024 -print_final_stats=1 \
