--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -150,6 +150,7 @@
                       "too many requests in memory", MemoryRetryAfter);
         return;
     }
+    relayMetrics_.requests.add();
     RelayPlan plan;
     if (access->customer != nullptr) {
         plan.customer = access->customer->name;
@@ -158,7 +159,6 @@
             return;
         }
     }
-    relayMetrics_.requests.add();
     const auto *route = access->route;
     auto &facts = plan.facts;
     facts.service = Catalog::serviceFor(*route, head->requestId);
