--- a/Source/UnitTests/Relay/PeerMessagesTest.cpp
+++ b/Source/UnitTests/Relay/PeerMessagesTest.cpp
@@ -33,6 +33,16 @@
     EXPECT_FALSE(decodeForwardMetadata(whole.substr(0, whole.size() / 2)));
 }
 
+// A digit at the end, or a byte with only one digit, was ignored.
+TEST(ForwardMetadataTest, EveryByteNeedsTwoDigits)
+{
+    auto whole = encodeForwardMetadata(ForwardMetadata());
+    EXPECT_TRUE(decodeForwardMetadata(whole));
+    EXPECT_FALSE(decodeForwardMetadata(whole + "0"));
+    whole[whole.size() - 1] = 'g';
+    EXPECT_FALSE(decodeForwardMetadata(whole));
+}
+
 // A notice of each long prompt is sent immediately to every peer in the region. It must be small,
 // or the notices during a load peak would use up the bandwidth that requests need.
 TEST(GossipMessageTest, PromptNoticeIsSmall)
