--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -153,7 +153,13 @@
     if (abandonIfCallerLeft(now)) {
         return;
     }
-    gateway_.metrics().sends.add();
+    auto &metrics = gateway_.metrics();
+    metrics.sends.add();
+    if (streamStarted_) {
+        metrics.resumed.add();
+    } else if (!everSent_) {
+        metrics.queueTime.record(now - plan_.facts.arrivedAt);
+    }
     endpoint_ = effect.endpoint;
     peer_ = Common::InstanceId();
     expected_ = effect.expected;
--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -329,6 +329,7 @@
     status, text = fleet.get("north-1", 11, "/metrics")
     assert status == 200
     assert b"laburnumchute_relay_requests_total 1" in text
+    assert b"laburnumchute_relay_queue_seconds_count 1" in text
     status, text = fleet.get("north-1", 11, "/dump")
     dump = json.loads(text)
     assert dump["ready"] and dump["configuration"] == 1
