Send notices of usage only when little of the allowed usage remains

Cause: a single large request let an instance of a large fleet announce its usage to its whole region for a second; and instances without customers kept track of the fleet's usage.

--- a/Source/Core/Customers/UsageLimiter.cpp
+++ b/Source/Core/Customers/UsageLimiter.cpp
@@ -18,6 +18,8 @@
 constexpr double MinBurstSeconds = 0.1;
 /// Multiple of its equal share of the limit at which an instance announces its usage at once.
 constexpr double SuddenUsage = 2;
+/// While more than this fraction of the allowed usage remains, the usual reports are soon enough.
+constexpr double AmpleFraction = 0.6;
 constexpr milliseconds MinRetryAfter{200};
 constexpr milliseconds MaxRetryAfter{3000};
 
@@ -308,7 +310,8 @@
         const auto &account = entry.second;
         const double rate = account.own.perSecond(now);
         const double ifAllWereAlike = rate * static_cast<double>(allInstances_);
-        const bool rises = ifAllWereAlike >= SuddenUsage * account.limit.perSecond;
+        const bool rises = ifAllWereAlike >= SuddenUsage * account.limit.perSecond
+                           && account.remaining() < AmpleFraction * account.allowed;
         const bool nearlyUsed = account.remaining() < account.limit.burst;
         return rises || (nearlyUsed && isReported(account, rate));
     });
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -235,7 +235,9 @@
             reachable.insert(peer.record.region);
         }
     }
-    limiter_.setInstances({own.begin() + 1, own.end()}, aliveCount, now);
+    if (hasCustomers()) {
+        limiter_.setInstances({own.begin() + 1, own.end()}, aliveCount, now);
+    }
     scheduler_.setFleet(own, aliveCount, {reachable.begin(), reachable.end()});
     const auto bound = std::min(settings_.bounds.endpointDrain, settings_.bounds.configuration);
     const auto duty = Fleet::watchDuty(roster_.self(), knownPeers_, Fleet::watchOptionsFor(bound));
--- a/Source/UnitTests/Customers/UsageLimiterTest.cpp
+++ b/Source/UnitTests/Customers/UsageLimiterTest.cpp
@@ -174,6 +174,17 @@
     EXPECT_GT(limiter_.instanceReport(now_).usages[0].perSecond, 250U);
 }
 
+// In a large region, a notice goes to every instance. Single large requests of idle customers must
+// not cause any.
+TEST_F(UsageLimiterTest, NoticesAreOnlyNeededNearTheLimit)
+{
+    limiter_.setInstances({}, 300, now_);
+    limiter_.admit(School, 2000, now_);
+    EXPECT_FALSE(limiter_.nearLimit(now_));
+    limiter_.admit(School, 3000, now_);
+    EXPECT_TRUE(limiter_.nearLimit(now_));
+}
+
 TEST_F(UsageLimiterTest, RetryAfterIsTheTimeUntilUsageIsAdmittedAgain)
 {
     EXPECT_TRUE(limiter_.admit(School, 10000, now_).admitted);
