Wait for other regions only while one of them has not reported

Cause: in its first 1.5 s a process held requests for half of their objective even if all regions had reported to have no endpoint, and the default window of a usage limit of one second admitted twice the rate in the long run.

Bounds are unchanged.

--- a/Source/Core/Catalog/InstanceSettings.h
+++ b/Source/Core/Catalog/InstanceSettings.h
@@ -30,8 +30,9 @@
     /// number.
     double coldOvershoot = 1;
     double coldSlack = 0;
-    /// Window in which customers' usage limits are enforced.
-    Common::milliseconds usageWindow{1000};
+    /// Window in which customers' usage limits are enforced. A limit allows its burst in each
+    /// window, so that a short window raises the rate that is admitted in the long run.
+    Common::milliseconds usageWindow{10000};
     /// Amount by which all instances together may exceed a customer's usage limit in any window.
     double usageSlack = 0;
     /// Set if API keys must not be accepted once a removal of keys could have gone unnoticed for
--- a/Source/Core/Dispatch/SpareCapacity.cpp
+++ b/Source/Core/Dispatch/SpareCapacity.cpp
@@ -136,6 +136,20 @@
     return best;
 }
 
+bool SpareCapacity::awaitsReport(const ServiceName &service, const std::vector<RegionName> &allowed,
+                                 const RegionName &own) const
+{
+    const auto &candidates = allowed.empty() ? reachable_ : allowed;
+    if (candidates.empty()) {
+        return true;
+    }
+    return std::any_of(candidates.begin(), candidates.end(), [&](const RegionName &region) {
+        const auto found = destinations_.find({region, shortId(service)});
+        const bool hasReported = found != destinations_.end() && !found->second.reports.empty();
+        return region != own && !hasReported;
+    });
+}
+
 void SpareCapacity::sent(const RegionName &region, const ServiceName &service, Time now)
 {
     auto &destination = destinations_[{region, shortId(service)}];
--- a/Source/Core/Dispatch/SpareCapacity.h
+++ b/Source/Core/Dispatch/SpareCapacity.h
@@ -42,6 +42,10 @@
     /// Like best(), but includes all regions with an endpoint for the service.
     std::optional<Offer> any(const ServiceName &service, const std::vector<RegionName> &allowed,
                              const std::vector<RegionName> &excluded, Time now);
+    /// Returns true if an allowed region other than the own one has not reported on the service
+    /// yet.
+    bool awaitsReport(const ServiceName &service, const std::vector<RegionName> &allowed,
+                      const RegionName &own) const;
     void sent(const RegionName &region, const ServiceName &service, Time now);
 
 private:
--- a/Source/UnitTests/Dispatch/PlacementTest.cpp
+++ b/Source/UnitTests/Dispatch/PlacementTest.cpp
@@ -266,6 +266,20 @@
     EXPECT_TRUE(young.tick(now_).empty());
 }
 
+// Guards against waiting where it is known at once that no region has an endpoint.
+TEST_F(SchedulerTest, YoungProcessRejectsAtOnceWhatAllRegionsHaveNoEndpointFor)
+{
+    Scheduler young(DispatchOptions(), InstanceId("one"), RegionName("home"), 7, now_);
+    young.setFleet({InstanceId("one")}, 2, {RegionName("away")});
+    CrossRegionLoadReport report;
+    report.spareCapacities = {{shortId(ServiceName(Plain)), 0, 0, 0}};
+    young.setCrossRegionLoadReport(RegionName("away"), InstanceId("far"), report, now_);
+    EXPECT_NE(only<Reject>(young.submit(facts(Plain), now_)), nullptr);
+    auto atHomeOnly = facts(Plain);
+    atHomeOnly.allowedRegions = {RegionName("home")};
+    EXPECT_NE(only<Reject>(young.submit(atHomeOnly, now_)), nullptr);
+}
+
 TEST_F(SchedulerTest, ForwardedRequestIsNotForwardedAgain)
 {
     setSpareCapacityAway(Plain, 100);
