--- a/Source/Core/Catalog/EndpointRegistry.h
+++ b/Source/Core/Catalog/EndpointRegistry.h
@@ -24,15 +24,15 @@
 };
 
 /// How long an endpoint is used after its record has expired. During a store outage, records expire
-/// because they cannot be renewed, and reappear about two seconds after the store's recovery; an
-/// endpoint whose record is still missing then no longer exists. Without this grace, all endpoints
+/// because they cannot be renewed, and reappear soon after the store's recovery; an endpoint whose
+/// record is still missing then no longer exists. Without this grace, all endpoints
 /// would be taken out of service when the store recovers.
 inline constexpr milliseconds MissingGrace{1900};
 /// Requests to an endpoint that has left stop this long before the drain bound, so that requests
 /// already assigned to it arrive within the bound.
 inline constexpr milliseconds DrainMargin{500};
-/// The store counts as settled after this long without a call that failed or got no response. More
-/// than three times the interval of about 1.2 s at which endpoints renew their records.
+/// The store counts as settled after this long without a call that failed or got no response.
+/// Endpoints renew their records several times within it.
 inline constexpr milliseconds StoreSettled{5000};
 
 /// How long an endpoint stays in use after the removal of its record was observed.
--- a/Source/Core/Catalog/ItemStore.cpp
+++ b/Source/Core/Catalog/ItemStore.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-/// Maximum number of tombstones, at about 100 bytes each. A fleet that replaces 10,000 endpoints
-/// per hour reaches it in a quarter of an hour; a peer that was away for longer gets a complete
-/// set.
+/// Maximum number of tombstones, at about 100 bytes each. A peer that was away for longer than they
+/// are kept gets a complete set.
 constexpr std::size_t MaxTombstones = 2048;
 
 } // namespace
--- a/Source/Core/Customers/Customer.h
+++ b/Source/Core/Customers/Customer.h
@@ -42,7 +42,7 @@
     std::vector<RegionName> homes;
     UsageUnit unit = UsageUnit::Requests;
     /// Usage of a request that states no tokens; applies to UsageUnit::Tokens only.
-    double plainTokens = 1;
+    double defaultTokens = 1;
     /// Empty if the usage is not limited.
     std::optional<UsageLimit> limit;
 };
--- a/Source/Core/Customers/CustomerTable.cpp
+++ b/Source/Core/Customers/CustomerTable.cpp
@@ -17,7 +17,7 @@
     if (customer.unit == UsageUnit::Requests) {
         return 1;
     }
-    return std::min(tokens.value_or(customer.plainTokens), MaxUsage);
+    return std::min(tokens.value_or(customer.defaultTokens), MaxUsage);
 }
 
 Common::Result<std::shared_ptr<const CustomerTable>>
--- a/Source/Core/Customers/UsageRate.cpp
+++ b/Source/Core/Customers/UsageRate.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// As long as the usual interval between two reports, so that none misses a peak.
+/// A shorter time than the interval between two reports would hide peaks between them.
 constexpr double AveragingSeconds = 0.25;
 
 } // namespace
--- a/Source/Core/Dispatch/EngineModel.cpp
+++ b/Source/Core/Dispatch/EngineModel.cpp
@@ -11,7 +11,7 @@
 /// The time to the first event of shorter prompts depends more on the network than on the engine.
 constexpr std::int64_t SampleMinimumTokens = 1000;
 constexpr double SampleWeight = 0.1;
-/// Bounds of the estimate: a tenth of the slowest and ten times the fastest engine in use.
+/// Bounds of the estimate, in tokens per millisecond. They limit the effect of a wrong sample.
 constexpr double MinPrefillRate = 4;
 constexpr double MaxPrefillRate = 600;
 /// Bounds of the fraction of an engine's time that prefill gets.
--- a/Source/Core/Fleet/StoreWatch.h
+++ b/Source/Core/Fleet/StoreWatch.h
@@ -20,9 +20,8 @@
 
 struct WatchOptions
 {
-    /// Number of watchers per region. Each change of the store completes every long-poll call, and
-    /// each call has a price: with 300 changes and 26 instances, the calls cost a twentieth of
-    /// the value of a day. Two, so that the loss of one has no effect.
+    /// Number of watchers per region. Each change of the store completes every long-poll call, so
+    /// the load of the store grows with it. Two, so that the loss of one has no effect.
     std::size_t watchers = 2;
     /// A watcher whose last response from the store is older than this is not relied upon.
     milliseconds answerAge{1500};
--- a/Source/Core/Relay/StartupQueue.cpp
+++ b/Source/Core/Relay/StartupQueue.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Twice the time that the configuration takes to arrive from another region.
+/// Leaves time for a second attempt to get the configuration from a store in another region.
 constexpr Common::milliseconds MaxWait{600};
 constexpr std::size_t MaxRequests = 512;
 constexpr std::size_t MaxBodyBytes = 8u << 20;
--- a/Source/Core/Relay/StartupQueue.h
+++ b/Source/Core/Relay/StartupQueue.h
@@ -19,9 +19,8 @@
 /// Requests that wait for the first configuration of this process.
 ///
 /// Load pattern: all processes are restarted at once while callers keep sending. A process learns
-/// the configuration after a few round trips to the store, up to 300 ms from another region.
-/// Callers that are rejected meanwhile return later and lose their objective, and many return only
-/// once.
+/// the configuration after a few round trips to the store. Callers that are rejected meanwhile
+/// return later and lose their objective, and many return only once.
 class StartupQueue
 {
 public:
--- a/Source/UnitTests/Customers/CustomerTableTest.cpp
+++ b/Source/UnitTests/Customers/CustomerTableTest.cpp
@@ -98,7 +98,7 @@
 TEST(CustomerTableTest, UsageIsCountedInTheUnitOfTheCustomer)
 {
     Customer customer;
-    customer.plainTokens = 200;
+    customer.defaultTokens = 200;
     EXPECT_EQ(usageOf(customer, 1540), 1);
     customer.unit = UsageUnit::Tokens;
     EXPECT_EQ(usageOf(customer, 1540), 1540);
