Split the end of a call from RelayedCall and unite two choices of a region

Change: RelayedCallEnd.cpp has the responses and the end of a call, moved as they were (RelayedCall.cpp 634 to 477 lines); SpareCapacity::best and any share one loop. Result: unit tests of Relay and Dispatch pass; no behaviour differs.

--- a/Source/Core/Dispatch/SpareCapacity.cpp
+++ b/Source/Core/Dispatch/SpareCapacity.cpp
@@ -93,10 +93,10 @@
     destination.filledAt = now;
 }
 
-std::optional<SpareCapacity::Offer> SpareCapacity::best(const ServiceName &service,
-                                                        const std::vector<RegionName> &allowed,
-                                                        const std::vector<RegionName> &excluded,
-                                                        Time now)
+std::optional<SpareCapacity::Offer> SpareCapacity::choose(const ServiceName &service,
+                                                          const std::vector<RegionName> &allowed,
+                                                          const std::vector<RegionName> &excluded,
+                                                          bool includeExhausted, Time now)
 {
     std::optional<Offer> best;
     for (auto &[key, destination] : destinations_) {
@@ -105,35 +105,34 @@
         }
         fill(destination, now);
         const auto summary = summarize(destination, now);
-        const bool hasCapacity = summary.hasEndpoint && destination.allowance >= 1;
-        if (hasCapacity && (!best || summary.wait < best->wait)) {
-            best = Offer{key.first, summary.wait};
+        const bool exhausted = destination.allowance < 1;
+        if (!summary.hasEndpoint || (exhausted && !includeExhausted)) {
+            continue;
+        }
+        // A region whose allowance is used up is avoided unless the others are slower by the
+        // penalty.
+        const auto wait = summary.wait + (exhausted ? ExhaustedRegionPenalty : Duration(0));
+        if (!best || wait < best->wait) {
+            best = Offer{key.first, wait};
         }
     }
     return best;
 }
 
+std::optional<SpareCapacity::Offer> SpareCapacity::best(const ServiceName &service,
+                                                        const std::vector<RegionName> &allowed,
+                                                        const std::vector<RegionName> &excluded,
+                                                        Time now)
+{
+    return choose(service, allowed, excluded, false, now);
+}
+
 std::optional<SpareCapacity::Offer> SpareCapacity::any(const ServiceName &service,
                                                        const std::vector<RegionName> &allowed,
                                                        const std::vector<RegionName> &excluded,
                                                        Time now)
 {
-    std::optional<Offer> best;
-    for (auto &[key, destination] : destinations_) {
-        if (key.second != shortId(service) || !eligible(key.first, allowed, excluded)) {
-            continue;
-        }
-        fill(destination, now);
-        const auto summary = summarize(destination, now);
-        // A region whose allowance is used up is avoided unless the others are slower by the
-        // penalty.
-        const auto wait =
-            summary.wait + (destination.allowance >= 1 ? Duration(0) : ExhaustedRegionPenalty);
-        if (summary.hasEndpoint && (!best || wait < best->wait)) {
-            best = Offer{key.first, wait};
-        }
-    }
-    return best;
+    return choose(service, allowed, excluded, true, now);
 }
 
 bool SpareCapacity::awaitsReport(const ServiceName &service, const std::vector<RegionName> &allowed,
--- a/Source/Core/Dispatch/SpareCapacity.h
+++ b/Source/Core/Dispatch/SpareCapacity.h
@@ -72,6 +72,9 @@
         bool hasEndpoint = false;
     };
 
+    std::optional<Offer> choose(const ServiceName &service, const std::vector<RegionName> &allowed,
+                                const std::vector<RegionName> &excluded, bool includeExhausted,
+                                Time now);
     Summary summarize(const Destination &destination, Time now) const;
     void fill(Destination &destination, Time now) const;
     bool eligible(const RegionName &region, const std::vector<RegionName> &allowed,
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -35,18 +35,11 @@
 /// A stream has stalled after a pause of this many times the route's longest pause between events.
 constexpr int StallGapFactor = 3;
 constexpr milliseconds MinStallTime{1000};
-constexpr milliseconds TimeoutRetryAfter{700};
 /// Urgency sent to endpoints; higher numbers are less urgent. Endpoints default to 5, so requests
 /// of low priority are placed behind requests without an urgency.
 constexpr int HighestPriorityUrgency = 3;
 constexpr int LowestUrgency = 9;
 
-/// Returns true for statuses that guarantee that the request has not run.
-bool meansNotRun(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 bool sendsBody(const std::string &method, const std::string &body)
 {
     return !body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
@@ -460,123 +453,6 @@
     endAttempt(AttemptOutcome::Silent, true, now);
 }
 
-void RelayedCall::sendKeptResponse()
-{
-    connection_->respond(response_.status, response_.headers, response_.body);
-}
-
-void RelayedCall::sendOwnResponse(unsigned status, const std::string &detail,
-                                  std::optional<milliseconds> retryAfter, bool notRun)
-{
-    auto headers = Platform::ownAnswerHeaders(plan_.head.requestId, retryAfter);
-    headers.push_back({"Content-Type", "text/plain"});
-    if (plan_.fromPeer) {
-        headers.push_back({RunStateHeader, notRun ? RunStateNotRun : RunStateUnknown});
-    }
-    toldNotRun_ = notRun;
-    connection_->respond(status, std::move(headers), detail);
-}
-
-void RelayedCall::reject(const Dispatch::Reject &effect, Common::Time now)
-{
-    const auto self = shared_from_this();
-    if (streamStarted_) {
-        connection_->abort();
-        gateway_.metrics().failed.add();
-        finish("broken off");
-        return;
-    }
-    const auto retryAfter = std::chrono::duration_cast<milliseconds>(effect.retryAfter);
-    EventLine line("reject");
-    line.add("request", plan_.head.requestId)
-        .add("service", plan_.facts.service)
-        .add("reason", Dispatch::toString(effect.reason))
-        .add("last_try", lastReason_)
-        .add("waited", now - plan_.facts.arrivedAt)
-        .add("waiting", static_cast<std::int64_t>(gateway_.scheduler().waiting()))
-        .add("retry_after", effect.retryAfter);
-    gateway_.log().write(line, now);
-    gateway_.metrics().rejected.add();
-    sendOwnResponse(ServiceUnavailable, std::string(Dispatch::toString(effect.reason)), retryAfter,
-                    true);
-    finish("rejected");
-}
-
-void RelayedCall::fail(Common::Time now)
-{
-    const auto self = shared_from_this();
-    EventLine line("fail");
-    line.add("request", plan_.head.requestId)
-        .add("service", plan_.facts.service)
-        .add("endpoint", endpoint_)
-        .add("last_try", lastReason_)
-        .add("events_passed", streamStarted_)
-        .add("waited", now - plan_.facts.arrivedAt);
-    gateway_.log().write(line, now);
-    gateway_.metrics().failed.add();
-    if (streamStarted_) {
-        connection_->abort();
-        finish("broken off");
-        return;
-    }
-    if (lastErrorResponse_ && !meansNotRun(lastErrorResponse_->status)) {
-        connection_->respond(lastErrorResponse_->status, lastErrorResponse_->headers,
-                             lastErrorResponse_->body);
-        finish("endpoint error");
-        return;
-    }
-    sendOwnResponse(BadGateway, "the outcome is unknown: " + lastReason_, std::nullopt, false);
-    finish("unknown");
-}
-
-void RelayedCall::handleCallerDisconnect()
-{
-    const auto self = shared_from_this();
-    const auto now = steadyNow();
-    callerDisconnected_ = true;
-    gateway_.metrics().abandoned.add();
-    gateway_.scheduler().withdraw(plan_.facts.id, now);
-    // A running at-most-once request runs to completion: its caller may ask for the outcome.
-    const bool runsToCompletion = call_ && plan_.facts.kind == Dispatch::RequestKind::AtMostOnce;
-    if (runsToCompletion) {
-        return;
-    }
-    if (call_) {
-        endAttempt(AttemptOutcome::Cancelled, false, now);
-    }
-    if (!finished_) {
-        finish("abandoned");
-    }
-}
-
-void RelayedCall::timeOut(Common::Time now)
-{
-    const auto self = shared_from_this();
-    EventLine line("timeout");
-    line.add("request", plan_.head.requestId)
-        .add("service", plan_.facts.service)
-        .add("endpoint", endpoint_)
-        .add("sent", everSent_)
-        .add("events_passed", streamStarted_)
-        .add("waited", now - plan_.facts.arrivedAt);
-    gateway_.log().write(line, now);
-    gateway_.metrics().timedOut.add();
-    if (streamStarted_) {
-        connection_->abort();
-    } else if (everSent_) {
-        sendOwnResponse(GatewayTimeout, "no answer in time", std::nullopt, false);
-    } else {
-        sendOwnResponse(ServiceUnavailable, "no place in time", TimeoutRetryAfter, true);
-    }
-    gateway_.scheduler().withdraw(plan_.facts.id, now);
-    if (call_) {
-        endAttempt(responding_ ? AttemptOutcome::Cancelled : AttemptOutcome::Silent, false, now);
-    }
-    if (!finished_) {
-        finish("timed out");
-    }
-}
-
 void RelayedCall::tick(Common::Time now)
 {
     const auto self = shared_from_this();
@@ -598,37 +474,4 @@
     }
 }
 
-void RelayedCall::finish(const char *outcome)
-{
-    if (finished_) {
-        return;
-    }
-    finished_ = true;
-    const auto now = steadyNow();
-    if (toldNotRun_ || !everSent_) {
-        gateway_.refundUsage(plan_, now);
-    }
-    EventLine line("request");
-    line.add("request", plan_.head.requestId)
-        .add("service", plan_.facts.service)
-        .add("customer", plan_.customer)
-        .add("outcome", outcome)
-        .add("endpoint", endpoint_)
-        .add("instance_asked", peer_)
-        .add("from_peer", plan_.fromPeer)
-        .add("took", now - plan_.facts.arrivedAt);
-    if (firstEventAfter_) {
-        line.add("first_event", *firstEventAfter_).add("longest_pause", longestPause_);
-    }
-    if (limitPerSecond_) {
-        line.add("limit_per_second", fmt::format("{:g}", *limitPerSecond_));
-    }
-    gateway_.log().write(line, now);
-    if (call_) {
-        call_->cancel();
-        call_.reset();
-    }
-    gateway_.removeCall(plan_.facts.id);
-}
-
 } // namespace LaburnumChute::Relay
--- a/Source/Core/Relay/Statuses.h
+++ b/Source/Core/Relay/Statuses.h
@@ -14,4 +14,13 @@
 inline constexpr unsigned ServiceUnavailable = 503;
 inline constexpr unsigned GatewayTimeout = 504;
 
+/// Returns true for statuses that guarantee that the request has not run.
+inline bool meansNotRun(unsigned status)
+{
+    constexpr unsigned RequestTimeout = 408;
+    constexpr unsigned MisdirectedRequest = 421;
+    return status == RequestTimeout || status == MisdirectedRequest || status == TooManyRequests
+           || status == ServiceUnavailable;
+}
+
 } // namespace LaburnumChute::Relay
