Send digests between regions from three speakers, agree on watchers by relayed ages

Cause: each instance sent heartbeats with load reports to six instances of other regions twice a second, listed the ages of all it knew, contacted every silent instance in each round after its start and told every peer of a new revision. Who watches the store hung on peers heard directly within 1.6 s; at 195 instances of a region an instance hears another one every 3 s.

Change: three speakers of a region send a digest (number of instances, a few contacts, load) to six contacts of each other region, and whoever gets one relays it to four peers. Heartbeats stay within the region; an instance asks their sender for records that it lacks. Silent instances are contacted four per attempt. The age of the store's data and of its last failure travel in heartbeats, so that watchers are chosen among living instances, and few others query the store at first when it is silent. A new revision is told to four peers, each of which tells four others.

Tests at two sizes or more, the larger 200 to 1,000 instances of a region. InstanceWithoutReachablePeersWatches asked for reachable peers; what counts is that none is alive.

--- a/Source/Core/Fleet/Heartbeat.h
+++ b/Source/Core/Fleet/Heartbeat.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "Common/Common.h"
@@ -31,11 +32,12 @@
     std::uint64_t knownRevision = 0;
     /// Version of the configuration in force.
     Common::ConfigurationNumber configuration = 0;
-    /// Time since the instance's last response from the store, at most 65535 ms; empty if there was
-    /// none.
+    /// Time since the instance's copy of the store was known to be up to date, through its own calls
+    /// or those of others, at most 65535 ms; empty if it never was.
     std::optional<std::uint16_t> storeAgeMs;
-    /// The instance's calls to the store have succeeded without interruption for some seconds.
-    bool storeSettled = false;
+    /// Time since the last failed call to the store that the instance knows of, its own or that of
+    /// another instance of the region, at most 65535 ms; empty if it knows of none.
+    std::optional<std::uint16_t> storeFailureAgeMs;
 
     /// For cereal.
     template <typename Archive>
@@ -43,12 +45,12 @@
     {
         archive(id, incarnation, sequence, region, failureDomain, callerAddress, gossipAddress,
                 peerAddress, ready, leaving, knownRevision, configuration, storeAgeMs,
-                storeSettled);
+                storeFailureAgeMs);
     }
 };
 
-/// Compact identifier of an instance: a hash of its id.
-std::uint32_t shortId(const Common::InstanceId &id);
+/// Compact identifier of an instance: a hash of its id and incarnation.
+std::uint32_t shortId(const InstanceRecord &record);
 
 /// Time since the sender last received evidence that another instance is alive.
 struct HeardInstance
@@ -64,15 +66,17 @@
     }
 };
 
-/// One datagram between two instances.
+/// State of the sender, for instances of its region. Instances of other regions get one only on the
+/// first contact and when the sender leaves.
 struct Heartbeat
 {
     InstanceRecord self;
     std::vector<HeardInstance> heard;
     /// Records of instances that the receiver may not know.
     std::vector<InstanceRecord> instanceRecords;
-    /// Encoded load report of the sender, in the format for its own region or for other regions.
-    /// Not interpreted by this library.
+    /// Instances whose records the sender lacks and asks the receiver for.
+    std::vector<std::uint32_t> wantedRecords;
+    /// Encoded load report of the sender. Not interpreted by this library.
     std::string loadReport;
     /// Encoded report on the usage of customers, likewise.
     std::string usageReport;
@@ -81,8 +85,35 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(self, heard, instanceRecords, loadReport, usageReport);
+        archive(self, heard, instanceRecords, wantedRecords, loadReport, usageReport);
     }
 };
 
+/// State of a region, for the instances of other regions. A few instances of each region send it to
+/// some instances of the others, which relay it within their region.
+struct RegionDigest
+{
+    /// The instance that made the digest. Its sequence orders the digests of one incarnation.
+    InstanceRecord speaker;
+    /// Time since the digest was made, as far as the relaying instances know.
+    std::uint32_t ageMs = 0;
+    /// Number of instances of the region that are alive.
+    std::uint32_t aliveInstances = 0;
+    /// Other instances of the region that accept requests.
+    std::vector<InstanceRecord> contacts;
+    /// Encoded reports of the region. Not interpreted by this library.
+    std::string loadReport;
+    std::string usageReport;
+
+    /// For cereal.
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(speaker, ageMs, aliveInstances, contacts, loadReport, usageReport);
+    }
+};
+
+/// What one datagram of this library contains.
+using Message = std::variant<Heartbeat, RegionDigest>;
+
 } // namespace LaburnumChute::Fleet
--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -6,25 +6,44 @@
 
 namespace {
 
-/// Maximum entries per heartbeat. At about 130 bytes per record, a heartbeat fits into one
-/// datagram.
-constexpr std::size_t MaxHeard = 64;
-constexpr std::size_t MaxHeardOtherRegion = 16;
+/// Maximum entries per heartbeat: with 16 receivers per round, each instance of a region of 200
+/// receives the age of every other one several times per second.
+constexpr std::size_t MaxHeard = 48;
+/// At about 130 bytes per record, a heartbeat fits into one datagram.
 constexpr std::size_t MaxInstanceRecords = 5;
+/// Contacts that are remembered per region, for the time after a partition.
+constexpr std::size_t MaxContacts = 64;
 /// A gap between two ticks of more than this many intervals means that the process was suspended.
 constexpr int SuspensionIntervals = 3;
 constexpr std::int64_t MaxAgeMs = 65535;
 
+std::uint16_t toAgeMs(Duration age)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(age).count();
+    return static_cast<std::uint16_t>(std::clamp<std::int64_t>(count, 0, MaxAgeMs));
+}
+
+std::optional<std::uint16_t> toAgeMs(std::optional<Duration> age)
+{
+    return age ? std::optional(toAgeMs(*age)) : std::nullopt;
+}
+
+std::uint64_t speakerWeight(const InstanceRecord &record)
+{
+    return Common::rendezvousWeight("speaker of " + record.region.text(), record.id.text());
+}
+
 } // namespace
 
-std::uint32_t shortId(const Common::InstanceId &id)
+std::uint32_t shortId(const InstanceRecord &record)
 {
-    return static_cast<std::uint32_t>(Common::stableHash(id.text()));
+    return static_cast<std::uint32_t>(Common::stableHash(record.id.text(), record.incarnation));
 }
 
 Roster::Roster(RosterOptions options, InstanceRecord self, std::uint64_t seed)
     : options_(options)
     , self_(std::move(self))
+    , selfSpeakerWeight_(speakerWeight(self_))
     , random_(seed)
 {
 }
@@ -32,7 +51,7 @@
 void Roster::setSeeds(const std::set<std::string> &gossipAddresses)
 {
     seeds_ = gossipAddresses;
-    seeds_.erase(self_.gossipAddress);
+    isSeed_ = seeds_.erase(self_.gossipAddress) > 0;
 }
 
 void Roster::setReady(bool ready)
@@ -55,112 +74,247 @@
     self_.configuration = version;
 }
 
-void Roster::setStoreContact(std::optional<Duration> sinceAnswer, bool settled)
+void Roster::setStoreContact(std::optional<Duration> dataAge, std::optional<Duration> failureAge)
 {
-    self_.storeAgeMs.reset();
-    if (sinceAnswer) {
-        const auto age = std::chrono::duration_cast<milliseconds>(*sinceAnswer).count();
-        self_.storeAgeMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(age, 0, MaxAgeMs));
-    }
-    self_.storeSettled = settled;
+    self_.storeAgeMs = toAgeMs(dataAge);
+    self_.storeFailureAgeMs = toAgeMs(failureAge);
 }
 
-void Roster::setReports(Reports ownRegion, Reports otherRegions)
+void Roster::setReports(Reports reports)
 {
-    ownRegionReports_ = std::move(ownRegion);
-    otherRegionsReports_ = std::move(otherRegions);
+    reports_ = std::move(reports);
 }
 
+void Roster::setDigestReports(Reports reports)
+{
+    digestReports_ = std::move(reports);
+}
+
+// Queries.
+
 bool Roster::alive(const Entry &entry, Time now) const
 {
     return now - entry.heard <= options_.aliveTimeout;
 }
 
-Heartbeat Roster::makeHeartbeat(const Common::RegionName &receiver, Time now) const
+bool Roster::speaks(Time now) const
 {
-    Heartbeat heartbeat;
-    heartbeat.self = self_;
-    const auto &reports = receiver == self_.region ? ownRegionReports_ : otherRegionsReports_;
-    heartbeat.loadReport = reports.load;
-    heartbeat.usageReport = reports.usage;
-    heartbeat.heard = nextHeardBatch(receiver, now);
-    return heartbeat;
+    const auto ahead = std::count_if(entries_.begin(), entries_.end(), [&](const auto &item) {
+        const auto &entry = item.second;
+        return entry.speakerWeight > selfSpeakerWeight_ && alive(entry, now)
+               && !entry.record.leaving;
+    });
+    return static_cast<std::size_t>(ahead) < options_.speakers;
 }
 
-/// Selects as many entries as fit into a heartbeat and rotates through them by round, so that no
-/// instance is omitted for longer than the alive timeout. Other regions get fewer entries, and only
-/// those of this region: traffic between regions is expensive, and they receive heartbeats from
-/// several instances of this region.
-std::vector<HeardInstance> Roster::nextHeardBatch(const Common::RegionName &receiver,
-                                                  Time now) const
+Peer Roster::peerOf(const Entry &entry, Time now) const
 {
-    const bool ownRegion = receiver == self_.region;
-    std::vector<HeardInstance> heard;
+    Peer peer;
+    peer.record = entry.record;
+    peer.alive = alive(entry, now);
+    peer.reachable =
+        entry.everHeardDirectly && now - entry.heardDirectly <= options_.reachableTimeout;
+    peer.recordAge = now - entry.heardDirectly;
+    return peer;
+}
+
+std::vector<Peer> Roster::peers(Time now) const
+{
+    std::vector<Peer> result;
     for (const auto &[id, entry] : entries_) {
-        const bool included = ownRegion || entry.record.region == self_.region;
-        if (alive(entry, now) && included) {
-            const auto age = std::chrono::duration_cast<milliseconds>(now - entry.heard).count();
-            const auto bounded =
-                static_cast<std::uint16_t>(std::clamp<std::int64_t>(age, 0, MaxAgeMs));
-            heard.push_back({shortId(id), bounded});
+        result.push_back(peerOf(entry, now));
+    }
+    for (const auto &[name, region] : otherRegions_) {
+        for (const auto &[id, contact] : region.contacts) {
+            result.push_back(peerOf(contact, now));
+        }
+    }
+    return result;
+}
+
+std::size_t Roster::aliveInstances(Time now) const
+{
+    const auto own = std::count_if(entries_.begin(), entries_.end(),
+                                   [&](const auto &item) { return alive(item.second, now); });
+    std::size_t count = 1 + static_cast<std::size_t>(own);
+    for (const auto &[name, region] : otherRegions_) {
+        if (now - region.digestMadeAt <= options_.aliveTimeout) {
+            count += region.aliveInstances;
+        }
+    }
+    return count;
+}
+
+// Messages to others.
+
+/// Chooses half of the entries among the instances that were heard from most recently, since their
+/// ages are news to most receivers, and the other half at random, so that none is left out.
+std::vector<HeardInstance> Roster::chooseHeard(Time now)
+{
+    struct Aged
+    {
+        Time heard{};
+        std::uint32_t id = 0;
+    };
+    std::vector<Aged> candidates;
+    candidates.reserve(byShortId_.size());
+    for (const auto &[id, entry] : byShortId_) {
+        if (alive(*entry, now)) {
+            candidates.push_back({entry->heard, id});
         }
     }
-    const auto limit = ownRegion ? MaxHeard : MaxHeardOtherRegion;
-    if (heard.size() > limit) {
-        const auto first = (static_cast<std::size_t>(round_) * limit) % heard.size();
-        std::rotate(heard.begin(), heard.begin() + static_cast<std::ptrdiff_t>(first), heard.end());
-        heard.resize(limit);
+    if (candidates.size() > MaxHeard) {
+        std::shuffle(candidates.begin(), candidates.end(), random_);
+        std::nth_element(candidates.begin(), candidates.begin() + MaxHeard / 2, candidates.end(),
+                         [](const Aged &one, const Aged &other) { return one.heard > other.heard; });
+        std::shuffle(candidates.begin() + MaxHeard / 2, candidates.end(), random_);
+        candidates.resize(MaxHeard);
+    }
+    std::vector<HeardInstance> heard;
+    heard.reserve(candidates.size());
+    for (const auto &candidate : candidates) {
+        heard.push_back({candidate.id, toAgeMs(now - candidate.heard)});
     }
     return heard;
 }
 
-void Roster::addHeartbeat(Sends &sends, const Entry &entry, Time now) const
+Heartbeat Roster::makeHeartbeat(Time now)
 {
-    sends.push_back({entry.record.gossipAddress, makeHeartbeat(entry.record.region, now)});
+    auto heartbeat = briefHeartbeat();
+    heartbeat.loadReport = reports_.load;
+    heartbeat.usageReport = reports_.usage;
+    heartbeat.heard = chooseHeard(now);
+    return heartbeat;
 }
 
-std::vector<InstanceRecord> Roster::sampleAliveRecords(Time now)
+/// Records for an instance of the given region: some of that region, so that it finds its peers,
+/// and one of each of some other regions, so that its speakers find theirs.
+std::vector<InstanceRecord> Roster::sampleRecords(const Common::RegionName &receiver, Time now)
 {
     std::vector<InstanceRecord> records;
-    for (const auto &[id, entry] : entries_) {
-        if (alive(entry, now)) {
-            records.push_back(entry.record);
+    if (receiver == self_.region) {
+        for (const auto *entry : chooseAlive(MaxInstanceRecords - 1, now)) {
+            records.push_back(entry->record);
+        }
+    } else if (const auto found = otherRegions_.find(receiver); found != otherRegions_.end()) {
+        for (const auto *contact : chooseContacts(found->second, now)) {
+            records.push_back(contact->record);
+        }
+    }
+    std::vector<InstanceRecord> foreign;
+    for (const auto &[name, region] : otherRegions_) {
+        const auto contacts = name == receiver ? std::vector<const Entry *>()
+                                               : chooseContacts(region, now);
+        if (!contacts.empty()) {
+            foreign.push_back(contacts.front()->record);
         }
     }
-    std::shuffle(records.begin(), records.end(), random_);
+    const auto left = MaxInstanceRecords - std::min(records.size(), MaxInstanceRecords);
+    std::sample(foreign.begin(), foreign.end(), std::back_inserter(records), left, random_);
     records.resize(std::min(records.size(), MaxInstanceRecords));
     return records;
 }
 
-std::vector<const Roster::Entry *> Roster::chooseReceivers(bool ownRegion, Time now)
+Roster::MessagePtr Roster::makeResponse(const Common::RegionName &receiver, Time now)
+{
+    auto heartbeat = receiver == self_.region ? makeHeartbeat(now) : briefHeartbeat();
+    heartbeat.instanceRecords = sampleRecords(receiver, now);
+    return std::make_shared<const Message>(std::move(heartbeat));
+}
+
+/// Chooses living instances of the own region at random.
+std::vector<const Roster::Entry *> Roster::chooseAlive(std::size_t count, Time now)
 {
     std::vector<const Entry *> candidates;
     for (const auto &[id, entry] : entries_) {
-        if (alive(entry, now) && (entry.record.region == self_.region) == ownRegion) {
+        if (alive(entry, now)) {
             candidates.push_back(&entry);
         }
     }
-    const auto fanout = ownRegion ? options_.ownRegionFanout : options_.otherRegionFanout;
-    if (candidates.size() > fanout) {
-        std::shuffle(candidates.begin(), candidates.end(), random_);
-        candidates.resize(fanout);
+    std::shuffle(candidates.begin(), candidates.end(), random_);
+    candidates.resize(std::min(candidates.size(), count));
+    return candidates;
+}
+
+/// Chooses the receivers of a digest: living contacts first, then silent ones, which are reached
+/// again after a partition.
+std::vector<const Roster::Entry *> Roster::chooseContacts(const OtherRegion &region, Time now)
+{
+    std::vector<const Entry *> candidates;
+    for (const auto &[id, contact] : region.contacts) {
+        candidates.push_back(&contact);
     }
+    std::shuffle(candidates.begin(), candidates.end(), random_);
+    std::stable_partition(candidates.begin(), candidates.end(), [&](const Entry *contact) {
+        return alive(*contact, now);
+    });
+    candidates.resize(std::min(candidates.size(), options_.digestFanout));
     return candidates;
 }
 
-void Roster::addRetryHeartbeats(Sends &sends, Time now)
+bool Roster::seedIsKnown(const std::string &address, Time now) const
 {
-    std::set<std::string> aliveAddresses;
+    const auto matches = [&](const auto &item) {
+        return item.second.record.gossipAddress == address;
+    };
+    const auto own = std::find_if(entries_.begin(), entries_.end(), matches);
+    if (own != entries_.end()) {
+        return alive(own->second, now);
+    }
+    // A seed of another region counts as known while that region is heard from.
+    const auto name = seedRegions_.find(address);
+    const auto region =
+        name == seedRegions_.end() ? otherRegions_.end() : otherRegions_.find(name->second);
+    return region != otherRegions_.end()
+           && now - region->second.digestMadeAt <= options_.aliveTimeout;
+}
+
+void Roster::addRetryHeartbeats(Sends &sends, const MessagePtr &message, Time now)
+{
+    std::vector<std::string> silent;
     for (const auto &[id, entry] : entries_) {
-        if (alive(entry, now)) {
-            aliveAddresses.insert(entry.record.gossipAddress);
-        } else {
-            addHeartbeat(sends, entry, now);
+        if (!alive(entry, now)) {
+            silent.push_back(entry.record.gossipAddress);
         }
     }
+    std::vector<std::string> targets;
+    std::sample(silent.begin(), silent.end(), std::back_inserter(targets), options_.retryFanout,
+                random_);
     for (const auto &seed : seeds_) {
-        if (aliveAddresses.count(seed) == 0) {
-            sends.push_back({seed, makeHeartbeat(self_.region, now)});
+        if (!seedIsKnown(seed, now)) {
+            targets.push_back(seed);
+        }
+    }
+    for (auto &target : targets) {
+        sends.push_back({std::move(target), message});
+    }
+}
+
+void Roster::addDigests(Sends &sends, Time now)
+{
+    if (otherRegions_.empty() || !speaks(now)) {
+        return;
+    }
+    RegionDigest digest;
+    digest.speaker = self_;
+    for (const auto &[id, entry] : entries_) {
+        digest.aliveInstances += alive(entry, now) ? 1 : 0;
+    }
+    ++digest.aliveInstances;
+    for (const auto *entry : chooseAlive(entries_.size(), now)) {
+        const auto &record = entry->record;
+        if (record.ready && !record.leaving && digest.contacts.size() < options_.digestContacts) {
+            digest.contacts.push_back(record);
+            // The record may be seconds old.
+            digest.contacts.back().storeAgeMs.reset();
+        }
+    }
+    digest.loadReport = digestReports_.load;
+    digest.usageReport = digestReports_.usage;
+    const auto message = std::make_shared<const Message>(std::move(digest));
+    for (const auto &[name, region] : otherRegions_) {
+        for (const auto *contact : chooseContacts(region, now)) {
+            sends.push_back({contact->record.gossipAddress, message});
         }
     }
 }
@@ -170,40 +324,61 @@
     const auto gap = now - lastTick_;
     const bool suspended = lastTick_ != Time() && gap > SuspensionIntervals * options_.interval;
     if (suspended) {
-        for (auto &[id, entry] : entries_) {
-            entry.heard += gap - options_.interval;
-            entry.heardDirectly += gap - options_.interval;
+        const auto shift = gap - options_.interval;
+        const auto postpone = [shift](auto &entries) {
+            for (auto &[id, entry] : entries) {
+                entry.heard += shift;
+                entry.heardDirectly += shift;
+            }
+        };
+        postpone(entries_);
+        for (auto &[name, region] : otherRegions_) {
+            postpone(region.contacts);
+            region.digestMadeAt += shift;
         }
     }
     lastTick_ = now;
 }
 
+void Roster::forgetSilent(Time now)
+{
+    const auto isForgotten = [&](const auto &item) {
+        return now - item.second.heard > options_.forgetAfter;
+    };
+    if (std::erase_if(entries_, isForgotten) > 0) {
+        byShortId_.clear();
+        for (auto &[id, entry] : entries_) {
+            byShortId_[shortId(entry.record)] = &entry;
+        }
+    }
+    for (auto &[name, region] : otherRegions_) {
+        std::erase_if(region.contacts, isForgotten);
+    }
+    std::erase_if(otherRegions_, [](const auto &item) { return item.second.contacts.empty(); });
+}
+
 Sends Roster::tick(Time now)
 {
     compensateForSuspension(now);
     ++self_.sequence;
     Sends sends;
-    for (const auto *entry : chooseReceivers(true, now)) {
-        addHeartbeat(sends, *entry, now);
-    }
-    if (round_ % options_.otherRegionRoundInterval == 0) {
-        for (const auto *entry : chooseReceivers(false, now)) {
-            addHeartbeat(sends, *entry, now);
-        }
+    const auto message = std::make_shared<const Message>(makeHeartbeat(now));
+    for (const auto *entry : chooseAlive(options_.fanout, now)) {
+        sends.push_back({entry->record.gossipAddress, message});
     }
     const bool retryRound = round_ % options_.retryRoundInterval == 0;
+    if (retryRound && !sends.empty()) {
+        std::uniform_int_distribution<std::size_t> index(0, sends.size() - 1);
+        sends[index(random_)].message = makeResponse(self_.region, now);
+    }
     if (retryRound || round_ < options_.initialRetryRounds) {
-        addRetryHeartbeats(sends, now);
+        addRetryHeartbeats(sends, message, now);
     }
-    if (retryRound) {
-        if (!sends.empty()) {
-            std::uniform_int_distribution<std::size_t> index(0, sends.size() - 1);
-            sends[index(random_)].heartbeat.instanceRecords = sampleAliveRecords(now);
-        }
+    if (round_ % options_.digestRoundInterval == 0) {
+        addDigests(sends, now);
     }
     ++round_;
-    std::erase_if(entries_,
-                  [&](const auto &item) { return now - item.second.heard > options_.forgetAfter; });
+    forgetSilent(now);
     return sends;
 }
 
@@ -211,20 +386,95 @@
 {
     ++self_.sequence;
     Sends sends;
-    for (const auto &[id, entry] : entries_) {
-        if (alive(entry, now)) {
-            addHeartbeat(sends, entry, now);
+    const auto message = std::make_shared<const Message>(makeHeartbeat(now));
+    for (const auto *entry : chooseAlive(entries_.size(), now)) {
+        sends.push_back({entry->record.gossipAddress, message});
+    }
+    const auto brief = std::make_shared<const Message>(briefHeartbeat());
+    for (const auto &[name, region] : otherRegions_) {
+        for (const auto &[id, contact] : region.contacts) {
+            if (alive(contact, now)) {
+                sends.push_back({contact.record.gossipAddress, brief});
+            }
         }
     }
     return sends;
 }
 
-void Roster::mergeRecord(const InstanceRecord &record, Time now)
+Sends Roster::spreadRevision(Time now)
+{
+    ++self_.sequence;
+    const auto message = std::make_shared<const Message>(briefHeartbeat());
+    Sends sends;
+    for (const auto *entry : chooseAlive(options_.relayFanout, now)) {
+        sends.push_back({entry->record.gossipAddress, message});
+    }
+    return sends;
+}
+
+// Messages from others.
+
+Roster::Entry &Roster::entryOf(const InstanceRecord &record)
+{
+    const auto [found, isNew] = entries_.try_emplace(record.id);
+    auto &entry = found->second;
+    if (isNew) {
+        entry.speakerWeight = speakerWeight(record);
+    }
+    return entry;
+}
+
+void Roster::setRecord(Entry &entry, const InstanceRecord &record)
+{
+    const bool unknown = entry.record.id.empty();
+    if (unknown || entry.record.incarnation != record.incarnation) {
+        byShortId_.erase(shortId(entry.record));
+        byShortId_[shortId(record)] = &entry;
+    }
+    entry.record = record;
+}
+
+void Roster::mergeContact(OtherRegion &region, const InstanceRecord &record, Time heard)
+{
+    if (seeds_.count(record.gossipAddress) > 0) {
+        seedRegions_[record.gossipAddress] = record.region;
+    }
+    auto &contact = region.contacts[record.id];
+    const bool unknown = contact.record.id.empty();
+    const bool sameIncarnation = contact.record.incarnation == record.incarnation;
+    // An older record may arrive later on another way.
+    const bool newer =
+        sameIncarnation ? record.sequence >= contact.record.sequence : heard > contact.heard;
+    if (unknown || newer) {
+        contact.record = record;
+    }
+    contact.heard = std::max(contact.heard, heard);
+    contact.heardDirectly = contact.heard;
+    contact.everHeardDirectly = true;
+    if (region.contacts.size() > MaxContacts) {
+        const auto oldest = std::min_element(
+            region.contacts.begin(), region.contacts.end(), [](const auto &one, const auto &other) {
+                return one.second.heard < other.second.heard;
+            });
+        region.contacts.erase(oldest);
+    }
+}
+
+bool Roster::mergeRecord(const InstanceRecord &record, Time now)
 {
     if (record.id == self_.id) {
-        return;
+        return false;
+    }
+    const auto silentSince = now - options_.aliveTimeout - milliseconds(1);
+    if (record.region != self_.region) {
+        auto &region = otherRegions_[record.region];
+        const bool unknown = region.contacts.count(record.id) == 0;
+        if (unknown) {
+            mergeContact(region, record, silentSince);
+        }
+        return unknown;
     }
-    auto &entry = entries_[record.id];
+    auto &entry = entryOf(record);
     const bool unknown = entry.record.id.empty();
     const bool sameIncarnation = entry.record.incarnation == record.incarnation;
     // While the known incarnation is alive, a different one is accepted only from the instance
@@ -234,65 +484,169 @@
     if (unknown) {
         // Known only from a peer and therefore not alive yet; it is contacted like a silent
         // instance.
-        entry.heard = now - options_.aliveTimeout - milliseconds(1);
+        entry.heard = silentSince;
     }
     if (unknown || newer) {
-        entry.record = record;
+        setRecord(entry, record);
     }
+    return unknown;
 }
 
-Sends Roster::receive(const Heartbeat &heartbeat, Time now)
+std::vector<std::uint32_t> Roster::updateAges(const std::vector<HeardInstance> &heard, Time now)
 {
-    const auto &sender = heartbeat.self;
-    if (sender.id == self_.id) {
-        return {};
+    std::vector<std::uint32_t> unknown;
+    const auto own = shortId(self_);
+    for (const auto &each : heard) {
+        const auto found = byShortId_.find(each.instance);
+        if (found != byShortId_.end()) {
+            auto &entry = *found->second;
+            entry.heard = std::max(entry.heard, now - milliseconds(each.ageMs));
+        } else if (each.instance != own) {
+            unknown.push_back(each.instance);
+        }
+    }
+    return unknown;
+}
+
+Heartbeat Roster::briefHeartbeat() const
+{
+    Heartbeat heartbeat;
+    heartbeat.self = self_;
+    return heartbeat;
+}
+
+Send Roster::requestRecords(const std::string &address, const std::vector<std::uint32_t> &unknown)
+{
+    auto heartbeat = briefHeartbeat();
+    std::sample(unknown.begin(), unknown.end(), std::back_inserter(heartbeat.wantedRecords),
+                MaxInstanceRecords, random_);
+    return {address, std::make_shared<const Message>(std::move(heartbeat))};
+}
+
+Send Roster::answerRecords(const std::string &address,
+                           const std::vector<std::uint32_t> &wanted) const
+{
+    auto heartbeat = briefHeartbeat();
+    for (const auto id : wanted) {
+        const auto found = byShortId_.find(id);
+        if (found != byShortId_.end() && heartbeat.instanceRecords.size() < MaxInstanceRecords) {
+            heartbeat.instanceRecords.push_back(found->second->record);
+        }
     }
-    auto &entry = entries_[sender.id];
+    return {address, std::make_shared<const Message>(std::move(heartbeat))};
+}
+
+Sends Roster::receiveFromOwnRegion(const Heartbeat &heartbeat, Time now)
+{
+    const auto &sender = heartbeat.self;
+    auto &entry = entryOf(sender);
     const bool sameIncarnation = entry.record.incarnation == sender.incarnation;
     const bool isNew = !entry.everHeardDirectly || !sameIncarnation;
     if (!sameIncarnation || sender.sequence >= entry.record.sequence) {
-        entry.record = sender;
+        setRecord(entry, sender);
     }
     entry.heard = now;
     entry.heardDirectly = now;
     entry.everHeardDirectly = true;
     Sends sends;
-    for (const auto &record : heartbeat.instanceRecords) {
-        const bool unknown = entries_.count(record.id) == 0 && record.id != self_.id;
-        mergeRecord(record, now);
-        if (unknown) {
-            addHeartbeat(sends, entries_[record.id], now);
-        }
+    // A sender that knows many others asks them for the records that it lacks.
+    if (isNew && heartbeat.heard.size() < options_.fanout) {
+        sends.push_back({sender.gossipAddress, makeResponse(sender.region, now)});
+    }
+    if (!heartbeat.wantedRecords.empty()) {
+        sends.push_back(answerRecords(sender.gossipAddress, heartbeat.wantedRecords));
+    }
+    const auto unknown = updateAges(heartbeat.heard, now);
+    if (!unknown.empty()) {
+        sends.push_back(requestRecords(sender.gossipAddress, unknown));
+    }
+    return sends;
+}
+
+Sends Roster::receiveFromOtherRegion(const Heartbeat &heartbeat, Time now)
+{
+    const auto &sender = heartbeat.self;
+    auto &region = otherRegions_[sender.region];
+    const auto known = region.contacts.find(sender.id);
+    const bool isNew = known == region.contacts.end()
+                       || known->second.record.incarnation != sender.incarnation
+                       || !alive(known->second, now);
+    mergeContact(region, sender, now);
+    return isNew ? Sends{{sender.gossipAddress, makeResponse(sender.region, now)}} : Sends();
+}
+
+Sends Roster::receive(const Heartbeat &heartbeat, Time now)
+{
+    const auto &sender = heartbeat.self;
+    if (sender.id == self_.id) {
+        return {};
     }
-    std::map<std::uint32_t, std::uint16_t> ages;
-    for (const auto &heard : heartbeat.heard) {
-        ages[heard.instance] = heard.ageMs;
+    auto sends = sender.region == self_.region ? receiveFromOwnRegion(heartbeat, now)
+                                               : receiveFromOtherRegion(heartbeat, now);
+    if (heartbeat.instanceRecords.empty()) {
+        return sends;
     }
-    for (auto &[id, other] : entries_) {
-        const auto age = ages.find(shortId(id));
-        if (age != ages.end() && other.everHeardDirectly) {
-            other.heard = std::max(other.heard, now - milliseconds(age->second));
+    // In a large region, an instance that knows some others hears of the remaining ones from them.
+    const bool greets = chooseAlive(options_.fanout, now).size() < options_.fanout;
+    const auto greeting = std::make_shared<const Message>(briefHeartbeat());
+    for (const auto &record : heartbeat.instanceRecords) {
+        if (mergeRecord(record, now) && greets && record.region == self_.region) {
+            sends.push_back({record.gossipAddress, greeting});
         }
     }
-    if (isNew) {
-        addHeartbeat(sends, entry, now);
-        sends.back().heartbeat.instanceRecords = sampleAliveRecords(now);
+    return sends;
+}
+
+milliseconds Roster::digestInterval() const
+{
+    return options_.interval * options_.digestRoundInterval;
+}
+
+/// Several speakers make digests at about the same time; one of them is relayed per interval.
+Sends Roster::relay(const RegionDigest &digest, Duration age, Time now)
+{
+    auto &region = otherRegions_[digest.speaker.region];
+    const auto madeAt = now - age;
+    if (madeAt - region.relayedDigestMadeAt < digestInterval() / 2) {
+        return {};
+    }
+    region.relayedDigestMadeAt = madeAt;
+    auto copy = digest;
+    copy.ageMs = static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count());
+    const auto message = std::make_shared<const Message>(std::move(copy));
+    Sends sends;
+    for (const auto *entry : chooseAlive(options_.relayFanout, now)) {
+        sends.push_back({entry->record.gossipAddress, message});
     }
     return sends;
 }
 
-std::vector<Peer> Roster::peers(Time now) const
+DigestOutcome Roster::receive(const RegionDigest &digest, Time now)
 {
-    std::vector<Peer> result;
-    for (const auto &[id, entry] : entries_) {
-        Peer peer;
-        peer.record = entry.record;
-        peer.alive = alive(entry, now);
-        peer.reachable =
-            entry.everHeardDirectly && now - entry.heardDirectly <= options_.reachableTimeout;
-        result.push_back(std::move(peer));
+    const auto &speaker = digest.speaker;
+    if (speaker.region == self_.region) {
+        return {};
     }
-    return result;
+    auto &region = otherRegions_[speaker.region];
+    auto &last = region.digests[speaker.id];
+    const bool sameIncarnation = last.incarnation == speaker.incarnation;
+    if (sameIncarnation && speaker.sequence <= last.sequence) {
+        return {};
+    }
+    last = {speaker.incarnation, speaker.sequence};
+    const Duration age = milliseconds(digest.ageMs);
+    const auto madeAt = now - age;
+    mergeContact(region, speaker, madeAt);
+    for (const auto &contact : digest.contacts) {
+        if (contact.region == speaker.region) {
+            mergeContact(region, contact, madeAt);
+        }
+    }
+    if (madeAt >= region.digestMadeAt) {
+        region.digestMadeAt = madeAt;
+        region.aliveInstances = digest.aliveInstances;
+    }
+    return {age, relay(digest, age, now)};
 }
 
 } // namespace LaburnumChute::Fleet
--- a/Source/Core/Fleet/StoreWatch.cpp
+++ b/Source/Core/Fleet/StoreWatch.cpp
@@ -6,14 +6,20 @@
 
 namespace {
 
-/// Maximum age of the heartbeat that reported a peer's store age.
-constexpr milliseconds MaxHeartbeatAge{600};
+/// Time that a heartbeat may take to arrive and to be processed.
+constexpr milliseconds TransitTime{200};
 /// Shorter long-poll calls would keep the store permanently busy.
 constexpr milliseconds MinWatchTimeout{950};
+constexpr milliseconds MinWatchMargin{450};
+constexpr int WatchMarginDivisor = 6;
+/// In a region of a thousand, four steps are left out of the rest of the bound.
+constexpr int LookStepDivisor = 10;
+/// Growth of the number of instances that query the store, per step.
+constexpr std::size_t LookerGrowth = 4;
 
 bool isWatcherCandidate(const InstanceRecord &self, const Peer &peer)
 {
-    return peer.reachable && !peer.record.leaving && peer.record.region == self.region;
+    return peer.alive && !peer.record.leaving && peer.record.region == self.region;
 }
 
 std::uint64_t watcherWeight(const InstanceRecord &record)
@@ -28,36 +34,67 @@
     return std::max(MinWatchTimeout, bound / 2);
 }
 
+milliseconds watchMargin(milliseconds bound)
+{
+    return std::max(MinWatchMargin, bound / WatchMarginDivisor);
+}
+
 WatchOptions watchOptionsFor(milliseconds bound)
 {
     WatchOptions options;
     options.answerAge = watchTimeout(bound);
+    options.lookStep = options.answerAge / LookStepDivisor;
     return options;
 }
 
+std::optional<Duration> storeContactAge(const InstanceRecord &self, const std::vector<Peer> &peers)
+{
+    std::optional<Duration> age;
+    if (self.storeAgeMs) {
+        age = milliseconds(*self.storeAgeMs);
+    }
+    for (const auto &peer : peers) {
+        if (!peer.record.storeAgeMs || peer.record.region != self.region) {
+            continue;
+        }
+        const Duration peerAge = milliseconds(*peer.record.storeAgeMs) + peer.recordAge;
+        age = age ? std::min(*age, peerAge) : peerAge;
+    }
+    return age;
+}
+
 WatchDuty watchDuty(const InstanceRecord &self, const std::vector<Peer> &peers,
                     const WatchOptions &options)
 {
     const auto own = watcherWeight(self);
-    std::vector<const Peer *> ahead;
+    const auto ahead = static_cast<std::size_t>(
+        std::count_if(peers.begin(), peers.end(), [&](const Peer &peer) {
+            return isWatcherCandidate(self, peer) && watcherWeight(peer.record) > own;
+        }));
+    if (ahead < options.watchers) {
+        return WatchDuty::Watches;
+    }
+    Duration tolerated = options.answerAge;
+    for (auto lookers = options.firstLookers; lookers <= ahead; lookers *= LookerGrowth) {
+        tolerated += options.lookStep;
+    }
+    const auto age = storeContactAge(self, peers);
+    return age && *age <= tolerated ? WatchDuty::Listens : WatchDuty::Looks;
+}
+
+std::optional<Duration> storeFailureAge(std::optional<Duration> ownFailureAge,
+                                        const Common::RegionName &region,
+                                        const std::vector<Peer> &peers)
+{
+    auto age = ownFailureAge;
     for (const auto &peer : peers) {
-        if (isWatcherCandidate(self, peer) && watcherWeight(peer.record) > own) {
-            ahead.push_back(&peer);
+        if (!peer.record.storeFailureAgeMs || peer.record.region != region) {
+            continue;
         }
+        const Duration peerAge = milliseconds(*peer.record.storeFailureAgeMs) + peer.recordAge;
+        age = age ? std::min(*age, peerAge) : peerAge;
     }
-    if (ahead.size() < options.watchers) {
-        return WatchDuty::Watches;
-    }
-    std::sort(ahead.begin(), ahead.end(), [](const Peer *one, const Peer *other) {
-        return watcherWeight(one->record) > watcherWeight(other->record);
-    });
-    ahead.resize(options.watchers);
-    const bool watcherHasContact =
-        std::any_of(ahead.begin(), ahead.end(), [&](const Peer *watcher) {
-            const auto &age = watcher->record.storeAgeMs;
-            return age && milliseconds(*age) <= options.answerAge;
-        });
-    return watcherHasContact ? WatchDuty::Listens : WatchDuty::Looks;
+    return age;
 }
 
 std::optional<Duration> storeDataAge(std::optional<Duration> ownAnswerAge,
@@ -65,12 +102,11 @@
 {
     auto age = ownAnswerAge;
     for (const auto &peer : peers) {
-        const bool knowsNoLaterRevision =
-            peer.reachable && peer.record.knownRevision <= ownRevision;
-        if (!knowsNoLaterRevision || !peer.record.storeAgeMs) {
+        if (!peer.record.storeAgeMs || peer.record.knownRevision > ownRevision) {
             continue;
         }
-        const Duration peerAge = milliseconds(*peer.record.storeAgeMs) + MaxHeartbeatAge;
+        const Duration peerAge =
+            milliseconds(*peer.record.storeAgeMs) + peer.recordAge + TransitTime;
         age = age ? std::min(*age, peerAge) : peerAge;
     }
     return age;
--- a/Source/Core/Relay/GossipMessage.h
+++ b/Source/Core/Relay/GossipMessage.h
@@ -26,6 +26,6 @@
 };
 
 /// Content of one datagram between two instances.
-using GossipMessage = std::variant<Fleet::Heartbeat, Dispatch::PromptNotices, UsageNotice>;
+using GossipMessage = std::variant<Fleet::Heartbeat, Dispatch::PromptNotices, UsageNotice, Fleet::RegionDigest>;
 
 } // namespace LaburnumChute::Relay
--- a/Source/Core/Relay/RelayCustomers.cpp
+++ b/Source/Core/Relay/RelayCustomers.cpp
@@ -90,7 +90,7 @@
             peers.push_back(&peer);
         }
     }
-    if (peers.size() <= options_.roster.ownRegionFanout || !limiter_.nearLimit(now)) {
+    if (peers.size() <= options_.roster.fanout || !limiter_.nearLimit(now)) {
         return;
     }
     const auto datagram = Peers::encodeValue(
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -59,6 +59,7 @@
 {
     StoreWatcher::Options options;
     const auto bound = std::min(bounds.endpointDrain, bounds.configuration);
+    options.margin = Fleet::watchMargin(bound);
     options.wait = Fleet::watchTimeout(bound) - options.margin;
     return options;
 }
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -126,6 +126,7 @@
     std::optional<Common::Duration> catalogAge(Common::Time now) const;
     /// Returns true if the catalog matched the store recently, directly or through a peer.
     bool isCatalogFresh(Common::Time now) const;
+    std::optional<Common::Duration> storeFailureAge(Common::Time now) const;
     bool storeSettled(Common::Time now) const;
 
     /// Returns true if the configuration matched the store recently and no peer has a newer one.
@@ -147,12 +148,14 @@
     void endpointsChanged(Common::Time now);
     void handleDatagram(std::string_view datagram);
     void handleHeartbeat(const Fleet::Heartbeat &heartbeat, Common::Time now);
+    void handleDigest(const Fleet::RegionDigest &digest, Common::Time now);
     void applyReports(const Fleet::Heartbeat &heartbeat, Common::Time now);
     /// Sends the pending prompt notices to the peers in the region.
     void sendPromptNotices();
     void sendAll(const Fleet::Sends &sends);
     void fleetChanged(Common::Time now);
-    void announceRevision(Common::Time now);
+    Fleet::WatchDuty chooseWatchDuty(Common::Time now);
+    void updateWatchDuty(Common::Time now);
 
     void scheduleTick();
     void tick(Common::Time now);
@@ -199,6 +202,7 @@
     Dispatch::CallId nextCallId_ = 1;
     std::vector<Fleet::Peer> knownPeers_;
     Fleet::WatchDuty duty_ = Fleet::WatchDuty::Watches;
+    Common::Time looksUntil_{};
     std::map<Common::InstanceId, bool> peerAlive_;
     /// Updated once per tick rather than on each response, so that it predates the changes being
     /// applied.
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -51,18 +51,7 @@
     roster_.setConfiguration(catalog_.version());
     roster_.setReady(ready());
     if (catalog_.items().upTo() > before) {
-        announceRevision(now);
-    }
-}
-
-void RelayGateway::announceRevision(Common::Time now)
-{
-    const auto revision = catalog_.items().upTo();
-    const bool first = std::all_of(knownPeers_.begin(), knownPeers_.end(), [&](const auto &peer) {
-        return peer.record.knownRevision < revision;
-    });
-    if (first) {
-        sendAll(roster_.announce(now));
+        sendAll(roster_.spreadRevision(now));
     }
 }
 
@@ -100,16 +89,17 @@
     return age && *age < settings_.bounds.configuration;
 }
 
-/// An instance that does not watch the store itself sees no failures of its own, so the reachable
-/// peers in the region count as well.
+std::optional<Common::Duration> RelayGateway::storeFailureAge(Common::Time now) const
+{
+    return Fleet::storeFailureAge(store_.failureAge(now), settings_.region, knownPeers_);
+}
+
+/// An instance that does not watch the store itself sees no failures of its own, so those of the
+/// other instances of the region count as well.
 bool RelayGateway::storeSettled(Common::Time now) const
 {
-    const bool peersSettled =
-        std::all_of(knownPeers_.begin(), knownPeers_.end(), [this](const Fleet::Peer &peer) {
-            return !peer.reachable || peer.record.region != settings_.region
-                   || peer.record.storeSettled;
-        });
-    return store_.settled(now) && peersSettled;
+    const auto failureAge = storeFailureAge(now);
+    return store_.settled(now) && (!failureAge || *failureAge > Catalog::StoreSettled);
 }
 
 bool RelayGateway::ready() const
@@ -121,8 +111,16 @@
 
 void RelayGateway::sendAll(const Fleet::Sends &sends)
 {
+    const Fleet::Message *encoded = nullptr;
+    std::string datagram;
     for (const auto &send : sends) {
-        gossip_.send(send.address, Peers::encodeValue(GossipMessage(send.heartbeat)));
+        if (send.message.get() != encoded) {
+            encoded = send.message.get();
+            datagram = std::visit(
+                [](const auto &message) { return Peers::encodeValue(GossipMessage(message)); },
+                *encoded);
+        }
+        gossip_.send(send.address, datagram);
     }
 }
 
@@ -149,6 +147,10 @@
         {
             gateway.scheduler_.learn(notices, now);
         }
+        void operator()(const Fleet::RegionDigest &digest) const
+        {
+            gateway.handleDigest(digest, now);
+        }
         void operator()(const UsageNotice &notice) const
         {
             if (notice.sender != gateway.settings_.instance) {
@@ -173,25 +175,35 @@
 void RelayGateway::applyReports(const Fleet::Heartbeat &heartbeat, Common::Time now)
 {
     const auto &sender = heartbeat.self;
-    const bool ownRegion = sender.region == settings_.region;
+    if (sender.region != settings_.region) {
+        return;
+    }
     if (const auto usage = Peers::decodeValue<Customers::UsageReport>(heartbeat.usageReport)) {
-        if (ownRegion) {
-            limiter_.setInstanceReport(sender.id, *usage, now);
-        } else {
-            limiter_.setRegionReport(sender.region, *usage, now);
-        }
+        limiter_.setInstanceReport(sender.id, *usage, now);
     }
     if (heartbeat.loadReport.empty()) {
         return;
     }
-    if (ownRegion) {
-        if (const auto share =
-                Peers::decodeValue<Dispatch::RegionLoadReport>(heartbeat.loadReport)) {
-            applyEffects(scheduler_.setRegionLoadReport(sender.id, *share, now), now);
-        }
-    } else if (const auto share =
-                   Peers::decodeValue<Dispatch::CrossRegionLoadReport>(heartbeat.loadReport)) {
-        scheduler_.setCrossRegionLoadReport(sender.region, sender.id, *share, now);
+    if (const auto share = Peers::decodeValue<Dispatch::RegionLoadReport>(heartbeat.loadReport)) {
+        applyEffects(scheduler_.setRegionLoadReport(sender.id, *share, now), now);
+    }
+}
+
+void RelayGateway::handleDigest(const Fleet::RegionDigest &digest, Common::Time now)
+{
+    const auto outcome = roster_.receive(digest, now);
+    sendAll(outcome.sends);
+    if (!outcome.newWithAge) {
+        return;
+    }
+    const auto &speaker = digest.speaker;
+    if (const auto usage = Peers::decodeValue<Customers::UsageReport>(digest.usageReport)) {
+        limiter_.setRegionReport(speaker.region, *usage, now);
+    }
+    if (const auto share =
+            Peers::decodeValue<Dispatch::CrossRegionLoadReport>(digest.loadReport)) {
+        scheduler_.setCrossRegionLoadReport(speaker.region, speaker.id, *share,
+                                            now - *outcome.newWithAge);
     }
 }
 
@@ -214,8 +226,14 @@
     knownPeers_ = roster_.peers(now);
     std::vector<Common::InstanceId> own = {settings_.instance};
     std::set<Common::RegionName> reachable;
-    std::size_t aliveCount = 1;
     for (const auto &peer : knownPeers_) {
+        const bool acceptsRequests = peer.reachable && peer.record.ready && !peer.record.leaving;
+        if (peer.record.region != settings_.region) {
+            if (acceptsRequests) {
+                reachable.insert(peer.record.region);
+            }
+            continue;
+        }
         auto &wasAlive = peerAlive_.try_emplace(peer.record.id, false).first->second;
         if (wasAlive != peer.alive) {
             wasAlive = peer.alive;
@@ -223,24 +241,37 @@
             line.add("peer", peer.record.id).add("region", peer.record.region);
             log_.write(line, now);
         }
-        aliveCount += peer.alive ? 1 : 0;
         if (!peer.alive && peer.record.leaving) {
             limiter_.removeInstance(peer.record.id, now);
         }
-        if (peer.alive && peer.record.region == settings_.region) {
+        if (peer.alive) {
             own.push_back(peer.record.id);
         }
-        const bool acceptsRequests = peer.reachable && peer.record.ready && !peer.record.leaving;
-        if (acceptsRequests && peer.record.region != settings_.region) {
-            reachable.insert(peer.record.region);
-        }
     }
+    const auto aliveCount = roster_.aliveInstances(now);
     if (hasCustomers()) {
         limiter_.setInstances({own.begin() + 1, own.end()}, aliveCount, now);
     }
     scheduler_.setFleet(own, aliveCount, {reachable.begin(), reachable.end()});
+    updateWatchDuty(now);
+}
+
+/// An instance that has begun to query the store continues for some time: its own answers are what
+/// the others then rely on, so that it would otherwise stop and begin again.
+Fleet::WatchDuty RelayGateway::chooseWatchDuty(Common::Time now)
+{
     const auto bound = std::min(settings_.bounds.endpointDrain, settings_.bounds.configuration);
     const auto duty = Fleet::watchDuty(roster_.self(), knownPeers_, Fleet::watchOptionsFor(bound));
+    if (duty == Fleet::WatchDuty::Looks) {
+        looksUntil_ = now + Catalog::StoreSettled;
+    }
+    const bool looksOn = duty == Fleet::WatchDuty::Listens && now < looksUntil_;
+    return looksOn ? Fleet::WatchDuty::Looks : duty;
+}
+
+void RelayGateway::updateWatchDuty(Common::Time now)
+{
+    const auto duty = chooseWatchDuty(now);
     if (duty != duty_) {
         duty_ = duty;
         store_.setDuty(duty);
@@ -271,14 +302,19 @@
 void RelayGateway::heartbeat(Common::Time now)
 {
     roster_.setReady(ready());
-    roster_.setStoreContact(store_.answerAge(now), store_.settled(now));
-    Fleet::Reports ownRegion{Peers::encodeValue(scheduler_.regionLoadReport(now)), ""};
-    Fleet::Reports otherRegions{Peers::encodeValue(scheduler_.crossRegionLoadReport(now)), ""};
+    roster_.setStoreContact(catalogAge(now), storeFailureAge(now));
+    Fleet::Reports reports{Peers::encodeValue(scheduler_.regionLoadReport(now)), ""};
     if (hasCustomers()) {
-        ownRegion.usage = Peers::encodeValue(limiter_.instanceReport(now));
-        otherRegions.usage = Peers::encodeValue(limiter_.regionReport(now));
+        reports.usage = Peers::encodeValue(limiter_.instanceReport(now));
+    }
+    roster_.setReports(std::move(reports));
+    if (roster_.speaks(now)) {
+        Fleet::Reports digest{Peers::encodeValue(scheduler_.crossRegionLoadReport(now)), ""};
+        if (hasCustomers()) {
+            digest.usage = Peers::encodeValue(limiter_.regionReport(now));
+        }
+        roster_.setDigestReports(std::move(digest));
     }
-    roster_.setReports(std::move(ownRegion), std::move(otherRegions));
     sendAll(roster_.tick(now));
     fleetChanged(now);
     updateCustomerUsage(now);
--- a/Source/Core/Relay/StoreWatcher.cpp
+++ b/Source/Core/Relay/StoreWatcher.cpp
@@ -63,6 +63,11 @@
     return now - lastFailureAt_ > Catalog::StoreSettled;
 }
 
+std::optional<Common::Duration> StoreWatcher::failureAge(Common::Time now) const
+{
+    return hasFailed_ ? std::optional(now - lastFailureAt_) : std::nullopt;
+}
+
 std::optional<Common::Duration> StoreWatcher::answerAge(Common::Time now) const
 {
     if (!lastAnswerAt_) {
@@ -133,7 +138,7 @@
 void StoreWatcher::handleResponse(Common::Time now)
 {
     if (status_ == Platform::HistoryGoneStatus) {
-        lastFailureAt_ = now;
+        noteFailure(now);
         step_ = Step::List;
         listAfter_.clear();
         nextCallAt_ = now;
@@ -201,9 +206,15 @@
     }
 }
 
-void StoreWatcher::handleFailure(const std::string &reason, Common::Time now)
+void StoreWatcher::noteFailure(Common::Time now)
 {
     lastFailureAt_ = now;
+    hasFailed_ = true;
+}
+
+void StoreWatcher::handleFailure(const std::string &reason, Common::Time now)
+{
+    noteFailure(now);
     retryDelay_ = std::min(options_.retryMax, std::max(options_.retryFirst, retryDelay_ * 2));
     const bool probing = duty_ == Fleet::WatchDuty::Looks;
     nextCallAt_ = now + (probing ? std::max(retryDelay_, options_.probeInterval) : retryDelay_);
--- a/Source/Core/Relay/StoreWatcher.h
+++ b/Source/Core/Relay/StoreWatcher.h
@@ -58,6 +58,8 @@
 
     /// Time since the last response, or nothing if the store has never answered this process.
     std::optional<Common::Duration> answerAge(Common::Time now) const;
+    /// Time since the last failed call, or nothing if there was none.
+    std::optional<Common::Duration> failureAge(Common::Time now) const;
     /// Returns true if there has been no failure for longer than `Catalog::StoreSettled`.
     bool settled(Common::Time now) const;
     /// Returns true once a listing has been read completely.
@@ -73,6 +75,7 @@
     void handleResponse(Common::Time now);
     void handleListing(Common::Time now);
     void handleChanges(Common::Time now);
+    void noteFailure(Common::Time now);
     void handleFailure(const std::string &reason, Common::Time now);
     void handleSuccess(Common::Time now);
 
@@ -89,7 +92,9 @@
     Common::Time deadline_{};
     Common::Time nextCallAt_{};
     std::optional<Common::Time> lastAnswerAt_;
+    /// Start of this process until a call has failed.
     Common::Time lastFailureAt_{};
+    bool hasFailed_ = false;
     Common::milliseconds retryDelay_{0};
     Catalog::Revision revision_ = 0;
     std::string listAfter_;
--- a/Source/UnitTests/Fleet/StoreWatchTest.cpp
+++ b/Source/UnitTests/Fleet/StoreWatchTest.cpp
@@ -53,7 +53,7 @@
     SimulatedRegion(int size, milliseconds bound)
         : options_(watchOptionsFor(bound))
         // Without changes, a long-poll call is answered only when its wait time ends.
-        , longestAnswerAge_(watchTimeout(bound) - milliseconds(200))
+        , longestAnswerAge_(watchTimeout(bound) - watchMargin(bound))
     {
         std::set<std::string> addresses;
         for (int index = 0; index < size; ++index) {
@@ -103,16 +103,19 @@
 private:
     void exchangeHeartbeats(const std::string &address, Roster &roster)
     {
+        std::optional<Duration> answerAge;
         if (duties_[address] == WatchDuty::Watches) {
-            roster.setStoreContact(lostAt_ ? now_ - *lostAt_ : longestAnswerAge_, true);
+            answerAge = lostAt_ ? now_ - *lostAt_ : longestAnswerAge_;
         }
+        roster.setStoreContact(storeDataAge(answerAge, 0, roster.peers(now_)), std::nullopt);
         deliver(roster.tick(now_));
         duties_[address] = watchDuty(roster.self(), roster.peers(now_), options_);
     }
     void deliver(const Sends &sends)
     {
         for (const auto &send : sends) {
-            deliver(rosters_.at(send.address)->receive(send.heartbeat, now_));
+            const auto &heartbeat = std::get<Heartbeat>(*send.message);
+            deliver(rosters_.at(send.address)->receive(heartbeat, now_));
         }
     }
 
@@ -177,16 +180,41 @@
     EXPECT_EQ(region.listeners(), Instances - static_cast<int>(WatchOptions().watchers));
 }
 
-TEST(StoreWatchTest, InstanceWithoutReachablePeersWatches)
+TEST(StoreWatchTest, InstanceWithoutLivingPeersWatches)
 {
     auto others = makePeers(10, milliseconds(300));
     for (auto &other : others) {
+        other.alive = false;
         other.reachable = false;
     }
     const auto self = makePeer("alone", "north", milliseconds(0)).record;
     EXPECT_EQ(watchDuty(self, others, WatchOptions()), WatchDuty::Watches);
 }
 
+// Guards against a watcher for each instance of a large region, where most instances have not
+// heard each other directly for seconds: all calls to the store have a price.
+TEST(StoreWatchTest, TwoInstancesWatchThoughMostAreKnownFromOthersOnly)
+{
+    auto all = makePeers(200, milliseconds(300));
+    for (std::size_t index = 0; index < all.size(); ++index) {
+        all[index].reachable = index % 3 == 0;
+    }
+    EXPECT_EQ(countDuties(all).at(WatchDuty::Watches), 2);
+}
+
+// Guards against calls by all instances of a large region at once when the store stops answering.
+TEST(StoreWatchTest, FewInstancesQueryTheStoreAtFirst)
+{
+    const WatchOptions options;
+    for (const std::size_t size : {40U, 200U, 1000U}) {
+        const auto atFirst = options.answerAge + milliseconds(1);
+        EXPECT_EQ(countDuties(makePeers(size, atFirst)).at(WatchDuty::Looks), 6) << size;
+        const auto later = options.answerAge + options.lookStep + milliseconds(1);
+        EXPECT_EQ(countDuties(makePeers(size, later)).at(WatchDuty::Looks), 30) << size;
+        EXPECT_EQ(countDuties(makePeers(size, milliseconds(9000))).count(WatchDuty::Listens), 0U);
+    }
+}
+
 TEST(StoreWatchTest, StoreDataIsAsRecentAsThatOfAPeerWithNoLaterRevision)
 {
     const auto others = makePeers(3, milliseconds(200));
