Apply changes of single endpoints and look only at missing records when they expire

Cause: each change of the store copied all listed endpoints and built all tables anew, and each tick walked all records for those that are overdue: with 6,000 endpoints some milliseconds of a core, many times a second while endpoints are replaced.

Change: the catalog names the endpoints that changed, the table updates these, and the registry keeps the set of missing records.

--- a/Source/Core/Catalog/Catalog.cpp
+++ b/Source/Core/Catalog/Catalog.cpp
@@ -22,13 +22,13 @@
     if (auto *undecodable = std::get_if<Undecodable>(&record)) {
         changed.undecodable.emplace_back(item.key, std::move(undecodable->reason));
         if (undecodable->endpoint) {
-            changed.endpoints = true;
+            changed.endpoints.push_back(*undecodable->endpoint);
             registry_.remove(*undecodable->endpoint, Duration(0), now);
         }
         return;
     }
     if (const auto *endpoint = std::get_if<EndpointRecord>(&record)) {
-        changed.endpoints = true;
+        changed.endpoints.push_back(endpoint->id);
         if (item.value) {
             registry_.update(*endpoint, now);
         } else {
@@ -55,7 +55,7 @@
     }
 }
 
-bool Catalog::expire(Time now)
+std::vector<EndpointId> Catalog::expire(Time now)
 {
     return registry_.expire(now);
 }
--- a/Source/Core/Catalog/Catalog.h
+++ b/Source/Core/Catalog/Catalog.h
@@ -21,7 +21,8 @@
 struct CatalogChanges
 {
     bool configuration = false;
-    bool endpoints = false;
+    /// Endpoints whose record was written or removed.
+    std::vector<EndpointId> endpoints;
     bool evacuations = false;
     /// Key of each item that could not be decoded, and the reason.
     std::vector<std::pair<std::string, std::string>> undecodable;
@@ -38,9 +39,9 @@
 
     /// @param grace how long an endpoint stays in use after the removal of its record
     CatalogChanges apply(const ItemChanges &changes, Duration grace, Time now);
-    /// Takes endpoints out of service whose record has been missing for longer than its grace; true
-    /// if anything changed.
-    bool expire(Time now);
+    /// Takes endpoints out of service whose record has been missing for longer than its grace;
+    /// returns those that changed.
+    std::vector<EndpointId> expire(Time now);
 
     /// Null until the first configuration is known.
     std::shared_ptr<const RouteTable> routes() const
@@ -55,6 +56,11 @@
     {
         return registry_.list();
     }
+    /// Null if the endpoint is unknown.
+    const ListedEndpoint *endpoint(const EndpointId &id) const
+    {
+        return registry_.find(id);
+    }
     const ItemStore &items() const
     {
         return items_;
--- a/Source/Core/Catalog/EndpointRegistry.cpp
+++ b/Source/Core/Catalog/EndpointRegistry.cpp
@@ -27,6 +27,7 @@
     if (sameStart && record.sequence < listed.record.sequence) {
         // The record exists again, even though this copy of it is outdated.
         entry.missingSince.reset();
+        missing_.erase(record.id);
         listed.missing = false;
         return;
     }
@@ -43,6 +44,7 @@
         listed.endsAt = now + *record.endsIn;
     }
     entry.missingSince.reset();
+    missing_.erase(record.id);
     entry.leftAt = listed.leaving ? std::optional(entry.leftAt.value_or(now)) : std::nullopt;
 }
 
@@ -54,6 +56,7 @@
     }
     auto &entry = found->second;
     entry.missingSince = now;
+    missing_.insert(id);
     entry.grace = grace;
     entry.listed.missing = true;
     if (grace <= Duration(0) || entry.listed.leaving) {
@@ -62,22 +65,33 @@
     }
 }
 
-bool EndpointRegistry::expire(Time now)
+std::vector<EndpointId> EndpointRegistry::expire(Time now)
 {
-    bool changed = false;
-    for (auto &[id, entry] : entries_) {
-        const bool overdue = entry.missingSince && now - *entry.missingSince > entry.grace;
-        if (overdue && !entry.listed.leaving) {
+    std::vector<EndpointId> changed;
+    std::vector<EndpointId> dropped;
+    for (const auto &id : missing_) {
+        auto &entry = entries_.at(id);
+        if (!entry.listed.leaving && now - *entry.missingSince > entry.grace) {
             entry.listed.leaving = true;
             entry.leftAt = now;
-            changed = true;
+            changed.push_back(id);
         }
+        if (entry.leftAt && now - *entry.leftAt > LeftRetention) {
+            dropped.push_back(id);
+        }
+    }
+    for (const auto &id : dropped) {
+        entries_.erase(id);
+        missing_.erase(id);
+        changed.push_back(id);
     }
-    const auto dropped = std::erase_if(entries_, [now](const auto &item) {
-        const auto &entry = item.second;
-        return entry.missingSince && entry.leftAt && now - *entry.leftAt > LeftRetention;
-    });
-    return changed || dropped > 0;
+    return changed;
+}
+
+const ListedEndpoint *EndpointRegistry::find(const EndpointId &id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second.listed;
 }
 
 std::vector<ListedEndpoint> EndpointRegistry::list() const
--- a/Source/Core/Catalog/EndpointRegistry.h
+++ b/Source/Core/Catalog/EndpointRegistry.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "Catalog/Types.h"
@@ -61,11 +62,13 @@
     /// @param grace how long the endpoint stays in use
     void remove(const EndpointId &id, Duration grace, Time now);
     /// Takes endpoints out of service that have been missing for longer than their grace, and drops
-    /// old entries; true if anything changed.
-    bool expire(Time now);
+    /// old entries; returns those that changed. Takes time only for missing endpoints.
+    std::vector<EndpointId> expire(Time now);
 
     /// All endpoints that may still be in use or have running requests.
     std::vector<ListedEndpoint> list() const;
+    /// Null if the endpoint is unknown.
+    const ListedEndpoint *find(const EndpointId &id) const;
     std::size_t size() const
     {
         return entries_.size();
@@ -81,6 +84,8 @@
     };
 
     std::map<EndpointId, Entry> entries_;
+    /// Endpoints whose record is missing.
+    std::set<EndpointId> missing_;
 };
 
 } // namespace LaburnumChute::Catalog
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
+#include <unordered_map>
 
 namespace LaburnumChute::Dispatch {
 
@@ -51,40 +53,71 @@
 void EndpointTable::setEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints,
                                  const std::set<Common::FailureDomainName> &evacuated, Time now)
 {
-    std::set<EndpointId> listed;
+    evacuated_ = evacuated;
+    for (auto &[id, state] : endpoints_) {
+        state->removed = true;
+    }
     for (const auto &endpoint : endpoints) {
-        const auto &record = endpoint.record;
-        listed.insert(record.id);
-        auto &state = endpoints_[record.id];
-        const bool isNew = !state;
-        if (isNew) {
-            state = std::make_unique<EndpointState>();
-        }
-        const bool sameIncarnation = !isNew && state->listed.record.startedAt == record.startedAt;
-        if (!isNew && !sameIncarnation) {
-            // The endpoint has restarted under its old id: nothing known about it applies any more.
-            const int own = state->own;
-            *state = EndpointState();
-            state->own = own;
-        }
-        state->coldUntil = std::max(state->coldUntil, endpoint.coldUntil);
-        const bool wasEvacuated = state->evacuated;
-        state->evacuated = evacuated.count(record.failureDomain) > 0;
-        if (wasEvacuated && !state->evacuated) {
-            // It received no requests for a while and may be cold.
-            const auto service = services_.find(record.service);
-            const auto cold = service != services_.end() ? service->second.coldTime : Duration(0);
-            state->coldUntil = std::max(state->coldUntil, now + cold);
+        updateEndpoint(endpoint, now);
+    }
+    dropRemoved();
+    rebuild();
+}
+
+void EndpointTable::updateEndpoints(const EndpointChanges &changes, Time now)
+{
+    bool changed = !changes.updated.empty();
+    for (const auto &id : changes.removed) {
+        if (auto *state = find(id)) {
+            state->removed = true;
+            changed = true;
         }
-        state->listed = endpoint;
     }
-    std::erase_if(endpoints_, [&](const auto &item) {
-        return listed.count(item.first) == 0 && item.second->own == 0;
+    for (const auto &endpoint : changes.updated) {
+        updateEndpoint(endpoint, now);
+    }
+    if (changed) {
+        dropRemoved();
+        rebuild();
+    }
+}
+
+void EndpointTable::updateEndpoint(const Catalog::ListedEndpoint &endpoint, Time now)
+{
+    const auto &record = endpoint.record;
+    auto &state = endpoints_[record.id];
+    const bool isNew = !state;
+    if (isNew) {
+        state = std::make_unique<EndpointState>();
+    }
+    const bool sameIncarnation = !isNew && state->listed.record.startedAt == record.startedAt;
+    if (!isNew && !sameIncarnation) {
+        // The endpoint has restarted under its old id: nothing known about it applies any more.
+        const int own = state->own;
+        *state = EndpointState();
+        state->own = own;
+    }
+    state->removed = false;
+    state->coldUntil = std::max(state->coldUntil, endpoint.coldUntil);
+    const bool wasEvacuated = state->evacuated;
+    state->evacuated = evacuated_.count(record.failureDomain) > 0;
+    if (wasEvacuated && !state->evacuated) {
+        // It received no requests for a while and may be cold.
+        const auto service = services_.find(record.service);
+        const auto cold = service != services_.end() ? service->second.coldTime : Duration(0);
+        state->coldUntil = std::max(state->coldUntil, now + cold);
+    }
+    state->listed = endpoint;
+}
+
+void EndpointTable::dropRemoved()
+{
+    std::erase_if(endpoints_, [](const auto &item) {
+        return item.second->removed && item.second->own == 0;
     });
     for (auto &[id, state] : endpoints_) {
-        state->listed.leaving = state->listed.leaving || listed.count(id) == 0;
+        state->listed.leaving = state->listed.leaving || state->removed;
     }
-    rebuild();
 }
 
 void EndpointTable::rebuild()
@@ -92,7 +125,7 @@
     usable_.clear();
     running_.clear();
     byShortId_.clear();
-    std::map<std::string, const EndpointState *> newestAt;
+    std::unordered_map<std::string_view, const EndpointState *> newestAt;
     for (const auto &[id, state] : endpoints_) {
         auto &newest = newestAt[state->listed.record.address];
         if (newest == nullptr || newest->listed.record.startedAt < state->listed.record.startedAt) {
@@ -129,23 +162,48 @@
 void EndpointTable::setRemoteEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints)
 {
     std::set<EndpointId> listed;
+    for (const auto &endpoint : endpoints) {
+        listed.insert(endpoint.record.id);
+        updateRemoteEndpoint(endpoint);
+    }
+    std::erase_if(remote_, [&](const auto &item) { return listed.count(item.first) == 0; });
+    rebuildRemote();
+}
+
+void EndpointTable::updateRemoteEndpoints(const EndpointChanges &changes)
+{
+    bool changed = !changes.updated.empty();
+    for (const auto &id : changes.removed) {
+        changed = remote_.erase(id) > 0 || changed;
+    }
+    for (const auto &endpoint : changes.updated) {
+        updateRemoteEndpoint(endpoint);
+    }
+    if (changed) {
+        rebuildRemote();
+    }
+}
+
+void EndpointTable::updateRemoteEndpoint(const Catalog::ListedEndpoint &endpoint)
+{
+    auto &remote = remote_[endpoint.record.id];
+    if (remote.listed.record.startedAt != endpoint.record.startedAt) {
+        remote.cache.clear();
+    }
+    remote.listed = endpoint;
+    remote.cache.setCapacity(cacheCapacity(endpoint.record.service));
+}
+
+void EndpointTable::rebuildRemote()
+{
     remoteByService_.clear();
     remoteByShortId_.clear();
-    for (const auto &endpoint : endpoints) {
-        const auto &record = endpoint.record;
-        listed.insert(record.id);
-        auto &remote = remote_[record.id];
-        if (remote.listed.record.startedAt != record.startedAt) {
-            remote.cache.clear();
-        }
-        remote.listed = endpoint;
-        remote.cache.setCapacity(cacheCapacity(record.service));
-        remoteByShortId_[shortId(record.id)] = &remote;
-        if (!endpoint.leaving && !endpoint.missing) {
-            remoteByService_[record.service].push_back(&remote);
+    for (auto &[id, remote] : remote_) {
+        remoteByShortId_[shortId(id)] = &remote;
+        if (!remote.listed.leaving && !remote.listed.missing) {
+            remoteByService_[remote.listed.record.service].push_back(&remote);
         }
     }
-    std::erase_if(remote_, [&](const auto &item) { return listed.count(item.first) == 0; });
 }
 
 void EndpointTable::setRemotePlacements(const std::vector<PartPlacement> &placements)
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 #include "Dispatch/ColdRateLimit.h"
@@ -29,6 +30,8 @@
 struct EndpointState
 {
     Catalog::ListedEndpoint listed;
+    /// It is no longer listed and is kept until its last request has ended.
+    bool removed = false;
     /// Its failure domain is evacuated.
     bool evacuated = false;
     Time coldUntil{};
@@ -99,6 +102,18 @@
     PrefixCache cache;
 };
 
+/// Changes of some endpoints of a region.
+struct EndpointChanges
+{
+    std::vector<Catalog::ListedEndpoint> updated;
+    std::vector<EndpointId> removed;
+
+    bool empty() const
+    {
+        return updated.empty() && removed.empty();
+    }
+};
+
 /// Endpoints of this instance's region by service, and what is known of those of other regions.
 class EndpointTable
 {
@@ -108,7 +123,9 @@
     void setServices(const std::map<ServiceName, Catalog::Service> &services);
     void setEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints,
                       const std::set<Common::FailureDomainName> &evacuated, Time now);
+    void updateEndpoints(const EndpointChanges &changes, Time now);
     void setRemoteEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints);
+    void updateRemoteEndpoints(const EndpointChanges &changes);
     /// Updates the prefix caches of other regions' endpoints from the placements in a load report.
     void setRemotePlacements(const std::vector<PartPlacement> &placements);
     /// Applies the load report of another instance of the region.
@@ -169,7 +186,11 @@
     };
 
     std::vector<PartPlacement> recentPlacements(Duration age, Time now) const;
+    void updateEndpoint(const Catalog::ListedEndpoint &endpoint, Time now);
+    void dropRemoved();
     void rebuild();
+    void updateRemoteEndpoint(const Catalog::ListedEndpoint &endpoint);
+    void rebuildRemote();
     void estimateLoad(const ServiceName &name, Time now);
     std::vector<LimitReport> limits(Time now) const;
     std::int64_t cacheCapacity(const ServiceName &name) const;
@@ -177,13 +198,14 @@
     const DispatchOptions *options_;
     std::map<ServiceName, Catalog::Service> services_;
     std::map<EndpointId, std::unique_ptr<EndpointState>> endpoints_;
+    std::set<Common::FailureDomainName> evacuated_;
     std::map<ServiceName, std::vector<EndpointState *>> usable_;
     std::map<ServiceName, std::vector<EndpointState *>> running_;
     std::map<ServiceName, EngineModel> engines_;
-    std::map<std::uint32_t, EndpointState *> byShortId_;
+    std::unordered_map<std::uint32_t, EndpointState *> byShortId_;
     std::map<EndpointId, RemoteEndpoint> remote_;
     std::map<ServiceName, std::vector<const RemoteEndpoint *>> remoteByService_;
-    std::map<std::uint32_t, RemoteEndpoint *> remoteByShortId_;
+    std::unordered_map<std::uint32_t, RemoteEndpoint *> remoteByShortId_;
     std::map<ServiceName, SendRate> sendRates_;
     bool limitsChanged_ = false;
     Time limitsDividedAt_{};
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -92,6 +92,19 @@
     return effects;
 }
 
+Effects Scheduler::updateEndpoints(const EndpointChanges &changes, Time now)
+{
+    table_.updateEndpoints(changes, now);
+    Effects effects;
+    dispatchQueue(now, effects);
+    return effects;
+}
+
+void Scheduler::updateRemoteEndpoints(const EndpointChanges &changes)
+{
+    table_.updateRemoteEndpoints(changes);
+}
+
 void Scheduler::setRemoteEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints)
 {
     table_.setRemoteEndpoints(endpoints);
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -45,8 +45,10 @@
     /// Endpoints of the own region.
     Effects setEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints,
                          const std::set<Common::FailureDomainName> &evacuated, Time now);
+    Effects updateEndpoints(const EndpointChanges &changes, Time now);
     /// Endpoints of other regions, whose KV caches can be copied.
     void setRemoteEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints);
+    void updateRemoteEndpoints(const EndpointChanges &changes);
     /// Parts that an endpoint of the own region reports to have in its prefix cache.
     void setCache(const EndpointId &endpoint, const std::vector<Dialect::PromptPart> &parts,
                   Time now);
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -284,9 +284,7 @@
     }
     peerSync_.tick(knownPeers_, catalog_.items().upTo(), duty_ == Fleet::WatchDuty::Listens, now);
     rejectExpiredEarlyRequests(now);
-    if (catalog_.expire(now)) {
-        endpointsChanged(now);
-    }
+    endpointsChanged(catalog_.expire(now), now);
     applyEffects(scheduler_.tick(now), now);
     std::vector<std::shared_ptr<RelayedCall>> calls;
     calls.reserve(calls_.size());
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -145,7 +145,9 @@
 
     void applyChanges(const Catalog::ItemChanges &changes, const std::string &source);
     void storeStateChanged(StoreState state, const std::string &reason);
-    void endpointsChanged(Common::Time now);
+    bool isInOwnRegion(const Catalog::EndpointRecord &endpoint) const;
+    void setAllEndpoints(Common::Time now);
+    void endpointsChanged(const std::vector<Common::EndpointId> &changed, Common::Time now);
     void handleDatagram(std::string_view datagram);
     void handleHeartbeat(const Fleet::Heartbeat &heartbeat, Common::Time now);
     void handleDigest(const Fleet::RegionDigest &digest, Common::Time now);
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -33,13 +33,15 @@
         applyLimits(now);
         applyEffects(scheduler_.setServices(catalog_.routes()->configuration().services, now), now);
     }
-    if (update.endpoints || update.evacuations || update.configuration) {
-        endpointsChanged(now);
+    if (update.evacuations || update.configuration) {
+        setAllEndpoints(now);
+    } else {
+        endpointsChanged(update.endpoints, now);
     }
     if (update.configuration) {
         serveEarlyRequests();
     }
-    if (update.endpoints || update.evacuations) {
+    if (!update.endpoints.empty() || update.evacuations) {
         EventLine line("catalog");
         line.add("revision", static_cast<std::int64_t>(catalog_.items().upTo()))
             .add("items", static_cast<std::int64_t>(changes.items.size()))
@@ -65,19 +67,53 @@
     log_.write(line, now);
 }
 
-void RelayGateway::endpointsChanged(Common::Time now)
+bool RelayGateway::isInOwnRegion(const Catalog::EndpointRecord &endpoint) const
+{
+    const auto region = settings_.regions.find(endpoint.failureDomain);
+    return region != settings_.regions.end() && region->second == settings_.region;
+}
+
+void RelayGateway::setAllEndpoints(Common::Time now)
 {
     std::vector<Catalog::ListedEndpoint> own;
     std::vector<Catalog::ListedEndpoint> remote;
     for (auto &endpoint : catalog_.endpoints()) {
-        const auto region = settings_.regions.find(endpoint.record.failureDomain);
-        const bool isOwn = region != settings_.regions.end() && region->second == settings_.region;
-        (isOwn ? own : remote).push_back(std::move(endpoint));
+        (isInOwnRegion(endpoint.record) ? own : remote).push_back(std::move(endpoint));
     }
     scheduler_.setRemoteEndpoints(remote);
     applyEffects(scheduler_.setEndpoints(own, catalog_.evacuated(), now), now);
 }
 
+/// While endpoints are replaced one after the other, some change several times per second among
+/// thousands that do not.
+void RelayGateway::endpointsChanged(const std::vector<Common::EndpointId> &changed,
+                                    Common::Time now)
+{
+    Dispatch::EndpointChanges own;
+    Dispatch::EndpointChanges remote;
+    for (const auto &id : changed) {
+        const auto *endpoint = catalog_.endpoint(id);
+        const bool isOwn = endpoint != nullptr && isInOwnRegion(endpoint->record);
+        const bool isRemote = endpoint != nullptr && !isOwn;
+        if (endpoint != nullptr) {
+            (isOwn ? own : remote).updated.push_back(*endpoint);
+        }
+        // It may also have started again in another region.
+        if (!isOwn) {
+            own.removed.push_back(id);
+        }
+        if (!isRemote) {
+            remote.removed.push_back(id);
+        }
+    }
+    if (!remote.empty()) {
+        scheduler_.updateRemoteEndpoints(remote);
+    }
+    if (!own.empty()) {
+        applyEffects(scheduler_.updateEndpoints(own, now), now);
+    }
+}
+
 std::optional<Common::Duration> RelayGateway::catalogAge(Common::Time now) const
 {
     return Fleet::storeDataAge(store_.answerAge(now), catalog_.items().upTo(), knownPeers_);
--- a/Source/UnitTests/Catalog/EndpointRegistryTest.cpp
+++ b/Source/UnitTests/Catalog/EndpointRegistryTest.cpp
@@ -75,7 +75,7 @@
 {
     registry_.update(record(1, 1), now_);
     registry_.remove(EndpointId("e"), MissingGrace, now_);
-    EXPECT_FALSE(registry_.expire(now_ + milliseconds(1500)));
+    EXPECT_TRUE(registry_.expire(now_ + milliseconds(1500)).empty());
     EXPECT_TRUE(onlyEndpoint().missing);
     EXPECT_FALSE(onlyEndpoint().leaving);
     registry_.update(record(1, 2), now_ + milliseconds(1600));
@@ -86,7 +86,7 @@
 {
     registry_.update(record(1, 1), now_);
     registry_.remove(EndpointId("e"), MissingGrace, now_);
-    EXPECT_TRUE(registry_.expire(now_ + milliseconds(2000)));
+    EXPECT_EQ(registry_.expire(now_ + milliseconds(2000)), std::vector{EndpointId("e")});
     EXPECT_TRUE(onlyEndpoint().leaving);
 }
 
