Fetch the first listing from peers that have it, spread over all of them

Cause: at a start every instance listed the store: 584 times 13 pages of 6,000 endpoints, two thirds of them between regions. Later all instances asked the peer with the newest revision.

Change: seeds list at once, others ask some reachable peer that has more, in their own failure domain if possible. What a peer serves is bounded by its link; it answers 503 beyond, and the next one is asked.

--- a/Source/Core/Catalog/InstanceSettings.h
+++ b/Source/Core/Catalog/InstanceSettings.h
@@ -63,6 +63,8 @@
     std::string storeAddress;
     std::uint64_t memoryBytes = 256u << 20;
     int descriptors = 1024;
+    /// Capacity of the instance's network link.
+    double linkBytesPerSecond = 12.5e6;
     Bounds bounds;
 };
 
--- a/Source/Core/Fleet/StoreWatch.cpp
+++ b/Source/Core/Fleet/StoreWatch.cpp
@@ -63,7 +63,7 @@
     return age;
 }
 
-WatchDuty watchDuty(const InstanceRecord &self, const std::vector<Peer> &peers,
+WatchDuty watchDuty(const InstanceRecord &self, const std::vector<Peer> &peers, Duration uptime,
                     const WatchOptions &options)
 {
     const auto own = watcherWeight(self);
@@ -78,8 +78,8 @@
     for (auto lookers = options.firstLookers; lookers <= ahead; lookers *= LookerGrowth) {
         tolerated += options.lookStep;
     }
-    const auto age = storeContactAge(self, peers);
-    return age && *age <= tolerated ? WatchDuty::Listens : WatchDuty::Looks;
+    const auto age = storeContactAge(self, peers).value_or(uptime);
+    return age <= tolerated ? WatchDuty::Listens : WatchDuty::Looks;
 }
 
 std::optional<Duration> storeFailureAge(std::optional<Duration> ownFailureAge,
--- a/Source/Core/Fleet/StoreWatch.h
+++ b/Source/Core/Fleet/StoreWatch.h
@@ -55,7 +55,8 @@
 /// alive. Whether they are alive is relayed, so that instances agree on it although most of them
 /// seldom hear from each other. Instances with different views may still disagree for a moment; the
 /// region then has more watchers or fewer listeners, and every instance still learns every change.
-WatchDuty watchDuty(const InstanceRecord &self, const std::vector<Peer> &peers,
+/// @param uptime time since the start of this instance, which counts if no response is known of
+WatchDuty watchDuty(const InstanceRecord &self, const std::vector<Peer> &peers, Duration uptime,
                     const WatchOptions &options);
 
 /// Time since the last failed call to the store that this instance or another one of its region is
--- a/Source/Core/Relay/PeerSync.cpp
+++ b/Source/Core/Relay/PeerSync.cpp
@@ -1,24 +1,25 @@
 #include "Relay/PeerSync.h"
 
-#include <algorithm>
 #include <charconv>
-#include <tuple>
 
+#include "Peers/Compression.h"
 #include "Peers/ValueCodec.h"
+#include "Relay/Statuses.h"
 #include "Relay/SteadyNow.h"
 
 namespace LaburnumChute::Relay {
 
 namespace {
 
-constexpr unsigned Ok = 200;
 /// How long this instance waits for its own store watch before it asks a peer. Watches deliver a
 /// change to all instances at about the same time; delays from batching differ by less than this.
 constexpr Common::milliseconds MaxLag{200};
 constexpr Common::milliseconds RequestTimeout{800};
+/// A complete listing of a large deployment takes longer than a few changes.
+constexpr Common::milliseconds ListingTimeout{3000};
 constexpr Common::milliseconds RequestInterval{150};
-/// Longer than the time for which an unresponsive instance is still considered reachable.
-constexpr Common::milliseconds RecentFailurePeriod{3000};
+/// Bounds the memory for an answer.
+constexpr std::size_t MaxItemBytes = 64u << 20;
 constexpr std::string_view ItemsPath = "/laburnumchute/items?process=";
 constexpr std::string_view CachesPath = "/laburnumchute/caches?process=";
 constexpr std::string_view RevisionSeparator = "&after=";
@@ -60,43 +61,35 @@
     return receiver && revision ? std::optional(PeerTarget{*receiver, *revision}) : std::nullopt;
 }
 
-PeerSync::PeerSync(std::shared_ptr<OutboundPool> pool, Common::RegionName ownRegion,
-                   ChangesHandler changes)
-    : ownRegion_(std::move(ownRegion))
-    , onChanges_(std::move(changes))
-    , fetch_(std::move(pool))
+std::string encodeItems(const Catalog::ItemChanges &changes)
 {
+    return Peers::compress(Peers::encodeValue(changes));
 }
 
-bool PeerSync::failedRecently(const Common::InstanceId &peer, Common::Time now) const
+Common::Result<Catalog::ItemChanges> decodeItems(std::string_view answer)
 {
-    const auto found = lastFailureAt_.find(peer);
-    return found != lastFailureAt_.end() && now - found->second < RecentFailurePeriod;
+    const auto bytes = Peers::decompress(answer, MaxItemBytes);
+    if (!bytes) {
+        return tl::unexpected(bytes.error());
+    }
+    return Peers::decodeValue<Catalog::ItemChanges>(*bytes);
 }
 
-const Fleet::Peer *PeerSync::choosePeer(const std::vector<Fleet::Peer> &peers,
-                                        Catalog::Revision known, Common::Time now) const
+PeerSync::PeerSync(std::shared_ptr<OutboundPool> pool, SyncSource source, ChangesHandler changes)
+    : source_(std::move(source))
+    , onChanges_(std::move(changes))
+    , fetch_(std::move(pool))
 {
-    // Prefers the own region, since traffic between regions costs more, then the newest revision.
-    const auto rank = [this, now](const Fleet::Peer &peer) {
-        return std::tuple(!failedRecently(peer.record.id, now), peer.record.region == ownRegion_,
-                          peer.record.knownRevision);
-    };
-    const Fleet::Peer *best = nullptr;
-    for (const auto &peer : peers) {
-        const bool knowsMore = peer.reachable && peer.record.knownRevision > known;
-        if (knowsMore && (best == nullptr || rank(peer) > rank(*best))) {
-            best = &peer;
-        }
-    }
-    return best;
 }
 
 void PeerSync::tick(const std::vector<Fleet::Peer> &peers, Catalog::Revision known, bool listens,
                     Common::Time now)
 {
     fetch_.tick(now);
-    const auto *peer = choosePeer(peers, known, now);
+    if (!mayRequest(now)) {
+        return;
+    }
+    const auto *peer = source_.choose(peers, known, now);
     if (peer == nullptr) {
         behindSince_.reset();
         return;
@@ -104,30 +97,39 @@
     behindSince_ = behindSince_.value_or(now);
     // An instance that has no data yet has no running watch to wait for.
     const bool waitedEnough = listens || known == 0 || now - *behindSince_ >= MaxLag;
-    if (waitedEnough && !requestPending_ && now >= nextRequestAt_) {
+    if (waitedEnough) {
         beginRequest(*peer, known, now);
     }
 }
 
 void PeerSync::beginRequest(const Fleet::Peer &peer, Catalog::Revision known, Common::Time now)
 {
-    std::erase_if(lastFailureAt_,
-                  [&](const auto &entry) { return !failedRecently(entry.first, now); });
     nextRequestAt_ = now + RequestInterval;
     requestPending_ = true;
     fetch_.get(
-        peer.record.peerAddress, peerTarget({peer.record.incarnation, known}), RequestTimeout,
+        peer.record.peerAddress, peerTarget({peer.record.incarnation, known}),
+        known == 0 ? ListingTimeout : RequestTimeout,
         [this, from = peer.record.id](unsigned status, const std::string &body) {
-            requestPending_ = false;
-            const auto changes = Peers::decodeValue<Catalog::ItemChanges>(body);
-            if (status != Ok || !changes) {
-                lastFailureAt_[from] = steadyNow();
-                return;
-            }
-            lastFailureAt_.erase(from);
-            onChanges_(*changes, from);
+            handleAnswer(from, status, body);
         },
         now);
 }
 
+void PeerSync::handleAnswer(const Common::InstanceId &from, unsigned status,
+                            const std::string &body)
+{
+    requestPending_ = false;
+    if (status == ServiceUnavailable) {
+        source_.busy(from, steadyNow());
+        return;
+    }
+    const auto changes = decodeItems(body);
+    if (status != Ok || !changes) {
+        source_.failed(from, steadyNow());
+        return;
+    }
+    source_.succeeded(from);
+    onChanges_(*changes, from);
+}
+
 } // namespace LaburnumChute::Relay
--- a/Source/Core/Relay/PeerSync.h
+++ b/Source/Core/Relay/PeerSync.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +11,7 @@
 #include "Catalog/Catalog.h"
 #include "Fleet/Fleet.h"
 #include "Relay/SimpleFetch.h"
+#include "Relay/SyncSource.h"
 
 namespace LaburnumChute::Relay {
 
@@ -31,38 +31,41 @@
 /// Returns nothing if the request target is not one of a query.
 std::optional<PeerTarget> parsePeerTarget(std::string_view target);
 
+/// Answer to a query for changes of the store.
+std::string encodeItems(const Catalog::ItemChanges &changes);
+Common::Result<Catalog::ItemChanges> decodeItems(std::string_view answer);
+
 /// Fetches missing changes of the platform's store from peers.
 ///
 /// The store may reject one instance, or stop responding to it, while it serves the others; that
 /// instance's data would become stale unnoticed. Heartbeats carry the revision that each instance
 /// has. An instance that stays behind for longer than the store's watch takes asks a peer with a
-/// newer revision. A peer whose last request failed recently is asked only if no other reachable
-/// peer has a newer revision.
+/// newer revision.
 class PeerSync
 {
 public:
     using ChangesHandler =
         std::function<void(const Catalog::ItemChanges &, const Common::InstanceId &from)>;
 
-    PeerSync(std::shared_ptr<OutboundPool> pool, Common::RegionName ownRegion,
-             ChangesHandler changes);
+    PeerSync(std::shared_ptr<OutboundPool> pool, SyncSource source, ChangesHandler changes);
 
     /// @param listens this instance does not watch the store itself, so it asks a peer immediately
     void tick(const std::vector<Fleet::Peer> &peers, Catalog::Revision known, bool listens,
               Common::Time now);
+    /// Returns true if a request may be made now.
+    bool mayRequest(Common::Time now) const
+    {
+        return !requestPending_ && now >= nextRequestAt_;
+    }
 
 private:
-    const Fleet::Peer *choosePeer(const std::vector<Fleet::Peer> &peers, Catalog::Revision known,
-                                  Common::Time now) const;
-    bool failedRecently(const Common::InstanceId &peer, Common::Time now) const;
     void beginRequest(const Fleet::Peer &peer, Catalog::Revision known, Common::Time now);
+    void handleAnswer(const Common::InstanceId &from, unsigned status, const std::string &body);
 
-    Common::RegionName ownRegion_;
+    SyncSource source_;
     ChangesHandler onChanges_;
     SimpleFetch fetch_;
     bool requestPending_ = false;
-    /// Time of the last failed request to each peer; removed when a later request succeeds.
-    std::map<Common::InstanceId, Common::Time> lastFailureAt_;
     std::optional<Common::Time> behindSince_;
     Common::Time nextRequestAt_{};
 };
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -29,6 +29,8 @@
 /// peers in the region have answered a heartbeat, so that each engine is queried by only one
 /// instance. Until the contents are known, prompts that some engine has cached are processed again.
 constexpr milliseconds CacheQueryDelay{150};
+/// Fraction of the link that may be used to serve items of the store to peers.
+constexpr double ItemLinkFraction = 0.7;
 constexpr int StandardOutput = 1;
 
 std::uint64_t randomNumber()
@@ -123,10 +125,12 @@
           pool_, watchOptions(settings_.bounds),
           [this](const Catalog::ItemChanges &changes) { applyChanges(changes, "store"); },
           [this](StoreState state, const std::string &reason) { storeStateChanged(state, reason); })
-    , peerSync_(pool_, settings_.region,
+    , peerSync_(pool_,
+                SyncSource(settings_.region, settings_.failureDomain, randomNumber()),
                 [this](const Catalog::ItemChanges &changes, const Common::InstanceId &from) {
                     applyChanges(changes, from.text());
                 })
+    , itemTransfers_(settings_.linkBytesPerSecond * ItemLinkFraction)
     , fetch_(pool_)
     , gossip_(context_, [this](std::string_view datagram) { handleDatagram(datagram); })
     , callers_(
@@ -169,6 +173,7 @@
 Common::Result<void> RelayGateway::start()
 {
     const auto now = steadyNow();
+    startedAt_ = now;
     settingsText_ = readFile(options_.settingsPath);
     struct Listening
     {
@@ -282,7 +287,7 @@
     if (!cachesQueried_ && queryCachesAt_ && now >= *queryCachesAt_) {
         queryPrefixCaches(now);
     }
-    peerSync_.tick(knownPeers_, catalog_.items().upTo(), duty_ == Fleet::WatchDuty::Listens, now);
+    synchronize(now);
     rejectExpiredEarlyRequests(now);
     endpointsChanged(catalog_.expire(now), now);
     applyEffects(scheduler_.tick(now), now);
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -28,6 +28,7 @@
 #include "Relay/SimpleFetch.h"
 #include "Relay/StartupQueue.h"
 #include "Relay/StoreWatcher.h"
+#include "Relay/TransferBudget.h"
 #include "Relay/UdpSocket.h"
 
 namespace LaburnumChute::Relay {
@@ -116,6 +117,7 @@
     void servePeerQuery(const Connection &connection, const PeerTarget &target);
     void rejectForwarded(const Connection &connection, const std::string &reason, Common::Time now);
     void serveItems(const Connection &connection, Catalog::Revision known);
+    const std::string &completeListing();
     void rejectRequest(const Connection &connection, unsigned status, const std::string &requestId,
                        const std::string &detail, std::optional<Common::milliseconds> retryAfter);
     void beginCall(RelayPlan plan, const Connection &connection);
@@ -149,6 +151,7 @@
     void setAllEndpoints(Common::Time now);
     void endpointsChanged(const std::vector<Common::EndpointId> &changed, Common::Time now);
     void handleDatagram(std::string_view datagram);
+    void synchronize(Common::Time now);
     void handleHeartbeat(const Fleet::Heartbeat &heartbeat, Common::Time now);
     void handleDigest(const Fleet::RegionDigest &digest, Common::Time now);
     void applyReports(const Fleet::Heartbeat &heartbeat, Common::Time now);
@@ -156,6 +159,8 @@
     void sendPromptNotices();
     void sendAll(const Fleet::Sends &sends);
     void fleetChanged(Common::Time now);
+    /// Returns true if peers may still provide the first listing of the store.
+    bool awaitsPeers(Common::Time now) const;
     Fleet::WatchDuty chooseWatchDuty(Common::Time now);
     void updateWatchDuty(Common::Time now);
 
@@ -190,6 +195,10 @@
     std::shared_ptr<OutboundPool> pool_;
     StoreWatcher store_;
     PeerSync peerSync_;
+    TransferBudget itemTransfers_;
+    /// Encoded complete listing, for instances that have just started.
+    std::string listing_;
+    Catalog::Revision listingRevision_ = 0;
     SimpleFetch fetch_;
     UdpSocket gossip_;
     InboundServer callers_;
@@ -205,6 +214,7 @@
     std::vector<Fleet::Peer> knownPeers_;
     Fleet::WatchDuty duty_ = Fleet::WatchDuty::Watches;
     Common::Time looksUntil_{};
+    Common::Time startedAt_{};
     std::map<Common::InstanceId, bool> peerAlive_;
     /// Updated once per tick rather than on each response, so that it predates the changes being
     /// applied.
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -8,6 +8,14 @@
 
 namespace LaburnumChute::Relay {
 
+namespace {
+
+/// Within this time after the start, seeds of all regions have responded, even if they start at the
+/// same time.
+constexpr Common::milliseconds PeerResponseTime{400};
+
+} // namespace
+
 // Catalog.
 
 void RelayGateway::applyChanges(const Catalog::ItemChanges &changes, const std::string &source)
@@ -205,6 +213,15 @@
         return;
     }
     applyReports(heartbeat, now);
+    if (sender.knownRevision > catalog_.items().upTo() && peerSync_.mayRequest(now)) {
+        knownPeers_ = roster_.peers(now);
+        synchronize(now);
+    }
+}
+
+void RelayGateway::synchronize(Common::Time now)
+{
+    peerSync_.tick(knownPeers_, catalog_.items().upTo(), duty_ == Fleet::WatchDuty::Listens, now);
 }
 
 /// Reports that cannot be decoded are left out; they may come from an instance of another version.
@@ -292,12 +309,24 @@
     updateWatchDuty(now);
 }
 
+/// A listing of thousands of endpoints takes long from another region, and all instances together
+/// would fill the link of the store. Seeds begin with it at once; the others first contact them.
+bool RelayGateway::awaitsPeers(Common::Time now) const
+{
+    return !roster_.isSeed() && !settings_.seeds.empty() && catalog_.items().upTo() == 0
+           && now - startedAt_ < PeerResponseTime;
+}
+
 /// An instance that has begun to query the store continues for some time: its own answers are what
 /// the others then rely on, so that it would otherwise stop and begin again.
 Fleet::WatchDuty RelayGateway::chooseWatchDuty(Common::Time now)
 {
+    if (awaitsPeers(now)) {
+        return Fleet::WatchDuty::Listens;
+    }
     const auto bound = std::min(settings_.bounds.endpointDrain, settings_.bounds.configuration);
-    const auto duty = Fleet::watchDuty(roster_.self(), knownPeers_, Fleet::watchOptionsFor(bound));
+    const auto duty = Fleet::watchDuty(roster_.self(), knownPeers_, now - startedAt_,
+                                       Fleet::watchOptionsFor(bound));
     if (duty == Fleet::WatchDuty::Looks) {
         looksUntil_ = now + Catalog::StoreSettled;
     }
--- a/Source/Core/Relay/RelayServers.cpp
+++ b/Source/Core/Relay/RelayServers.cpp
@@ -40,8 +40,23 @@
 
 void RelayGateway::serveItems(const Connection &connection, Catalog::Revision known)
 {
-    connection->respond(Ok, {{"Content-Type", "application/octet-stream"}},
-                        Peers::encodeValue(catalog_.items().since(known)));
+    const auto body = known == 0 ? completeListing() : encodeItems(catalog_.items().since(known));
+    if (!itemTransfers_.admit(body.size(), steadyNow())) {
+        connection->respond(ServiceUnavailable, {}, "serving other instances");
+        return;
+    }
+    connection->respond(Ok, {{"Content-Type", "application/octet-stream"}}, body);
+}
+
+/// After a restart of all instances, the same listing is asked for many times.
+const std::string &RelayGateway::completeListing()
+{
+    const auto revision = catalog_.items().upTo();
+    if (listing_.empty() || listingRevision_ != revision) {
+        listing_ = encodeItems(catalog_.items().since(0));
+        listingRevision_ = revision;
+    }
+    return listing_;
 }
 
 void RelayGateway::servePrefixCaches(const Connection &connection)
--- a/Source/Core/Relay/StoreWatcher.cpp
+++ b/Source/Core/Relay/StoreWatcher.cpp
@@ -78,8 +78,11 @@
 
 void StoreWatcher::advance(Catalog::Revision revision)
 {
-    if (listed_ && !call_) {
+    const bool listing = !listAfter_.empty();
+    if (revision > 0 && !call_ && !listing) {
         revision_ = std::max(revision_, revision);
+        listed_ = true;
+        step_ = Step::Watch;
     }
 }
 
@@ -96,8 +99,9 @@
         call_.reset();
         handleFailure("no answer in time", now);
     }
-    // A started listing is always completed, since the instance becomes ready with the first one.
-    const bool shouldCall = duty_ != Fleet::WatchDuty::Listens || step_ == Step::List;
+    // A started listing is always completed, since its first pages have been paid for.
+    const bool listing = !listAfter_.empty();
+    const bool shouldCall = duty_ != Fleet::WatchDuty::Listens || listing;
     if (!call_ && shouldCall && now >= nextCallAt_) {
         beginCall(now);
     }
--- a/Source/UnitTests/Fleet/StoreWatchTest.cpp
+++ b/Source/UnitTests/Fleet/StoreWatchTest.cpp
@@ -13,6 +13,8 @@
 
 using std::chrono::seconds;
 
+constexpr seconds Uptime{60};
+
 Peer makePeer(const std::string &name, const std::string &region, milliseconds storeAge)
 {
     Peer result;
@@ -40,7 +42,7 @@
     for (const auto &self : all) {
         auto others = all;
         std::erase_if(others, [&](const Peer &each) { return each.record.id == self.record.id; });
-        ++count[watchDuty(self.record, others, WatchOptions())];
+        ++count[watchDuty(self.record, others, Uptime, WatchOptions())];
     }
     return count;
 }
@@ -109,7 +111,7 @@
         }
         roster.setStoreContact(storeDataAge(answerAge, 0, roster.peers(now_)), std::nullopt);
         deliver(roster.tick(now_));
-        duties_[address] = watchDuty(roster.self(), roster.peers(now_), options_);
+        duties_[address] = watchDuty(roster.self(), roster.peers(now_), Uptime, options_);
     }
     void deliver(const Sends &sends)
     {
@@ -188,7 +190,7 @@
         other.reachable = false;
     }
     const auto self = makePeer("alone", "north", milliseconds(0)).record;
-    EXPECT_EQ(watchDuty(self, others, WatchOptions()), WatchDuty::Watches);
+    EXPECT_EQ(watchDuty(self, others, Uptime, WatchOptions()), WatchDuty::Watches);
 }
 
 // Guards against a watcher for each instance of a large region, where most instances have not
--- a/Source/UnitTests/Relay/PeerSyncTest.cpp
+++ b/Source/UnitTests/Relay/PeerSyncTest.cpp
@@ -1,6 +1,5 @@
 #include <gtest/gtest.h>
 
-#include "Peers/ValueCodec.h"
 #include "Relay/PeerSync.h"
 #include "Sockets.h"
 
@@ -24,7 +23,7 @@
 {
     Catalog::ItemChanges changes;
     changes.upTo = revision;
-    const auto body = Peers::encodeValue(changes);
+    const auto body = encodeItems(changes);
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
@@ -48,7 +47,8 @@
                                             makePeer("b", answering.address(), 10)};
     asio::io_context context;
     Catalog::Revision known = 1;
-    PeerSync sync(std::make_shared<OutboundPool>(context), Common::RegionName("home"),
+    PeerSync sync(std::make_shared<OutboundPool>(context),
+                  SyncSource(Common::RegionName("home"), Common::FailureDomainName("home-a"), 1),
                   [&](const Catalog::ItemChanges &changes, const Common::InstanceId &) {
                       known = changes.upTo;
                   });
