--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -9,9 +9,7 @@
 
 namespace {
 
-/// Placements are repeated in every heartbeat for this long, so that losing one heartbeat does no
-/// harm. Within the region every instance hears every other four times a second; heartbeats to
-/// other regions reach only a few instances each.
+/// Placements are repeated in every report for this long, so that losing one does no harm.
 constexpr milliseconds PlacementLifetime{1000};
 constexpr milliseconds PlacementLifetimeOtherRegions{4000};
 constexpr std::size_t MaxPlacements = 64;
@@ -312,6 +310,7 @@
     loadIsStale_ = true;
     for (const auto &part : notice.parts) {
         state.cache.use(Dialect::PromptPart{part.id, part.tokens});
+        addPlacement({now, {notice.endpoint, part.id, part.tokens}, true}, now);
     }
 }
 
@@ -436,7 +435,7 @@
 }
 
 void EndpointTable::placed(const EndpointState &endpoint,
-                           const std::vector<Dialect::PromptPart> &parts, Time now)
+                           const std::vector<Dialect::PromptPart> &parts, bool noticed, Time now)
 {
     std::size_t count = 0;
     for (const auto &part : parts) {
@@ -448,9 +447,14 @@
         placement.part = part.id;
         placement.tokens = static_cast<std::uint32_t>(part.tokens);
         const auto batch = static_cast<int>(count / MaxPlacements);
-        placements_.push_back({now + batch * BatchInterval, placement});
+        addPlacement({now + batch * BatchInterval, placement, noticed}, now);
         ++count;
     }
+}
+
+void EndpointTable::addPlacement(const RecentPlacement &placement, Time now)
+{
+    placements_.push_back(placement);
     while (!placements_.empty() && now - placements_.front().at > PlacementLifetimeOtherRegions) {
         placements_.pop_front();
     }
@@ -470,24 +474,29 @@
             report.uses.push_back({shortId(id), static_cast<std::uint16_t>(state->own)});
         }
     }
-    report.placements = recentPlacements(PlacementLifetime, now);
+    report.placements = recentPlacements(PlacementLifetime, false, now);
     report.limits = limits(now);
     return report;
 }
 
 std::vector<PartPlacement> EndpointTable::placementsForOtherRegions(Time now) const
 {
-    return recentPlacements(PlacementLifetimeOtherRegions, now);
+    return recentPlacements(PlacementLifetimeOtherRegions, true, now);
 }
 
-std::vector<PartPlacement> EndpointTable::recentPlacements(Duration age, Time now) const
+/// The most recent placements, each endpoint's part once.
+std::vector<PartPlacement> EndpointTable::recentPlacements(Duration age, bool includeNoticed,
+                                                           Time now) const
 {
     std::vector<PartPlacement> result;
-    for (auto left = placements_.size(); left > 0; --left) {
+    std::set<std::pair<std::uint32_t, std::uint64_t>> included;
+    for (auto left = placements_.size(); left > 0 && result.size() < MaxPlacements; --left) {
         const auto &recent = placements_[left - 1];
-        const bool due = recent.at <= now && now - recent.at <= age;
-        if (due && result.size() < MaxPlacements) {
-            result.push_back(recent.placement);
+        const auto &placement = recent.placement;
+        const bool due = recent.at <= now && now - recent.at <= age
+                         && (includeNoticed || !recent.noticed);
+        if (due && included.insert({placement.endpoint, placement.part}).second) {
+            result.push_back(placement);
         }
     }
     return result;
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -168,8 +168,9 @@
     /// Applies a notice of a long prompt that another instance of the region has just sent.
     void learn(const InstanceId &sender, const PromptNotice &notice, Time now);
     /// Records large parts for the next load reports.
+    /// @param noticed the region's other instances learn of them from a notice
     void placed(const EndpointState &endpoint, const std::vector<Dialect::PromptPart> &parts,
-                Time now);
+                bool noticed, Time now);
 
 private:
     struct SendRate
@@ -183,9 +184,12 @@
     {
         Time at{};
         PartPlacement placement;
+        /// The region's other instances know it.
+        bool noticed = false;
     };
 
-    std::vector<PartPlacement> recentPlacements(Duration age, Time now) const;
+    void addPlacement(const RecentPlacement &placement, Time now);
+    std::vector<PartPlacement> recentPlacements(Duration age, bool includeNoticed, Time now) const;
     void updateEndpoint(const Catalog::ListedEndpoint &endpoint, Time now);
     void dropRemoved();
     void rebuild();
--- a/Source/Core/Dispatch/LoadEstimate.cpp
+++ b/Source/Core/Dispatch/LoadEstimate.cpp
@@ -75,6 +75,9 @@
 
 void spreadEvenly(std::vector<EndpointLoad> &endpoints, double amount)
 {
+    if (amount <= 0) {
+        return;
+    }
     double slots = 0;
     double spareSlots = 0;
     double highest = 0;
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -117,7 +117,7 @@
         for (const auto &part : parts) {
             state->cache.use(part);
         }
-        table_.placed(*state, parts, now);
+        table_.placed(*state, parts, false, now);
     }
 }
 
@@ -431,7 +431,9 @@
     endpoint.cache.use(call.facts.parts);
     // The last part belongs to this request only.
     const auto &parts = call.facts.parts;
-    table_.placed(endpoint, {parts.begin(), parts.empty() ? parts.end() : parts.end() - 1}, now);
+    const bool noticed = instances_.size() > 1;
+    table_.placed(endpoint, {parts.begin(), parts.empty() ? parts.end() : parts.end() - 1}, noticed,
+                  now);
     endpoint.probing = endpoint.ejectedUntil.has_value();
     if (endpoint.cold(now)) {
         endpoint.coldRateLimit.sent(now);
