Count control traffic by purpose; pause longer between calls while each returns changes

While endpoints are replaced for a long time, a watcher's waiting call returns at once, so that the two watchers of a region made up to 16 calls a second each. The pause now doubles up to 240 ms while that is so. Messages and bytes for control are counted at the metrics address by purpose and direction.

--- a/Source/Core/Relay/RelayCustomers.cpp
+++ b/Source/Core/Relay/RelayCustomers.cpp
@@ -84,19 +84,13 @@
 /// the region has to know the usage of the others.
 void RelayGateway::sendUsageNotices(Common::Time now)
 {
-    std::vector<const Fleet::Peer *> peers;
-    for (const auto &peer : knownPeers_) {
-        if (peer.alive && peer.record.region == settings_.region) {
-            peers.push_back(&peer);
-        }
-    }
-    if (peers.size() <= options_.roster.fanout || !limiter_.nearLimit(now)) {
-        return;
-    }
-    const auto datagram = Peers::encodeValue(
-        GossipMessage(UsageNotice{settings_.instance, limiter_.instanceReport(now)}));
-    for (const auto *peer : peers) {
-        gossip_.send(peer->record.gossipAddress, datagram);
+    const auto peers =
+        std::count_if(knownPeers_.begin(), knownPeers_.end(), [this](const Fleet::Peer &peer) {
+            return peer.alive && peer.record.region == settings_.region;
+        });
+    const bool heartbeatsReachAll = static_cast<std::size_t>(peers) <= options_.roster.fanout;
+    if (!heartbeatsReachAll && limiter_.nearLimit(now)) {
+        sendToOwnRegion(UsageNotice{settings_.instance, limiter_.instanceReport(now)});
     }
 }
 
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -114,6 +114,7 @@
     , random_(randomNumber())
     , relayMetrics_(registry_)
     , customerMetrics_(registry_)
+    , controlMetrics_(registry_)
     , log_(StandardOutput, options_.log, settings_.instance.text())
     , catalog_(&Platform::readItem)
     , roster_(options_.roster, makeInstanceRecord(settings_), randomNumber())
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -17,6 +17,7 @@
 #include "Dispatch/Dispatch.h"
 #include "Fleet/Fleet.h"
 #include "Relay/CallerAccess.h"
+#include "Relay/ControlMetrics.h"
 #include "Relay/CustomerMetrics.h"
 #include "Relay/EventLog.h"
 #include "Relay/InboundServer.h"
@@ -158,6 +159,7 @@
     /// Sends the pending prompt notices to the peers in the region.
     void sendPromptNotices();
     void sendAll(const Fleet::Sends &sends);
+    void sendToOwnRegion(const GossipMessage &message);
     void fleetChanged(Common::Time now);
     /// Returns true if peers may still provide the first listing of the store.
     bool awaitsPeers(Common::Time now) const;
@@ -186,6 +188,7 @@
     Common::MetricsRegistry registry_;
     RelayMetrics relayMetrics_;
     CustomerMetrics customerMetrics_;
+    ControlMetrics controlMetrics_;
     EventLog log_;
     Catalog::Catalog catalog_;
     Fleet::Roster roster_;
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -156,18 +156,32 @@
 void RelayGateway::sendAll(const Fleet::Sends &sends)
 {
     const Fleet::Message *encoded = nullptr;
+    GossipMessage message;
     std::string datagram;
     for (const auto &send : sends) {
         if (send.message.get() != encoded) {
             encoded = send.message.get();
-            datagram = std::visit(
-                [](const auto &message) { return Peers::encodeValue(GossipMessage(message)); },
-                *encoded);
+            message = std::visit([](const auto &each) { return GossipMessage(each); }, *encoded);
+            datagram = Peers::encodeValue(message);
         }
         gossip_.send(send.address, datagram);
+        controlMetrics_.countSent(message, datagram.size(), 1);
     }
 }
 
+void RelayGateway::sendToOwnRegion(const GossipMessage &message)
+{
+    const auto datagram = Peers::encodeValue(message);
+    std::size_t receivers = 0;
+    for (const auto &peer : knownPeers_) {
+        if (peer.alive && peer.record.region == settings_.region) {
+            gossip_.send(peer.record.gossipAddress, datagram);
+            ++receivers;
+        }
+    }
+    controlMetrics_.countSent(message, datagram.size(), receivers);
+}
+
 void RelayGateway::handleDatagram(std::string_view datagram)
 {
     const auto now = steadyNow();
@@ -178,6 +192,7 @@
         log_.write(line, now);
         return;
     }
+    controlMetrics_.countReceived(*message, datagram.size());
     struct Visitor
     {
         RelayGateway &gateway;
@@ -263,14 +278,8 @@
 void RelayGateway::sendPromptNotices()
 {
     const auto notices = scheduler_.takeNotices();
-    if (notices.prompts.empty()) {
-        return;
-    }
-    const auto datagram = Peers::encodeValue(GossipMessage(notices));
-    for (const auto &peer : knownPeers_) {
-        if (peer.alive && peer.record.region == settings_.region) {
-            gossip_.send(peer.record.gossipAddress, datagram);
-        }
+    if (!notices.prompts.empty()) {
+        sendToOwnRegion(notices);
     }
 }
 
--- a/Source/Core/Relay/RelayServers.cpp
+++ b/Source/Core/Relay/RelayServers.cpp
@@ -45,6 +45,7 @@
         connection->respond(ServiceUnavailable, {}, "serving other instances");
         return;
     }
+    controlMetrics_.countItemsSent(body.size());
     connection->respond(Ok, {{"Content-Type", "application/octet-stream"}}, body);
 }
 
--- a/Source/Core/Relay/StoreWatcher.cpp
+++ b/Source/Core/Relay/StoreWatcher.cpp
@@ -134,6 +134,7 @@
         call_.reset();
         handleFailure(reason, steadyNow());
     };
+    callBegunAt_ = now;
     deadline_ = now + (watching ? options_.wait + options_.margin : ListTimeout);
     call_ = std::make_shared<OutboundCall>(pool_, std::move(request), std::move(events));
     call_->start(now);
@@ -196,10 +197,19 @@
     }
     handleSuccess(now);
     revision_ = std::max(revision_, changes->upTo);
-    nextCallAt_ = changes->items.empty() ? now : now + options_.pause;
+    pause_ = changes->items.empty() ? Common::milliseconds(0) : nextPause(now);
+    nextCallAt_ = now + pause_;
     onChanges_(*changes);
 }
 
+Common::milliseconds StoreWatcher::nextPause(Common::Time now) const
+{
+    // A call that had to wait for longer than the pause shows that changes have become rare.
+    const bool changesAreFrequent = now - callBegunAt_ <= pause_;
+    return changesAreFrequent ? std::clamp(pause_ * 2, options_.pause, options_.pauseMax)
+                              : options_.pause;
+}
+
 void StoreWatcher::handleSuccess(Common::Time now)
 {
     lastAnswerAt_ = now;
--- a/Source/Core/Relay/StoreWatcher.h
+++ b/Source/Core/Relay/StoreWatcher.h
@@ -32,8 +32,11 @@
         Common::milliseconds retryFirst{50};
         Common::milliseconds retryMax{400};
         /// Delay before the next long-polling call after one that returned changes, so that changes
-        /// that follow within this time are fetched together. The number of calls is a cost.
+        /// that follow within this time are fetched together. The number of calls is a cost, so the
+        /// delay is doubled up to the maximum while every call returns changes: in a large
+        /// deployment, an endpoint is replaced every few milliseconds for a long time.
         Common::milliseconds pause{60};
+        Common::milliseconds pauseMax{240};
         /// Minimum retry delay of an instance that does not watch the store and only checks whether
         /// the store answers it.
         Common::milliseconds probeInterval{1500};
@@ -75,6 +78,7 @@
     void handleResponse(Common::Time now);
     void handleListing(Common::Time now);
     void handleChanges(Common::Time now);
+    Common::milliseconds nextPause(Common::Time now) const;
     void noteFailure(Common::Time now);
     void handleFailure(const std::string &reason, Common::Time now);
     void handleSuccess(Common::Time now);
@@ -96,6 +100,8 @@
     Common::Time lastFailureAt_{};
     bool hasFailed_ = false;
     Common::milliseconds retryDelay_{0};
+    Common::Time callBegunAt_{};
+    Common::milliseconds pause_{0};
     Catalog::Revision revision_ = 0;
     std::string listAfter_;
     Catalog::ItemChanges listing_;
