Round the part of the retry budget at random

Cause: an instance's part of the fixed retries is below one from about 450 instances on, and the limit was rounded down.

The test has bounds for the retries that are allowed (half) and for their total, at 4, 584 and 2,926 instances.

--- a/Source/Core/Dispatch/RetryBudget.cpp
+++ b/Source/Core/Dispatch/RetryBudget.cpp
@@ -1,11 +1,14 @@
 #include "Dispatch/RetryBudget.h"
 
+#include <cmath>
+
 namespace LaburnumChute::Dispatch {
 
-RetryBudget::RetryBudget(double ratio, double slack, Duration window)
+RetryBudget::RetryBudget(double ratio, double slack, Duration window, std::uint64_t seed)
     : ratio_(ratio)
     , slack_(slack)
     , window_(window)
+    , random_(seed)
 {
 }
 
@@ -25,6 +28,15 @@
     }
 }
 
+void RetryBudget::drawRounding(Time now)
+{
+    if (roundingDrawnAt_ != Time() && now - roundingDrawnAt_ <= window_) {
+        return;
+    }
+    roundingDrawnAt_ = now;
+    rounding_ = std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
 void RetryBudget::request(Time now)
 {
     forget(now);
@@ -34,7 +46,9 @@
 bool RetryBudget::available(Time now)
 {
     forget(now);
-    const double allowed = ratio_ * static_cast<double>(requests_.size()) + slack_;
+    drawRounding(now);
+    const double allowed =
+        std::floor(ratio_ * static_cast<double>(requests_.size()) + slack_ + rounding_);
     return static_cast<double>(retries_.size()) + 1 <= allowed;
 }
 
--- a/Source/Core/Dispatch/RetryBudget.h
+++ b/Source/Core/Dispatch/RetryBudget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <random>
 
 #include "Dispatch/Facts.h"
 
@@ -13,10 +14,15 @@
 /// and a short failure becomes a long one. The limit is a ratio to the requests in a time window
 /// plus a fixed number (the slack), for all instances together; each instance applies the ratio to
 /// its own requests and gets an equal part of the slack.
+///
+/// With hundreds of instances, the limit of each is a fraction that is mostly below one retry. It is
+/// therefore rounded up or down at random, once per window: all instances together still keep to
+/// the limit on average, and by the law of large numbers closely, where rounding down would leave
+/// most of it unused.
 class RetryBudget
 {
 public:
-    RetryBudget(double ratio, double slack, Duration window);
+    RetryBudget(double ratio, double slack, Duration window, std::uint64_t seed);
 
     /// The limits change with the settings, and this instance's part of the slack changes with the
     /// number of instances.
@@ -28,10 +34,15 @@
 
 private:
     void forget(Time now);
+    void drawRounding(Time now);
 
     double ratio_;
     double slack_;
     Duration window_;
+    std::mt19937_64 random_;
+    /// Added to the limit before it is rounded down; from 0 to 1.
+    double rounding_ = 0;
+    Time roundingDrawnAt_{};
     std::deque<Time> requests_;
     std::deque<Time> retries_;
 };
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -190,7 +190,10 @@
 RetryBudget &Scheduler::budget(const ServiceName &service)
 {
     const double ratio = bounds_.retryRatio * options_.sharedBoundFraction;
-    return budgets_.try_emplace(service, ratio, retrySlack(), bounds_.retryWindow).first->second;
+    return budgets_
+        .try_emplace(service, ratio, retrySlack(), bounds_.retryWindow,
+                     Common::stableHash(service.text(), random_()))
+        .first->second;
 }
 
 void Scheduler::mergeSuspects(const std::vector<SuspectReport> &suspects, Time now)
--- /dev/null
+++ b/Source/UnitTests/Dispatch/RetryBudgetTest.cpp
@@ -0,0 +1,72 @@
+#include <gtest/gtest.h>
+
+#include "Dispatch/RetryBudget.h"
+
+namespace LaburnumChute::Dispatch {
+
+namespace {
+
+constexpr seconds Window{10};
+constexpr double Ratio = 0.14;
+
+/// Simulates instances that share a budget. A seventh of all requests want a retry.
+struct Outcome
+{
+    int wanted = 0;
+    int allowed = 0;
+    int mostInAWindow = 0;
+};
+
+Outcome simulate(int instances, double slack, int requestsPerInstance)
+{
+    std::vector<RetryBudget> budgets;
+    for (int index = 0; index < instances; ++index) {
+        budgets.emplace_back(Ratio, slack / instances, Window, static_cast<std::uint64_t>(index));
+    }
+    std::mt19937_64 random(7);
+    std::uniform_real_distribution<double> phase(0, 1);
+    Outcome outcome;
+    for (int window = 0; window < 4; ++window) {
+        int allowed = 0;
+        for (auto &budget : budgets) {
+            for (int request = 0; request < requestsPerInstance; ++request) {
+                const auto at = Time(seconds(1000) + Window * window)
+                                + Window * request / requestsPerInstance;
+                budget.request(at);
+                if (phase(random) < 1.0 / 7) {
+                    ++outcome.wanted;
+                    allowed += budget.take(at) ? 1 : 0;
+                }
+            }
+        }
+        outcome.allowed += allowed;
+        outcome.mostInAWindow = std::max(outcome.mostInAWindow, allowed);
+    }
+    return outcome;
+}
+
+} // namespace
+
+// Guards against a budget of which most is unused because the part of each instance is below one
+// retry.
+TEST(RetryBudgetTest, MostWantedRetriesAreAllowedHoweverManyInstancesShareTheBudget)
+{
+    constexpr double Slack = 450;
+    for (const int instances : {4, 584, 2926}) {
+        const auto outcome = simulate(instances, Slack, 20000 / instances);
+        EXPECT_GE(outcome.allowed, outcome.wanted / 2) << instances;
+    }
+}
+
+TEST(RetryBudgetTest, AllInstancesTogetherKeepToTheLimit)
+{
+    constexpr double Slack = 45;
+    for (const int instances : {4, 584, 2926}) {
+        const int requests = 6000 / instances;
+        const auto outcome = simulate(instances, Slack, requests);
+        const double limit = Ratio * requests * instances + Slack;
+        EXPECT_LE(outcome.mostInAWindow, limit * 1.1 + 10) << instances;
+    }
+}
+
+} // namespace LaburnumChute::Dispatch
--- a/Source/UnitTests/Fleet/RosterTest.cpp
+++ b/Source/UnitTests/Fleet/RosterTest.cpp
@@ -53,6 +53,7 @@
                     deliver(name, roster->tick(now_));
                 }
                 now_ += step;
+                learnDueRevisions();
             }
             now_ = roundEnd;
         }
@@ -76,6 +77,7 @@
             sentBetweenRegions_ += crosses ? 1 : 0;
             if (reaches) {
                 ++deliveredCount_;
+                noteRevision(send.address, *send.message);
                 deliver(send.address, receive(*receiver->second, *send.message));
             }
         }
@@ -116,6 +118,19 @@
     {
         return countIn(viewer, region, &Peer::reachable);
     }
+    /// The instance has a new revision of the store; the others fetch it from those that tell of it.
+    void publish(const std::string &name, std::uint64_t revision)
+    {
+        at(name).setStoreRevision(revision);
+        deliver(name, at(name).spreadRevision(now_));
+    }
+    std::size_t countWithRevision(std::uint64_t revision) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(rosters_.begin(), rosters_.end(), [&](const auto &item) {
+                return item.second->self().knownRevision >= revision;
+            }));
+    }
     /// Loses this fraction of all messages.
     void lose(double fraction)
     {
@@ -135,6 +150,27 @@
     }
 
 private:
+    void noteRevision(const std::string &receiver, const Message &message)
+    {
+        const auto *heartbeat = std::get_if<Heartbeat>(&message);
+        const auto known = at(receiver).self().knownRevision;
+        if (heartbeat != nullptr && heartbeat->self.knownRevision > known) {
+            fetches_.try_emplace(receiver, now_ + FetchTime, heartbeat->self.knownRevision);
+        }
+    }
+    void learnDueRevisions()
+    {
+        std::vector<std::pair<std::string, std::uint64_t>> due;
+        for (const auto &[name, fetch] : fetches_) {
+            if (fetch.first <= now_) {
+                due.emplace_back(name, fetch.second);
+            }
+        }
+        for (const auto &[name, revision] : due) {
+            fetches_.erase(name);
+            publish(name, revision);
+        }
+    }
     const Common::RegionName &region(const std::string &name)
     {
         return at(name).self().region;
@@ -156,6 +192,10 @@
     std::map<std::string, std::unique_ptr<Roster>> rosters_;
     std::set<std::string> suspended_;
     DropRule dropRule_;
+    /// Request to a peer of the region and its answer, in an instance with a fraction of a core.
+    static constexpr milliseconds FetchTime{30};
+    /// When each instance that has been told of a newer revision will have it.
+    std::map<std::string, std::pair<Time, std::uint64_t>> fetches_;
     std::mt19937_64 random_{1};
     double lostFraction_ = 0;
     std::size_t sentBetweenRegions_ = 0;
@@ -378,6 +418,27 @@
     }
 }
 
+// Guards against a change of the store that reaches a large region only with the next heartbeats of
+// those that have it, or that is told to all instances by each of the watchers.
+TEST(RosterTest, RevisionReachesALargeRegionWithinHalfASecond)
+{
+    for (const std::size_t size : {40U, 300U}) {
+        SimulatedFleet fleet({"n100"});
+        fleet.lose(0.01);
+        for (std::size_t index = 0; index < size; ++index) {
+            fleet.start("n" + std::to_string(100 + index), "north");
+        }
+        fleet.run(milliseconds(4000));
+        fleet.publish("n107", 5);
+        fleet.run(milliseconds(250));
+        EXPECT_GE(fleet.countWithRevision(5), size * 9 / 10) << size;
+        fleet.run(milliseconds(250));
+        EXPECT_GE(fleet.countWithRevision(5), size * 99 / 100) << size;
+        fleet.run(milliseconds(250));
+        EXPECT_EQ(fleet.countWithRevision(5), size);
+    }
+}
+
 // Guards against a flood to the silent instances after the loss of a failure domain: what an
 // instance sends must not grow with their number.
 TEST(RosterTest, AttemptsToReachSilentInstancesAreBounded)
