--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -223,17 +223,45 @@
     return std::make_shared<const Message>(std::move(heartbeat));
 }
 
-/// Chooses living instances of the own region at random.
-std::vector<const Roster::Entry *> Roster::chooseAlive(std::size_t count, Time now)
+std::vector<const Roster::Entry *> Roster::aliveEntries(Time now) const
 {
-    std::vector<const Entry *> candidates;
+    std::vector<const Entry *> result;
     for (const auto &[id, entry] : entries_) {
         if (alive(entry, now)) {
-            candidates.push_back(&entry);
+            result.push_back(&entry);
         }
     }
+    return result;
+}
+
+/// Chooses living instances of the own region at random.
+std::vector<const Roster::Entry *> Roster::chooseAlive(std::size_t count, Time now)
+{
+    auto chosen = aliveEntries(now);
+    std::shuffle(chosen.begin(), chosen.end(), random_);
+    chosen.resize(std::min(chosen.size(), count));
+    return chosen;
+}
+
+/// Like chooseAlive(), but most of them in the own failure domain.
+std::vector<const Roster::Entry *> Roster::chooseReceivers(std::size_t count, Time now)
+{
+    auto candidates = aliveEntries(now);
     std::shuffle(candidates.begin(), candidates.end(), random_);
-    candidates.resize(std::min(candidates.size(), count));
+    if (candidates.size() <= count) {
+        return candidates;
+    }
+    const auto others =
+        std::stable_partition(candidates.begin(), candidates.end(), [this](const Entry *entry) {
+            return entry->record.failureDomain == self_.failureDomain;
+        });
+    const auto ownCount = static_cast<std::size_t>(others - candidates.begin());
+    const auto otherWanted = std::max<std::size_t>(1, count / options_.otherDomainDivisor);
+    const auto ownTaken = std::min(ownCount, count - std::min(count, otherWanted));
+    // Too few in the own failure domain are made up for by others, and the other way round.
+    std::rotate(candidates.begin() + static_cast<std::ptrdiff_t>(ownTaken), others,
+                candidates.end());
+    candidates.resize(count);
     return candidates;
 }
 
@@ -363,7 +391,7 @@
     ++self_.sequence;
     Sends sends;
     const auto message = std::make_shared<const Message>(makeHeartbeat(now));
-    for (const auto *entry : chooseAlive(options_.fanout, now)) {
+    for (const auto *entry : chooseReceivers(options_.fanout, now)) {
         sends.push_back({entry->record.gossipAddress, message});
     }
     const bool retryRound = round_ % options_.retryRoundInterval == 0;
@@ -406,7 +434,7 @@
     ++self_.sequence;
     const auto message = std::make_shared<const Message>(briefHeartbeat());
     Sends sends;
-    for (const auto *entry : chooseAlive(options_.relayFanout, now)) {
+    for (const auto *entry : chooseReceivers(options_.relayFanout, now)) {
         sends.push_back({entry->record.gossipAddress, message});
     }
     return sends;
@@ -615,7 +643,7 @@
     copy.ageMs = static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count());
     const auto message = std::make_shared<const Message>(std::move(copy));
     Sends sends;
-    for (const auto *entry : chooseAlive(options_.relayFanout, now)) {
+    for (const auto *entry : chooseReceivers(options_.relayFanout, now)) {
         sends.push_back({entry->record.gossipAddress, message});
     }
     return sends;
--- a/Source/Core/Fleet/Roster.h
+++ b/Source/Core/Fleet/Roster.h
@@ -31,6 +31,9 @@
     /// instance sends to every other one; in larger ones, ages are also relayed in the heartbeats
     /// of peers.
     std::size_t fanout = 16;
+    /// Of the receivers of a message that goes to a part of the region, one in this many is in
+    /// another failure domain. Traffic between failure domains costs more than within one.
+    std::size_t otherDomainDivisor = 4;
     /// Instances of a region that send digests to the other regions. Three, so that the loss of a
     /// failure domain seldom leaves none.
     std::size_t speakers = 3;
@@ -184,7 +187,9 @@
     MessagePtr makeResponse(const Common::RegionName &receiver, Time now);
     std::vector<HeardInstance> chooseHeard(Time now);
     std::vector<InstanceRecord> sampleRecords(const Common::RegionName &receiver, Time now);
+    std::vector<const Entry *> aliveEntries(Time now) const;
     std::vector<const Entry *> chooseAlive(std::size_t count, Time now);
+    std::vector<const Entry *> chooseReceivers(std::size_t count, Time now);
     std::vector<const Entry *> chooseContacts(const OtherRegion &region, Time now);
     void addRetryHeartbeats(Sends &sends, const MessagePtr &message, Time now);
     void addDigests(Sends &sends, Time now);
--- a/Source/UnitTests/Fleet/RosterTest.cpp
+++ b/Source/UnitTests/Fleet/RosterTest.cpp
@@ -25,6 +25,8 @@
         record.id = Common::InstanceId(name);
         record.incarnation = incarnation;
         record.region = Common::RegionName(region);
+        // Two failure domains per region.
+        record.failureDomain = Common::FailureDomainName(region + (name.back() % 2 ? "-a" : "-b"));
         record.gossipAddress = name;
         record.ready = true;
         auto roster =
@@ -72,6 +74,9 @@
             const auto receiver = rosters_.find(send.address);
             const bool runs = receiver != rosters_.end() && suspended_.count(send.address) == 0;
             const bool reaches = runs && !(dropRule_ && dropRule_(from, send.address)) && !isLost();
+            const bool crossesDomains = runs && domain(from) != domain(send.address);
+            sentInRegion_ += runs && region(from) == region(send.address) ? 1 : 0;
+            sentBetweenDomains_ += crossesDomains && region(from) == region(send.address) ? 1 : 0;
             const bool crosses = runs && region(from) != region(send.address);
             sentToStopped_ += runs ? 0 : 1;
             sentBetweenRegions_ += crosses ? 1 : 0;
@@ -141,6 +146,11 @@
     {
         return sentBetweenRegions_;
     }
+    /// Of the messages within regions, the fraction between failure domains.
+    double fractionBetweenDomains() const
+    {
+        return static_cast<double>(sentBetweenDomains_) / static_cast<double>(sentInRegion_);
+    }
     std::size_t sentToStopped() const
     {
         return sentToStopped_;
@@ -176,6 +186,10 @@
     {
         return at(name).self().region;
     }
+    const Common::FailureDomainName &domain(const std::string &name)
+    {
+        return at(name).self().failureDomain;
+    }
     bool isLost()
     {
         return std::uniform_real_distribution<double>(0, 1)(random_) < lostFraction_;
@@ -200,6 +214,8 @@
     std::mt19937_64 random_{1};
     double lostFraction_ = 0;
     std::size_t sentBetweenRegions_ = 0;
+    std::size_t sentInRegion_ = 0;
+    std::size_t sentBetweenDomains_ = 0;
     std::size_t sentToStopped_ = 0;
     Time now_ = Time(std::chrono::seconds(1000));
     std::size_t deliveredCount_ = 0;
@@ -419,6 +435,20 @@
     }
 }
 
+// Guards against sending half of all messages between failure domains, which costs more.
+TEST(RosterTest, MostMessagesOfALargeRegionStayInTheirFailureDomain)
+{
+    for (const std::size_t size : {60U, 300U}) {
+        SimulatedFleet fleet({"n100"});
+        for (std::size_t index = 0; index < size; ++index) {
+            fleet.start("n" + std::to_string(100 + index), "north");
+        }
+        fleet.run(milliseconds(6000));
+        EXPECT_LT(fleet.fractionBetweenDomains(), 0.4) << size;
+        EXPECT_EQ(fleet.aliveIn("n107", "north"), size - 1);
+    }
+}
+
 // Guards against a change of the store that reaches a large region only with the next heartbeats of
 // those that have it, or that is told to all instances by each of the watchers.
 TEST(RosterTest, RevisionReachesALargeRegionWithinHalfASecond)
