--- a/Source/Core/Fleet/Roster.h
+++ b/Source/Core/Fleet/Roster.h
@@ -54,6 +54,8 @@
     /// Silent instances that are contacted per attempt, chosen at random: after the loss of a
     /// failure domain there may be hundreds of them.
     std::size_t retryFanout = 4;
+    /// Maximum records per heartbeat: at about 130 bytes each, it fits into one datagram.
+    std::size_t recordsPerMessage = 5;
     /// Entries of silent instances are removed after this time.
     milliseconds forgetAfter{120000};
 };
@@ -180,6 +182,7 @@
     };
     using MessagePtr = std::shared_ptr<const Message>;
 
+    static std::uint64_t speakerWeight(const InstanceRecord &record);
     bool alive(const Entry &entry, Time now) const;
     Peer peerOf(const Entry &entry, Time now) const;
     Entry &entryOf(const InstanceRecord &record);
