--- a/Source/Core/Fleet/StoreWatch.cpp
+++ b/Source/Core/Fleet/StoreWatch.cpp
@@ -12,7 +12,8 @@
 constexpr milliseconds MinWatchTimeout{950};
 constexpr milliseconds MinWatchMargin{450};
 constexpr int WatchMarginDivisor = 6;
-/// In a region of a thousand, four steps are left out of the rest of the bound.
+/// With a thousand instances, the last ones query the store after four steps, well within the
+/// bound.
 constexpr int LookStepDivisor = 10;
 /// Growth of the number of instances that query the store, per step.
 constexpr std::size_t LookerGrowth = 4;
--- a/Source/Core/Relay/StoreWatcher.cpp
+++ b/Source/Core/Relay/StoreWatcher.cpp
@@ -99,7 +99,7 @@
         call_.reset();
         handleFailure("no answer in time", now);
     }
-    // A started listing is always completed, since its first pages have been paid for.
+    // A started listing is always completed, since every page read so far has a price.
     const bool listing = !listAfter_.empty();
     const bool shouldCall = duty_ != Fleet::WatchDuty::Listens || listing;
     if (!call_ && shouldCall && now >= nextCallAt_) {
