Log which endpoints crash under which requests

The logs could not tell whether a crash was attributed to no request, to the wrong ones, or to the right one without effect: a death, a quarantine and the fingerprint of a request appeared nowhere.

- `send` and `reject` bear the fingerprint of the request; `endpoint-crash` and `quarantine` are new, with counters at the metrics address.
- A refused connection, an attempt withheld because the endpoint leaves, and an address that another endpoint has are outcomes of their own.
They are treated as before (not connected, not run).
- `try-not-run` says that an endpoint did not run a request, which only the last attempt of a rejected request showed.

No decision changes.

--- a/Source/Core/Decisions/Quarantine.cpp
+++ b/Source/Core/Decisions/Quarantine.cpp
@@ -98,23 +98,26 @@
     found->second.repeatQuarantines = 0;
 }
 
-void Quarantine::recordDeath(std::uint64_t fingerprint, const EndpointId &endpoint, Time now)
+bool Quarantine::recordDeath(std::uint64_t fingerprint, const EndpointId &endpoint, Time now)
 {
     if (suspects_.count(fingerprint) == 0 && suspects_.size() >= options_.maxSuspects) {
-        return;
+        return false;
     }
     auto &suspect = suspects_[fingerprint];
-    if (reachedDeathLimit(suspect)) {
+    const bool wasReached = reachedDeathLimit(suspect);
+    if (wasReached) {
         ++suspect.repeatQuarantines;
     }
     if (!contains(suspect.deaths, endpoint)) {
         suspect.deaths.push_back(endpoint);
     }
     suspect.lastDeath = now;
+    return !wasReached && reachedDeathLimit(suspect);
 }
 
-void Quarantine::endpointDied(const EndpointId &endpoint,
-                              const std::vector<std::uint64_t> &runningFingerprints, Time now)
+std::vector<QuarantineStart>
+Quarantine::endpointDied(const EndpointId &endpoint,
+                         const std::vector<std::uint64_t> &runningFingerprints, Time now)
 {
     std::size_t highestDeathCount = 0;
     const auto deaths = [this, now](std::uint64_t fingerprint) {
@@ -133,13 +136,18 @@
             mostSuspected.push_back(fingerprint);
         }
     }
+    std::vector<QuarantineStart> starts;
     for (const auto fingerprint : mostSuspected) {
-        recordDeath(fingerprint, endpoint, now);
+        if (recordDeath(fingerprint, endpoint, now)) {
+            starts.push_back({fingerprint, suspects_.at(fingerprint).deaths.size()});
+        }
     }
+    return starts;
 }
 
-void Quarantine::merge(const std::vector<SuspectNotice> &notices, Time now)
+std::vector<QuarantineStart> Quarantine::merge(const std::vector<SuspectNotice> &notices, Time now)
 {
+    std::vector<QuarantineStart> starts;
     for (const auto &notice : notices) {
         const Time lastDeath = now - notice.age;
         const auto known = suspects_.find(notice.fingerprint);
@@ -149,13 +157,18 @@
             continue;
         }
         auto &suspect = suspects_[notice.fingerprint];
+        const bool wasReached = reachedDeathLimit(suspect);
         for (const auto &endpoint : notice.deaths) {
             if (!contains(suspect.deaths, endpoint)) {
                 suspect.deaths.push_back(endpoint);
             }
         }
         suspect.lastDeath = std::max(suspect.lastDeath, lastDeath);
+        if (!wasReached && reachedDeathLimit(suspect)) {
+            starts.push_back({notice.fingerprint, suspect.deaths.size()});
+        }
     }
+    return starts;
 }
 
 std::vector<SuspectNotice> Quarantine::notices(Time now) const
--- a/Source/Core/Decisions/Quarantine.h
+++ b/Source/Core/Decisions/Quarantine.h
@@ -18,6 +18,13 @@
     Quarantined,
 };
 
+/// A fingerprint that has just reached the number of deaths for a quarantine.
+struct QuarantineStart
+{
+    std::uint64_t fingerprint = 0;
+    std::size_t deaths = 0;
+};
+
 /// Prevents a request that crashes endpoints from taking down one endpoint after another.
 ///
 /// Load pattern: one request crashes whatever runs it and its caller sends it again. Without a
@@ -51,10 +58,11 @@
     void stopped(std::uint64_t fingerprint);
     void completed(std::uint64_t fingerprint, Time now);
     /// @param runningFingerprints fingerprints of all requests on the endpoint when it died
-    void endpointDied(const EndpointId &endpoint,
-                      const std::vector<std::uint64_t> &runningFingerprints, Time now);
+    std::vector<QuarantineStart> endpointDied(const EndpointId &endpoint,
+                                              const std::vector<std::uint64_t> &runningFingerprints,
+                                              Time now);
 
-    void merge(const std::vector<SuspectNotice> &notices, Time now);
+    std::vector<QuarantineStart> merge(const std::vector<SuspectNotice> &notices, Time now);
     std::vector<SuspectNotice> notices(Time now) const;
     void expire(Time now);
     nlohmann::json dump(Time now) const;
@@ -70,7 +78,8 @@
         int running = 0;
     };
 
-    void recordDeath(std::uint64_t fingerprint, const EndpointId &endpoint, Time now);
+    /// Returns true if the fingerprint reached the number of deaths for a quarantine.
+    bool recordDeath(std::uint64_t fingerprint, const EndpointId &endpoint, Time now);
     bool reachedDeathLimit(const Suspect &suspect) const;
     Time quarantinedUntil(const Suspect &suspect) const;
 
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -1,6 +1,8 @@
 #include "Dispatch/EndpointHealth.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include "Dispatch/Util.h"
 
@@ -55,12 +57,32 @@
     endpoint.probing = false;
 }
 
+void EndpointHealth::recordCrash(EndpointState &endpoint, Time now)
+{
+    std::set<std::uint64_t> fingerprints;
+    for (const auto &[at, fingerprint] : endpoint.brokenCalls) {
+        fingerprints.insert(fingerprint);
+    }
+    const std::vector<std::uint64_t> suspects(fingerprints.begin(), fingerprints.end());
+    crashEvents_.push_back(EndpointCrash{endpoint.listed.record.id, suspects});
+    for (const auto &start : quarantine_->endpointDied(incarnationOf(endpoint), suspects, now)) {
+        crashEvents_.push_back(RequestQuarantine{start.fingerprint, start.deaths, false});
+    }
+    endpoint.brokenCalls.clear();
+    endpoint.cache.clear();
+}
+
+std::vector<CrashEvent> EndpointHealth::takeCrashEvents()
+{
+    return std::exchange(crashEvents_, {});
+}
+
 void EndpointHealth::recordOutcome(EndpointState &endpoint, const Call &call,
                                    AttemptOutcome outcome, Time now)
 {
     const auto *service = table_->service(call.facts.service);
     const bool good = outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Error
-                      || outcome == AttemptOutcome::NotRun;
+                      || outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Replaced;
     if (outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Error) {
         const double error = outcome == AttemptOutcome::Error ? 1 : 0;
         endpoint.errorRate += options_->errorWeight * (error - endpoint.errorRate);
@@ -93,18 +115,10 @@
            && now - endpoint.brokenCalls.front().first > CrashWindow) {
         endpoint.brokenCalls.pop_front();
     }
-    if (outcome == AttemptOutcome::NotConnected && !endpoint.ejectedUntil
-        && !endpoint.brokenCalls.empty()) {
-        std::vector<std::uint64_t> suspects;
-        for (const auto &[at, fingerprint] : endpoint.brokenCalls) {
-            suspects.push_back(fingerprint);
-        }
-        quarantine_->endpointDied(incarnationOf(endpoint), suspects, now);
-        endpoint.brokenCalls.clear();
-        endpoint.cache.clear();
+    if (isUnsent(outcome) && !endpoint.ejectedUntil && !endpoint.brokenCalls.empty()) {
+        recordCrash(endpoint, now);
     }
-    if (outcome == AttemptOutcome::NotConnected
-        || endpoint.consecutiveFailures >= options_->consecutiveFailures) {
+    if (isUnsent(outcome) || endpoint.consecutiveFailures >= options_->consecutiveFailures) {
         eject(endpoint, now);
     }
 }
--- a/Source/Core/Dispatch/EndpointHealth.h
+++ b/Source/Core/Dispatch/EndpointHealth.h
@@ -17,13 +17,17 @@
     /// @param took time from sending the request to its first event
     void recordFirstEvent(EndpointState &endpoint, const Call &call, Duration took);
     void recordOutcome(EndpointState &endpoint, const Call &call, AttemptOutcome outcome, Time now);
+    /// Crashes and quarantines since the last call.
+    std::vector<CrashEvent> takeCrashEvents();
 
 private:
+    void recordCrash(EndpointState &endpoint, Time now);
     void eject(EndpointState &endpoint, Time now);
 
     const DispatchOptions *options_;
     const EndpointTable *table_;
     Decisions::Quarantine *quarantine_;
+    std::vector<CrashEvent> crashEvents_;
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -63,8 +63,14 @@
     Cancelled,
     /// No connection was established, so nothing was sent.
     NotConnected,
+    /// The connection was refused: nothing listens at the address. Nothing was sent.
+    Refused,
+    /// A connection was established, but by then the endpoint had begun to leave. Nothing was sent.
+    Withheld,
     /// The endpoint reported that it did not run the request.
     NotRun,
+    /// Another endpoint has the address and reported that it did not run the request.
+    Replaced,
     /// The endpoint ran the request and answered with an error of its own.
     Error,
     /// The connection broke during the attempt; the request may have run.
@@ -74,6 +80,10 @@
 };
 
 std::string_view toString(AttemptOutcome outcome);
+/// Whether the request is known not to have been sent.
+bool isUnsent(AttemptOutcome outcome);
+/// Whether the request is known not to have run.
+bool isNotRun(AttemptOutcome outcome);
 
 enum class RejectReason {
     /// It could not be answered in the time that its caller allows.
@@ -137,6 +147,26 @@
     CallId call = 0;
 };
 
+/// An endpoint crashed while it ran requests.
+struct EndpointCrash
+{
+    EndpointId endpoint;
+    /// Fingerprints of the requests of this instance that broke off there, each once.
+    std::vector<std::uint64_t> suspects;
+};
+
+/// Requests with the fingerprint are rejected from now on.
+struct RequestQuarantine
+{
+    std::uint64_t fingerprint = 0;
+    std::size_t deaths = 0;
+    /// The last death was reported by another instance.
+    bool reportedByPeer = false;
+};
+
+/// What became known of crashes, for the log.
+using CrashEvent = std::variant<EndpointCrash, RequestQuarantine>;
+
 using Effect = std::variant<Send, Forward, Reject, Fail, CancelAttempt>;
 using Effects = std::vector<Effect>;
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -30,8 +30,14 @@
         return "cancelled";
     case AttemptOutcome::NotConnected:
         return "not connected";
+    case AttemptOutcome::Refused:
+        return "refused";
+    case AttemptOutcome::Withheld:
+        return "withheld";
     case AttemptOutcome::NotRun:
         return "not run";
+    case AttemptOutcome::Replaced:
+        return "replaced";
     case AttemptOutcome::Error:
         return "error";
     case AttemptOutcome::Broken:
@@ -42,6 +48,18 @@
     return "unknown";
 }
 
+bool isUnsent(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::NotConnected || outcome == AttemptOutcome::Refused
+           || outcome == AttemptOutcome::Withheld;
+}
+
+bool isNotRun(AttemptOutcome outcome)
+{
+    return isUnsent(outcome) || outcome == AttemptOutcome::NotRun
+           || outcome == AttemptOutcome::Replaced;
+}
+
 std::string_view toString(RejectReason reason)
 {
     switch (reason) {
@@ -208,7 +226,18 @@
         }
         notices.push_back(std::move(notice));
     }
-    quarantine_.merge(notices, now);
+    for (const auto &start : quarantine_.merge(notices, now)) {
+        crashEvents_.push_back(RequestQuarantine{start.fingerprint, start.deaths, true});
+    }
+}
+
+std::vector<CrashEvent> Scheduler::takeCrashEvents()
+{
+    auto events = std::exchange(crashEvents_, {});
+    for (auto &event : health_.takeCrashEvents()) {
+        events.push_back(std::move(event));
+    }
+    return events;
 }
 
 Effects Scheduler::setRegionLoadReport(const InstanceId &instance, const RegionLoadReport &report,
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -95,6 +95,8 @@
     bool limitSeen(const EndpointId &endpoint, std::optional<double> perSecond, Time now);
     void coldSeen(const EndpointId &endpoint, Duration left, Time now);
     Effects tick(Time now);
+    /// Crashes of endpoints and quarantines of requests since the last call, for the log.
+    std::vector<CrashEvent> takeCrashEvents();
 
     // Queries.
 
@@ -185,6 +187,7 @@
     std::size_t allInstances_ = 1;
     std::map<ServiceName, RetryBudget> budgets_;
     std::vector<PromptNotice> notices_;
+    std::vector<CrashEvent> crashEvents_;
     std::unordered_map<CallId, Call> calls_;
     /// In the order in which requests are served.
     std::multimap<Time, CallId> queue_;
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -112,8 +112,8 @@
         return effects;
     }
     auto &retryBudget = budget(call.facts.service);
-    const bool unsent = outcome == AttemptOutcome::NotConnected;
-    const bool notRun = unsent || outcome == AttemptOutcome::NotRun;
+    const bool unsent = isUnsent(outcome);
+    const bool notRun = isNotRun(outcome);
     if (!notRun) {
         // The instance in the other region may have used all runs that the route allows; a broken
         // connection does not show how many.
--- a/Source/Core/Relay/EventLog.cpp
+++ b/Source/Core/Relay/EventLog.cpp
@@ -36,6 +36,11 @@
 
 } // namespace
 
+std::string formatFingerprint(std::uint64_t fingerprint)
+{
+    return fmt::format("{:016x}", fingerprint);
+}
+
 EventLine::EventLine(std::string_view event)
     : event_(event)
 {
--- a/Source/Core/Relay/EventLog.h
+++ b/Source/Core/Relay/EventLog.h
@@ -51,6 +51,9 @@
     std::string text_;
 };
 
+/// Fingerprint of a request as it appears in log lines.
+std::string formatFingerprint(std::uint64_t fingerprint);
+
 /// Writes structured log lines to a file descriptor.
 ///
 /// Designed for ten times the usual request rate and for a log reader that has stopped reading.
--- a/Source/Core/Relay/OutboundCall.h
+++ b/Source/Core/Relay/OutboundCall.h
@@ -40,8 +40,12 @@
 };
 
 enum class CallFailure {
-    /// Nothing has been sent: no connection was established, or `maySend` returned false.
+    /// No connection was established, so nothing has been sent.
     NotConnected,
+    /// Nothing listens at the address.
+    Refused,
+    /// `maySend` returned false, so nothing has been sent.
+    Withheld,
     /// The connection broke, or the received bytes are not a valid response.
     Broken,
 };
@@ -51,7 +55,7 @@
 struct CallEvents
 {
     /// Called when a new connection has been established, before anything is sent. If it returns
-    /// false, the call fails with NotConnected. Optional.
+    /// false, the call fails with Withheld. Optional.
     std::function<bool()> maySend;
     /// Returns false if the response belongs to another request; it is then skipped.
     std::function<bool(const ResponseHead &)> head;
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -100,6 +100,10 @@
                                  "Requests whose caller left before the end"))
     , resumed(registry.counter("laburnumchute_relay_resumed_total",
                                "Streams that went on at another endpoint"))
+    , crashes(registry.counter("laburnumchute_relay_endpoint_crashes_total",
+                               "Endpoints that crashed while they ran requests of this instance"))
+    , quarantines(registry.counter("laburnumchute_relay_quarantines_total",
+                                   "Requests that are rejected since endpoints crashed under them"))
     , firstEvent(registry.histogram("laburnumchute_relay_first_event_seconds",
                                     "From the request to the first event of its answer"))
     , queueTime(registry.histogram("laburnumchute_relay_queue_seconds",
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -49,6 +49,8 @@
     Common::Counter &timedOut;
     Common::Counter &abandoned;
     Common::Counter &resumed;
+    Common::Counter &crashes;
+    Common::Counter &quarantines;
     Common::DurationHistogram &firstEvent;
     Common::DurationHistogram &queueTime;
 };
@@ -156,6 +158,8 @@
     void handleHeartbeat(const Fleet::Heartbeat &heartbeat, Common::Time now);
     void handleDigest(const Fleet::RegionDigest &digest, Common::Time now);
     void applyReports(const Fleet::Heartbeat &heartbeat, Common::Time now);
+    /// Logs crashes of endpoints and quarantines of requests that became known.
+    void logCrashEvents(Common::Time now);
     /// Sends the pending prompt notices to the peers in the region.
     void sendPromptNotices();
     void sendAll(const Fleet::Sends &sends);
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Peers/ValueCodec.h"
+#include "Relay/EventLog.h"
 #include "Relay/GossipMessage.h"
 #include "Relay/SteadyNow.h"
 
@@ -13,6 +14,18 @@
 /// Within this time after the start, seeds of all regions have responded, even if they start at the
 /// same time.
 constexpr Common::milliseconds PeerResponseTime{400};
+/// Fingerprints in one log line.
+constexpr std::size_t MaxLoggedFingerprints = 32;
+
+std::string joinFingerprints(const std::vector<std::uint64_t> &fingerprints)
+{
+    std::string text;
+    const auto count = std::min(fingerprints.size(), MaxLoggedFingerprints);
+    for (std::size_t index = 0; index < count; ++index) {
+        text += (index > 0 ? " " : "") + formatFingerprint(fingerprints[index]);
+    }
+    return text;
+}
 
 } // namespace
 
@@ -274,6 +287,37 @@
     }
 }
 
+void RelayGateway::logCrashEvents(Common::Time now)
+{
+    struct Visitor
+    {
+        RelayGateway &gateway;
+        Common::Time now;
+
+        void operator()(const Dispatch::EndpointCrash &crash) const
+        {
+            gateway.relayMetrics_.crashes.add();
+            EventLine line("endpoint-crash");
+            line.add("endpoint", crash.endpoint)
+                .add("suspects", static_cast<std::int64_t>(crash.suspects.size()))
+                .add("fingerprints", joinFingerprints(crash.suspects));
+            gateway.log_.write(line, now);
+        }
+        void operator()(const Dispatch::RequestQuarantine &quarantine) const
+        {
+            gateway.relayMetrics_.quarantines.add();
+            EventLine line("quarantine");
+            line.add("fingerprint", formatFingerprint(quarantine.fingerprint))
+                .add("deaths", static_cast<std::int64_t>(quarantine.deaths))
+                .add("reported_by_peer", quarantine.reportedByPeer);
+            gateway.log_.write(line, now);
+        }
+    };
+    for (const auto &event : scheduler_.takeCrashEvents()) {
+        std::visit(Visitor{*this, now}, event);
+    }
+}
+
 void RelayGateway::sendPromptNotices()
 {
     const auto notices = scheduler_.takeNotices();
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -40,6 +40,21 @@
 constexpr int HighestPriorityUrgency = 3;
 constexpr int LowestUrgency = 9;
 
+AttemptOutcome outcomeOf(CallFailure failure)
+{
+    switch (failure) {
+    case CallFailure::NotConnected:
+        return AttemptOutcome::NotConnected;
+    case CallFailure::Refused:
+        return AttemptOutcome::Refused;
+    case CallFailure::Withheld:
+        return AttemptOutcome::Withheld;
+    case CallFailure::Broken:
+        break;
+    }
+    return AttemptOutcome::Broken;
+}
+
 bool sendsBody(const std::string &method, const std::string &body)
 {
     return !body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
@@ -180,7 +195,8 @@
         .add("others_there", static_cast<std::int64_t>(std::lround(effect.others)))
         .add("assumed_there", static_cast<std::int64_t>(std::lround(effect.assumed)))
         .add("copies_cache", effect.copyCacheFrom.has_value())
-        .add("resumes", streamStarted_);
+        .add("resumes", streamStarted_)
+        .add("fingerprint", formatFingerprint(plan_.facts.fingerprint));
     gateway_.log().write(line, now);
     startCall(outboundRequest(effect.address, Platform::endpointHeaders(plan_.headers, order), now),
               now);
@@ -250,6 +266,16 @@
     }
 }
 
+void RelayedCall::logNotRun(Common::Time now)
+{
+    EventLine line("try-not-run");
+    line.add("request", plan_.head.requestId)
+        .add("endpoint", endpoint_)
+        .add("reason", lastReason_)
+        .add("after", now - sentAt_);
+    gateway_.log().write(line, now);
+}
+
 /// A missing limit is conclusive only in signed responses, which come from the endpoint itself.
 void RelayedCall::recordLimit(const Dialect::EndpointResponseMetadata &facts, Common::Time now)
 {
@@ -294,9 +320,10 @@
         return true;
     }
     if (facts.notRun && peer_.empty()) {
-        responseMode_ = ResponseMode::NotRun;
+        responseMode_ = facts.wrongEndpoint ? ResponseMode::Replaced : ResponseMode::NotRun;
         lastReason_ = facts.wrongEndpoint ? "another endpoint has the address"
                                           : fmt::format("refused with {}", head.status);
+        logNotRun(now);
         return true;
     }
     if (isSuccess() && (!facts.sealed || facts.requestId.empty())) {
@@ -375,6 +402,9 @@
     case ResponseMode::NotRun:
         endAttempt(AttemptOutcome::NotRun, true, now);
         return;
+    case ResponseMode::Replaced:
+        endAttempt(AttemptOutcome::Replaced, true, now);
+        return;
     case ResponseMode::Unknown:
         lastReason_ = "the other instance does not know what became of it";
         endAttempt(AttemptOutcome::Broken, !streamStarted_ || plan_.resumable, now);
@@ -419,11 +449,7 @@
         .add("sent", failure == CallFailure::Broken)
         .add("events_passed", streamStarted_);
     gateway_.log().write(line, now);
-    if (failure == CallFailure::NotConnected) {
-        endAttempt(AttemptOutcome::NotConnected, !streamStarted_ || plan_.resumable, now);
-        return;
-    }
-    endAttempt(AttemptOutcome::Broken, !streamStarted_ || plan_.resumable, now);
+    endAttempt(outcomeOf(failure), !streamStarted_ || plan_.resumable, now);
 }
 
 void RelayedCall::endAttempt(AttemptOutcome outcome, bool mayRetry, Common::Time now)
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -75,6 +75,8 @@
         Buffered,
         /// The endpoint or peer states that it has not run the request.
         NotRun,
+        /// Another endpoint has the address.
+        Replaced,
         /// The peer does not know whether the request has run.
         Unknown,
     };
@@ -91,6 +93,7 @@
     void startCall(OutboundRequest request, Common::Time now);
     bool handleHead(const ResponseHead &head);
     void readPeerState(const ResponseHead &head);
+    void logNotRun(Common::Time now);
     void recordLimit(const Dialect::EndpointResponseMetadata &facts, Common::Time now);
     void handleBody(const std::string &bytes);
     void passOnEvents(const std::string &events);
--- a/Source/Core/Relay/RelayedCallEnd.cpp
+++ b/Source/Core/Relay/RelayedCallEnd.cpp
@@ -51,7 +51,8 @@
         .add("last_try", lastReason_)
         .add("waited", now - plan_.facts.arrivedAt)
         .add("waiting", static_cast<std::int64_t>(gateway_.scheduler().waiting()))
-        .add("retry_after", effect.retryAfter);
+        .add("retry_after", effect.retryAfter)
+        .add("fingerprint", formatFingerprint(plan_.facts.fingerprint));
     gateway_.log().write(line, now);
     gateway_.metrics().rejected.add();
     sendOwnResponse(ServiceUnavailable, std::string(Dispatch::toString(effect.reason)), retryAfter,
