--- a/Source/Core/Decisions/Quarantine.cpp
+++ b/Source/Core/Decisions/Quarantine.cpp
@@ -38,8 +38,9 @@
     if (found == suspects_.end() || found->second.deaths.empty()) {
         return Verdict::Clear;
     }
-    const bool held = reachedDeathLimit(found->second) && now < quarantinedUntil(found->second);
-    return held ? Verdict::Quarantined : Verdict::Suspect;
+    const auto &suspect = found->second;
+    const bool mayBeTried = suspect.sawLastDeath && now >= quarantinedUntil(suspect);
+    return reachedDeathLimit(suspect) && !mayBeTried ? Verdict::Quarantined : Verdict::Suspect;
 }
 
 bool Quarantine::mayStart(std::uint64_t fingerprint, Time now) const
@@ -66,7 +67,7 @@
     if (verdict(fingerprint, now) != Verdict::Quarantined) {
         return BusyRetryAfter;
     }
-    return quarantinedUntil(suspects_.at(fingerprint)) - now;
+    return std::max<Duration>(quarantinedUntil(suspects_.at(fingerprint)) - now, BusyRetryAfter);
 }
 
 bool Quarantine::started(std::uint64_t fingerprint)
@@ -112,6 +113,7 @@
         suspect.deaths.push_back(endpoint);
     }
     suspect.lastDeath = now;
+    suspect.sawLastDeath = true;
     return !wasReached && reachedDeathLimit(suspect);
 }
 
@@ -150,20 +152,26 @@
     std::vector<QuarantineStart> starts;
     for (const auto &notice : notices) {
         const Time lastDeath = now - notice.age;
-        const auto known = suspects_.find(notice.fingerprint);
-        const bool cleared = known != suspects_.end() && lastDeath <= known->second.clearedAt;
-        const bool full = known == suspects_.end() && suspects_.size() >= options_.maxSuspects;
+        const auto found = suspects_.find(notice.fingerprint);
+        const bool cleared = found != suspects_.end() && lastDeath <= found->second.clearedAt;
+        const bool full = found == suspects_.end() && suspects_.size() >= options_.maxSuspects;
         if (cleared || full || notice.age > options_.suspectLifetime + options_.maxQuarantine) {
             continue;
         }
         auto &suspect = suspects_[notice.fingerprint];
         const bool wasReached = reachedDeathLimit(suspect);
+        const auto known = suspect.deaths.size();
         for (const auto &endpoint : notice.deaths) {
             if (!contains(suspect.deaths, endpoint)) {
                 suspect.deaths.push_back(endpoint);
             }
         }
-        suspect.lastDeath = std::max(suspect.lastDeath, lastDeath);
+        // Without a new death, the notice repeats what this instance knows with the delay of the
+        // network added.
+        if (suspect.deaths.size() > known && lastDeath > suspect.lastDeath) {
+            suspect.lastDeath = lastDeath;
+            suspect.sawLastDeath = false;
+        }
         if (!wasReached && reachedDeathLimit(suspect)) {
             starts.push_back({notice.fingerprint, suspect.deaths.size()});
         }
@@ -182,6 +190,35 @@
     return result;
 }
 
+std::vector<std::uint64_t> Quarantine::suspects() const
+{
+    std::vector<std::uint64_t> result;
+    for (const auto &[fingerprint, suspect] : suspects_) {
+        if (!suspect.deaths.empty()) {
+            result.push_back(fingerprint);
+        }
+    }
+    return result;
+}
+
+std::vector<EndpointId> Quarantine::deathsOf(std::uint64_t fingerprint) const
+{
+    const auto found = suspects_.find(fingerprint);
+    return found == suspects_.end() ? std::vector<EndpointId>() : found->second.deaths;
+}
+
+std::size_t Quarantine::deathCount(std::uint64_t fingerprint) const
+{
+    const auto found = suspects_.find(fingerprint);
+    return found == suspects_.end() ? 0 : found->second.deaths.size();
+}
+
+Time Quarantine::lastDeath(std::uint64_t fingerprint) const
+{
+    const auto found = suspects_.find(fingerprint);
+    return found == suspects_.end() ? Time() : found->second.lastDeath;
+}
+
 void Quarantine::expire(Time now)
 {
     std::erase_if(suspects_, [this, now](const auto &entry) {
--- a/Source/Core/Decisions/Quarantine.h
+++ b/Source/Core/Decisions/Quarantine.h
@@ -35,7 +35,8 @@
 /// A fingerprint that was running on maxDeaths distinct endpoints when they died is quarantined.
 /// Repeated deaths of the same endpoint count once, since that endpoint is faulty and not the
 /// request. A suspect that completes is cleared; a quarantined one may run once after its time, on
-/// an endpoint without other suspects.
+/// an endpoint without other suspects and only at the instance that saw the last death: otherwise
+/// each of several hundred instances would let it crash an endpoint.
 /// The limit covers deaths that this instance knows of; other instances learn of deaths through
 /// suspectNotices.
 class Quarantine
@@ -64,6 +65,18 @@
 
     std::vector<QuarantineStart> merge(const std::vector<SuspectNotice> &notices, Time now);
     std::vector<SuspectNotice> notices(Time now) const;
+
+    /// Fingerprints with deaths.
+    std::vector<std::uint64_t> suspects() const;
+    /// Endpoints that died while running the fingerprint, in the order in which this became known.
+    std::vector<EndpointId> deathsOf(std::uint64_t fingerprint) const;
+    std::size_t deathCount(std::uint64_t fingerprint) const;
+    /// Time of the last death, or the epoch if none is known.
+    Time lastDeath(std::uint64_t fingerprint) const;
+    std::size_t maxDeaths() const
+    {
+        return options_.maxDeaths;
+    }
     void expire(Time now);
     nlohmann::json dump(Time now) const;
 
@@ -72,6 +85,8 @@
     {
         std::vector<EndpointId> deaths;
         Time lastDeath{};
+        /// The last death was seen here and not reported by another instance.
+        bool sawLastDeath = false;
         Time clearedAt{};
         /// How often an endpoint died after the limit was reached.
         int repeatQuarantines = 0;
--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -23,6 +23,8 @@
     /// Events of its answer so far, over all attempts.
     int events = 0;
     bool attemptCancelled = false;
+    /// The current attempt is one of a suspected request, see CrashAttribution::started().
+    bool countedAsSuspect = false;
     /// The endpoint had a free slot when the request was sent.
     bool slotFreeAtSend = false;
     /// The endpoint was idle when the request was sent, so that prefill started at once.
--- /dev/null
+++ b/Source/Core/Dispatch/CrashAttribution.cpp
@@ -0,0 +1,412 @@
+#include "Dispatch/CrashAttribution.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "Dispatch/Util.h"
+
+namespace LaburnumChute::Dispatch {
+
+namespace {
+
+/// Time within which a crash is noticed: the record of a silent endpoint expires after three of its
+/// heartbeat intervals, and lists of the store are a second old at most.
+constexpr seconds ConfirmationTime{6};
+/// For this long, evidence is repeated in every report, which tolerates the loss of many of them.
+constexpr seconds RepeatTime{5};
+/// How long it is remembered that a run ended or answered.
+constexpr seconds RunMemory{60};
+/// Bound the size of a report, see reports().
+constexpr std::size_t MaxRecentSuspects = 32;
+constexpr std::size_t MaxOldSuspects = 4;
+constexpr std::size_t MaxReportedRuns = 8;
+/// Bounds the memory, also against reports of others.
+constexpr std::size_t MaxRuns = 1024;
+constexpr std::size_t MaxBreaksPerRun = 1024;
+
+EndpointId nameOf(RunId run)
+{
+    return EndpointId(fmt::format("{:016x}", run));
+}
+
+std::uint32_t toMilliseconds(Duration age)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, UINT32_MAX));
+}
+
+} // namespace
+
+RunId runId(const Catalog::EndpointRecord &record)
+{
+    return Common::stableHash(record.id.text(), static_cast<std::uint64_t>(record.startedAt));
+}
+
+CrashAttribution::CrashAttribution(Decisions::Quarantine &quarantine, std::uint64_t seed)
+    : quarantine_(&quarantine)
+    , random_(seed)
+{
+}
+
+// Evidence of this instance.
+
+void CrashAttribution::broke(const EndpointId &endpoint, RunId run, std::uint64_t fingerprint,
+                             Time now)
+{
+    addBreak(run, fingerprint, {now, true}, now);
+    if (const auto entry = runs_.find(run); entry != runs_.end()) {
+        entry->second.endpoint = endpoint;
+    }
+    if (endedAt_.count(run) > 0) {
+        ended(run, now);
+    }
+}
+
+void CrashAttribution::addBreak(RunId run, std::uint64_t fingerprint, const Break &added, Time now)
+{
+    if (runs_.count(run) == 0 && runs_.size() >= MaxRuns) {
+        return;
+    }
+    auto &entry = runs_[run];
+    entry.listed = entry.listed || added.own;
+    if (entry.breaks.size() >= MaxBreaksPerRun) {
+        return;
+    }
+    const bool wasHeld = rejectedFor(fingerprint, now).has_value();
+    auto &recorded = entry.breaks.try_emplace(fingerprint, added).first->second;
+    recorded.own = recorded.own || added.own;
+    runsOf_[fingerprint].insert(run);
+    if (!wasHeld && held(fingerprint)) {
+        events_.push_back(RequestHold{fingerprint, breakCount(fingerprint),
+                                      quarantine_->deathCount(fingerprint), !added.own});
+        if (added.own) {
+            unannounced_.insert(fingerprint);
+        }
+    }
+}
+
+void CrashAttribution::eraseBreaks(RunId run)
+{
+    const auto found = runs_.find(run);
+    if (found == runs_.end()) {
+        return;
+    }
+    for (const auto &[fingerprint, recorded] : found->second.breaks) {
+        const auto runs = runsOf_.find(fingerprint);
+        runs->second.erase(run);
+        if (runs->second.empty()) {
+            runsOf_.erase(runs);
+        }
+    }
+    runs_.erase(found);
+}
+
+void CrashAttribution::answered(RunId run, Time sentAt)
+{
+    auto &latest = answeredAt_[run];
+    latest = std::max(latest, sentAt);
+    const auto ended = endedAt_.find(run);
+    if (ended != endedAt_.end() && ended->second < sentAt) {
+        endedAt_.erase(ended);
+    }
+    const auto found = runs_.find(run);
+    if (found == runs_.end()) {
+        return;
+    }
+    const auto &breaks = found->second.breaks;
+    const bool refuted = std::all_of(breaks.begin(), breaks.end(), [sentAt](const auto &item) {
+        return item.second.at < sentAt;
+    });
+    if (refuted) {
+        eraseBreaks(run);
+    }
+}
+
+void CrashAttribution::ended(RunId run, Time now)
+{
+    endedAt_[run] = now;
+    const auto found = runs_.find(run);
+    if (found == runs_.end()) {
+        return;
+    }
+    const auto breaks = found->second.breaks;
+    EndpointCrash crash{found->second.endpoint, {}};
+    eraseBreaks(run);
+    std::vector<Decisions::SuspectNotice> ofOthers;
+    std::size_t mostDeaths = 0;
+    for (const auto &[fingerprint, recorded] : breaks) {
+        mostDeaths = std::max(mostDeaths, quarantine_->deathCount(fingerprint));
+    }
+    for (const auto &[fingerprint, recorded] : breaks) {
+        // The other requests on the endpoint were bystanders of the most suspected ones.
+        if (quarantine_->deathCount(fingerprint) < mostDeaths) {
+            continue;
+        }
+        if (recorded.own) {
+            crash.suspects.push_back(fingerprint);
+        } else {
+            ofOthers.push_back({fingerprint, {nameOf(run)}, now - recorded.at});
+        }
+    }
+    const auto starts = quarantine_->endpointDied(nameOf(run), crash.suspects, now);
+    for (const auto &start : starts) {
+        unannounced_.insert(start.fingerprint);
+    }
+    if (!crash.suspects.empty()) {
+        events_.push_back(std::move(crash));
+    }
+    recordStarts(starts, false);
+    recordStarts(quarantine_->merge(ofOthers, now), true);
+}
+
+void CrashAttribution::setListed(const std::set<RunId> &runs, Time now)
+{
+    std::vector<RunId> gone;
+    for (auto &[run, entry] : runs_) {
+        const bool listed = runs.count(run) > 0;
+        if (entry.listed && !listed) {
+            gone.push_back(run);
+        }
+        entry.listed = entry.listed || listed;
+    }
+    for (const auto run : gone) {
+        ended(run, now);
+    }
+}
+
+void CrashAttribution::completed(std::uint64_t fingerprint, Time now)
+{
+    quarantine_->completed(fingerprint, now);
+    const auto found = runsOf_.find(fingerprint);
+    if (found == runsOf_.end()) {
+        return;
+    }
+    for (const auto run : found->second) {
+        const auto entry = runs_.find(run);
+        entry->second.breaks.erase(fingerprint);
+        if (entry->second.breaks.empty()) {
+            runs_.erase(entry);
+        }
+    }
+    runsOf_.erase(found);
+}
+
+void CrashAttribution::expire(Time now)
+{
+    std::vector<RunId> expired;
+    for (const auto &[run, entry] : runs_) {
+        const bool recent =
+            std::any_of(entry.breaks.begin(), entry.breaks.end(), [now](const auto &item) {
+                return now - item.second.at <= ConfirmationTime;
+            });
+        if (!recent) {
+            expired.push_back(run);
+        }
+    }
+    for (const auto run : expired) {
+        eraseBreaks(run);
+    }
+    const auto isOld = [now](const auto &item) { return now - item.second > RunMemory; };
+    std::erase_if(endedAt_, isOld);
+    std::erase_if(answeredAt_, isOld);
+    quarantine_->expire(now);
+}
+
+// Decisions.
+
+std::size_t CrashAttribution::breakCount(std::uint64_t fingerprint) const
+{
+    const auto found = runsOf_.find(fingerprint);
+    return found == runsOf_.end() ? 0 : found->second.size();
+}
+
+std::size_t CrashAttribution::evidence(std::uint64_t fingerprint) const
+{
+    return quarantine_->deathCount(fingerprint) + breakCount(fingerprint);
+}
+
+bool CrashAttribution::held(std::uint64_t fingerprint) const
+{
+    return breakCount(fingerprint) > 0 && evidence(fingerprint) >= quarantine_->maxDeaths();
+}
+
+Time CrashAttribution::lastBreak(std::uint64_t fingerprint) const
+{
+    Time last{};
+    const auto found = runsOf_.find(fingerprint);
+    if (found == runsOf_.end()) {
+        return last;
+    }
+    for (const auto run : found->second) {
+        last = std::max(last, runs_.at(run).breaks.at(fingerprint).at);
+    }
+    return last;
+}
+
+std::optional<Duration> CrashAttribution::rejectedFor(std::uint64_t fingerprint, Time now) const
+{
+    if (quarantine_->verdict(fingerprint, now) == Decisions::Verdict::Quarantined) {
+        return quarantine_->retryAfter(fingerprint, now);
+    }
+    if (!held(fingerprint)) {
+        return std::nullopt;
+    }
+    const Duration left = lastBreak(fingerprint) + ConfirmationTime - now;
+    return std::max<Duration>(left, milliseconds(1));
+}
+
+bool CrashAttribution::mayStart(std::uint64_t fingerprint) const
+{
+    const auto found = running_.find(fingerprint);
+    return found == running_.end() || evidence(fingerprint) == 0;
+}
+
+bool CrashAttribution::started(std::uint64_t fingerprint)
+{
+    if (evidence(fingerprint) == 0) {
+        return false;
+    }
+    ++running_[fingerprint];
+    return true;
+}
+
+void CrashAttribution::stopped(std::uint64_t fingerprint)
+{
+    const auto found = running_.find(fingerprint);
+    if (found != running_.end() && --found->second <= 0) {
+        running_.erase(found);
+    }
+}
+
+// Messages.
+
+SuspectReport CrashAttribution::reportOf(std::uint64_t fingerprint, bool includeOthers,
+                                         Time now) const
+{
+    SuspectReport report;
+    report.fingerprint = fingerprint;
+    for (const auto &death : quarantine_->deathsOf(fingerprint)) {
+        report.deaths.push_back(std::stoull(death.text(), nullptr, 16));
+    }
+    const auto surplus = report.deaths.size() - std::min(report.deaths.size(), MaxReportedRuns);
+    report.deaths.erase(report.deaths.begin(),
+                        report.deaths.begin() + static_cast<std::ptrdiff_t>(surplus));
+    report.ageMs = toMilliseconds(now - quarantine_->lastDeath(fingerprint));
+    const auto found = runsOf_.find(fingerprint);
+    if (found == runsOf_.end()) {
+        return report;
+    }
+    for (const auto run : found->second) {
+        const auto &recorded = runs_.at(run).breaks.at(fingerprint);
+        const bool fits = report.breaks.size() < MaxReportedRuns;
+        if (fits && (recorded.own || includeOthers)) {
+            report.breaks.push_back({run, toMilliseconds(now - recorded.at)});
+        }
+    }
+    return report;
+}
+
+std::vector<SuspectReport> CrashAttribution::reports(Time now)
+{
+    struct Suspect
+    {
+        std::uint64_t fingerprint = 0;
+        bool rejected = false;
+        Time lastSeen{};
+    };
+    std::vector<Suspect> recent;
+    std::vector<std::uint64_t> old;
+    const auto add = [&](std::uint64_t fingerprint) {
+        const auto lastSeen = std::max(quarantine_->lastDeath(fingerprint), lastBreak(fingerprint));
+        const bool rejected = evidence(fingerprint) >= quarantine_->maxDeaths();
+        if (now - lastSeen <= RepeatTime) {
+            recent.push_back({fingerprint, rejected, lastSeen});
+        } else if (rejected) {
+            old.push_back(fingerprint);
+        }
+    };
+    for (const auto fingerprint : quarantine_->suspects()) {
+        add(fingerprint);
+    }
+    for (const auto &[fingerprint, runs] : runsOf_) {
+        if (quarantine_->deathCount(fingerprint) == 0) {
+            add(fingerprint);
+        }
+    }
+    std::sort(recent.begin(), recent.end(), [](const Suspect &one, const Suspect &other) {
+        return std::tie(one.rejected, one.lastSeen) > std::tie(other.rejected, other.lastSeen);
+    });
+    recent.resize(std::min(recent.size(), MaxRecentSuspects));
+    std::vector<std::uint64_t> sampled;
+    std::sample(old.begin(), old.end(), std::back_inserter(sampled), MaxOldSuspects, random_);
+    std::vector<SuspectReport> reports;
+    for (const auto &suspect : recent) {
+        reports.push_back(reportOf(suspect.fingerprint, suspect.rejected, now));
+    }
+    for (const auto fingerprint : sampled) {
+        reports.push_back(reportOf(fingerprint, true, now));
+    }
+    std::erase_if(reports, [](const SuspectReport &report) {
+        return report.deaths.empty() && report.breaks.empty();
+    });
+    return reports;
+}
+
+std::vector<SuspectReport> CrashAttribution::takeNotices(Time now)
+{
+    std::vector<SuspectReport> notices;
+    for (const auto fingerprint : std::exchange(unannounced_, {})) {
+        if (notices.size() < MaxRecentSuspects && rejectedFor(fingerprint, now)) {
+            notices.push_back(reportOf(fingerprint, true, now));
+        }
+    }
+    return notices;
+}
+
+void CrashAttribution::merge(const std::vector<SuspectReport> &reports, Time now)
+{
+    std::vector<Decisions::SuspectNotice> deaths;
+    for (const auto &report : reports) {
+        Decisions::SuspectNotice notice;
+        notice.fingerprint = report.fingerprint;
+        notice.age = milliseconds(report.ageMs);
+        for (const auto run : report.deaths) {
+            notice.deaths.push_back(nameOf(run));
+            if (runs_.count(run) > 0) {
+                ended(run, now);
+            }
+        }
+        if (!notice.deaths.empty()) {
+            deaths.push_back(std::move(notice));
+        }
+        for (const auto &reported : report.breaks) {
+            const Time at = now - milliseconds(reported.ageMs);
+            const auto answered = answeredAt_.find(reported.run);
+            const bool refuted = answered != answeredAt_.end() && answered->second > at;
+            if (refuted || now - at > ConfirmationTime) {
+                continue;
+            }
+            addBreak(reported.run, report.fingerprint, {at, false}, now);
+            if (endedAt_.count(reported.run) > 0) {
+                ended(reported.run, now);
+            }
+        }
+    }
+    recordStarts(quarantine_->merge(deaths, now), true);
+}
+
+void CrashAttribution::recordStarts(const std::vector<Decisions::QuarantineStart> &starts,
+                                    bool reportedByPeer)
+{
+    for (const auto &start : starts) {
+        events_.push_back(RequestQuarantine{start.fingerprint, start.deaths, reportedByPeer});
+    }
+}
+
+std::vector<CrashEvent> CrashAttribution::takeEvents()
+{
+    return std::exchange(events_, {});
+}
+
+} // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -1,8 +1,6 @@
 #include "Dispatch/EndpointHealth.h"
 
 #include <algorithm>
-#include <set>
-#include <utility>
 
 #include "Dispatch/Util.h"
 
@@ -16,30 +14,22 @@
 /// difference has other causes than the endpoint's speed.
 constexpr double SlownessMin = 0.5;
 constexpr double SlownessMax = 6;
-/// Requests whose connection broke within this time before an endpoint crashed are suspected.
-constexpr seconds CrashWindow{3};
 /// An endpoint that was ejected for this long may have been restarted in the meantime.
 constexpr milliseconds RestartEjectionTime{1000};
 
-/// Identifies one run of an endpoint process: a crashed endpoint often returns under its old id.
-EndpointId incarnationOf(const EndpointState &endpoint)
-{
-    const auto &record = endpoint.listed.record;
-    return EndpointId(fmt::format("{}@{}", record.id, record.startedAt));
-}
-
 } // namespace
 
 EndpointHealth::EndpointHealth(const DispatchOptions &options, const EndpointTable &table,
-                               Decisions::Quarantine &quarantine)
+                               CrashAttribution &crashes)
     : options_(&options)
     , table_(&table)
-    , quarantine_(&quarantine)
+    , crashes_(&crashes)
 {
 }
 
 void EndpointHealth::recordFirstEvent(EndpointState &endpoint, const Call &call, Duration took)
 {
+    crashes_->answered(endpoint.run, call.sentAt);
     constexpr double RatioMin = 0.3;
     constexpr double RatioMax = 3;
     const auto expected = std::max<Duration>(call.expected, options_->firstEventFloor);
@@ -57,36 +47,47 @@
     endpoint.probing = false;
 }
 
-void EndpointHealth::recordCrash(EndpointState &endpoint, Time now)
+void EndpointHealth::recordEvidence(EndpointState &endpoint, const Call &call,
+                                    AttemptOutcome outcome, Time now)
 {
-    std::set<std::uint64_t> fingerprints;
-    for (const auto &[at, fingerprint] : endpoint.brokenCalls) {
-        fingerprints.insert(fingerprint);
-    }
-    const std::vector<std::uint64_t> suspects(fingerprints.begin(), fingerprints.end());
-    crashEvents_.push_back(EndpointCrash{endpoint.listed.record.id, suspects});
-    for (const auto &start : quarantine_->endpointDied(incarnationOf(endpoint), suspects, now)) {
-        crashEvents_.push_back(RequestQuarantine{start.fingerprint, start.deaths, false});
+    switch (outcome) {
+    case AttemptOutcome::Completed:
+        crashes_->completed(call.facts.fingerprint, now);
+        crashes_->answered(endpoint.run, call.sentAt);
+        return;
+    case AttemptOutcome::Error:
+    case AttemptOutcome::NotRun:
+        crashes_->answered(endpoint.run, call.sentAt);
+        return;
+    case AttemptOutcome::Refused:
+    case AttemptOutcome::Replaced:
+        crashes_->ended(endpoint.run, now);
+        endpoint.cache.clear();
+        return;
+    case AttemptOutcome::Broken:
+        // An endpoint that leaves may end on purpose before its last requests have.
+        if (!endpoint.listed.leaving) {
+            crashes_->broke(endpoint.listed.record.id, endpoint.run, call.facts.fingerprint, now);
+        }
+        return;
+    case AttemptOutcome::Cancelled:
+    case AttemptOutcome::NotConnected:
+    case AttemptOutcome::Withheld:
+    case AttemptOutcome::Silent:
+        return;
     }
-    endpoint.brokenCalls.clear();
-    endpoint.cache.clear();
-}
-
-std::vector<CrashEvent> EndpointHealth::takeCrashEvents()
-{
-    return std::exchange(crashEvents_, {});
 }
 
 void EndpointHealth::recordOutcome(EndpointState &endpoint, const Call &call,
                                    AttemptOutcome outcome, Time now)
 {
+    recordEvidence(endpoint, call, outcome, now);
     const auto *service = table_->service(call.facts.service);
     const bool good = outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Error
-                      || outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Replaced;
+                      || outcome == AttemptOutcome::NotRun;
     if (outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Error) {
         const double error = outcome == AttemptOutcome::Error ? 1 : 0;
         endpoint.errorRate += options_->errorWeight * (error - endpoint.errorRate);
-        quarantine_->completed(call.facts.fingerprint, now);
         // A request that waited in the endpoint's queue does not show how long a slot is held.
         if (service != nullptr && call.slotFreeAtSend) {
             endpoint.holdTime += scaled(now - call.sentAt - endpoint.holdTime, AverageWeight);
@@ -103,22 +104,14 @@
         endpoint.probing = false;
         return;
     }
-    if (outcome == AttemptOutcome::Cancelled) {
+    if (outcome == AttemptOutcome::Cancelled || outcome == AttemptOutcome::Withheld) {
         endpoint.probing = false;
         return;
     }
     ++endpoint.consecutiveFailures;
-    if (outcome == AttemptOutcome::Broken) {
-        endpoint.brokenCalls.emplace_back(now, call.facts.fingerprint);
-    }
-    while (!endpoint.brokenCalls.empty()
-           && now - endpoint.brokenCalls.front().first > CrashWindow) {
-        endpoint.brokenCalls.pop_front();
-    }
-    if (isUnsent(outcome) && !endpoint.ejectedUntil && !endpoint.brokenCalls.empty()) {
-        recordCrash(endpoint, now);
-    }
-    if (isUnsent(outcome) || endpoint.consecutiveFailures >= options_->consecutiveFailures) {
+    const bool gone = outcome == AttemptOutcome::NotConnected || outcome == AttemptOutcome::Refused
+                      || outcome == AttemptOutcome::Replaced;
+    if (gone || endpoint.consecutiveFailures >= options_->consecutiveFailures) {
         eject(endpoint, now);
     }
 }
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -106,6 +106,7 @@
         state->coldUntil = std::max(state->coldUntil, now + cold);
     }
     state->listed = endpoint;
+    state->run = runId(record);
 }
 
 void EndpointTable::dropRemoved()
@@ -433,6 +434,20 @@
     return states;
 }
 
+std::set<RunId> EndpointTable::listedRuns() const
+{
+    std::set<RunId> runs;
+    for (const auto &[id, state] : byShortId_) {
+        if (!state->removed) {
+            runs.insert(state->run);
+        }
+    }
+    for (const auto &[id, remote] : remote_) {
+        runs.insert(runId(remote.listed.record));
+    }
+    return runs;
+}
+
 void EndpointTable::placed(const EndpointState &endpoint,
                            const std::vector<Dialect::PromptPart> &parts, bool noticed, Time now)
 {
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Dispatch/ColdRateLimit.h"
+#include "Dispatch/CrashAttribution.h"
 #include "Dispatch/EngineModel.h"
 #include "Dispatch/EventPace.h"
 #include "Dispatch/LoadEstimate.h"
@@ -30,6 +31,7 @@
 struct EndpointState
 {
     Catalog::ListedEndpoint listed;
+    RunId run = 0;
     /// It is no longer listed and is kept until its last request has ended.
     bool removed = false;
     /// Its failure domain is evacuated.
@@ -64,8 +66,6 @@
     /// Latest load that the endpoint stated.
     Dialect::LoadSample sample;
     Time sampledAt{};
-    /// Fingerprints of requests whose connection to the endpoint broke recently.
-    std::deque<std::pair<Time, std::uint64_t>> brokenCalls;
 
     double load() const
     {
@@ -143,6 +143,8 @@
     const EndpointState *find(const EndpointId &id) const;
     EngineModel &engine(const ServiceName &name);
     std::vector<const EndpointState *> all() const;
+    /// Endpoints of all regions that are listed and not known to have been replaced.
+    std::set<RunId> listedRuns() const;
     const std::map<ServiceName, Catalog::Service> &services() const
     {
         return services_;
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -155,6 +155,17 @@
     std::vector<std::uint64_t> suspects;
 };
 
+/// Requests with the fingerprint are rejected until it is known whether the endpoints on which they
+/// broke off have ended.
+struct RequestHold
+{
+    std::uint64_t fingerprint = 0;
+    std::size_t breaks = 0;
+    std::size_t deaths = 0;
+    /// The last break was reported by another instance.
+    bool reportedByPeer = false;
+};
+
 /// Requests with the fingerprint are rejected from now on.
 struct RequestQuarantine
 {
@@ -165,7 +176,7 @@
 };
 
 /// What became known of crashes, for the log.
-using CrashEvent = std::variant<EndpointCrash, RequestQuarantine>;
+using CrashEvent = std::variant<EndpointCrash, RequestHold, RequestQuarantine>;
 
 using Effect = std::variant<Send, Forward, Reject, Fail, CancelAttempt>;
 using Effects = std::vector<Effect>;
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -84,17 +84,50 @@
     }
 };
 
+/// An attempt that broke off on a run of an endpoint.
+struct BreakReport
+{
+    std::uint64_t run = 0;
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(run, ageMs);
+    }
+};
+
 /// A request that is suspected of crashing endpoints.
 struct SuspectReport
 {
     std::uint64_t fingerprint = 0;
-    std::vector<std::string> deaths;
+    /// Runs of endpoints that ended under it.
+    std::vector<std::uint64_t> deaths;
+    /// Time since the last of them.
     std::uint32_t ageMs = 0;
+    /// Runs that are not known to have ended.
+    std::vector<BreakReport> breaks;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(fingerprint, deaths, ageMs, breaks);
+    }
+};
+
+/// Requests that the sender has just begun to reject since endpoints crashed under them. Until the
+/// next load report, other instances would send them to further endpoints. A receiver in another
+/// region relays them to its own.
+struct SuspectNotices
+{
+    /// Region of the sender, or of the instance that relays them.
+    RegionName region;
+    std::vector<SuspectReport> suspects;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(fingerprint, deaths, ageMs);
+        archive(region, suspects);
     }
 };
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -16,8 +16,8 @@
 /// Within this time after the start of a process, it receives load reports of all regions that can
 /// be reached.
 constexpr milliseconds RegionsKnownAfter{1500};
-/// Bounds the size of a heartbeat.
-constexpr std::size_t MaxReportedSuspects = 16;
+/// Interval between checks for suspected endpoints that are not listed any more.
+constexpr milliseconds ListCheckInterval{100};
 
 } // namespace
 
@@ -84,8 +84,9 @@
     , table_(options_)
     , spareCapacity_(options_)
     , quarantine_(Decisions::QuarantineOptions())
+    , crashes_(quarantine_, seed + 2)
     , placement_(options_, table_, self_, seed + 1, startedAt)
-    , health_(options_, table_, quarantine_)
+    , health_(options_, table_, crashes_)
     , instances_({self_})
     , startedAt_(startedAt)
 {
@@ -105,6 +106,7 @@
                                 const std::set<Common::FailureDomainName> &evacuated, Time now)
 {
     table_.setEndpoints(endpoints, evacuated, now);
+    checkListed(now);
     Effects effects;
     dispatchQueue(now, effects);
     return effects;
@@ -113,11 +115,21 @@
 Effects Scheduler::updateEndpoints(const EndpointChanges &changes, Time now)
 {
     table_.updateEndpoints(changes, now);
+    checkListed(now);
     Effects effects;
     dispatchQueue(now, effects);
     return effects;
 }
 
+/// Endpoints with suspected requests that are not listed any more have crashed.
+void Scheduler::checkListed(Time now)
+{
+    if (crashes_.hasBreaks()) {
+        listCheckedAt_ = now;
+        crashes_.setListed(table_.listedRuns(), now);
+    }
+}
+
 void Scheduler::updateRemoteEndpoints(const EndpointChanges &changes)
 {
     table_.updateRemoteEndpoints(changes);
@@ -214,37 +226,16 @@
         .first->second;
 }
 
-void Scheduler::mergeSuspects(const std::vector<SuspectReport> &suspects, Time now)
-{
-    std::vector<Decisions::SuspectNotice> notices;
-    for (const auto &suspect : suspects) {
-        Decisions::SuspectNotice notice;
-        notice.fingerprint = suspect.fingerprint;
-        notice.age = milliseconds(suspect.ageMs);
-        for (const auto &death : suspect.deaths) {
-            notice.deaths.push_back(EndpointId(death));
-        }
-        notices.push_back(std::move(notice));
-    }
-    for (const auto &start : quarantine_.merge(notices, now)) {
-        crashEvents_.push_back(RequestQuarantine{start.fingerprint, start.deaths, true});
-    }
-}
-
 std::vector<CrashEvent> Scheduler::takeCrashEvents()
 {
-    auto events = std::exchange(crashEvents_, {});
-    for (auto &event : health_.takeCrashEvents()) {
-        events.push_back(std::move(event));
-    }
-    return events;
+    return crashes_.takeEvents();
 }
 
 Effects Scheduler::setRegionLoadReport(const InstanceId &instance, const RegionLoadReport &report,
                                        Time now)
 {
     table_.setLoadReport(instance, report, now);
-    mergeSuspects(report.suspects, now);
+    crashes_.merge(report.suspects, now);
     Effects effects;
     dispatchQueue(now, effects);
     return effects;
@@ -257,6 +248,16 @@
     }
 }
 
+void Scheduler::learn(const SuspectNotices &notices, Time now)
+{
+    crashes_.merge(notices.suspects, now);
+}
+
+SuspectNotices Scheduler::takeSuspectNotices(Time now)
+{
+    return {home_, crashes_.takeNotices(now)};
+}
+
 PromptNotices Scheduler::takeNotices()
 {
     return {self_, std::exchange(notices_, {})};
@@ -289,7 +290,7 @@
 {
     spareCapacity_.update(region, instance, report, now);
     table_.setRemotePlacements(report.placements);
-    mergeSuspects(report.suspects, now);
+    crashes_.merge(report.suspects, now);
 }
 
 RegionLoadReport Scheduler::regionLoadReport(Time now)
@@ -308,19 +309,7 @@
             report.services.push_back(work);
         }
     }
-    for (const auto &notice : quarantine_.notices(now)) {
-        if (report.suspects.size() >= MaxReportedSuspects) {
-            break;
-        }
-        SuspectReport suspect;
-        suspect.fingerprint = notice.fingerprint;
-        const auto age = std::chrono::duration_cast<milliseconds>(notice.age);
-        suspect.ageMs = static_cast<std::uint32_t>(age.count());
-        for (const auto &death : notice.deaths) {
-            suspect.deaths.push_back(death.text());
-        }
-        report.suspects.push_back(std::move(suspect));
-    }
+    report.suspects = crashes_.reports(now);
     return report;
 }
 
@@ -406,9 +395,7 @@
 void Scheduler::place(Call &call, bool mayWait, Time now, Effects &effects)
 {
     const auto &facts = call.facts;
-    if (quarantine_.verdict(facts.fingerprint, now) == Decisions::Verdict::Quarantined) {
-        reject(call, RejectReason::Quarantined, Decisions::QuarantineOptions().firstQuarantine, now,
-               effects);
+    if (rejectIfSuspected(call, now, effects)) {
         return;
     }
     const bool atHome = homeAllowed(facts) && !table_.usable(facts.service).empty();
@@ -421,7 +408,7 @@
         }
         return;
     }
-    const auto candidate = placement_.choose(call, now);
+    const auto candidate = chooseEndpoint(call, now);
     if (candidate && placement_.shouldSend(call, *candidate, now)
         && send(call, *candidate, now, effects)) {
         return;
@@ -439,6 +426,21 @@
     enqueue(call);
 }
 
+bool Scheduler::rejectIfSuspected(Call &call, Time now, Effects &effects)
+{
+    const auto rejectedFor = crashes_.rejectedFor(call.facts.fingerprint, now);
+    if (rejectedFor) {
+        reject(call, RejectReason::Quarantined, *rejectedFor, now, effects);
+    }
+    return rejectedFor.has_value();
+}
+
+std::optional<Candidate> Scheduler::chooseEndpoint(const Call &call, Time now)
+{
+    const bool mayStart = crashes_.mayStart(call.facts.fingerprint);
+    return mayStart ? placement_.choose(call, now) : std::nullopt;
+}
+
 bool Scheduler::send(Call &call, const Candidate &candidate, Time now, Effects &effects)
 {
     auto &endpoint = *candidate.endpoint;
@@ -453,6 +455,7 @@
     call.attemptCancelled = false;
     call.idleAtSend = endpoint.idle();
     call.slotFreeAtSend = endpoint.load() < record.slots;
+    call.countedAsSuspect = crashes_.started(call.facts.fingerprint);
     call.attemptedEndpoints.push_back(record.id);
     ++call.attempts;
     ++endpoint.own;
@@ -603,7 +606,10 @@
     placeWaitingForRegions(now, effects);
     dispatchQueue(now, effects);
     cancelSilentAttempts(now, effects);
-    quarantine_.expire(now);
+    crashes_.expire(now);
+    if (now - listCheckedAt_ >= ListCheckInterval) {
+        checkListed(now);
+    }
     return effects;
 }
 
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -10,6 +10,7 @@
 
 #include "Decisions/Decisions.h"
 #include "Dispatch/Call.h"
+#include "Dispatch/CrashAttribution.h"
 #include "Dispatch/EndpointHealth.h"
 #include "Dispatch/EndpointTable.h"
 #include "Dispatch/Facts.h"
@@ -69,6 +70,11 @@
                                   const CrossRegionLoadReport &report, Time now);
     /// Applies notices of long prompts that another instance of the region has just sent.
     void learn(const PromptNotices &notices, Time now);
+    /// Applies notices of requests that another instance has just begun to reject.
+    void learn(const SuspectNotices &notices, Time now);
+    /// Requests that this instance has begun to reject since the last call, since endpoints crashed
+    /// under them.
+    SuspectNotices takeSuspectNotices(Time now);
     /// Long prompts sent since the last call, for the other instances of the region.
     PromptNotices takeNotices();
     RegionLoadReport regionLoadReport(Time now);
@@ -104,9 +110,9 @@
     {
         return queue_.size();
     }
-    /// False if the endpoint that the request was placed on is unknown, leaving or evacuated. True
-    /// if the request is unknown or not placed on an endpoint.
-    bool maySend(CallId call) const;
+    /// False if the endpoint that the request was placed on is unknown, leaving or evacuated, or if
+    /// the request is rejected by now. True if the request is unknown or not placed on an endpoint.
+    bool maySend(CallId call, Time now) const;
     bool knows(CallId call) const
     {
         return calls_.count(call) > 0;
@@ -168,7 +174,11 @@
     /// ratio.
     double retrySlack() const;
     void updateRetryBudgets();
-    void mergeSuspects(const std::vector<SuspectReport> &suspects, Time now);
+    void checkListed(Time now);
+    /// Rejects the request if endpoints crash under it. Returns true if so.
+    bool rejectIfSuspected(Call &call, Time now, Effects &effects);
+    /// Chooses an endpoint unless another attempt of a suspected request has to end first.
+    std::optional<Candidate> chooseEndpoint(const Call &call, Time now);
 
     // Evaluation of attempts.
     void leaveEndpoint(Call &call, AttemptOutcome outcome, Time now);
@@ -181,13 +191,14 @@
     EndpointTable table_;
     SpareCapacity spareCapacity_;
     Decisions::Quarantine quarantine_;
+    CrashAttribution crashes_;
+    Time listCheckedAt_{};
     Placement placement_;
     EndpointHealth health_;
     std::vector<InstanceId> instances_;
     std::size_t allInstances_ = 1;
     std::map<ServiceName, RetryBudget> budgets_;
     std::vector<PromptNotice> notices_;
-    std::vector<CrashEvent> crashEvents_;
     std::unordered_map<CallId, Call> calls_;
     /// In the order in which requests are served.
     std::multimap<Time, CallId> queue_;
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "Dispatch/Scheduler.h"
 #include "Dispatch/Util.h"
@@ -13,14 +14,15 @@
 
 } // namespace
 
-bool Scheduler::maySend(CallId id) const
+bool Scheduler::maySend(CallId id, Time now) const
 {
     const auto found = calls_.find(id);
     if (found == calls_.end() || found->second.endpoint.empty()) {
         return true;
     }
     const auto *endpoint = table_.find(found->second.endpoint);
-    return endpoint != nullptr && !endpoint->listed.leaving && !endpoint->evacuated;
+    return endpoint != nullptr && !endpoint->listed.leaving && !endpoint->evacuated
+           && !crashes_.rejectedFor(found->second.facts.fingerprint, now);
 }
 
 // Evaluation of attempts.
@@ -78,6 +80,9 @@
 
 void Scheduler::leaveEndpoint(Call &call, AttemptOutcome outcome, Time now)
 {
+    if (std::exchange(call.countedAsSuspect, false)) {
+        crashes_.stopped(call.facts.fingerprint);
+    }
     auto *endpoint = table_.find(call.endpoint);
     if (endpoint == nullptr) {
         return;
--- a/Source/Core/Dispatch/SchedulerQueue.cpp
+++ b/Source/Core/Dispatch/SchedulerQueue.cpp
@@ -169,6 +169,9 @@
             place(call, false, now, effects);
             continue;
         }
+        if (rejectIfSuspected(call, now, effects)) {
+            continue;
+        }
         const auto [entry, isNew] = serviceQueues.try_emplace(service);
         auto &serviceQueue = entry->second;
         if (isNew) {
@@ -176,7 +179,7 @@
             serviceQueue.meanHoldTime = meanHoldTime(service);
         }
         const bool withinLookAhead = serviceQueue.notSent < options_.lookAhead;
-        const auto candidate = withinLookAhead ? placement_.choose(call, now) : std::nullopt;
+        const auto candidate = withinLookAhead ? chooseEndpoint(call, now) : std::nullopt;
         const bool sent = candidate && placement_.shouldSend(call, *candidate, now)
                           && send(call, *candidate, now, effects);
         if (sent) {
--- a/Source/Core/Relay/ControlMetrics.cpp
+++ b/Source/Core/Relay/ControlMetrics.cpp
@@ -22,6 +22,10 @@
     {
         return "region_digest";
     }
+    std::string operator()(const Dispatch::SuspectNotices &) const
+    {
+        return "suspect_notice";
+    }
 };
 
 } // namespace
@@ -30,7 +34,7 @@
     : itemsSent_(makeTraffic(registry, "sent", "items"))
 {
     const GossipMessage examples[] = {Fleet::Heartbeat(), Dispatch::PromptNotices(), UsageNotice(),
-                                      Fleet::RegionDigest()};
+                                      Fleet::RegionDigest(), Dispatch::SuspectNotices()};
     for (const auto &example : examples) {
         const auto name = std::visit(PurposeName(), example);
         sent_.at(example.index()) = makeTraffic(registry, "sent", name);
--- a/Source/Core/Relay/GossipMessage.h
+++ b/Source/Core/Relay/GossipMessage.h
@@ -26,7 +26,7 @@
 };
 
 /// Content of one datagram between two instances.
-using GossipMessage =
-    std::variant<Fleet::Heartbeat, Dispatch::PromptNotices, UsageNotice, Fleet::RegionDigest>;
+using GossipMessage = std::variant<Fleet::Heartbeat, Dispatch::PromptNotices, UsageNotice,
+                                   Fleet::RegionDigest, Dispatch::SuspectNotices>;
 
 } // namespace LaburnumChute::Relay
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -295,6 +295,7 @@
     rejectExpiredEarlyRequests(now);
     endpointsChanged(catalog_.expire(now), now);
     applyEffects(scheduler_.tick(now), now);
+    sendSuspectNotices(now);
     std::vector<std::shared_ptr<RelayedCall>> calls;
     calls.reserve(calls_.size());
     for (const auto &[id, call] : calls_) {
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -162,6 +162,10 @@
     void logCrashEvents(Common::Time now);
     /// Sends the pending prompt notices to the peers in the region.
     void sendPromptNotices();
+    /// Sends the pending notices of suspected requests to the peers in the region and to one
+    /// instance of each other region.
+    void sendSuspectNotices(Common::Time now);
+    void handleSuspectNotices(Dispatch::SuspectNotices notices, Common::Time now);
     void sendAll(const Fleet::Sends &sends);
     void sendToOwnRegion(const GossipMessage &message);
     void fleetChanged(Common::Time now);
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -223,6 +223,10 @@
         {
             gateway.handleDigest(digest, now);
         }
+        void operator()(const Dispatch::SuspectNotices &notices) const
+        {
+            gateway.handleSuspectNotices(notices, now);
+        }
         void operator()(const UsageNotice &notice) const
         {
             if (notice.sender != gateway.settings_.instance) {
@@ -303,6 +307,15 @@
                 .add("fingerprints", joinFingerprints(crash.suspects));
             gateway.log_.write(line, now);
         }
+        void operator()(const Dispatch::RequestHold &hold) const
+        {
+            EventLine line("hold");
+            line.add("fingerprint", formatFingerprint(hold.fingerprint))
+                .add("breaks", static_cast<std::int64_t>(hold.breaks))
+                .add("deaths", static_cast<std::int64_t>(hold.deaths))
+                .add("reported_by_peer", hold.reportedByPeer);
+            gateway.log_.write(line, now);
+        }
         void operator()(const Dispatch::RequestQuarantine &quarantine) const
         {
             gateway.relayMetrics_.quarantines.add();
@@ -326,6 +339,37 @@
     }
 }
 
+void RelayGateway::sendSuspectNotices(Common::Time now)
+{
+    const auto notices = scheduler_.takeSuspectNotices(now);
+    if (notices.suspects.empty()) {
+        return;
+    }
+    const GossipMessage message = notices;
+    sendToOwnRegion(message);
+    const auto datagram = Peers::encodeValue(message);
+    std::set<Common::RegionName> otherRegions;
+    for (const auto &[failureDomain, region] : settings_.regions) {
+        otherRegions.insert(region);
+    }
+    otherRegions.erase(settings_.region);
+    for (const auto &region : otherRegions) {
+        if (const auto peer = findPeerIn(region)) {
+            gossip_.send(peer->gossipAddress, datagram);
+            controlMetrics_.countSent(message, datagram.size(), 1);
+        }
+    }
+}
+
+void RelayGateway::handleSuspectNotices(Dispatch::SuspectNotices notices, Common::Time now)
+{
+    scheduler_.learn(notices, now);
+    if (notices.region != settings_.region) {
+        notices.region = settings_.region;
+        sendToOwnRegion(notices);
+    }
+}
+
 void RelayGateway::fleetChanged(Common::Time now)
 {
     knownPeers_ = roster_.peers(now);
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -128,7 +128,7 @@
     everSent_ = true;
     CallEvents events;
     // The endpoint may begin to leave or be evacuated while the connection is being established.
-    events.maySend = [this] { return gateway_.scheduler().maySend(plan_.facts.id); };
+    events.maySend = [this] { return gateway_.scheduler().maySend(plan_.facts.id, steadyNow()); };
     events.head = [this](const ResponseHead &head) { return handleHead(head); };
     events.body = [this](const std::string &bytes) { handleBody(bytes); };
     events.end = [this] { handleEnd(); };
--- /dev/null
+++ b/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
@@ -0,0 +1,263 @@
+#include "Support.h"
+
+namespace LaburnumChute::Dispatch {
+
+namespace {
+
+constexpr std::uint64_t Suspect = 4711;
+constexpr std::uint64_t Bystander = 4712;
+
+class CrashAttributionTest : public testing::Test
+{
+protected:
+    void breakOn(RunId run, std::uint64_t fingerprint = Suspect)
+    {
+        crashes_.broke(EndpointId(std::to_string(run)), run, fingerprint, now_);
+    }
+    bool rejected(std::uint64_t fingerprint = Suspect) const
+    {
+        return crashes_.rejectedFor(fingerprint, now_).has_value();
+    }
+    void pass(milliseconds time)
+    {
+        now_ += time;
+        crashes_.expire(now_);
+    }
+
+    Decisions::Quarantine quarantine_{Decisions::QuarantineOptions()};
+    CrashAttribution crashes_{quarantine_, 7};
+    Time now_ = Time(seconds(1000));
+};
+
+// Guards against a third crash before the first two are noticed.
+TEST_F(CrashAttributionTest, HoldsARequestThatBrokeOffOnTwoEndpoints)
+{
+    breakOn(1);
+    EXPECT_FALSE(rejected());
+    breakOn(2);
+    EXPECT_TRUE(rejected());
+    EXPECT_LE(*crashes_.rejectedFor(Suspect, now_), seconds(6));
+}
+
+// Endpoints that break off some of their answers do not crash. Guards against rejecting requests
+// that had bad luck twice.
+TEST_F(CrashAttributionTest, ReleasesARequestWhenItsEndpointsAnswer)
+{
+    breakOn(1);
+    breakOn(2);
+    crashes_.answered(1, now_ - milliseconds(1));
+    EXPECT_TRUE(rejected()) << "an answer to an earlier request may have been under way";
+    crashes_.answered(1, now_ + milliseconds(1));
+    EXPECT_FALSE(rejected());
+}
+
+TEST_F(CrashAttributionTest, ForgetsBreaksThatNothingConfirms)
+{
+    breakOn(1);
+    breakOn(2);
+    pass(milliseconds(7000));
+    EXPECT_FALSE(rejected());
+    EXPECT_FALSE(crashes_.hasBreaks());
+}
+
+// Guards against crashes that no connection of this instance shows.
+TEST_F(CrashAttributionTest, RunsThatAreNotListedAnyMoreHaveEnded)
+{
+    breakOn(1);
+    breakOn(2);
+    crashes_.setListed({1, 2}, now_);
+    crashes_.setListed({3}, now_);
+    pass(milliseconds(7000));
+    EXPECT_TRUE(rejected());
+}
+
+// The closed port is found by another request first. Guards against evidence that is used only in
+// one order.
+TEST_F(CrashAttributionTest, ABreakAfterTheEndOfTheRunIsADeath)
+{
+    crashes_.ended(1, now_);
+    breakOn(1);
+    crashes_.ended(2, now_);
+    breakOn(2);
+    pass(milliseconds(7000));
+    EXPECT_TRUE(rejected());
+}
+
+TEST_F(CrashAttributionTest, ABystanderOfASuspectIsNotCharged)
+{
+    breakOn(1);
+    crashes_.ended(1, now_);
+    breakOn(2);
+    breakOn(2, Bystander);
+    crashes_.ended(2, now_);
+    breakOn(3, Bystander);
+    EXPECT_TRUE(rejected());
+    EXPECT_FALSE(rejected(Bystander));
+}
+
+TEST_F(CrashAttributionTest, ACompletedRequestIsNoSuspect)
+{
+    breakOn(1);
+    crashes_.ended(1, now_);
+    breakOn(2);
+    crashes_.completed(Suspect, now_);
+    EXPECT_FALSE(rejected());
+    EXPECT_TRUE(crashes_.reports(now_).empty());
+}
+
+// Guards against copies of a suspect that crash several endpoints at once.
+TEST_F(CrashAttributionTest, ASuspectRunsOnceAtATime)
+{
+    breakOn(1);
+    EXPECT_TRUE(crashes_.mayStart(Suspect));
+    EXPECT_TRUE(crashes_.started(Suspect));
+    EXPECT_FALSE(crashes_.mayStart(Suspect));
+    EXPECT_TRUE(crashes_.mayStart(Bystander));
+    crashes_.stopped(Suspect);
+    EXPECT_TRUE(crashes_.mayStart(Suspect));
+}
+
+// One instance ran the request, another learns that the endpoints have ended.
+TEST_F(CrashAttributionTest, BreaksAndDeathsOfSeveralInstancesAddUp)
+{
+    breakOn(1);
+    Decisions::Quarantine otherQuarantine{Decisions::QuarantineOptions()};
+    CrashAttribution other(otherQuarantine, 8);
+    other.broke(EndpointId("2"), 2, Suspect, now_);
+    other.merge(crashes_.reports(now_), now_);
+    EXPECT_TRUE(other.rejectedFor(Suspect, now_).has_value());
+    crashes_.merge(other.reports(now_), now_);
+    EXPECT_TRUE(rejected());
+    // This instance learns of both ends and tells the other.
+    crashes_.ended(1, now_);
+    crashes_.ended(2, now_);
+    other.merge(crashes_.reports(now_), now_);
+    now_ += seconds(20);
+    other.expire(now_);
+    EXPECT_TRUE(other.rejectedFor(Suspect, now_).has_value());
+}
+
+// Guards against a report of a peer that brings back a break which an answer has refuted.
+TEST_F(CrashAttributionTest, APeerDoesNotBringBackARefutedBreak)
+{
+    breakOn(1);
+    Decisions::Quarantine otherQuarantine{Decisions::QuarantineOptions()};
+    CrashAttribution other(otherQuarantine, 8);
+    other.broke(EndpointId("2"), 2, Suspect, now_);
+    other.merge(crashes_.reports(now_), now_);
+    crashes_.answered(1, now_ + milliseconds(1));
+    pass(milliseconds(10));
+    crashes_.merge(other.reports(now_), now_);
+    EXPECT_FALSE(rejected());
+}
+
+// Guards against reports that are filled up by the many requests that ran beside a suspect.
+TEST_F(CrashAttributionTest, RejectedRequestsComeFirstInReports)
+{
+    for (std::uint64_t fingerprint = 1; fingerprint <= 500; ++fingerprint) {
+        breakOn(1, fingerprint);
+    }
+    breakOn(1);
+    breakOn(2);
+    const auto reports = crashes_.reports(now_);
+    ASSERT_FALSE(reports.empty());
+    EXPECT_EQ(reports.front().fingerprint, Suspect);
+    EXPECT_LE(reports.size(), 40U);
+}
+
+// Guards against an instance that has just started and learns of old quarantines by chance only.
+TEST_F(CrashAttributionTest, OldQuarantinesAreReportedInTurn)
+{
+    constexpr std::uint64_t Count = 40;
+    for (std::uint64_t fingerprint = 1; fingerprint <= Count; ++fingerprint) {
+        breakOn(2 * fingerprint, fingerprint);
+        breakOn(2 * fingerprint + 1, fingerprint);
+        crashes_.ended(2 * fingerprint, now_);
+        crashes_.ended(2 * fingerprint + 1, now_);
+    }
+    pass(milliseconds(10000));
+    std::set<std::uint64_t> reported;
+    for (int round = 0; round < 60; ++round) {
+        const auto reports = crashes_.reports(now_);
+        EXPECT_LE(reports.size(), 4U);
+        for (const auto &report : reports) {
+            reported.insert(report.fingerprint);
+        }
+    }
+    EXPECT_GE(reported.size(), Count - 2);
+}
+
+// Guards against a quarantine after which every instance lets the request crash one endpoint.
+TEST_F(CrashAttributionTest, OnlyTheInstanceThatSawTheLastDeathTriesAgain)
+{
+    breakOn(1);
+    breakOn(2);
+    crashes_.ended(1, now_);
+    crashes_.ended(2, now_);
+    Decisions::Quarantine otherQuarantine{Decisions::QuarantineOptions()};
+    CrashAttribution other(otherQuarantine, 8);
+    other.merge(crashes_.reports(now_), now_);
+    const auto later = now_ + Decisions::QuarantineOptions().firstQuarantine + seconds(1);
+    EXPECT_FALSE(crashes_.rejectedFor(Suspect, later).has_value());
+    EXPECT_TRUE(other.rejectedFor(Suspect, later).has_value());
+}
+
+// Reports go back and forth with the delay of the network. Guards against a quarantine that each of
+// them extends.
+TEST_F(CrashAttributionTest, RepeatedReportsDoNotExtendAQuarantine)
+{
+    breakOn(1);
+    breakOn(2);
+    crashes_.ended(1, now_);
+    crashes_.ended(2, now_);
+    const auto reports = crashes_.reports(now_);
+    const auto end = now_ + *crashes_.rejectedFor(Suspect, now_);
+    pass(milliseconds(4000));
+    crashes_.merge(reports, now_);
+    EXPECT_EQ(now_ + *crashes_.rejectedFor(Suspect, now_), end);
+}
+
+} // namespace
+
+// A copy waits in the queue while another one crashes its second endpoint. Guards against a verdict
+// that is looked at only when a request arrives.
+TEST_F(SchedulerTest, AWaitingCopyOfACrashingRequestIsRejected)
+{
+    setEndpoints({endpoint("a", Model, 1), endpoint("b", Model, 1)});
+    auto call = facts(Model, RequestKind::Stream);
+    call.fingerprint = Suspect;
+    call.repeatable = true;
+    const auto first = scheduler_.submit(call, now_);
+    ASSERT_NE(only<Send>(first), nullptr);
+    const auto second = scheduler_.ended(call.id, AttemptOutcome::Broken, true, now_);
+    ASSERT_NE(only<Send>(second), nullptr);
+    auto copy = facts(Model, RequestKind::Stream);
+    copy.fingerprint = Suspect;
+    EXPECT_TRUE(scheduler_.submit(copy, now_).empty()) << "waits for the end of the first one";
+    const auto effects = scheduler_.ended(call.id, AttemptOutcome::Broken, true, now_);
+    const auto rejects = std::count_if(effects.begin(), effects.end(), [&](const Effect &effect) {
+        const auto *reject = std::get_if<Reject>(&effect);
+        return reject != nullptr && reject->call == copy.id
+               && reject->reason == RejectReason::Quarantined;
+    });
+    EXPECT_EQ(rejects, 1);
+}
+
+// The copy's connection is established after the verdict. Guards against a send that was decided on
+// before it.
+TEST_F(SchedulerTest, ACrashingRequestIsNotSentOnceItsConnectionIsEstablished)
+{
+    setEndpoints({endpoint("a", Plain), endpoint("b", Plain), endpoint("c", Plain)});
+    std::vector<CallFacts> copies;
+    for (int copy = 0; copy < 3; ++copy) {
+        copies.push_back(facts(Plain, RequestKind::AtMostOnce));
+        copies.back().fingerprint = Suspect;
+        ASSERT_NE(only<Send>(scheduler_.submit(copies.back(), now_)), nullptr);
+    }
+    EXPECT_TRUE(scheduler_.maySend(copies[2].id, now_));
+    scheduler_.ended(copies[0].id, AttemptOutcome::Broken, true, now_);
+    scheduler_.ended(copies[1].id, AttemptOutcome::Broken, true, now_);
+    EXPECT_FALSE(scheduler_.maySend(copies[2].id, now_));
+}
+
+} // namespace LaburnumChute::Dispatch
--- a/Source/UnitTests/Dispatch/CrashingRequestTest.cpp
+++ b/Source/UnitTests/Dispatch/CrashingRequestTest.cpp
@@ -112,6 +112,7 @@
             deliverReports();
             for (std::size_t index = 0; index < instances_.size(); ++index) {
                 apply(index, instances_[index].scheduler->tick(now_));
+                sendNotices(index);
             }
         }
         return outcome_;
@@ -148,7 +149,7 @@
         std::size_t receiver = 0;
         InstanceId sender;
         std::size_t senderRegion = 0;
-        std::variant<RegionLoadReport, CrossRegionLoadReport> report;
+        std::variant<RegionLoadReport, CrossRegionLoadReport, SuspectNotices> report;
     };
 
     static RegionName regionName(std::size_t region)
@@ -387,6 +388,23 @@
         }
     }
 
+    /// One instance of another region gets the notices and relays them to the others.
+    void sendNotices(std::size_t sender)
+    {
+        const auto notices = instances_[sender].scheduler->takeSuspectNotices(now_);
+        if (notices.suspects.empty()) {
+            return;
+        }
+        for (std::size_t index = 0; index < instances_.size(); ++index) {
+            const bool own = instances_[index].region == instances_[sender].region;
+            const auto delay = own ? OneWayInRegion : OneWayBetweenRegions;
+            if (index != sender) {
+                deliveries_.emplace(now_ + delay, Delivery{index, instances_[sender].id,
+                                                           instances_[sender].region, notices});
+            }
+        }
+    }
+
     /// The first instance of a region speaks for it; receivers relay what it says.
     void sendDigests()
     {
@@ -407,6 +425,8 @@
         auto &scheduler = *instances_[delivery.receiver].scheduler;
         if (const auto *report = std::get_if<RegionLoadReport>(&delivery.report)) {
             apply(delivery.receiver, scheduler.setRegionLoadReport(delivery.sender, *report, now_));
+        } else if (const auto *notices = std::get_if<SuspectNotices>(&delivery.report)) {
+            scheduler.learn(*notices, now_);
         } else {
             scheduler.setCrossRegionLoadReport(regionName(delivery.senderRegion), delivery.sender,
                                                std::get<CrossRegionLoadReport>(delivery.report),
--- a/Source/UnitTests/Dispatch/RetryTest.cpp
+++ b/Source/UnitTests/Dispatch/RetryTest.cpp
@@ -143,13 +143,13 @@
     setEndpoints({first});
     const auto call = facts(Plain, RequestKind::AtMostOnce);
     ASSERT_NE(only<Send>(scheduler_.submit(call, now_)), nullptr);
-    EXPECT_TRUE(scheduler_.maySend(call.id));
+    EXPECT_TRUE(scheduler_.maySend(call.id, now_));
     scheduler_.setEndpoints({first}, {Common::FailureDomainName("zone")}, now_);
-    EXPECT_FALSE(scheduler_.maySend(call.id));
+    EXPECT_FALSE(scheduler_.maySend(call.id, now_));
     auto leaving = first;
     leaving.leaving = true;
     setEndpoints({leaving, endpoint("b", Plain)});
-    EXPECT_FALSE(scheduler_.maySend(call.id));
+    EXPECT_FALSE(scheduler_.maySend(call.id, now_));
     const auto effects = scheduler_.ended(call.id, AttemptOutcome::NotConnected, true, now_);
     const auto *again = only<Send>(effects);
     ASSERT_NE(again, nullptr);
