--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -152,10 +152,13 @@
 NUMBERS = itertools.count(1)
 
 
-def attempt(address, method, path, body=b"", headers=None):
+def attempt(address, method, path, body=b"", headers=None, source=None):
     """One attempt of a caller: id, status (None without an answer), headers, body."""
     identity = f"{next(NUMBERS):016x}"
-    connection = http.client.HTTPConnection(*address.split(":"), timeout=5)
+    source_address = (source, 0) if source else None
+    connection = http.client.HTTPConnection(
+        *address.split(":"), timeout=5, source_address=source_address
+    )
     sent = {"Host": "shop.example", standin.ATTEMPT: identity, standin.DEADLINE: "4000"}
     try:
         connection.request(method, path, body=body or None, headers={**sent, **(headers or {})})
@@ -429,6 +432,32 @@
     assert {line["limited"] for line in limit_lines} == {True, False}
 
 
+def test_a_request_that_crashes_endpoints_stops_reaching_them(fleet):
+    """One request crashes each endpoint that runs it. It comes again at all instances, through
+    different addresses, beside others that break off with it."""
+    callers = Callers(fleet, count=16)
+    began = time.monotonic()
+    answers = []
+    for turn in range(40):
+        name = random.choice(list(INSTANCES))
+        address = f"{INSTANCES[name][0]}:{fleet.ports}"
+        source = f"127.0.1.{1 + turn % 20}"
+        body = standin.Endpoint.CRASHING_BODY
+        answers.append(attempt(address, "POST", "/stream/x", body, source=source))
+        time.sleep(max(0, began + (turn + 1) * 0.3 - time.monotonic()))
+    count = len(callers.outcomes)
+    time.sleep(2)
+    outcomes = callers.stop()
+    crashes = [at for _, at in fleet.platform.crashes()]
+    assert len(crashes) >= 2, "the request crashed nothing"
+    late = [at for at in crashes if len(crashes) > 3 and at > crashes[2] + 5]
+    assert len(late) <= 3, f"{len(crashes)} crashes, {len(late)} late"
+    # Those that come later are told at once that they have not run.
+    assert all(status == 503 for _, status, _, _ in answers[-10:])
+    # All callers send the same draft, which was on each endpoint that crashed.
+    assert all(status == 200 for kind, _, status, _, _ in outcomes[count:] if kind == "draft")
+
+
 CUSTOMERS = [
     standin.customer("school", ["key-of-school"]),
     standin.customer("club", ["key-of-club"], homes=["south"]),
