Know crashing requests by their content, whoever sends them

Cause: the fingerprint contained the caller's remote address.

Change: the fingerprint is made of customer, method, target and body. Callers of the same content now share its evidence, so a request that completed within 20 s is no suspect, and an instance where it completes tells those that suspect it; otherwise a draft that all callers send is rejected where it was on two endpoints when they crashed.

--- a/Source/Core/Dispatch/CrashAttribution.cpp
+++ b/Source/Core/Dispatch/CrashAttribution.cpp
@@ -17,6 +17,11 @@
 constexpr seconds RepeatTime{5};
 /// How long it is remembered that a run ended or answered.
 constexpr seconds RunMemory{60};
+/// A request that completed within this time is no suspect.
+constexpr seconds CompletionMemory{20};
+constexpr std::size_t MaxCompletions = 4096;
+/// The maps of times have thousands of entries.
+constexpr seconds ForgetInterval{1};
 /// Bound the size of a report, see reports().
 constexpr std::size_t MaxRecentSuspects = 32;
 constexpr std::size_t MaxOldSuspects = 4;
@@ -30,6 +35,14 @@
     return EndpointId(fmt::format("{:016x}", run));
 }
 
+SuspectReport vindication(std::uint64_t fingerprint)
+{
+    SuspectReport report;
+    report.fingerprint = fingerprint;
+    report.completes = true;
+    return report;
+}
+
 std::uint32_t toMilliseconds(Duration age)
 {
     const auto count = std::chrono::duration_cast<milliseconds>(age).count();
@@ -65,7 +78,8 @@
 
 void CrashAttribution::addBreak(RunId run, std::uint64_t fingerprint, const Break &added, Time now)
 {
-    if (runs_.count(run) == 0 && runs_.size() >= MaxRuns) {
+    const bool full = runs_.count(run) == 0 && runs_.size() >= MaxRuns;
+    if (full || completedRecently(fingerprint, now)) {
         return;
     }
     auto &entry = runs_[run];
@@ -176,6 +190,14 @@
 }
 
 void CrashAttribution::completed(std::uint64_t fingerprint, Time now)
+{
+    if (completedAt_.size() < MaxCompletions || completedAt_.count(fingerprint) > 0) {
+        completedAt_[fingerprint] = now;
+    }
+    clear(fingerprint, now);
+}
+
+void CrashAttribution::clear(std::uint64_t fingerprint, Time now)
 {
     quarantine_->completed(fingerprint, now);
     const auto found = runsOf_.find(fingerprint);
@@ -207,10 +229,22 @@
     for (const auto run : expired) {
         eraseBreaks(run);
     }
-    const auto isOld = [now](const auto &item) { return now - item.second > RunMemory; };
-    std::erase_if(endedAt_, isOld);
-    std::erase_if(answeredAt_, isOld);
     quarantine_->expire(now);
+    if (now - forgottenAt_ >= ForgetInterval) {
+        forgottenAt_ = now;
+        forget(now);
+    }
+}
+
+void CrashAttribution::forget(Time now)
+{
+    const auto forgetOlder = [now](auto &times, Duration memory) {
+        std::erase_if(times, [&](const auto &item) { return now - item.second > memory; });
+    };
+    forgetOlder(endedAt_, RunMemory);
+    forgetOlder(answeredAt_, RunMemory);
+    forgetOlder(completedAt_, CompletionMemory);
+    forgetOlder(vindicatedAt_, RepeatTime);
 }
 
 // Decisions.
@@ -231,6 +265,12 @@
     return breakCount(fingerprint) > 0 && evidence(fingerprint) >= quarantine_->maxDeaths();
 }
 
+bool CrashAttribution::completedRecently(std::uint64_t fingerprint, Time now) const
+{
+    const auto found = completedAt_.find(fingerprint);
+    return found != completedAt_.end() && now - found->second <= CompletionMemory;
+}
+
 Time CrashAttribution::lastBreak(std::uint64_t fingerprint) const
 {
     Time last{};
@@ -350,6 +390,11 @@
     std::erase_if(reports, [](const SuspectReport &report) {
         return report.deaths.empty() && report.breaks.empty();
     });
+    for (const auto &[fingerprint, at] : vindicatedAt_) {
+        if (reports.size() < MaxRecentSuspects + MaxOldSuspects) {
+            reports.push_back(vindication(fingerprint));
+        }
+    }
     return reports;
 }
 
@@ -357,7 +402,12 @@
 {
     std::vector<SuspectReport> notices;
     for (const auto fingerprint : std::exchange(unannounced_, {})) {
-        if (notices.size() < MaxRecentSuspects && rejectedFor(fingerprint, now)) {
+        if (notices.size() >= MaxRecentSuspects) {
+            break;
+        }
+        if (vindicatedAt_.count(fingerprint) > 0) {
+            notices.push_back(vindication(fingerprint));
+        } else if (rejectedFor(fingerprint, now)) {
             notices.push_back(reportOf(fingerprint, true, now));
         }
     }
@@ -368,34 +418,48 @@
 {
     std::vector<Decisions::SuspectNotice> deaths;
     for (const auto &report : reports) {
-        Decisions::SuspectNotice notice;
-        notice.fingerprint = report.fingerprint;
-        notice.age = milliseconds(report.ageMs);
+        if (report.completes) {
+            clear(report.fingerprint, now);
+            continue;
+        }
         for (const auto run : report.deaths) {
-            notice.deaths.push_back(nameOf(run));
             if (runs_.count(run) > 0) {
                 ended(run, now);
             }
         }
-        if (!notice.deaths.empty()) {
-            deaths.push_back(std::move(notice));
-        }
-        for (const auto &reported : report.breaks) {
-            const Time at = now - milliseconds(reported.ageMs);
-            const auto answered = answeredAt_.find(reported.run);
-            const bool refuted = answered != answeredAt_.end() && answered->second > at;
-            if (refuted || now - at > ConfirmationTime) {
-                continue;
-            }
-            addBreak(reported.run, report.fingerprint, {at, false}, now);
-            if (endedAt_.count(reported.run) > 0) {
-                ended(reported.run, now);
+        if (completedRecently(report.fingerprint, now)) {
+            if (vindicatedAt_.emplace(report.fingerprint, now).second) {
+                unannounced_.insert(report.fingerprint);
             }
+            continue;
+        }
+        mergeBreaks(report, now);
+        if (!report.deaths.empty()) {
+            Decisions::SuspectNotice notice{report.fingerprint, {}, milliseconds(report.ageMs)};
+            std::transform(report.deaths.begin(), report.deaths.end(),
+                           std::back_inserter(notice.deaths), nameOf);
+            deaths.push_back(std::move(notice));
         }
     }
     recordStarts(quarantine_->merge(deaths, now), true);
 }
 
+void CrashAttribution::mergeBreaks(const SuspectReport &report, Time now)
+{
+    for (const auto &reported : report.breaks) {
+        const Time at = now - milliseconds(reported.ageMs);
+        const auto answered = answeredAt_.find(reported.run);
+        const bool refuted = answered != answeredAt_.end() && answered->second > at;
+        if (refuted || now - at > ConfirmationTime) {
+            continue;
+        }
+        addBreak(reported.run, report.fingerprint, {at, false}, now);
+        if (endedAt_.count(reported.run) > 0) {
+            ended(reported.run, now);
+        }
+    }
+}
+
 void CrashAttribution::recordStarts(const std::vector<Decisions::QuarantineStart> &starts,
                                     bool reportedByPeer)
 {
--- a/Source/Core/Dispatch/CrashAttribution.h
+++ b/Source/Core/Dispatch/CrashAttribution.h
@@ -30,8 +30,10 @@
 /// refuted if the endpoint answers a request that was sent later, and becomes a death in the
 /// quarantine when the endpoint is known to have ended, whoever learns it. A request whose breaks
 /// and deaths together reach the number of deaths for a quarantine is held: it is rejected until
-/// its breaks are refuted or expire. Breaks and deaths are reported to the other instances; those
-/// of a request that is held or quarantined at once.
+/// its breaks are refuted or expire. A request that has completed shortly before is no suspect:
+/// many callers may send the same one, and some are always on an endpoint that crashes. Breaks and
+/// deaths are reported to the other instances; those of a request that is held or quarantined at
+/// once.
 class CrashAttribution
 {
 public:
@@ -92,13 +94,17 @@
     };
 
     void addBreak(RunId run, std::uint64_t fingerprint, const Break &added, Time now);
+    void clear(std::uint64_t fingerprint, Time now);
     void eraseBreaks(RunId run);
+    void forget(Time now);
     std::size_t breakCount(std::uint64_t fingerprint) const;
     /// Breaks and deaths together.
     std::size_t evidence(std::uint64_t fingerprint) const;
     bool held(std::uint64_t fingerprint) const;
+    bool completedRecently(std::uint64_t fingerprint, Time now) const;
     Time lastBreak(std::uint64_t fingerprint) const;
     void recordStarts(const std::vector<Decisions::QuarantineStart> &starts, bool reportedByPeer);
+    void mergeBreaks(const SuspectReport &report, Time now);
     SuspectReport reportOf(std::uint64_t fingerprint, bool includeOthers, Time now) const;
 
     Decisions::Quarantine *quarantine_;
@@ -109,7 +115,11 @@
     std::unordered_map<RunId, Time> endedAt_;
     /// Latest send time of a request that was answered.
     std::unordered_map<RunId, Time> answeredAt_;
+    std::unordered_map<std::uint64_t, Time> completedAt_;
+    /// When another instance suspected a request that completes here.
+    std::unordered_map<std::uint64_t, Time> vindicatedAt_;
     std::unordered_map<std::uint64_t, int> running_;
+    Time forgottenAt_{};
     std::set<std::uint64_t> unannounced_;
     std::vector<CrashEvent> events_;
 };
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -51,7 +51,7 @@
     bool forwarded = false;
     /// Number of endpoints that may run it.
     int maxRuns = 1;
-    /// Equal for requests with the same content from the same caller.
+    /// Equal for requests with the same content from the same customer.
     std::uint64_t fingerprint = 0;
 };
 
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -107,11 +107,13 @@
     std::uint32_t ageMs = 0;
     /// Runs that are not known to have ended.
     std::vector<BreakReport> breaks;
+    /// The request completed at the sender shortly before, so it is no suspect.
+    bool completes = false;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(fingerprint, deaths, ageMs, breaks);
+        archive(fingerprint, deaths, ageMs, breaks, completes);
     }
 };
 
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -32,6 +32,14 @@
     return static_cast<double>(head.promptTokens) + static_cast<double>(head.maxOutputTokens);
 }
 
+/// Whether a request crashes endpoints depends on its content and not on the address from which it
+/// comes: the repeats of one caller may pass through several addresses.
+std::uint64_t fingerprintOf(const InboundRequest &request, const Common::CustomerName &customer)
+{
+    const auto head = fmt::format("{}\n{} {}", customer.text(), request.method, request.target);
+    return Common::stableHash(*request.body, Common::stableHash(head));
+}
+
 /// Removes API keys, and headers by which a caller could pass for another instance.
 Common::Headers callerHeadersToPassOn(const Common::Headers &headers)
 {
@@ -174,9 +182,7 @@
     facts.outputTokens = head->expectedOutputTokens.value_or(head->maxOutputTokens);
     facts.allowedRegions = access->regions;
     facts.maxRuns = std::max(1, route->attempts);
-    facts.fingerprint =
-        Common::stableHash(*request.body, Common::stableHash(connection->remoteIp() + request.method
-                                                             + " " + request.target));
+    facts.fingerprint = fingerprintOf(request, plan.customer);
     plan.head = std::move(*head);
     plan.headers = callerHeadersToPassOn(request.headers);
     plan.method = std::move(request.method);
--- a/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
+++ b/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
@@ -105,6 +105,24 @@
     EXPECT_TRUE(crashes_.reports(now_).empty());
 }
 
+// Many callers send the same request, so that copies of it are on each endpoint that crashes.
+// Guards against rejecting them all.
+TEST_F(CrashAttributionTest, ARequestThatCompletedShortlyBeforeIsNoSuspect)
+{
+    crashes_.completed(Suspect, now_);
+    pass(milliseconds(5000));
+    for (const RunId run : {1, 2, 3}) {
+        breakOn(run);
+        crashes_.ended(run, now_);
+    }
+    EXPECT_FALSE(rejected());
+    pass(milliseconds(20000));
+    for (const RunId run : {4, 5}) {
+        breakOn(run);
+    }
+    EXPECT_TRUE(rejected()) << "a request may begin to crash endpoints";
+}
+
 // Guards against copies of a suspect that crash several endpoints at once.
 TEST_F(CrashAttributionTest, ASuspectRunsOnceAtATime)
 {
@@ -137,6 +155,21 @@
     EXPECT_TRUE(other.rejectedFor(Suspect, now_).has_value());
 }
 
+// A request that many callers send was on two endpoints when they crashed, and completes at another
+// instance. Guards against one instance that rejects what all others serve.
+TEST_F(CrashAttributionTest, ACompletionAtAnotherInstanceClears)
+{
+    breakOn(1);
+    breakOn(2);
+    ASSERT_TRUE(rejected());
+    Decisions::Quarantine otherQuarantine{Decisions::QuarantineOptions()};
+    CrashAttribution other(otherQuarantine, 8);
+    other.completed(Suspect, now_);
+    other.merge(crashes_.reports(now_), now_);
+    crashes_.merge(other.takeNotices(now_), now_);
+    EXPECT_FALSE(rejected());
+}
+
 // Guards against a report of a peer that brings back a break which an answer has refuted.
 TEST_F(CrashAttributionTest, APeerDoesNotBringBackARefutedBreak)
 {
