Test that endpoints that ask for rest or say that they leave are left alone

The logs show 317 attempts in some seconds that two endpoints answered 503; each request tries one after the other within a millisecond and is rejected.

With stand-ins, three tests fail: over 100 requests in a rest of 3 s; callers that are told to return after 0.4 s while all endpoints rest for 3 s; some 40 requests later than 3 s after an endpoint said in its answers that it leaves.

--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -458,6 +458,57 @@
     assert all(status == 200 for kind, _, status, _, _ in outcomes[count:] if kind == "draft")
 
 
+def test_an_endpoint_that_asks_for_rest_is_left_alone(fleet):
+    """An endpoint rejects all and names a time for which it wants nothing. Rejections are faster
+    than answers, so that it looks idle."""
+    rest = 3.0
+    grace = 0.5
+    callers = Callers(fleet, count=16)
+    time.sleep(2)
+    fleet.platform.ask_for_rest("m-north-1", rest)
+    time.sleep(rest + 1)
+    outcomes = callers.stop()
+    check_promises(fleet, outcomes)
+    since = fleet.platform.rest_asked("m-north-1")
+    assert since is not None, "it never asked for rest"
+    arrivals = fleet.platform.arrivals("m-north-1")
+    during = [at for at in arrivals if since + grace < at < since + rest]
+    # The two instances of its region may each send two.
+    assert len(during) <= 4, f"{len(during)} requests during the rest"
+    assert all(status == 200 for kind, _, status, _, _ in outcomes if kind == "draft")
+
+
+def test_callers_are_told_when_endpoints_that_rest_are_back(fleet):
+    """All endpoints of a service ask for rest. Guards against callers that wait for their deadline
+    or return before the endpoints do."""
+    rest = 3.0
+    for identity in ("d-north-1", "d-south-1"):
+        fleet.platform.ask_for_rest(identity, rest)
+    for name in INSTANCES:
+        order(fleet, name, {})
+    began = time.monotonic()
+    answers = [order(fleet, name, {}) for name in INSTANCES for _ in range(4)]
+    assert time.monotonic() - began < 0.5
+    for _, status, headers, _ in answers:
+        assert status == 503
+        assert float(headers["Retry-After"]) >= rest - 1
+    assert sum(len(fleet.platform.arrivals(identity)) for identity in ("d-north-1", "d-south-1")) <= 6
+
+
+def test_an_endpoint_that_says_it_leaves_gets_nothing_more(fleet):
+    """The endpoint's record never says that it leaves, only its answers do."""
+    callers = Callers(fleet, count=16)
+    time.sleep(1)
+    fleet.platform.announce_leaving("m-north-1")
+    announced = time.monotonic()
+    time.sleep(5)
+    outcomes = callers.stop()
+    check_promises(fleet, outcomes)
+    late = [at for at in fleet.platform.arrivals("m-north-1") if at > announced + 3]
+    assert late == []
+    assert all(status == 200 for kind, _, status, _, _ in outcomes if kind == "draft")
+
+
 CUSTOMERS = [
     standin.customer("school", ["key-of-school"]),
     standin.customer("club", ["key-of-club"], homes=["south"]),
