Leave endpoints alone that ask for rest

Cause: nothing read the Retry-After of an endpoint's 503.

Change: the adapter decodes the rest, EndpointRest keeps to it on every way to an endpoint: first and further attempts, forwarded and resumed requests, the queue, a connection that is established after it, and copies of cached prompts. Afterwards one request tests the endpoint; the end varies by a tenth, so that instances do not return together. When all endpoints of a service rest, callers are rejected at once and told when the first is back. Other instances are not told: the protocol asks one instance for rest.

--- a/Source/Core/Dialect/Dialect.h
+++ b/Source/Core/Dialect/Dialect.h
@@ -83,6 +83,8 @@
     std::optional<double> limitPerSecond;
     /// Remaining warm-up time of the endpoint.
     std::optional<Common::Duration> coldLeft;
+    /// The endpoint rejects requests and wants none from this instance for this long.
+    std::optional<Common::Duration> restFor;
 };
 
 } // namespace LaburnumChute::Dialect
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -12,6 +12,7 @@
 
 #include "Dispatch/ColdRateLimit.h"
 #include "Dispatch/CrashAttribution.h"
+#include "Dispatch/EndpointRest.h"
 #include "Dispatch/EngineModel.h"
 #include "Dispatch/EventPace.h"
 #include "Dispatch/LoadEstimate.h"
@@ -56,6 +57,7 @@
     PrefixCache cache;
     ColdRateLimit coldRateLimit;
     RateLimit limit;
+    EndpointRest rest;
 
     /// Broken or silent attempts since the last successful answer.
     int consecutiveFailures = 0;
--- a/Source/Core/Dispatch/Options.h
+++ b/Source/Core/Dispatch/Options.h
@@ -93,6 +93,10 @@
     /// Random fraction by which retry delays vary, so that rejected callers do not return together.
     double retryAfterJitter = 0.3;
 
+    /// Random fraction by which the rest that an endpoint asks for is extended, so that instances
+    /// that were asked together do not return together.
+    double restJitter = 0.1;
+
     // Failing endpoints.
 
     /// Ejection time of an endpoint that refused a connection; doubled up to the maximum.
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -81,6 +81,9 @@
     if (endpoint.ejectedUntil && (now < *endpoint.ejectedUntil || endpoint.probing)) {
         return false;
     }
+    if (!endpoint.rest.allows(now)) {
+        return false;
+    }
     const bool coldLimited = endpoint.cold(now) && service.coldRate > 0;
     // After a power failure a region's instances and endpoints start at the same time. Instances
     // that do not know their peers yet would each use the whole limit.
@@ -117,6 +120,7 @@
     CacheHolder holder;
     for (const auto *endpoint : table_->running(call.facts.service)) {
         const bool reachable = !endpoint->ejectedUntil && !endpoint->evacuated
+                               && endpoint->rest.left(now) == Duration(0)
                                && (!endpoint->listed.endsAt || now < *endpoint->listed.endsAt);
         const auto cached = reachable ? endpoint->cache.cachedTokens(call.facts.parts) : 0;
         if (cached > holder.tokens) {
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -325,7 +325,8 @@
         spare.service = shortId(name);
         std::optional<Duration> best;
         for (const auto *endpoint : table_.usable(name)) {
-            if (endpoint->ejectedUntil || endpoint->cold(now)) {
+            const bool resting = endpoint->rest.left(now) > Duration(0);
+            if (endpoint->ejectedUntil || endpoint->cold(now) || resting) {
                 continue;
             }
             ++spare.endpoints;
@@ -364,6 +365,14 @@
     return changed;
 }
 
+void Scheduler::restSeen(const EndpointId &endpoint, Duration rest, Time now)
+{
+    if (auto *state = table_.find(endpoint)) {
+        std::uniform_real_distribution<double> factor(1, 1 + options_.restJitter);
+        state->rest.begin(scaled(rest, factor(random_)), now);
+    }
+}
+
 void Scheduler::coldSeen(const EndpointId &endpoint, Duration left, Time now)
 {
     if (auto *state = table_.find(endpoint)) {
@@ -474,6 +483,7 @@
         endpoint.coldRateLimit.sent(now);
     }
     endpoint.limit.sent(now);
+    endpoint.rest.sent(now);
     Send effect;
     effect.call = call.facts.id;
     effect.endpoint = record.id;
@@ -554,6 +564,16 @@
     return better && forward(call, offer, now, effects);
 }
 
+Duration Scheduler::restOfAll(const ServiceName &service, Time now) const
+{
+    std::optional<Duration> shortest;
+    for (const auto *endpoint : table_.usable(service)) {
+        const auto left = endpoint->rest.left(now);
+        shortest = shortest ? std::min(*shortest, left) : left;
+    }
+    return shortest.value_or(Duration(0));
+}
+
 Duration Scheduler::withJitter(Duration wait)
 {
     std::uniform_real_distribution<double> factor(1 - options_.retryAfterJitter,
@@ -562,7 +582,7 @@
     return scaled(bounded, factor(random_));
 }
 
-void Scheduler::reject(Call &call, RejectReason reason, Duration wait, Time, Effects &effects)
+void Scheduler::reject(Call &call, RejectReason reason, Duration wait, Time now, Effects &effects)
 {
     dequeue(call);
     if (call.runs > 0) {
@@ -572,7 +592,13 @@
         return;
     }
     const auto id = call.facts.id;
-    const auto retryAfter = reason == RejectReason::Quarantined ? wait : withJitter(wait);
+    auto retryAfter = reason == RejectReason::Quarantined ? wait : withJitter(wait);
+    // Before the end of the rest, the caller would be rejected again.
+    const auto rest = restOfAll(call.facts.service, now);
+    if (rest > retryAfter) {
+        std::uniform_real_distribution<double> factor(1, 1 + options_.retryAfterJitter);
+        retryAfter = scaled(rest, factor(random_));
+    }
     calls_.erase(id);
     effects.push_back(Reject{id, reason, retryAfter});
 }
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -99,6 +99,8 @@
     ///        stated none
     /// @return the limit has changed
     bool limitSeen(const EndpointId &endpoint, std::optional<double> perSecond, Time now);
+    /// The endpoint rejected a request and wants none from this instance for some time.
+    void restSeen(const EndpointId &endpoint, Duration rest, Time now);
     void coldSeen(const EndpointId &endpoint, Duration left, Time now);
     Effects tick(Time now);
     /// Crashes of endpoints and quarantines of requests since the last call, for the log.
@@ -110,8 +112,9 @@
     {
         return queue_.size();
     }
-    /// False if the endpoint that the request was placed on is unknown, leaving or evacuated, or if
-    /// the request is rejected by now. True if the request is unknown or not placed on an endpoint.
+    /// False if the endpoint that the request was placed on is unknown, leaving, evacuated or at
+    /// rest, or if the request is rejected by now. True if the request is unknown or not placed on
+    /// an endpoint.
     bool maySend(CallId call, Time now) const;
     bool knows(CallId call) const
     {
@@ -169,6 +172,8 @@
     /// Wait of a request that arrives now.
     Duration expectedWait(const Call &call, Time now);
     Duration withJitter(Duration wait);
+    /// Time until the first endpoint of the service ends its rest; zero if any has none.
+    Duration restOfAll(const ServiceName &service, Time now) const;
     RetryBudget &budget(const ServiceName &service);
     /// This instance's part of the fixed number of retries that are allowed in addition to the
     /// ratio.
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -22,6 +22,7 @@
     }
     const auto *endpoint = table_.find(found->second.endpoint);
     return endpoint != nullptr && !endpoint->listed.leaving && !endpoint->evacuated
+           && endpoint->rest.left(now) == Duration(0)
            && !crashes_.rejectedFor(found->second.facts.fingerprint, now);
 }
 
@@ -39,6 +40,7 @@
     if (endpoint == nullptr) {
         return;
     }
+    endpoint->rest.accepted(call.sentAt);
     const auto took = now - call.sentAt;
     // Short prompts may be prefilled before longer ones that were sent earlier.
     std::optional<BusyPeriod> busy;
@@ -88,6 +90,10 @@
         return;
     }
     endpoint->own = std::max(0, endpoint->own - 1);
+    if (outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Error) {
+        endpoint->rest.accepted(call.sentAt);
+    }
+    endpoint->rest.ended(call.sentAt);
     if (!call.answering) {
         endpoint->prefillQueue.remove(call.sentAt, now);
     }
--- a/Source/Core/Dispatch/SchedulerQueue.cpp
+++ b/Source/Core/Dispatch/SchedulerQueue.cpp
@@ -56,8 +56,12 @@
         const double slots = endpoint->listed.record.slots;
         const auto delay =
             engine ? placement_.engineWait(*endpoint, now) : placement_.plainWait(*endpoint);
-        const auto wait = std::max(delay, limit.wait(now));
+        const auto rest = endpoint->rest.left(now);
+        const auto wait = std::max({delay, limit.wait(now), rest});
         shortest = shortest ? std::min(*shortest, wait) : wait;
+        if (rest > Duration(0)) {
+            continue;
+        }
         // Slots are scaled by the ratio of the limited rate to the unlimited one.
         const double usualRate = slots / endpoint->holdSeconds();
         const double fraction = usualRate > 0 ? endpoint->cappedRate(usualRate) / usualRate : 1;
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -276,6 +276,22 @@
     gateway_.log().write(line, now);
 }
 
+void RelayedCall::recordEndpointState(const Dialect::EndpointResponseMetadata &facts,
+                                      Common::Time now)
+{
+    if (endpoint_.empty() || facts.wrongEndpoint) {
+        return;
+    }
+    if (facts.restFor) {
+        gateway_.scheduler().restSeen(endpoint_, *facts.restFor, now);
+        EventLine line("endpoint-rest");
+        line.add("endpoint", endpoint_)
+            .add("request", plan_.head.requestId)
+            .add("rest", *facts.restFor);
+        gateway_.log().write(line, now);
+    }
+}
+
 /// A missing limit is conclusive only in signed responses, which come from the endpoint itself.
 void RelayedCall::recordLimit(const Dialect::EndpointResponseMetadata &facts, Common::Time now)
 {
@@ -313,6 +329,7 @@
     }
     limitPerSecond_ = facts.limitPerSecond;
     recordLimit(facts, now);
+    recordEndpointState(facts, now);
     response_.status = head.status;
     response_.headers = Platform::callerHeaders(endToEndHeaders(head.headers));
     readPeerState(head);
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -94,6 +94,8 @@
     bool handleHead(const ResponseHead &head);
     void readPeerState(const ResponseHead &head);
     void logNotRun(Common::Time now);
+    /// Records what the endpoint says about itself in its answer.
+    void recordEndpointState(const Dialect::EndpointResponseMetadata &facts, Common::Time now);
     void recordLimit(const Dialect::EndpointResponseMetadata &facts, Common::Time now);
     void handleBody(const std::string &bytes);
     void passOnEvents(const std::string &events);
