--- a/Source/Core/Dialect/Dialect.h
+++ b/Source/Core/Dialect/Dialect.h
@@ -85,6 +85,8 @@
     std::optional<Common::Duration> coldLeft;
     /// The endpoint rejects requests and wants none from this instance for this long.
     std::optional<Common::Duration> restFor;
+    /// The endpoint is leaving and accepts no new requests.
+    bool leaving = false;
 };
 
 } // namespace LaburnumChute::Dialect
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -106,6 +106,7 @@
         state->coldUntil = std::max(state->coldUntil, now + cold);
     }
     state->listed = endpoint;
+    state->listed.leaving = endpoint.leaving || state->saidLeaving;
     state->run = runId(record);
 }
 
@@ -245,6 +246,18 @@
     return changed;
 }
 
+bool EndpointTable::leavingSeen(const EndpointId &id)
+{
+    auto *state = find(id);
+    if (state == nullptr || state->listed.leaving) {
+        return false;
+    }
+    state->saidLeaving = true;
+    state->listed.leaving = true;
+    rebuild();
+    return true;
+}
+
 void EndpointTable::divideLimits(const InstanceId &self, const std::vector<InstanceId> &instances,
                                  Time now)
 {
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -37,6 +37,8 @@
     bool removed = false;
     /// Its failure domain is evacuated.
     bool evacuated = false;
+    /// It said so in an answer; its record may not, or later.
+    bool saidLeaving = false;
     Time coldUntil{};
 
     /// Requests of this instance on the endpoint: currently, and as of its last load report.
@@ -161,6 +163,9 @@
     /// Records the rate limit that an answer of the endpoint stated, or that it stated none.
     /// @return the limit has changed
     bool limitSeen(const EndpointId &id, const LimitStatement &statement);
+    /// Records that the endpoint said that it leaves.
+    /// @return this was not known yet
+    bool leavingSeen(const EndpointId &id);
     /// Recomputes this instance's fraction of the endpoints' rate limits.
     /// @param instances live instances of the own region, including this one
     void divideLimits(const InstanceId &self, const std::vector<InstanceId> &instances, Time now);
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -373,6 +373,11 @@
     }
 }
 
+bool Scheduler::leavingSeen(const EndpointId &endpoint)
+{
+    return table_.leavingSeen(endpoint);
+}
+
 void Scheduler::coldSeen(const EndpointId &endpoint, Duration left, Time now)
 {
     if (auto *state = table_.find(endpoint)) {
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -101,6 +101,9 @@
     bool limitSeen(const EndpointId &endpoint, std::optional<double> perSecond, Time now);
     /// The endpoint rejected a request and wants none from this instance for some time.
     void restSeen(const EndpointId &endpoint, Duration rest, Time now);
+    /// The endpoint said that it leaves.
+    /// @return this was not known yet
+    bool leavingSeen(const EndpointId &endpoint);
     void coldSeen(const EndpointId &endpoint, Duration left, Time now);
     Effects tick(Time now);
     /// Crashes of endpoints and quarantines of requests since the last call, for the log.
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -290,6 +290,11 @@
             .add("rest", *facts.restFor);
         gateway_.log().write(line, now);
     }
+    if (facts.leaving && gateway_.scheduler().leavingSeen(endpoint_)) {
+        EventLine line("endpoint-leaving");
+        line.add("endpoint", endpoint_).add("request", plan_.head.requestId);
+        gateway_.log().write(line, now);
+    }
 }
 
 /// A missing limit is conclusive only in signed responses, which come from the endpoint itself.
--- a/Source/UnitTests/Dispatch/EndpointRestTest.cpp
+++ b/Source/UnitTests/Dispatch/EndpointRestTest.cpp
@@ -104,6 +104,30 @@
     EXPECT_GT(retryAfters.size(), 10U);
 }
 
+// Guards against a record that is still "ready" and brings back an endpoint that said it leaves.
+TEST_F(SchedulerTest, AnEndpointThatSaidItLeavesIsNotUsedUntilItsNextStart)
+{
+    auto one = endpoint("a", Plain);
+    setEndpoints({one, endpoint("b", Plain)});
+    EXPECT_TRUE(scheduler_.leavingSeen(EndpointId("a")));
+    EXPECT_FALSE(scheduler_.leavingSeen(EndpointId("a")));
+    const auto used = [this] {
+        std::set<EndpointId> endpoints;
+        for (int index = 0; index < 4; ++index) {
+            const auto effects = scheduler_.submit(facts(Plain), now_);
+            endpoints.insert(only<Send>(effects)->endpoint);
+        }
+        return endpoints;
+    };
+    EXPECT_EQ(used().count(EndpointId("a")), 0U);
+    ++one.record.sequence;
+    scheduler_.updateEndpoints({{one}, {}}, now_);
+    EXPECT_EQ(used().count(EndpointId("a")), 0U);
+    ++one.record.startedAt;
+    scheduler_.updateEndpoints({{one}, {}}, now_);
+    EXPECT_EQ(used().count(EndpointId("a")), 1U);
+}
+
 /// Instances in front of endpoints that reject what they cannot run at once, and ask the instance
 /// for rest.
 class RestingRegion
--- a/Tools/check-words.sh
+++ b/Tools/check-words.sh
@@ -2,7 +2,7 @@
 # The platform's own names stand in platform/ and nowhere else in the sources.
 set -uo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
-words='Attempt-Id|(^|[^-])Deadline-Ms|Token-Counts|Prompt-Prefix|Server-Seal|Server-Load|Server-Limit|Not-Executed'
+words='Attempt-Id|(^|[^-])Deadline-Ms|Token-Counts|Prompt-Prefix|Server-Seal|Server-Load|Server-Limit|Server-Leaving|Not-Executed'
 words+='|Expect-Instance|Request-Urgency|Length-Hint|Instance-Id|Cold-Ms|Kv-[A-Z]|Pin-Ms'
 words+='|/api/|kv-list|kv-watch|kv-range|latencySloMs|gapTargetMs|homeRegions|morePages|storeRevision'
 words+='|coldLeftMs|remainingMs|portRange|tenant|retrySlack\"|Api-Key|apiKeys|ratePerS\b|billingUnit|plainTokens|strictRevoke|revokeMs|quota(WindowS|Slack|Overshoot)'
