Charge a crash to the requests with the most evidence

Cause: a death was charged to the requests with the most confirmed deaths alone. A bystander of an earlier crash had one, so it could relieve the request that had just broken off on two endpoints, whose breaks were then dropped.

Change: open breaks count as well when the most suspected requests on an endpoint are chosen. A test that fails without it: CrashAttributionTest ABystanderDoesNotRelieveASuspect.

--- a/Source/Core/Decisions/Quarantine.cpp
+++ b/Source/Core/Decisions/Quarantine.cpp
@@ -138,8 +138,15 @@
             mostSuspected.push_back(fingerprint);
         }
     }
+    return recordDeaths(endpoint, mostSuspected, now);
+}
+
+std::vector<QuarantineStart>
+Quarantine::recordDeaths(const EndpointId &endpoint, const std::vector<std::uint64_t> &fingerprints,
+                         Time now)
+{
     std::vector<QuarantineStart> starts;
-    for (const auto fingerprint : mostSuspected) {
+    for (const auto fingerprint : fingerprints) {
         if (recordDeath(fingerprint, endpoint, now)) {
             starts.push_back({fingerprint, suspects_.at(fingerprint).deaths.size()});
         }
--- a/Source/Core/Decisions/Quarantine.h
+++ b/Source/Core/Decisions/Quarantine.h
@@ -62,6 +62,10 @@
     std::vector<QuarantineStart> endpointDied(const EndpointId &endpoint,
                                               const std::vector<std::uint64_t> &runningFingerprints,
                                               Time now);
+    /// Records the death for all of the fingerprints.
+    std::vector<QuarantineStart> recordDeaths(const EndpointId &endpoint,
+                                              const std::vector<std::uint64_t> &fingerprints,
+                                              Time now);
 
     std::vector<QuarantineStart> merge(const std::vector<SuspectNotice> &notices, Time now);
     std::vector<SuspectNotice> notices(Time now) const;
--- a/Source/Core/Dispatch/CrashAttribution.cpp
+++ b/Source/Core/Dispatch/CrashAttribution.cpp
@@ -144,17 +144,15 @@
     if (found == runs_.end()) {
         return;
     }
-    const auto breaks = found->second.breaks;
+    // The other requests on the endpoint were bystanders of the most suspected ones.
+    std::size_t mostEvidence = 0;
+    for (const auto &[fingerprint, recorded] : found->second.breaks) {
+        mostEvidence = std::max(mostEvidence, evidence(fingerprint));
+    }
     EndpointCrash crash{found->second.endpoint, {}};
-    eraseBreaks(run);
     std::vector<Decisions::SuspectNotice> ofOthers;
-    std::size_t mostDeaths = 0;
-    for (const auto &[fingerprint, recorded] : breaks) {
-        mostDeaths = std::max(mostDeaths, quarantine_->deathCount(fingerprint));
-    }
-    for (const auto &[fingerprint, recorded] : breaks) {
-        // The other requests on the endpoint were bystanders of the most suspected ones.
-        if (quarantine_->deathCount(fingerprint) < mostDeaths) {
+    for (const auto &[fingerprint, recorded] : found->second.breaks) {
+        if (evidence(fingerprint) < mostEvidence) {
             continue;
         }
         if (recorded.own) {
@@ -163,7 +161,8 @@
             ofOthers.push_back({fingerprint, {nameOf(run)}, now - recorded.at});
         }
     }
-    const auto starts = quarantine_->endpointDied(nameOf(run), crash.suspects, now);
+    eraseBreaks(run);
+    const auto starts = quarantine_->recordDeaths(nameOf(run), crash.suspects, now);
     for (const auto &start : starts) {
         unannounced_.insert(start.fingerprint);
     }
--- a/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
+++ b/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
@@ -95,6 +95,21 @@
     EXPECT_FALSE(rejected(Bystander));
 }
 
+// A bystander was on an endpoint that crashed before. Guards against charging it alone and
+// releasing the request that has just broken off on two endpoints.
+TEST_F(CrashAttributionTest, ABystanderDoesNotRelieveASuspect)
+{
+    breakOn(1, Bystander);
+    crashes_.ended(1, now_);
+    breakOn(2, Bystander);
+    breakOn(2);
+    breakOn(3);
+    crashes_.ended(2, now_);
+    crashes_.ended(3, now_);
+    pass(milliseconds(7000));
+    EXPECT_TRUE(rejected());
+}
+
 TEST_F(CrashAttributionTest, ACompletedRequestIsNoSuspect)
 {
     breakOn(1);
