Let relayed ages of the store grow with time between heartbeats

Cause: an instance reports the lowest age of the store that it knows of, own or relayed. What it knows of its peers is refreshed once per heartbeat, and the time since their reports was fixed at that moment. A relayed age therefore lost up to one interval of 250 ms at each hop, more than the 200 ms that are added for transit, and instances relay the lowest age to each other over and over.

Class: a duration kept beside the moment at which it was true. The ages of removed contacts and of heard instances are time points already.

Change: a peer bears the time at which its record was received, and ages are computed when they are used. The simulation of the region now looks at peers as an instance does, as of the heartbeat before.

--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -110,7 +110,7 @@
     peer.alive = alive(entry, now);
     peer.reachable =
         entry.everHeardDirectly && now - entry.heardDirectly <= options_.reachableTimeout;
-    peer.recordAge = now - entry.heardDirectly;
+    peer.recordedAt = entry.heardDirectly;
     return peer;
 }
 
--- a/Source/Core/Fleet/Roster.h
+++ b/Source/Core/Fleet/Roster.h
@@ -68,8 +68,8 @@
     /// This instance has recently received a heartbeat from the peer itself, or a digest that names
     /// it if it is in another region.
     bool reachable = false;
-    /// Time since the record was received from the peer itself.
-    Duration recordAge{0};
+    /// When the record was received from the peer itself. The ages in the record count from then.
+    Time recordedAt{};
 };
 
 struct Send
--- a/Source/Core/Fleet/StoreWatch.cpp
+++ b/Source/Core/Fleet/StoreWatch.cpp
@@ -28,6 +28,12 @@
     return Common::rendezvousWeight(record.region.text(), record.id.text());
 }
 
+/// Adds the time since the peer reported the age.
+Duration ageNow(std::uint16_t reportedMs, const Peer &peer, Time now)
+{
+    return milliseconds(reportedMs) + (now - peer.recordedAt);
+}
+
 } // namespace
 
 milliseconds watchTimeout(milliseconds bound)
@@ -48,7 +54,8 @@
     return options;
 }
 
-std::optional<Duration> storeContactAge(const InstanceRecord &self, const std::vector<Peer> &peers)
+std::optional<Duration> storeContactAge(const InstanceRecord &self, const std::vector<Peer> &peers,
+                                        Time now)
 {
     std::optional<Duration> age;
     if (self.storeAgeMs) {
@@ -58,14 +65,14 @@
         if (!peer.record.storeAgeMs || peer.record.region != self.region) {
             continue;
         }
-        const Duration peerAge = milliseconds(*peer.record.storeAgeMs) + peer.recordAge;
+        const Duration peerAge = ageNow(*peer.record.storeAgeMs, peer, now);
         age = age ? std::min(*age, peerAge) : peerAge;
     }
     return age;
 }
 
 WatchDuty watchDuty(const InstanceRecord &self, const std::vector<Peer> &peers, Duration uptime,
-                    const WatchOptions &options)
+                    const WatchOptions &options, Time now)
 {
     const auto own = watcherWeight(self);
     const auto ahead =
@@ -79,35 +86,35 @@
     for (auto lookers = options.firstLookers; lookers <= ahead; lookers *= LookerGrowth) {
         tolerated += options.lookStep;
     }
-    const auto age = storeContactAge(self, peers).value_or(uptime);
+    const auto age = storeContactAge(self, peers, now).value_or(uptime);
     return age <= tolerated ? WatchDuty::Listens : WatchDuty::Looks;
 }
 
 std::optional<Duration> storeFailureAge(std::optional<Duration> ownFailureAge,
                                         const Common::RegionName &region,
-                                        const std::vector<Peer> &peers)
+                                        const std::vector<Peer> &peers, Time now)
 {
     auto age = ownFailureAge;
     for (const auto &peer : peers) {
         if (!peer.record.storeFailureAgeMs || peer.record.region != region) {
             continue;
         }
-        const Duration peerAge = milliseconds(*peer.record.storeFailureAgeMs) + peer.recordAge;
+        const Duration peerAge = ageNow(*peer.record.storeFailureAgeMs, peer, now);
         age = age ? std::min(*age, peerAge) : peerAge;
     }
     return age;
 }
 
 std::optional<Duration> storeDataAge(std::optional<Duration> ownAnswerAge,
-                                     std::uint64_t ownRevision, const std::vector<Peer> &peers)
+                                     std::uint64_t ownRevision, const std::vector<Peer> &peers,
+                                     Time now)
 {
     auto age = ownAnswerAge;
     for (const auto &peer : peers) {
         if (!peer.record.storeAgeMs || peer.record.knownRevision > ownRevision) {
             continue;
         }
-        const Duration peerAge =
-            milliseconds(*peer.record.storeAgeMs) + peer.recordAge + TransitTime;
+        const Duration peerAge = ageNow(*peer.record.storeAgeMs, peer, now) + TransitTime;
         age = age ? std::min(*age, peerAge) : peerAge;
     }
     return age;
--- a/Source/Core/Fleet/StoreWatch.h
+++ b/Source/Core/Fleet/StoreWatch.h
@@ -49,7 +49,8 @@
 
 /// Time since the last response from the store that this instance or another one of its region is
 /// known to have received. Empty if there was none.
-std::optional<Duration> storeContactAge(const InstanceRecord &self, const std::vector<Peer> &peers);
+std::optional<Duration> storeContactAge(const InstanceRecord &self, const std::vector<Peer> &peers,
+                                        Time now);
 
 /// Selects the duty of an instance by rendezvous hashing over the instances of its region that are
 /// alive. Whether they are alive is relayed, so that instances agree on it although most of them
@@ -57,17 +58,18 @@
 /// region then has more watchers or fewer listeners, and every instance still learns every change.
 /// @param uptime time since the start of this instance, which counts if no response is known of
 WatchDuty watchDuty(const InstanceRecord &self, const std::vector<Peer> &peers, Duration uptime,
-                    const WatchOptions &options);
+                    const WatchOptions &options, Time now);
 
 /// Time since the last failed call to the store that this instance or another one of its region is
 /// known to have made. Empty if there was none.
 std::optional<Duration> storeFailureAge(std::optional<Duration> ownFailureAge,
                                         const Common::RegionName &region,
-                                        const std::vector<Peer> &peers);
+                                        const std::vector<Peer> &peers, Time now);
 
 /// Upper bound on the time since the instance's copy of the store was up to date, from its own
 /// responses or from those of a peer that knows no later revision. Empty if there were none.
 std::optional<Duration> storeDataAge(std::optional<Duration> ownAnswerAge,
-                                     std::uint64_t ownRevision, const std::vector<Peer> &peers);
+                                     std::uint64_t ownRevision, const std::vector<Peer> &peers,
+                                     Time now);
 
 } // namespace LaburnumChute::Fleet
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -137,7 +137,7 @@
 
 std::optional<Common::Duration> RelayGateway::catalogAge(Common::Time now) const
 {
-    return Fleet::storeDataAge(store_.answerAge(now), catalog_.items().upTo(), knownPeers_);
+    return Fleet::storeDataAge(store_.answerAge(now), catalog_.items().upTo(), knownPeers_, now);
 }
 
 bool RelayGateway::isCatalogFresh(Common::Time now) const
@@ -148,7 +148,7 @@
 
 std::optional<Common::Duration> RelayGateway::storeFailureAge(Common::Time now) const
 {
-    return Fleet::storeFailureAge(store_.failureAge(now), settings_.region, knownPeers_);
+    return Fleet::storeFailureAge(store_.failureAge(now), settings_.region, knownPeers_, now);
 }
 
 /// An instance that does not watch the store itself sees no failures of its own, so those of the
@@ -422,7 +422,7 @@
     }
     const auto bound = std::min(settings_.bounds.endpointDrain, settings_.bounds.configuration);
     const auto duty = Fleet::watchDuty(roster_.self(), knownPeers_, now - startedAt_,
-                                       Fleet::watchOptionsFor(bound));
+                                       Fleet::watchOptionsFor(bound), now);
     if (duty == Fleet::WatchDuty::Looks) {
         looksUntil_ = now + Catalog::StoreSettled;
     }
--- a/Source/UnitTests/Fleet/StoreWatchTest.cpp
+++ b/Source/UnitTests/Fleet/StoreWatchTest.cpp
@@ -14,6 +14,7 @@
 using std::chrono::seconds;
 
 constexpr seconds Uptime{60};
+constexpr Time Start = Time(seconds(1000));
 
 Peer makePeer(const std::string &name, const std::string &region, milliseconds storeAge)
 {
@@ -22,6 +23,7 @@
     result.record.region = Common::RegionName(region);
     result.record.storeAgeMs = static_cast<std::uint16_t>(storeAge.count());
     result.record.knownRevision = 10;
+    result.recordedAt = Start;
     result.alive = true;
     result.reachable = true;
     return result;
@@ -42,7 +44,7 @@
     for (const auto &self : all) {
         auto others = all;
         std::erase_if(others, [&](const Peer &each) { return each.record.id == self.record.id; });
-        ++count[watchDuty(self.record, others, Uptime, WatchOptions())];
+        ++count[watchDuty(self.record, others, Uptime, WatchOptions(), Start)];
     }
     return count;
 }
@@ -101,6 +103,15 @@
     {
         return now_;
     }
+    /// The lowest age of the store's last response that any instance assumes.
+    Duration lowestAge() const
+    {
+        Duration lowest = Duration::max();
+        for (const auto &[address, peers] : peers_) {
+            lowest = std::min(lowest, storeDataAge(std::nullopt, 0, peers, now_).value_or(lowest));
+        }
+        return lowest;
+    }
 
 private:
     void exchangeHeartbeats(const std::string &address, Roster &roster)
@@ -109,9 +120,12 @@
         if (duties_[address] == WatchDuty::Watches) {
             answerAge = lostAt_ ? now_ - *lostAt_ : longestAnswerAge_;
         }
-        roster.setStoreContact(storeDataAge(answerAge, 0, roster.peers(now_)), std::nullopt);
+        // As in an instance, peers are those of the heartbeat before.
+        auto &peers = peers_[address];
+        roster.setStoreContact(storeDataAge(answerAge, 0, peers, now_), std::nullopt);
         deliver(roster.tick(now_));
-        duties_[address] = watchDuty(roster.self(), roster.peers(now_), Uptime, options_);
+        peers = roster.peers(now_);
+        duties_[address] = watchDuty(roster.self(), peers, Uptime, options_, now_);
     }
     void deliver(const Sends &sends)
     {
@@ -124,9 +138,10 @@
     WatchOptions options_;
     Duration longestAnswerAge_;
     std::map<std::string, std::unique_ptr<Roster>> rosters_;
+    std::map<std::string, std::vector<Peer>> peers_;
     std::map<std::string, WatchDuty> duties_;
     std::optional<Time> lostAt_;
-    Time now_ = Time(std::chrono::seconds(1000));
+    Time now_ = Start;
 };
 
 } // namespace
@@ -172,6 +187,23 @@
     }
 }
 
+// Instances relay the age of the store's last response from one to the next. Guards against an age
+// that falls behind on the way: an endpoint that has left would be used for longer than the bound
+// allows.
+TEST(StoreWatchTest, RelayedAgesAreNeverTooLow)
+{
+    for (const int instances : {4, 12, 40}) {
+        SimulatedRegion region(instances, seconds(5));
+        region.run(seconds(5));
+        region.loseStore();
+        const auto lostAt = region.now();
+        while (region.now() - lostAt < seconds(10)) {
+            region.run(milliseconds(50));
+            EXPECT_GE(region.lowestAge(), region.now() - lostAt) << instances;
+        }
+    }
+}
+
 // Guards against needless store calls, each of which has a price, while the watchers' long-poll
 // calls wait for a change.
 TEST(StoreWatchTest, ListenersDoNotAskTheStoreWhileItHasNoChanges)
@@ -190,7 +222,7 @@
         other.reachable = false;
     }
     const auto self = makePeer("alone", "north", milliseconds(0)).record;
-    EXPECT_EQ(watchDuty(self, others, Uptime, WatchOptions()), WatchDuty::Watches);
+    EXPECT_EQ(watchDuty(self, others, Uptime, WatchOptions(), Start), WatchDuty::Watches);
 }
 
 // Guards against a watcher for each instance of a large region, where most instances have not
@@ -220,10 +252,10 @@
 TEST(StoreWatchTest, StoreDataIsAsRecentAsThatOfAPeerWithNoLaterRevision)
 {
     const auto others = makePeers(3, milliseconds(200));
-    const auto known = storeDataAge(std::chrono::seconds(60), 10, others);
+    const auto known = storeDataAge(std::chrono::seconds(60), 10, others, Start);
     ASSERT_TRUE(known.has_value());
     EXPECT_LT(*known, std::chrono::seconds(2));
-    EXPECT_EQ(storeDataAge(std::chrono::seconds(60), 9, others), std::chrono::seconds(60));
+    EXPECT_EQ(storeDataAge(std::chrono::seconds(60), 9, others, Start), std::chrono::seconds(60));
 }
 
 // All instances of a region start during a store outage, so that none has any store data. Guards
@@ -235,8 +267,8 @@
     for (auto &other : others) {
         other.record.storeAgeMs.reset();
     }
-    EXPECT_FALSE(storeDataAge(std::nullopt, 10, others).has_value());
-    EXPECT_EQ(storeDataAge(std::chrono::seconds(3), 10, others), std::chrono::seconds(3));
+    EXPECT_FALSE(storeDataAge(std::nullopt, 10, others, Start).has_value());
+    EXPECT_EQ(storeDataAge(std::chrono::seconds(3), 10, others, Start), std::chrono::seconds(3));
 }
 
 } // namespace LaburnumChute::Fleet
