Log what showed the end of an answer

Callers got a stream as complete that an endpoint's crash had broken off. `request` now says whether the framing or only the close of the connection ended the answer, and how much of an unfinished event had come. No change of logic.

--- a/Source/Core/Relay/EventCutter.cpp
+++ b/Source/Core/Relay/EventCutter.cpp
@@ -106,6 +106,12 @@
     out += event;
 }
 
+std::size_t EventCutter::incompleteEventBytes() const
+{
+    const bool onlyLineBreaks = pending_.find_first_not_of("\r\n") == std::string::npos;
+    return onlyLineBreaks ? 0 : pending_.size();
+}
+
 std::string EventCutter::takeRemainder()
 {
     scanOffset_ = 0;
--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -47,6 +47,17 @@
 
 } // namespace
 
+std::string_view toString(ResponseEnd end)
+{
+    switch (end) {
+    case ResponseEnd::Framing:
+        return "framing";
+    case ResponseEnd::ConnectionClose:
+        return "connection close";
+    }
+    return "unknown";
+}
+
 OutboundCall::OutboundCall(std::shared_ptr<OutboundPool> pool, OutboundRequest request,
                            CallEvents events)
     : pool_(std::move(pool))
@@ -158,7 +169,7 @@
     if (cleanClose && headerDone_ && !skippingResponse_ && parser_->need_eof()) {
         boost::system::error_code ignored;
         parser_->put_eof(ignored);
-        finish();
+        finish(ResponseEnd::ConnectionClose);
         return;
     }
     fail(CallFailure::Broken, error.message());
@@ -196,7 +207,7 @@
             newParser();
             return true;
         }
-        finish();
+        finish(ResponseEnd::Framing);
         return false;
     }
     return !error && used > 0;
@@ -247,7 +258,7 @@
     }
 }
 
-void OutboundCall::finish()
+void OutboundCall::finish(ResponseEnd end)
 {
     const auto self = shared_from_this();
     finished_ = true;
@@ -260,7 +271,7 @@
         boost::system::error_code ignored;
         connection_->socket.close(ignored);
     }
-    events_.end();
+    events_.end(end);
 }
 
 void OutboundCall::fail(CallFailure failure, const std::string &reason)
--- a/Source/Core/Relay/OutboundCall.h
+++ b/Source/Core/Relay/OutboundCall.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -50,6 +51,16 @@
     Broken,
 };
 
+/// What showed that a response is complete.
+enum class ResponseEnd {
+    /// Its length, or the last chunk.
+    Framing,
+    /// Only that the connection was closed, as it also is if the endpoint crashes.
+    ConnectionClose,
+};
+
+std::string_view toString(ResponseEnd end);
+
 /// Callbacks of a call. None is called after the call has ended, failed or been cancelled. Objects
 /// that they refer to must cancel the call before they are destroyed.
 struct CallEvents
@@ -60,8 +71,8 @@
     /// Returns false if the response belongs to another request; it is then skipped.
     std::function<bool(const ResponseHead &)> head;
     std::function<void(const std::string &)> body;
-    /// The response is complete.
-    std::function<void()> end;
+    /// The response is complete, as far as the connection shows.
+    std::function<void(ResponseEnd)> end;
     std::function<void(CallFailure, const std::string &reason)> failed;
 };
 
@@ -104,7 +115,7 @@
     bool handleHead();
     void newParser();
     void deliverBody();
-    void finish();
+    void finish(ResponseEnd end);
     void fail(CallFailure failure, const std::string &reason);
 
     std::shared_ptr<OutboundPool> pool_;
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -122,6 +122,8 @@
     }
     responseMode_ = ResponseMode::None;
     response_ = {};
+    responseEnd_.reset();
+    incompleteEventBytes_ = 0;
     cutter_.restart();
     sentAt_ = now;
     lastEventAt_ = now;
@@ -131,7 +133,7 @@
     events.maySend = [this] { return gateway_.scheduler().maySend(plan_.facts.id, steadyNow()); };
     events.head = [this](const ResponseHead &head) { return handleHead(head); };
     events.body = [this](const std::string &bytes) { handleBody(bytes); };
-    events.end = [this] { handleEnd(); };
+    events.end = [this](ResponseEnd end) { handleEnd(end); };
     events.failed = [this](CallFailure failure, const std::string &reason) {
         handleFailure(failure, reason);
     };
@@ -415,10 +417,12 @@
     }
 }
 
-void RelayedCall::handleEnd()
+void RelayedCall::handleEnd(ResponseEnd end)
 {
     const auto self = shared_from_this();
     const auto now = steadyNow();
+    responseEnd_ = end;
+    incompleteEventBytes_ = cutter_.incompleteEventBytes();
     switch (responseMode_) {
     case ResponseMode::None:
     case ResponseMode::NotRun:
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -99,7 +99,7 @@
     void recordLimit(const Dialect::EndpointResponseMetadata &facts, Common::Time now);
     void handleBody(const std::string &bytes);
     void passOnEvents(const std::string &events);
-    void handleEnd();
+    void handleEnd(ResponseEnd end);
     void handleFailure(CallFailure failure, const std::string &reason);
     void endAttempt(Dispatch::AttemptOutcome outcome, bool mayRetry, Common::Time now);
     bool isSuccess() const;
@@ -131,6 +131,9 @@
     std::optional<Common::Duration> firstEventAfter_;
     Common::Duration longestPause_{0};
     int eventsPassedOn_ = 0;
+    /// What showed the end of the last response.
+    std::optional<ResponseEnd> responseEnd_;
+    std::size_t incompleteEventBytes_ = 0;
     /// Rate limit stated in the last response of an endpoint.
     std::optional<double> limitPerSecond_;
     Common::Duration expected_{0};
--- a/Source/Core/Relay/RelayedCallEnd.cpp
+++ b/Source/Core/Relay/RelayedCallEnd.cpp
@@ -157,6 +157,10 @@
     if (firstEventAfter_) {
         line.add("first_event", *firstEventAfter_).add("longest_pause", longestPause_);
     }
+    if (responseEnd_) {
+        line.add("response_end", toString(*responseEnd_))
+            .add("incomplete_event_bytes", static_cast<std::int64_t>(incompleteEventBytes_));
+    }
     if (limitPerSecond_) {
         line.add("limit_per_second", fmt::format("{:g}", *limitPerSecond_));
     }
--- a/Source/Core/Relay/SimpleFetch.cpp
+++ b/Source/Core/Relay/SimpleFetch.cpp
@@ -37,7 +37,7 @@
         return true;
     };
     events.body = [this, id](const std::string &bytes) { calls_.at(id).body += bytes; };
-    events.end = [this, id] {
+    events.end = [this, id](ResponseEnd) {
         auto &pending = calls_.at(id);
         finish(id, pending.status, std::move(pending.body));
     };
--- a/Source/Core/Relay/StoreWatcher.cpp
+++ b/Source/Core/Relay/StoreWatcher.cpp
@@ -126,7 +126,7 @@
         return true;
     };
     events.body = [this](const std::string &bytes) { body_ += bytes; };
-    events.end = [this] {
+    events.end = [this](ResponseEnd) {
         call_.reset();
         handleResponse(steadyNow());
     };
--- a/Source/UnitTests/Relay/EventCutterTest.cpp
+++ b/Source/UnitTests/Relay/EventCutterTest.cpp
@@ -43,6 +43,19 @@
               "id: 3\ndata: c\n\n");
 }
 
+TEST(EventCutterTest, TellsAnIncompleteEventFromLineBreaksBetweenEvents)
+{
+    EventCutter cutter;
+    cutter.feed("id: 1\ndata: a\n\n");
+    EXPECT_EQ(cutter.incompleteEventBytes(), 0U);
+    cutter.feed("\r\n");
+    EXPECT_EQ(cutter.incompleteEventBytes(), 0U);
+    cutter.feed("data: b\n");
+    EXPECT_GT(cutter.incompleteEventBytes(), 0U);
+    cutter.feed("\n");
+    EXPECT_EQ(cutter.incompleteEventBytes(), 0U);
+}
+
 TEST(EventCutterTest, RemainderIsReturnedAtTheEnd)
 {
     EventCutter cutter;
--- a/Source/UnitTests/Relay/OutboundCallTest.cpp
+++ b/Source/UnitTests/Relay/OutboundCallTest.cpp
@@ -14,6 +14,7 @@
     std::vector<unsigned> statuses;
     std::string body;
     bool ended = false;
+    std::optional<ResponseEnd> endedBy;
     std::optional<CallFailure> failure;
     std::string reason;
 };
@@ -43,7 +44,10 @@
             return Common::findHeader(head.headers, "Foreign") == nullptr;
         };
         events.body = [&](const std::string &bytes) { outcome.body += bytes; };
-        events.end = [&] { outcome.ended = true; };
+        events.end = [&](ResponseEnd end) {
+            outcome.ended = true;
+            outcome.endedBy = end;
+        };
         events.failed = [&](CallFailure failure, const std::string &reason) {
             outcome.failure = failure;
             outcome.reason = reason;
@@ -151,6 +155,7 @@
     const auto outcome = call(request(server.address()));
     EXPECT_TRUE(outcome.ended);
     EXPECT_EQ(outcome.body, "all of it");
+    EXPECT_EQ(outcome.endedBy, ResponseEnd::ConnectionClose);
     EXPECT_EQ(pool_->idleCount(), 0U);
 }
 
@@ -176,6 +181,7 @@
                      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nours")});
     const auto outcome = call(request(server.address()));
     EXPECT_TRUE(outcome.ended);
+    EXPECT_EQ(outcome.endedBy, ResponseEnd::Framing);
     EXPECT_EQ(outcome.body, "ours");
 }
 
