Test that an answer that only a crash ended is not passed on as complete

The stand-in of an endpoint answers without a length and ends inside an event, between two events, or in a plain answer; the kernel closes its connections cleanly and its port refuses.

--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -404,6 +404,46 @@
     assert whole("draft", identity, headers, body), body
 
 
+STREAM_THAT_MAY_NOT_RESUME = standin.route("note", "/stream/note/", "model", "stream")
+
+
+@pytest.mark.parametrize("name", ["north-1", "south-1"])
+def test_a_stream_without_a_length_that_closes_inside_an_event_is_not_whole(fleet, name):
+    """Guards against taking the close of a crashed endpoint's connection for the end of its
+    answer."""
+    fleet.platform.drain("m-south-1")
+    fleet.platform.publish(2, [*ROUTES, STREAM_THAT_MAY_NOT_RESUME], SERVICES)
+    time.sleep(1)
+    address = f"{INSTANCES[name][0]}:{fleet.ports}"
+    body = standin.Endpoint.ENDS_INSIDE_BODY
+    identity, status, headers, answer = attempt(address, "POST", "/stream/x", body)
+    assert status == 200 and whole("draft", identity, headers, answer), answer
+    time.sleep(standin.Endpoint.RECORD_EXPIRY + 0.5)
+    identity, status, _, answer = attempt(address, "POST", "/stream/note/x", body)
+    assert identity in standin.Endpoint.ended_attempts
+    assert status is None, f"a stream that broke off was passed on as whole: {answer}"
+
+
+def test_an_answer_without_a_length_whose_endpoint_crashed_is_not_whole(fleet):
+    """As above, where the bytes of the answer do not show that it broke off."""
+    address = f"{INSTANCES['north-1'][0]}:{fleet.ports}"
+    body = standin.Endpoint.ENDS_BETWEEN_BODY
+    identity, status, headers, answer = attempt(address, "POST", "/stream/x", body)
+    assert status == 200 and whole("draft", identity, headers, answer), answer
+    identity, status, _, answer = attempt(address, "POST", "/order/x", body)
+    assert identity in standin.Endpoint.ended_attempts
+    assert status == 502, f"an answer that broke off was passed on as whole: {answer}"
+
+
+def test_answers_without_a_length_that_end_with_their_connection_are_passed_on(fleet):
+    address = f"{INSTANCES['north-1'][0]}:{fleet.ports}"
+    body = standin.Endpoint.UNFRAMED_BODY
+    for kind, path in (("draft", "/stream/x"), ("order", "/order/x")):
+        for _ in range(5):
+            identity, status, headers, answer = attempt(address, "POST", path, body)
+            assert status == 200 and whole(kind, identity, headers, answer), answer
+
+
 def most_in_span(times, span):
     times = sorted(times)
     return max(sum(1 for t in times if start <= t <= start + span) for start in times)
