Do not pass an answer on as complete that only a crash ended

Callers got streams with a last chunk, and plain answers with a length, that an endpoint had broken off. An answer may have neither a length nor chunks and end with its connection; the kernel closes the connections of a crashed endpoint just as cleanly, and any clean close was taken for the end.

A stream that ends inside an event has broken off, however it ended. An answer that only a close ended is complete only if its endpoint does not refuse a new connection; the established connection goes to the pool, which has just lost one. A path that drops packets holds a complete answer up for 200 ms at most.

--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -1,8 +1,5 @@
 #include "Relay/OutboundCall.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
 #include <boost/asio/write.hpp>
 
 #include "Async/Async.h"
@@ -18,32 +15,6 @@
 /// Larger than any valid response. A Content-Length above it is treated as corrupt, so that no
 /// memory is allocated for it.
 constexpr std::uint64_t MaxBodyBytes = 64u << 20;
-/// TCP_USER_TIMEOUT: the connection fails if sent bytes are not acknowledged for this long.
-/// Otherwise a broken network path would go unnoticed for minutes.
-constexpr unsigned TcpUserTimeoutMs = 2000;
-/// An established connection can go silent permanently while new ones work. TCP keep-alive probes
-/// detect that after about 4 s.
-constexpr int KeepAliveIdleSeconds = 2;
-constexpr int KeepAliveIntervalSeconds = 1;
-constexpr int KeepAliveProbeCount = 2;
-
-void setOption(asio::ip::tcp::socket &socket, int level, int name, int value)
-{
-    // The connection works without this option but detects a broken network path later.
-    static_cast<void>(::setsockopt(socket.native_handle(), level, name, &value, sizeof(value)));
-}
-
-void configureSocket(asio::ip::tcp::socket &socket)
-{
-    boost::system::error_code ignored;
-    socket.non_blocking(true, ignored);
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, TcpUserTimeoutMs);
-    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
-    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
-    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbeCount);
-}
 
 } // namespace
 
@@ -81,18 +52,13 @@
 void OutboundCall::connect(Common::Time now)
 {
     const auto target = Async::parseTcpAddress(request_.address);
-    boost::system::error_code error;
-    connection_ = std::make_unique<OutboundConnection>(pool_->context());
-    if (target) {
-        connection_->socket.open(target->protocol(), error);
-    }
-    if (!target || error) {
+    connection_ = target ? pool_->open(*target) : nullptr;
+    if (!connection_) {
         asio::post(pool_->context(), [self = shared_from_this()] {
             self->fail(CallFailure::NotConnected, "no socket for " + self->request_.address);
         });
         return;
     }
-    configureSocket(connection_->socket);
     connecting_ = true;
     connectDeadline_ = now + request_.connectTimeout;
     connection_->socket.async_connect(
--- a/Source/Core/Relay/OutboundPool.cpp
+++ b/Source/Core/Relay/OutboundPool.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 namespace LaburnumChute::Relay {
 
 namespace {
@@ -14,6 +17,32 @@
 /// is sent while the remote side closes the connection, it is unknown whether it has run.
 constexpr Common::milliseconds IdleTimeoutMargin{700};
 constexpr Common::milliseconds MaxReuseTime{20000};
+/// TCP_USER_TIMEOUT: the connection fails if sent bytes are not acknowledged for this long.
+/// Otherwise a broken network path would go unnoticed for minutes.
+constexpr unsigned TcpUserTimeoutMs = 2000;
+/// An established connection can go silent permanently while new ones work. TCP keep-alive probes
+/// detect that after about 4 s.
+constexpr int KeepAliveIdleSeconds = 2;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbeCount = 2;
+
+void setOption(asio::ip::tcp::socket &socket, int level, int name, int value)
+{
+    // The connection works without this option but detects a broken network path later.
+    static_cast<void>(::setsockopt(socket.native_handle(), level, name, &value, sizeof(value)));
+}
+
+void configure(asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, TcpUserTimeoutMs);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbeCount);
+}
 
 /// Returns true if the remote side has closed the connection or has sent unexpected bytes.
 bool isUnusable(OutboundConnection &connection)
@@ -31,6 +60,18 @@
 {
 }
 
+OutboundConnectionPtr OutboundPool::open(const asio::ip::tcp::endpoint &target)
+{
+    auto connection = std::make_unique<OutboundConnection>(context_);
+    boost::system::error_code error;
+    connection->socket.open(target.protocol(), error);
+    if (error) {
+        return nullptr;
+    }
+    configure(connection->socket);
+    return connection;
+}
+
 OutboundConnectionPtr OutboundPool::acquire(const std::string &address, Common::Duration maxIdle,
                                             Common::Time now)
 {
--- a/Source/Core/Relay/OutboundPool.h
+++ b/Source/Core/Relay/OutboundPool.h
@@ -42,6 +42,9 @@
     {
         return context_;
     }
+    /// Returns a configured socket that is to be connected to the target, or null if there are no
+    /// sockets left.
+    OutboundConnectionPtr open(const asio::ip::tcp::endpoint &target);
     /// Returns a connection that has been idle for at most `maxIdle`, or null if there is none.
     OutboundConnectionPtr acquire(const std::string &address, Common::Duration maxIdle,
                                   Common::Time now);
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -35,6 +35,9 @@
 /// A stream has stalled after a pause of this many times the route's longest pause between events.
 constexpr int StallGapFactor = 3;
 constexpr milliseconds MinStallTime{1000};
+/// An endpoint that has not crashed accepts a connection within a few milliseconds. A complete
+/// response must not wait long for one that cannot be reached.
+constexpr milliseconds EndCheckTimeout{200};
 /// Urgency sent to endpoints; higher numbers are less urgent. Endpoints default to 5, so requests
 /// of low priority are placed behind requests without an urgency.
 constexpr int HighestPriorityUrgency = 3;
@@ -72,8 +75,18 @@
 
 RelayedCall::~RelayedCall()
 {
+    cancelCall();
+}
+
+void RelayedCall::cancelCall()
+{
+    if (endCheck_) {
+        endCheck_->cancel();
+        endCheck_.reset();
+    }
     if (call_) {
         call_->cancel();
+        call_.reset();
     }
 }
 
@@ -117,9 +130,8 @@
 void RelayedCall::startCall(OutboundRequest request, Common::Time now)
 {
     const auto self = shared_from_this();
-    if (call_) {
-        call_->cancel();
-    }
+    cancelCall();
+    address_ = request.address;
     responseMode_ = ResponseMode::None;
     response_ = {};
     responseEnd_.reset();
@@ -435,7 +447,45 @@
         lastReason_ = "the other instance does not know what became of it";
         endAttempt(AttemptOutcome::Broken, !streamStarted_ || plan_.resumable, now);
         return;
-    case ResponseMode::Streamed: {
+    case ResponseMode::Streamed:
+        if (incompleteEventBytes_ > 0) {
+            handleFailure(CallFailure::Broken, "the stream ended inside an event");
+            return;
+        }
+        break;
+    case ResponseMode::Buffered:
+        break;
+    }
+    if (end == ResponseEnd::ConnectionClose) {
+        checkEnd(now);
+        return;
+    }
+    completeResponse(now);
+}
+
+void RelayedCall::checkEnd(Common::Time now)
+{
+    endCheck_ =
+        std::make_shared<ConnectionCheck>(gateway_.pool(), address_, EndCheckTimeout,
+                                          [this](ConnectionState state) { handleEndCheck(state); });
+    endCheck_->start(now);
+}
+
+void RelayedCall::handleEndCheck(ConnectionState state)
+{
+    const auto self = shared_from_this();
+    endCheck_.reset();
+    if (state == ConnectionState::Refused) {
+        handleFailure(CallFailure::Broken, "the endpoint ended together with its answer");
+        return;
+    }
+    completeResponse(steadyNow());
+}
+
+void RelayedCall::completeResponse(Common::Time now)
+{
+    const auto self = shared_from_this();
+    if (responseMode_ == ResponseMode::Streamed) {
         const auto rest = cutter_.takeRemainder();
         if (!rest.empty() || !streamStarted_) {
             passOnEvents(rest);
@@ -446,9 +496,6 @@
         finish("completed");
         return;
     }
-    case ResponseMode::Buffered:
-        break;
-    }
     if (response_.status < FirstServerError && !meansNotRun(response_.status)) {
         gateway_.metrics().completed.add();
         sendKeptResponse();
@@ -481,10 +528,7 @@
 void RelayedCall::endAttempt(AttemptOutcome outcome, bool mayRetry, Common::Time now)
 {
     const auto self = shared_from_this();
-    if (call_) {
-        call_->cancel();
-        call_.reset();
-    }
+    cancelCall();
     responding_ = false;
     const auto effects = gateway_.scheduler().ended(plan_.facts.id, outcome, mayRetry, now);
     gateway_.applyEffects(effects, now);
@@ -511,6 +555,9 @@
     if (call_) {
         call_->tick(now);
     }
+    if (endCheck_) {
+        endCheck_->tick(now);
+    }
     if (finished_) {
         return;
     }
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -7,6 +7,7 @@
 #include "Catalog/Catalog.h"
 #include "Dialect/Dialect.h"
 #include "Dispatch/Dispatch.h"
+#include "Relay/ConnectionCheck.h"
 #include "Relay/EventCutter.h"
 #include "Relay/ForwardMetadata.h"
 #include "Relay/InboundConnection.h"
@@ -100,6 +101,11 @@
     void handleBody(const std::string &bytes);
     void passOnEvents(const std::string &events);
     void handleEnd(ResponseEnd end);
+    /// Asks for a connection to the endpoint before a response is passed on as complete that only a
+    /// close ended.
+    void checkEnd(Common::Time now);
+    void handleEndCheck(ConnectionState state);
+    void completeResponse(Common::Time now);
     void handleFailure(CallFailure failure, const std::string &reason);
     void endAttempt(Dispatch::AttemptOutcome outcome, bool mayRetry, Common::Time now);
     bool isSuccess() const;
@@ -110,6 +116,8 @@
     /// Ends the request instead of sending it if its caller has disconnected. Returns true if so.
     bool abandonIfCallerLeft(Common::Time now);
     void timeOut(Common::Time now);
+    /// Ends what is under way at the endpoint or peer.
+    void cancelCall();
     void finish(const char *outcome);
     Common::milliseconds timeLeft(Common::Time now) const;
 
@@ -117,6 +125,9 @@
     RelayPlan plan_;
     std::shared_ptr<InboundConnection> connection_;
     std::shared_ptr<OutboundCall> call_;
+    /// Address of the current or last call.
+    std::string address_;
+    std::shared_ptr<ConnectionCheck> endCheck_;
     ResponseMode responseMode_ = ResponseMode::None;
     KeptResponse response_;
     /// Last error response of an endpoint. Passed on if no later attempt succeeds.
--- a/Source/Core/Relay/RelayedCallEnd.cpp
+++ b/Source/Core/Relay/RelayedCallEnd.cpp
@@ -165,10 +165,7 @@
         line.add("limit_per_second", fmt::format("{:g}", *limitPerSecond_));
     }
     gateway_.log().write(line, now);
-    if (call_) {
-        call_->cancel();
-        call_.reset();
-    }
+    cancelCall();
     gateway_.removeCall(plan_.facts.id);
 }
 
