Hand requests over to neighbors while no endpoint is reached

Cause: an instance judges endpoints by its own connections and takes a lost path for failed endpoints. Its neighbors were not among the targets of a forward, and other regions only as far as their spare capacity was known to reach. Ruled out by the logs: attempts used up (few lines have a last try), requests lost on connections that hang (resets at the first second only), and other regions that refuse.

Instances now report the services of which they reach no endpoint. Such an instance hands each request over to a neighbor that has not reported so, else to another region, at once. A request that was handed over goes no further. One request at a time probes, over a new connection, so that nothing is sent on a path that is gone; the first that is answered lets all endpoints be probed. Ejections are judged only by requests that were sent after them: connections that live on do not end one, and those that break together do not double it. An attempt by which nothing was sent does not count against the attempts. Neighbors divide the slots among those that reach them. `service-unreachable` and `service-reachable` in the log, `laburnumchute_relay_handed_over_total` in the metrics.

--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -33,8 +33,12 @@
     int runs = 0;
     /// Attempts with any outcome.
     int attempts = 0;
+    /// Those of them that ended before anything was sent.
+    int unsentAttempts = 0;
     std::vector<EndpointId> attemptedEndpoints;
     std::vector<RegionName> attemptedRegions;
+    /// Instances of the own region that it was handed over to.
+    std::vector<InstanceId> attemptedInstances;
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -44,6 +44,25 @@
     const auto doubled = std::max<Duration>(options_->firstEjection, endpoint.ejectionTime * 2);
     endpoint.ejectionTime = std::min<Duration>(doubled, options_->maxEjection);
     endpoint.ejectedUntil = now + endpoint.ejectionTime;
+    endpoint.ejectedAt = now;
+    endpoint.probing = false;
+}
+
+void EndpointHealth::readmit(EndpointState &endpoint, const ServiceName &service, Time now)
+{
+    const auto *traits = table_->service(service);
+    if (endpoint.ejectionTime >= RestartEjectionTime && traits != nullptr) {
+        endpoint.coldUntil = std::max(endpoint.coldUntil, now + traits->coldTime);
+    }
+    if (table_->unreachable(service)) {
+        // The paths to the other endpoints are probably back as well, and one endpoint must not get
+        // all requests until their ejections end.
+        for (auto *other : table_->usable(service)) {
+            other->ejectedUntil = std::min(*other->ejectedUntil, now);
+        }
+    }
+    endpoint.ejectedUntil.reset();
+    endpoint.ejectionTime = Duration(0);
     endpoint.probing = false;
 }
 
@@ -93,15 +112,16 @@
             endpoint.holdTime += scaled(now - call.sentAt - endpoint.holdTime, AverageWeight);
         }
     }
+    // Established connections can outlive the path by which new ones are made, and many requests
+    // break at once: only those that were sent later show whether the endpoint is back.
+    if (endpoint.ejectedUntil && call.sentAt < endpoint.ejectedAt) {
+        return;
+    }
     if (good) {
         endpoint.consecutiveFailures = 0;
-        if (endpoint.ejectedUntil && endpoint.ejectionTime >= RestartEjectionTime
-            && service != nullptr) {
-            endpoint.coldUntil = std::max(endpoint.coldUntil, now + service->coldTime);
+        if (endpoint.ejectedUntil) {
+            readmit(endpoint, call.facts.service, now);
         }
-        endpoint.ejectedUntil.reset();
-        endpoint.ejectionTime = Duration(0);
-        endpoint.probing = false;
         return;
     }
     if (outcome == AttemptOutcome::Cancelled || outcome == AttemptOutcome::Withheld) {
--- a/Source/Core/Dispatch/EndpointHealth.h
+++ b/Source/Core/Dispatch/EndpointHealth.h
@@ -22,6 +22,8 @@
     void recordEvidence(EndpointState &endpoint, const Call &call, AttemptOutcome outcome,
                         Time now);
     void eject(EndpointState &endpoint, Time now);
+    /// Ends the ejection of an endpoint that has answered a probe.
+    void readmit(EndpointState &endpoint, const ServiceName &service, Time now);
 
     const DispatchOptions *options_;
     const EndpointTable *table_;
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -414,6 +414,21 @@
     return found == usable_.end() ? none : found->second;
 }
 
+bool EndpointTable::unreachable(const ServiceName &name) const
+{
+    const auto &endpoints = usable(name);
+    return !endpoints.empty()
+           && std::all_of(endpoints.begin(), endpoints.end(),
+                          [](const auto *endpoint) { return endpoint->ejectedUntil.has_value(); });
+}
+
+bool EndpointTable::probing(const ServiceName &name) const
+{
+    const auto &endpoints = usable(name);
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [](const auto *endpoint) { return endpoint->probing; });
+}
+
 const std::vector<EndpointState *> &EndpointTable::running(const ServiceName &name) const
 {
     static const std::vector<EndpointState *> none;
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -65,6 +65,7 @@
     int consecutiveFailures = 0;
     /// No requests are sent until then; afterwards a single request probes the endpoint first.
     std::optional<Time> ejectedUntil;
+    Time ejectedAt{};
     Duration ejectionTime{0};
     bool probing = false;
     /// Latest load that the endpoint stated.
@@ -140,6 +141,10 @@
     const Catalog::Service *service(const ServiceName &name) const;
     /// Endpoints of the service that accept new requests, including cold and ejected ones.
     const std::vector<EndpointState *> &usable(const ServiceName &name) const;
+    /// Whether the service has endpoints and all of them are ejected.
+    bool unreachable(const ServiceName &name) const;
+    /// Whether a request is probing an ejected endpoint of the service.
+    bool probing(const ServiceName &name) const;
     /// Endpoints whose KV cache can be read, including those that accept no new requests.
     const std::vector<EndpointState *> &running(const ServiceName &name) const;
     const std::vector<const RemoteEndpoint *> &remote(const ServiceName &name) const;
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -47,8 +47,11 @@
     std::int64_t outputTokens = 0;
     /// Regions that may serve it; empty allows all regions.
     std::vector<RegionName> allowedRegions;
-    /// It came from another region and must not be forwarded again.
+    /// Another instance forwarded it, so it must not be forwarded to another region.
     bool forwarded = false;
+    /// An instance of this region that reaches no endpoint forwarded it, so it must not be
+    /// forwarded at all.
+    bool handedOver = false;
     /// Number of endpoints that may run it.
     int maxRuns = 1;
     /// Equal for requests with the same content from the same customer.
@@ -107,6 +110,9 @@
     std::string address;
     /// "ip:port" of an endpoint that has more of the prompt in its prefix cache.
     std::optional<std::string> copyCacheFrom;
+    /// The endpoint has failed, and an idle connection to it may hang: nothing is sent unless a new
+    /// connection is established.
+    bool newConnection = false;
     /// Expected time until the first byte of the answer.
     Duration expected{0};
     // Inputs of the decision, for the log: prompt tokens that are not cached on the endpoint, and
@@ -123,6 +129,8 @@
 {
     CallId call = 0;
     RegionName region;
+    /// Instance of the own region that it is handed over to; empty to choose any of the region.
+    InstanceId instance;
     /// Number of endpoints that may run it there.
     int maxRuns = 1;
 };
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -173,11 +173,13 @@
     std::vector<PartPlacement> placements;
     std::vector<SuspectReport> suspects;
     std::vector<LimitReport> limits;
+    /// Services of which the sender reaches no endpoint.
+    std::vector<std::uint32_t> unreachableServices;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(uses, services, placements, suspects, limits);
+        archive(uses, services, placements, suspects, limits, unreachableServices);
     }
 };
 
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -20,10 +20,12 @@
 
 } // namespace
 
-Placement::Placement(const DispatchOptions &options, EndpointTable &table, InstanceId self,
-                     std::uint64_t seed, Time startedAt)
+Placement::Placement(const DispatchOptions &options, EndpointTable &table,
+                     const Reachability &reachability, InstanceId self, std::uint64_t seed,
+                     Time startedAt)
     : options_(&options)
     , table_(&table)
+    , reachability_(&reachability)
     , self_(std::move(self))
     , random_(seed)
     , startedAt_(startedAt)
@@ -39,9 +41,6 @@
 void Placement::setInstances(const std::vector<InstanceId> &instances)
 {
     instances_ = instances;
-    rank_ = static_cast<std::size_t>(
-        std::count_if(instances.begin(), instances.end(),
-                      [this](const InstanceId &instance) { return instance < self_; }));
 }
 
 int Placement::coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const
@@ -59,10 +58,11 @@
     const bool sampled = now - endpoint.sampledAt < SampleLifetime;
     if (service.engine) {
         const bool reportsFull = sampled && sample.waiting > 0 && sample.running >= sample.slots;
-        const int quota = slotQuota(position, slots, rank_, instances_.size());
+        const auto sharers = reachability_->sharers(service.name);
+        const int quota = slotQuota(position, slots, sharers.rank, sharers.count);
         // Each other instance is assumed to have sent as many requests here since its last report
         // as this one has.
-        const auto sentByAll = endpoint.own * static_cast<int>(instances_.size());
+        const auto sentByAll = endpoint.own * static_cast<int>(sharers.count);
         const bool belowThreshold = endpoint.others + sentByAll < slots * options_->quotaThreshold;
         return !reportsFull && (belowThreshold || endpoint.own < quota);
     }
@@ -239,6 +239,10 @@
     if (service == nullptr) {
         return std::nullopt;
     }
+    // While none of the endpoints is reached, one probe at a time shows when that changes.
+    if (table_->unreachable(service->name) && table_->probing(service->name)) {
+        return std::nullopt;
+    }
     const auto holder = service->engine ? cacheHolder(call, now) : CacheHolder();
     const bool cachedHere =
         holder.endpoint != nullptr && holder.tokens >= options_->copyMinimumTokens;
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -7,6 +7,7 @@
 
 #include "Dispatch/Call.h"
 #include "Dispatch/EndpointTable.h"
+#include "Dispatch/Reachability.h"
 
 namespace LaburnumChute::Dispatch {
 
@@ -32,8 +33,9 @@
 {
 public:
     /// @param startedAt start time of this process
-    Placement(const DispatchOptions &options, EndpointTable &table, InstanceId self,
-              std::uint64_t seed, Time startedAt);
+    Placement(const DispatchOptions &options, EndpointTable &table,
+              const Reachability &reachability, InstanceId self, std::uint64_t seed,
+              Time startedAt);
 
     void setBounds(const Catalog::Bounds &bounds);
     /// Live instances of the own region, including this one.
@@ -74,13 +76,12 @@
 
     const DispatchOptions *options_;
     EndpointTable *table_;
+    const Reachability *reachability_;
     InstanceId self_;
     std::mt19937_64 random_;
     Time startedAt_;
     Catalog::Bounds bounds_;
     std::vector<InstanceId> instances_;
-    /// Rank of this instance among them, ordered by id.
-    std::size_t rank_ = 0;
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -82,7 +82,8 @@
     , spareCapacity_(options_)
     , quarantine_(Decisions::QuarantineOptions())
     , crashes_(quarantine_, seed + 2)
-    , placement_(options_, table_, self_, seed + 1, startedAt)
+    , reachability_(self_)
+    , placement_(options_, table_, reachability_, self_, seed + 1, startedAt)
     , health_(options_, table_, crashes_)
     , instances_({self_})
     , startedAt_(startedAt)
@@ -131,6 +132,16 @@
         && send(call, *candidate, now, effects)) {
         return;
     }
+    if (table_.unreachable(facts.service)) {
+        if (forwardUnreachable(call, now, effects)) {
+            return;
+        }
+        if (facts.forwarded) {
+            // The instance that forwarded it knows others.
+            reject(call, RejectReason::NoEndpoint, NoEndpointRetryAfter, now, effects);
+            return;
+        }
+    }
     const auto wait = expectedWait(call, now);
     if (forwardIfBetter(call, wait, now, effects)) {
         return;
@@ -199,6 +210,7 @@
     effect.address = record.address;
     effect.expected = candidate.expected;
     effect.copyCacheFrom = candidate.copyFrom;
+    effect.newConnection = endpoint.probing;
     effect.prefillTokens = candidate.prefillTokens;
     effect.own = endpoint.own - 1;
     effect.others = endpoint.others - endpoint.assumed;
@@ -213,21 +225,68 @@
     if (!offer) {
         return false;
     }
-    dequeue(call);
     spareCapacity_.sent(offer->region, call.facts.service, now);
-    call.endpoint = EndpointId();
     call.region = offer->region;
     call.attemptedRegions.push_back(offer->region);
+    beginForward(call, offer->wait + options_.regionRoundTrip, now);
+    const int runsLeft = std::max(1, call.facts.maxRuns - call.runs);
+    effects.push_back(Forward{call.facts.id, offer->region, InstanceId(), runsLeft});
+    return true;
+}
+
+void Scheduler::beginForward(Call &call, Duration expected, Time now)
+{
+    dequeue(call);
+    call.endpoint = EndpointId();
     call.sentAt = now;
-    call.expected = offer->wait + options_.regionRoundTrip;
+    call.expected = expected;
     call.answering = false;
     call.attemptCancelled = false;
     ++call.attempts;
+}
+
+bool Scheduler::forwardUnreachable(Call &call, Time now, Effects &effects)
+{
+    const auto &facts = call.facts;
+    if (handOver(call, now, effects)) {
+        return true;
+    }
+    return !facts.forwarded
+           && forward(
+               call,
+               spareCapacity_.any(facts.service, facts.allowedRegions, call.attemptedRegions, now),
+               now, effects);
+}
+
+bool Scheduler::handOver(Call &call, Time now, Effects &effects)
+{
+    if (call.facts.handedOver) {
+        return false;
+    }
+    const auto neighbor =
+        reachability_.chooseNeighbor(call.facts.service, call.attemptedInstances, random_);
+    if (!neighbor) {
+        return false;
+    }
+    call.region = home_;
+    call.attemptedInstances.push_back(*neighbor);
+    beginForward(call, Duration(0), now);
     const int runsLeft = std::max(1, call.facts.maxRuns - call.runs);
-    effects.push_back(Forward{call.facts.id, offer->region, runsLeft});
+    effects.push_back(Forward{call.facts.id, home_, *neighbor, runsLeft});
     return true;
 }
 
+std::vector<ServiceName> Scheduler::unreachableServices() const
+{
+    std::vector<ServiceName> names;
+    for (const auto &[name, service] : table_.services()) {
+        if (table_.unreachable(name)) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 /// Load pattern: all processes are restarted at once, and requests that only other regions may
 /// serve arrive before the first load reports of these regions, or between such a report and the
 /// next look at which instances can be reached. If all of them have reported that they have no
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -16,6 +16,7 @@
 #include "Dispatch/Facts.h"
 #include "Dispatch/Options.h"
 #include "Dispatch/Placement.h"
+#include "Dispatch/Reachability.h"
 #include "Dispatch/RetryBudget.h"
 #include "Dispatch/SpareCapacity.h"
 
@@ -119,6 +120,8 @@
     /// rest, or if the request is rejected by now. True if the request is unknown or not placed on
     /// an endpoint.
     bool maySend(CallId call, Time now) const;
+    /// Services of which this instance reaches no endpoint.
+    std::vector<ServiceName> unreachableServices() const;
     bool knows(CallId call) const
     {
         return calls_.count(call) > 0;
@@ -132,6 +135,12 @@
     void notice(const EndpointState &endpoint, const Call &call);
     bool forward(Call &call, const std::optional<SpareCapacity::Offer> &offer, Time now,
                  Effects &effects);
+    /// Forwards a request whose endpoints this instance does not reach to a neighbor that does, or
+    /// else to another region.
+    bool forwardUnreachable(Call &call, Time now, Effects &effects);
+    bool handOver(Call &call, Time now, Effects &effects);
+    /// Marks the start of an attempt at another instance.
+    void beginForward(Call &call, Duration expected, Time now);
     /// Returns true if the request has to wait until other regions are known.
     bool waitForRegions(Call &call, Time now);
     /// Places the requests that waited for other regions to become known.
@@ -201,6 +210,7 @@
     Decisions::Quarantine quarantine_;
     CrashAttribution crashes_;
     Time listCheckedAt_{};
+    Reachability reachability_;
     Placement placement_;
     EndpointHealth health_;
     std::vector<InstanceId> instances_;
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -130,7 +130,11 @@
         // connection does not show how many.
         call.runs = atEndpoint ? call.runs + 1 : std::max(call.runs + 1, call.facts.maxRuns);
     }
-    const bool attemptsLeft = call.attempts < call.facts.maxRuns + ExtraAttempts;
+    // An attempt by which nothing was sent costs nothing, and no endpoint, instance or region is
+    // tried a second time.
+    call.unsentAttempts += unsent ? 1 : 0;
+    const bool attemptsLeft =
+        call.attempts - call.unsentAttempts < call.facts.maxRuns + ExtraAttempts;
     const bool allowed =
         notRun ? attemptsLeft : call.facts.repeatable && call.runs < call.facts.maxRuns;
     const bool retry =
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -119,6 +119,7 @@
 {
     instances_ = ownRegion;
     placement_.setInstances(instances_);
+    reachability_.setInstances(instances_);
     allInstances_ = std::max<std::size_t>(1, allInstances);
     table_.keepReports(instances_);
     spareCapacity_.setOwnInstances(instances_.size());
@@ -157,6 +158,7 @@
                                        Time now)
 {
     table_.setLoadReport(instance, report, now);
+    reachability_.reported(instance, report.unreachableServices);
     crashes_.merge(report.suspects, now);
     Effects effects;
     dispatchQueue(now, effects);
@@ -232,6 +234,9 @@
         }
     }
     report.suspects = crashes_.reports(now);
+    for (const auto &name : unreachableServices()) {
+        report.unreachableServices.push_back(shortId(name));
+    }
     return report;
 }
 
@@ -243,6 +248,10 @@
     report.suspects = std::move(own.suspects);
     report.placements = table_.placementsForOtherRegions(now);
     for (const auto &[name, service] : table_.services()) {
+        // The region's other instances have room for them, which this one cannot measure.
+        if (table_.unreachable(name) && reachability_.chooseNeighbor(name, {}, random_)) {
+            continue;
+        }
         ServiceSpareCapacity spare;
         spare.service = shortId(name);
         std::optional<Duration> best;
--- a/Source/Core/Dispatch/SchedulerQueue.cpp
+++ b/Source/Core/Dispatch/SchedulerQueue.cpp
@@ -186,7 +186,7 @@
         const auto candidate = withinLookAhead ? chooseEndpoint(call, now) : std::nullopt;
         const bool sent = candidate && placement_.shouldSend(call, *candidate, now)
                           && send(call, *candidate, now, effects);
-        if (sent) {
+        if (sent || (table_.unreachable(service) && forwardUnreachable(call, now, effects))) {
             continue;
         }
         const auto wait =
--- a/Source/Core/Relay/ForwardMetadata.h
+++ b/Source/Core/Relay/ForwardMetadata.h
@@ -31,13 +31,15 @@
     /// Incarnation of the receiving process. Callers do not know it, and an address may have been
     /// reused by another process.
     std::uint64_t receiver = 0;
+    /// The sender is an instance of the same region that reaches no endpoint of the service.
+    bool handedOver = false;
 
     /// Serializes the fields for cereal. Their order is part of the wire format.
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(service, kind, resumable, priority, attempts, objectiveLeftMs, deadlineLeftMs,
-                objectiveMs, gapMs, fingerprint, fromRegion, customer, receiver);
+                objectiveMs, gapMs, fingerprint, fromRegion, customer, receiver, handedOver);
     }
 };
 
--- a/Source/Core/Relay/OutboundPool.cpp
+++ b/Source/Core/Relay/OutboundPool.cpp
@@ -76,7 +76,7 @@
                                             Common::Time now)
 {
     const auto found = idle_.find(address);
-    if (found == idle_.end()) {
+    if (found == idle_.end() || maxIdle <= Common::Duration(0)) {
         return nullptr;
     }
     auto &connections = found->second;
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -89,6 +89,9 @@
     , sends(registry.counter("laburnumchute_relay_sends_total", "Tries sent to endpoints"))
     , forwards(registry.counter("laburnumchute_relay_forwards_total",
                                 "Requests forwarded to other regions"))
+    , handedOver(registry.counter("laburnumchute_relay_handed_over_total",
+                                  "Requests forwarded to instances of the own region, since this "
+                                  "one reached no endpoint"))
     , completed(registry.counter("laburnumchute_relay_completed_total", "Whole answers passed on"))
     , rejected(registry.counter("laburnumchute_relay_rejected_total",
                                 "Requests refused that have not run"))
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -43,6 +43,7 @@
     Common::Counter &forwardedIn;
     Common::Counter &sends;
     Common::Counter &forwards;
+    Common::Counter &handedOver;
     Common::Counter &completed;
     Common::Counter &rejected;
     Common::Counter &failed;
@@ -95,6 +96,8 @@
     void applyEffects(const Dispatch::Effects &effects, Common::Time now);
     /// Returns a random instance in the region that is reachable and ready, if there is one.
     std::optional<Fleet::InstanceRecord> findPeerIn(const Common::RegionName &region);
+    /// Returns the instance if it is reachable and ready.
+    std::optional<Fleet::InstanceRecord> findPeer(const Common::InstanceId &instance) const;
     void removeCall(Dispatch::CallId call);
     /// Returns the usage of a request that was admitted here and has not run.
     void refundUsage(const RelayPlan &plan, Common::Time now);
@@ -177,6 +180,8 @@
     void scheduleTick();
     void tick(Common::Time now);
     void heartbeat(Common::Time now);
+    /// Logs services whose endpoints are not reached any more, or are again.
+    void logReachability(Common::Time now);
     void reloadSettings(bool bySignal, Common::Time now);
     void applySettings(Common::Time now);
     void waitForSignal();
@@ -227,6 +232,7 @@
     Common::Time looksUntil_{};
     Common::Time startedAt_{};
     std::map<Common::InstanceId, bool> peerAlive_;
+    std::vector<Common::ServiceName> unreachableServices_;
     /// Updated once per tick rather than on each response, so that it predates the changes being
     /// applied.
     std::optional<Common::Time> catalogCompleteAt_;
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -460,8 +460,37 @@
     return *candidates[index(random_)];
 }
 
+std::optional<Fleet::InstanceRecord>
+RelayGateway::findPeer(const Common::InstanceId &instance) const
+{
+    const auto found =
+        std::find_if(knownPeers_.begin(), knownPeers_.end(), [&](const Fleet::Peer &peer) {
+            return peer.record.id == instance && peer.reachable && peer.record.ready
+                   && !peer.record.leaving;
+        });
+    return found == knownPeers_.end() ? std::nullopt : std::optional(found->record);
+}
+
+void RelayGateway::logReachability(Common::Time now)
+{
+    const auto unreachable = scheduler_.unreachableServices();
+    const auto logMissing = [&](const char *event, const auto &services, const auto &from) {
+        for (const auto &service : services) {
+            if (std::find(from.begin(), from.end(), service) == from.end()) {
+                EventLine line(event);
+                line.add("service", service);
+                log_.write(line, now);
+            }
+        }
+    };
+    logMissing("service-unreachable", unreachable, unreachableServices_);
+    logMissing("service-reachable", unreachableServices_, unreachable);
+    unreachableServices_ = unreachable;
+}
+
 void RelayGateway::heartbeat(Common::Time now)
 {
+    logReachability(now);
     roster_.setReady(ready());
     roster_.setStoreContact(catalogAge(now), storeFailureAge(now));
     Fleet::Reports reports{Peers::encodeValue(scheduler_.regionLoadReport(now)), ""};
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -223,6 +223,7 @@
     facts.promptTokens = head->promptTokens;
     facts.outputTokens = head->expectedOutputTokens.value_or(head->maxOutputTokens);
     facts.forwarded = true;
+    facts.handedOver = metadata->handedOver;
     facts.maxRuns = metadata->attempts;
     facts.fingerprint = metadata->fingerprint;
     plan.customer = Common::CustomerName(metadata->customer);
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -212,8 +212,12 @@
         .add("resumes", streamStarted_)
         .add("fingerprint", formatFingerprint(plan_.facts.fingerprint));
     gateway_.log().write(line, now);
-    startCall(outboundRequest(effect.address, Platform::endpointHeaders(plan_.headers, order), now),
-              now);
+    auto request =
+        outboundRequest(effect.address, Platform::endpointHeaders(plan_.headers, order), now);
+    if (effect.newConnection) {
+        request.maxIdle = Common::Duration(0);
+    }
+    startCall(std::move(request), now);
 }
 
 void RelayedCall::forward(const Dispatch::Forward &effect, Common::Time now)
@@ -221,7 +225,9 @@
     if (abandonIfCallerLeft(now)) {
         return;
     }
-    const auto peer = gateway_.findPeerIn(effect.region);
+    const bool handsOver = !effect.instance.empty();
+    const auto peer =
+        handsOver ? gateway_.findPeer(effect.instance) : gateway_.findPeerIn(effect.region);
     EventLine line("forward");
     line.add("request", plan_.head.requestId)
         .add("region", effect.region)
@@ -229,11 +235,12 @@
         .add("waited", now - plan_.facts.arrivedAt);
     gateway_.log().write(line, now);
     if (!peer) {
-        lastReason_ = "no instance of " + effect.region.text() + " can be reached";
+        lastReason_ = handsOver ? effect.instance.text() + " cannot be reached"
+                                : "no instance of " + effect.region.text() + " can be reached";
         endAttempt(AttemptOutcome::NotConnected, true, now);
         return;
     }
-    gateway_.metrics().forwards.add();
+    (handsOver ? gateway_.metrics().handedOver : gateway_.metrics().forwards).add();
     endpoint_ = Common::EndpointId();
     peer_ = peer->id;
     ForwardMetadata metadata;
@@ -254,6 +261,7 @@
     metadata.fromRegion = gateway_.settings().region.text();
     metadata.customer = plan_.customer.text();
     metadata.receiver = peer->incarnation;
+    metadata.handedOver = handsOver;
     auto headers = plan_.headers;
     headers.push_back({ForwardHeader, encodeForwardMetadata(metadata)});
     if (streamStarted_) {
--- a/Source/UnitTests/Dispatch/CutInstancesTest.cpp
+++ b/Source/UnitTests/Dispatch/CutInstancesTest.cpp
@@ -280,7 +280,9 @@
         std::vector<std::size_t> receivers;
         for (std::size_t other = 0; other < instances_.size(); ++other) {
             const bool inRegion = regionName(instances_[other].region) == forward.region;
-            if (other != index && inRegion) {
+            const bool isNamed =
+                forward.instance.empty() || instances_[other].id == forward.instance;
+            if (other != index && inRegion && isNamed) {
                 receivers.push_back(other);
             }
         }
@@ -288,6 +290,7 @@
         const auto receiver = receivers[any(random_)];
         auto facts = asked_.at(forward.call).facts;
         facts.forwarded = true;
+        facts.handedOver = !forward.instance.empty();
         facts.maxRuns = forward.maxRuns;
         submit(receiver, {facts, nullptr, index, forward.call});
     }
