Keep brittle endpoints from rejecting requests for want of room

Endpoints may state in all answers how many rejections within a second they survive, and some seconds later let fewer requests wait. Nothing read that. Instances fill a plain endpoint's queue by what reports tell of the others, and are rejected together; when the endpoint ends, its load ends the next.

The statement of any endpoint, to any instance, holds for its service and is reported to the region's others. While it holds, each instance keeps to a fixed part of the slots, which does not depend on what it knows of the others, and an endpoint that rejects a request all the same gets none for a second. In large regions some instances have no part of a plain endpoint.

--- a/Source/Core/Dialect/Dialect.h
+++ b/Source/Core/Dialect/Dialect.h
@@ -81,6 +81,9 @@
     /// Rate limit in requests per second that applies to all instances together; empty if the
     /// endpoint announces none.
     std::optional<double> limitPerSecond;
+    /// The endpoint ends if it has to reject more requests within a second for want of room; empty
+    /// if it states no such number.
+    std::optional<std::int64_t> toleratedRejections;
     /// Remaining warm-up time of the endpoint.
     std::optional<Common::Duration> coldLeft;
     /// The endpoint rejects requests and wants none from this instance for this long.
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -228,6 +228,7 @@
     estimate_.reported(instance, report, now);
     loadIsStale_ = true;
     learn(report.placements);
+    brittleness_.learn(report.brittle, now);
     for (const auto &reported : report.limits) {
         const auto found = byShortId_.find(reported.endpoint);
         if (found != byShortId_.end()) {
@@ -518,6 +519,7 @@
     }
     report.placements = recentPlacements(PlacementLifetime, false, now);
     report.limits = limits(now);
+    report.brittle = brittleness_.reports(now);
     return report;
 }
 
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Dispatch/Brittleness.h"
 #include "Dispatch/ColdRateLimit.h"
 #include "Dispatch/CrashAttribution.h"
 #include "Dispatch/EndpointRest.h"
@@ -171,6 +172,14 @@
     /// Records that the endpoint said that it leaves.
     /// @return this was not known yet
     bool leavingSeen(const EndpointId &id);
+    Brittleness &brittleness()
+    {
+        return brittleness_;
+    }
+    const Brittleness &brittleness() const
+    {
+        return brittleness_;
+    }
     /// Recomputes this instance's fraction of the endpoints' rate limits.
     /// @param instances live instances of the own region, including this one
     void divideLimits(const InstanceId &self, const std::vector<InstanceId> &instances, Time now);
@@ -225,6 +234,7 @@
     std::map<ServiceName, std::vector<const RemoteEndpoint *>> remoteByService_;
     std::unordered_map<std::uint32_t, RemoteEndpoint *> remoteByShortId_;
     std::map<ServiceName, SendRate> sendRates_;
+    Brittleness brittleness_;
     bool limitsChanged_ = false;
     Time limitsDividedAt_{};
     LoadEstimate estimate_;
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -148,6 +148,20 @@
     }
 };
 
+/// Latest statement of a service's endpoints on whether they are brittle.
+struct BrittleReport
+{
+    std::uint32_t service = 0;
+    bool brittle = false;
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, brittle, ageMs);
+    }
+};
+
 /// Work of one instance for a service.
 struct ServiceWork
 {
@@ -175,11 +189,12 @@
     std::vector<LimitReport> limits;
     /// Services of which the sender reaches no endpoint.
     std::vector<std::uint32_t> unreachableServices;
+    std::vector<BrittleReport> brittle;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(uses, services, placements, suspects, limits, unreachableServices);
+        archive(uses, services, placements, suspects, limits, unreachableServices, brittle);
     }
 };
 
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -56,6 +56,11 @@
     const int slots = endpoint.listed.record.slots;
     const auto &sample = endpoint.sample;
     const bool sampled = now - endpoint.sampledAt < SampleLifetime;
+    if (table_->brittleness().brittle(service.name)) {
+        // Fixed parts of the slots do not depend on what is known of the other instances.
+        const auto &all = reachability_->all();
+        return endpoint.own < slotQuota(position, slots, all.rank, all.count);
+    }
     if (service.engine) {
         const bool reportsFull = sampled && sample.waiting > 0 && sample.running >= sample.slots;
         const auto sharers = reachability_->sharers(service.name);
--- a/Source/Core/Dispatch/Reachability.h
+++ b/Source/Core/Dispatch/Reachability.h
@@ -41,6 +41,11 @@
     };
     /// Counts this instance and all others that are not known to reach no endpoint.
     Sharers sharers(const ServiceName &service) const;
+    /// Counts all live instances of the region.
+    const Sharers &all() const
+    {
+        return all_;
+    }
 
 private:
     bool reaches(const InstanceId &instance, std::uint32_t service) const;
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -100,6 +100,11 @@
     ///        stated none
     /// @return the limit has changed
     bool limitSeen(const EndpointId &endpoint, std::optional<double> perSecond, Time now);
+    /// @param toleratedRejections requests that the endpoint can reject within a second without
+    ///        ending; empty if the answer stated no number
+    /// @return whether the endpoint's service is brittle has changed
+    bool brittleSeen(const EndpointId &endpoint, std::optional<std::int64_t> toleratedRejections,
+                     Time now);
     /// The endpoint rejected a request and wants none from this instance for some time.
     void restSeen(const EndpointId &endpoint, Duration rest, Time now);
     /// The endpoint said that it leaves.
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -11,6 +11,9 @@
 /// Attempts allowed in addition to the runs that a route allows: an attempt that the endpoint does
 /// not accept costs little.
 constexpr int ExtraAttempts = 2;
+/// A brittle endpoint that has rejected a request gets none for the time over which it counts
+/// rejections.
+constexpr milliseconds BrittlePause{1000};
 
 } // namespace
 
@@ -94,6 +97,9 @@
         endpoint->rest.accepted(call.sentAt);
     }
     endpoint->rest.ended(call.sentAt);
+    if (outcome == AttemptOutcome::NotRun && table_.brittleness().brittle(call.facts.service)) {
+        endpoint->rest.begin(BrittlePause, now);
+    }
     if (!call.answering) {
         endpoint->prefillQueue.remove(call.sentAt, now);
     }
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -296,6 +296,15 @@
     return changed;
 }
 
+bool Scheduler::brittleSeen(const EndpointId &endpoint,
+                            std::optional<std::int64_t> toleratedRejections, Time now)
+{
+    const auto *state = table_.find(endpoint);
+    return state != nullptr
+           && table_.brittleness().update(shortId(state->listed.record.service),
+                                          toleratedRejections.has_value(), now);
+}
+
 void Scheduler::restSeen(const EndpointId &endpoint, Duration rest, Time now)
 {
     if (auto *state = table_.find(endpoint)) {
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -338,6 +338,26 @@
     gateway_.log().write(line, now);
 }
 
+/// As for limits, a missing number is conclusive only in signed responses.
+void RelayedCall::recordBrittleness(const Dialect::EndpointResponseMetadata &facts,
+                                    Common::Time now)
+{
+    const bool conclusive = facts.toleratedRejections || facts.sealed;
+    if (endpoint_.empty() || facts.wrongEndpoint || !conclusive
+        || !gateway_.scheduler().brittleSeen(endpoint_, facts.toleratedRejections, now)) {
+        return;
+    }
+    EventLine line("service-brittle");
+    line.add("service", plan_.facts.service)
+        .add("endpoint", endpoint_)
+        .add("request", plan_.head.requestId)
+        .add("brittle", facts.toleratedRejections.has_value());
+    if (facts.toleratedRejections) {
+        line.add("tolerated_rejections", *facts.toleratedRejections);
+    }
+    gateway_.log().write(line, now);
+}
+
 bool RelayedCall::handleHead(const ResponseHead &head)
 {
     const auto self = shared_from_this();
@@ -356,6 +376,7 @@
     }
     limitPerSecond_ = facts.limitPerSecond;
     recordLimit(facts, now);
+    recordBrittleness(facts, now);
     recordEndpointState(facts, now);
     response_.status = head.status;
     response_.headers = Platform::callerHeaders(endToEndHeaders(head.headers));
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -98,6 +98,7 @@
     /// Records what the endpoint says about itself in its answer.
     void recordEndpointState(const Dialect::EndpointResponseMetadata &facts, Common::Time now);
     void recordLimit(const Dialect::EndpointResponseMetadata &facts, Common::Time now);
+    void recordBrittleness(const Dialect::EndpointResponseMetadata &facts, Common::Time now);
     void handleBody(const std::string &bytes);
     void passOnEvents(const std::string &events);
     void handleEnd(ResponseEnd end);
