Do not take a lost path for crashes of endpoints

Cause: a refused connection counted as proof that an endpoint had ended, and a reset one against its request, although the same is seen on a path that is lost. The class is that of the handover: an observation on one's own path taken for a state of the endpoint.

The first refusal still counts at once. While two or more endpoints have not accepted a connection since any answered, neither further refusals nor the instance's own breaks count, nor are they reported; all count as soon as another endpoint answers a later request. If all endpoints have really crashed, the store's list shows it.

The two new tests of lost paths fail without the change, the third guards crashes of several endpoints at once.

--- a/Source/Core/Dispatch/CrashAttribution.cpp
+++ b/Source/Core/Dispatch/CrashAttribution.cpp
@@ -29,6 +29,8 @@
 /// Bounds the memory, also against reports of others.
 constexpr std::size_t MaxRuns = 1024;
 constexpr std::size_t MaxBreaksPerRun = 1024;
+/// With this many endpoints that do not accept connections, the cause may be the paths to them.
+constexpr std::size_t DoubtfulConnections = 2;
 
 EndpointId nameOf(RunId run)
 {
@@ -116,8 +118,41 @@
     runs_.erase(found);
 }
 
+void CrashAttribution::notConnected(RunId run, bool refused, Time now)
+{
+    auto &entry = unconnected_[run];
+    entry.at = now;
+    entry.refused = entry.refused || refused;
+    if (entry.refused && !pathsDoubtful()) {
+        entry.refused = false;
+        ended(run, now);
+    }
+}
+
+void CrashAttribution::confirmRefusals(RunId answered, Time sentAt)
+{
+    unconnected_.erase(answered);
+    std::vector<std::pair<RunId, Time>> confirmed;
+    std::erase_if(unconnected_, [&](const auto &item) {
+        const bool earlier = item.second.at <= sentAt;
+        if (earlier && item.second.refused) {
+            confirmed.emplace_back(item.first, item.second.at);
+        }
+        return earlier;
+    });
+    for (const auto &[run, at] : confirmed) {
+        ended(run, at);
+    }
+}
+
+bool CrashAttribution::pathsDoubtful() const
+{
+    return unconnected_.size() >= DoubtfulConnections;
+}
+
 void CrashAttribution::answered(RunId run, Time sentAt)
 {
+    confirmRefusals(run, sentAt);
     auto &latest = answeredAt_[run];
     latest = std::max(latest, sentAt);
     const auto ended = endedAt_.find(run);
@@ -228,6 +263,8 @@
     for (const auto run : expired) {
         eraseBreaks(run);
     }
+    std::erase_if(unconnected_,
+                  [now](const auto &item) { return now - item.second.at > ConfirmationTime; });
     quarantine_->expire(now);
     if (now - forgottenAt_ >= ForgetInterval) {
         forgottenAt_ = now;
@@ -251,7 +288,15 @@
 std::size_t CrashAttribution::breakCount(std::uint64_t fingerprint) const
 {
     const auto found = runsOf_.find(fingerprint);
-    return found == runsOf_.end() ? 0 : found->second.size();
+    if (found == runsOf_.end()) {
+        return 0;
+    }
+    const bool countOwn = !pathsDoubtful();
+    const auto counts = [&](RunId run) {
+        return countOwn || !runs_.at(run).breaks.at(fingerprint).own;
+    };
+    const auto &runs = found->second;
+    return static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(), counts));
 }
 
 std::size_t CrashAttribution::evidence(std::uint64_t fingerprint) const
@@ -339,7 +384,8 @@
     for (const auto run : found->second) {
         const auto &recorded = runs_.at(run).breaks.at(fingerprint);
         const bool fits = report.breaks.size() < MaxReportedRuns;
-        if (fits && (recorded.own || includeOthers)) {
+        const bool doubtful = recorded.own && pathsDoubtful();
+        if (fits && !doubtful && (recorded.own || includeOthers)) {
             report.breaks.push_back({run, toMilliseconds(now - recorded.at)});
         }
     }
--- a/Source/Core/Dispatch/CrashAttribution.h
+++ b/Source/Core/Dispatch/CrashAttribution.h
@@ -34,6 +34,11 @@
 /// many callers may send the same one, and some are always on an endpoint that crashes. Breaks and
 /// deaths are reported to the other instances; those of a request that is held or quarantined at
 /// once.
+///
+/// A refused connection proves that the process has ended only if this instance reaches other
+/// endpoints: connections are refused and reset in the same way on a path that is lost. While
+/// several endpoints have not accepted a connection since any answered, neither refusals nor breaks
+/// of this instance count; they do again once an endpoint answers a later request.
 class CrashAttribution
 {
 public:
@@ -44,7 +49,10 @@
     void broke(const EndpointId &endpoint, RunId run, std::uint64_t fingerprint, Time now);
     /// The endpoint answered a request that was sent at the given time.
     void answered(RunId run, Time sentAt);
-    /// The process does not accept connections any more, or another one has its address.
+    /// No connection was established.
+    /// @param refused nothing listens at the address, as far as this instance reaches it
+    void notConnected(RunId run, bool refused, Time now);
+    /// The process has ended: another one has its address.
     void ended(RunId run, Time now);
     /// Sets the endpoints that are listed; a run that was listed and is not any more has ended.
     void setListed(const std::set<RunId> &runs, Time now);
@@ -93,10 +101,21 @@
         std::map<std::uint64_t, Break> breaks;
     };
 
+    struct Unconnected
+    {
+        Time at{};
+        /// The connection was refused, and that has not counted yet.
+        bool refused = false;
+    };
+
     void addBreak(RunId run, std::uint64_t fingerprint, const Break &added, Time now);
+    /// An endpoint answered a request sent at the given time, so the paths worked then.
+    void confirmRefusals(RunId answered, Time sentAt);
+    bool pathsDoubtful() const;
     void clear(std::uint64_t fingerprint, Time now);
     void eraseBreaks(RunId run);
     void forget(Time now);
+    /// Breaks that count against the request.
     std::size_t breakCount(std::uint64_t fingerprint) const;
     /// Breaks and deaths together.
     std::size_t evidence(std::uint64_t fingerprint) const;
@@ -113,6 +132,8 @@
     /// Runs on which attempts of a fingerprint broke off; never empty.
     std::unordered_map<std::uint64_t, std::set<RunId>> runsOf_;
     std::unordered_map<RunId, Time> endedAt_;
+    /// Runs that have not accepted a connection since another one answered.
+    std::map<RunId, Unconnected> unconnected_;
     /// Latest send time of a request that was answered.
     std::unordered_map<RunId, Time> answeredAt_;
     std::unordered_map<std::uint64_t, Time> completedAt_;
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -79,6 +79,12 @@
         crashes_->answered(endpoint.run, call.sentAt);
         return;
     case AttemptOutcome::Refused:
+        crashes_->notConnected(endpoint.run, true, now);
+        endpoint.cache.clear();
+        return;
+    case AttemptOutcome::NotConnected:
+        crashes_->notConnected(endpoint.run, false, now);
+        return;
     case AttemptOutcome::Replaced:
         crashes_->ended(endpoint.run, now);
         endpoint.cache.clear();
@@ -90,7 +96,6 @@
         }
         return;
     case AttemptOutcome::Cancelled:
-    case AttemptOutcome::NotConnected:
     case AttemptOutcome::Withheld:
     case AttemptOutcome::Silent:
         return;
--- a/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
+++ b/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
@@ -51,6 +51,50 @@
     EXPECT_FALSE(rejected());
 }
 
+// An instance that is cut off sees what an instance sees whose endpoints all crash. Guards against
+// rejecting requests that were on its connections.
+TEST_F(CrashAttributionTest, RefusalsOnALostPathAreNoCrashes)
+{
+    breakOn(1);
+    breakOn(2);
+    crashes_.notConnected(1, true, now_);
+    crashes_.notConnected(2, true, now_);
+    breakOn(3);
+    EXPECT_FALSE(rejected());
+    const auto reports = crashes_.reports(now_);
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_EQ(reports[0].deaths.size(), 1U) << "the first refusal alone looks like a crash";
+    EXPECT_TRUE(reports[0].breaks.empty());
+    pass(milliseconds(7000));
+    EXPECT_FALSE(rejected());
+    EXPECT_FALSE(crashes_.hasBreaks());
+}
+
+// As above, on a path that drops packets.
+TEST_F(CrashAttributionTest, BreaksOnALostPathAreNotHeld)
+{
+    crashes_.notConnected(1, false, now_);
+    crashes_.notConnected(2, false, now_);
+    breakOn(1);
+    breakOn(2);
+    EXPECT_FALSE(rejected());
+}
+
+// Guards against missing crashes of several endpoints at once.
+TEST_F(CrashAttributionTest, RefusalsAreCrashesOnceAnotherEndpointAnswers)
+{
+    breakOn(1);
+    breakOn(2);
+    crashes_.notConnected(1, true, now_);
+    crashes_.notConnected(2, true, now_);
+    crashes_.answered(9, now_ - milliseconds(1));
+    EXPECT_FALSE(rejected()) << "the path may have been lost after that request was sent";
+    crashes_.answered(9, now_ + milliseconds(1));
+    EXPECT_TRUE(rejected());
+    pass(milliseconds(7000));
+    EXPECT_TRUE(rejected());
+}
+
 TEST_F(CrashAttributionTest, ForgetsBreaksThatNothingConfirms)
 {
     breakOn(1);
