Keep connections of endpoints that are silent for a second

With probes after 2 s and then each second, one unanswered probe ended the connection at 3 s, not after 4 s as the comment said: a second of silence at the wrong moment was enough. The second probe now goes out at 4 s.

--- a/Source/Core/Relay/OutboundPool.cpp
+++ b/Source/Core/Relay/OutboundPool.cpp
@@ -21,9 +21,11 @@
 /// Otherwise a broken network path would go unnoticed for minutes.
 constexpr unsigned TcpUserTimeoutMs = 2000;
 /// An established connection can go silent permanently while new ones work. TCP keep-alive probes
-/// detect that after about 4 s.
+/// detect that after 4 s. Since TCP_USER_TIMEOUT is set, the first unanswered probe after it ends
+/// the connection, whatever their count; with a shorter interval, an endpoint that is silent for a
+/// second would lose its connections.
 constexpr int KeepAliveIdleSeconds = 2;
-constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 2;
 constexpr int KeepAliveProbeCount = 2;
 
 void setOption(asio::ip::tcp::socket &socket, int level, int name, int value)
