--- a/Source/UnitTests/Dispatch/CutInstancesTest.cpp
+++ b/Source/UnitTests/Dispatch/CutInstancesTest.cpp
@@ -6,7 +6,7 @@
 
 #include <gtest/gtest.h>
 
-#include "Dispatch/Dispatch.h"
+#include "Support.h"
 
 namespace LaburnumChute::Dispatch {
 
@@ -411,4 +411,24 @@
     }
 }
 
+// An endpoint stands still for a second, and all of its requests are taken back together. Guards
+// against an ejection that doubles with each of them and outlasts the silence.
+TEST_F(SchedulerTest, RequestsThatFailTogetherEjectTheirEndpointOnce)
+{
+    setEndpoints({endpoint("a", Plain)});
+    std::vector<CallFacts> calls;
+    for (int count = 0; count < 8; ++count) {
+        calls.push_back(facts(Plain));
+        ASSERT_NE(only<Send>(scheduler_.submit(calls.back(), now_)), nullptr);
+    }
+    pass(milliseconds(700));
+    for (const auto &call : calls) {
+        scheduler_.ended(call.id, AttemptOutcome::Silent, false, now_);
+    }
+    pass(DispatchOptions().firstEjection + milliseconds(1));
+    const auto effects = scheduler_.submit(facts(Plain), now_);
+    ASSERT_NE(only<Send>(effects), nullptr);
+    EXPECT_TRUE(only<Send>(effects)->newConnection);
+}
+
 } // namespace LaburnumChute::Dispatch
