--- a/Source/Core/Dispatch/Reachability.cpp
+++ b/Source/Core/Dispatch/Reachability.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/Reachability.h"
 
 #include <algorithm>
+#include <set>
 
 #include "Dispatch/LoadReports.h"
 #include "Dispatch/Util.h"
@@ -20,15 +21,17 @@
     all_.rank = static_cast<std::size_t>(
         std::count_if(instances.begin(), instances.end(),
                       [this](const InstanceId &instance) { return instance < self_; }));
-    std::erase_if(unreachable_,
-                  [&](const auto &entry) { return !contains(instances_, entry.first); });
+    const std::set<InstanceId> live(instances.begin(), instances.end());
+    std::erase_if(unreachable_, [&](const auto &entry) { return live.count(entry.first) == 0; });
+    limitedInstances_ = std::count_if(unreachable_.begin(), unreachable_.end(),
+                                      [](const auto &entry) { return !entry.second.empty(); });
 }
 
 void Reachability::reported(const InstanceId &instance, const std::vector<std::uint32_t> &services)
 {
-    unreachable_[instance] = services;
-    allReachable_ = std::all_of(unreachable_.begin(), unreachable_.end(),
-                                [](const auto &entry) { return entry.second.empty(); });
+    auto &known = unreachable_[instance];
+    limitedInstances_ += (services.empty() ? 0 : 1) - (known.empty() ? 0 : 1);
+    known = services;
 }
 
 bool Reachability::reaches(const InstanceId &instance, std::uint32_t service) const
@@ -57,7 +60,7 @@
 
 Reachability::Sharers Reachability::sharers(const ServiceName &service) const
 {
-    if (allReachable_) {
+    if (limitedInstances_ == 0) {
         return all_;
     }
     const auto id = shortId(service);
--- a/Source/Core/Dispatch/Reachability.h
+++ b/Source/Core/Dispatch/Reachability.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -54,8 +55,8 @@
     std::vector<InstanceId> instances_;
     /// Services that an instance does not reach; there is an entry for each that has reported.
     std::map<InstanceId, std::vector<std::uint32_t>> unreachable_;
-    /// Whether any entry names a service.
-    bool allReachable_ = true;
+    /// Entries that name a service.
+    std::ptrdiff_t limitedInstances_ = 0;
     Sharers all_;
 };
 
