--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -66,6 +66,22 @@
     endpoint.probing = false;
 }
 
+/// Established connections can outlive the path by which new ones are made, and many requests break
+/// at once: only those that were sent later show whether the endpoint is back.
+bool EndpointHealth::precedesEjection(const EndpointState &endpoint, const Call &call)
+{
+    return endpoint.ejectedUntil && call.sentAt < endpoint.ejectedAt;
+}
+
+/// Load pattern: the paths to all endpoints return while a long stream is the only probe.
+void EndpointHealth::recordAnswer(EndpointState &endpoint, const Call &call, Time now)
+{
+    if (endpoint.ejectedUntil && !precedesEjection(endpoint, call)) {
+        endpoint.consecutiveFailures = 0;
+        readmit(endpoint, call.facts.service, now);
+    }
+}
+
 void EndpointHealth::recordEvidence(EndpointState &endpoint, const Call &call,
                                     AttemptOutcome outcome, Time now)
 {
@@ -117,9 +133,7 @@
             endpoint.holdTime += scaled(now - call.sentAt - endpoint.holdTime, AverageWeight);
         }
     }
-    // Established connections can outlive the path by which new ones are made, and many requests
-    // break at once: only those that were sent later show whether the endpoint is back.
-    if (endpoint.ejectedUntil && call.sentAt < endpoint.ejectedAt) {
+    if (precedesEjection(endpoint, call)) {
         return;
     }
     if (good) {
--- a/Source/Core/Dispatch/EndpointHealth.h
+++ b/Source/Core/Dispatch/EndpointHealth.h
@@ -14,6 +14,8 @@
     EndpointHealth(const DispatchOptions &options, const EndpointTable &table,
                    CrashAttribution &crashes);
 
+    /// Readmits an ejected endpoint when the answer to a probe begins.
+    void recordAnswer(EndpointState &endpoint, const Call &call, Time now);
     /// @param took time from sending the request to its first event
     void recordFirstEvent(EndpointState &endpoint, const Call &call, Duration took);
     void recordOutcome(EndpointState &endpoint, const Call &call, AttemptOutcome outcome, Time now);
@@ -24,6 +26,8 @@
     void eject(EndpointState &endpoint, Time now);
     /// Ends the ejection of an endpoint that has answered a probe.
     void readmit(EndpointState &endpoint, const ServiceName &service, Time now);
+    /// Whether the request shows nothing of an ejected endpoint, since it was sent before.
+    static bool precedesEjection(const EndpointState &endpoint, const Call &call);
 
     const DispatchOptions *options_;
     const EndpointTable *table_;
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -44,6 +44,7 @@
         return;
     }
     endpoint->rest.accepted(call.sentAt);
+    health_.recordAnswer(*endpoint, call, now);
     const auto took = now - call.sentAt;
     // Short prompts may be prefilled before longer ones that were sent earlier.
     std::optional<BusyPeriod> busy;
--- a/Source/UnitTests/Dispatch/CutInstancesTest.cpp
+++ b/Source/UnitTests/Dispatch/CutInstancesTest.cpp
@@ -431,4 +431,20 @@
     EXPECT_TRUE(only<Send>(effects)->newConnection);
 }
 
+// Guards against endpoints that get nothing for as long as the answer to a probe takes.
+TEST_F(SchedulerTest, AnEndpointIsReadmittedWhenTheAnswerToAProbeBegins)
+{
+    setEndpoints({endpoint("a", Model)});
+    const auto lost = facts(Model, RequestKind::Stream);
+    ASSERT_NE(only<Send>(scheduler_.submit(lost, now_)), nullptr);
+    scheduler_.ended(lost.id, AttemptOutcome::NotConnected, false, now_);
+    pass(DispatchOptions().firstEjection + milliseconds(1));
+    const auto probe = facts(Model, RequestKind::Stream);
+    ASSERT_NE(only<Send>(scheduler_.submit(probe, now_)), nullptr);
+    EXPECT_TRUE(scheduler_.submit(facts(Model, RequestKind::Stream), now_).empty());
+    pass(milliseconds(50));
+    scheduler_.answering(probe.id, now_);
+    EXPECT_NE(only<Send>(scheduler_.submit(facts(Model, RequestKind::Stream), now_)), nullptr);
+}
+
 } // namespace LaburnumChute::Dispatch
