Keep a relay of datagrams until its receives have ended

The kernel logged a general protection fault in UdpRelay::forward (offset f18fc, reading the link).

Cause: a restarted gateway replaces its relay, and the receives of the old one went on with sockets of their own after it had been destroyed; a late datagram then used it. Relays are now shared with their receives and closed when they are replaced. Only the stand-ins are concerned.

--- a/Source/StandIns/FaultProxy.cpp
+++ b/Source/StandIns/FaultProxy.cpp
@@ -36,8 +36,13 @@
     const auto linkId = settings.at("link").get<std::string>();
     const LinkEnd end(link(linkId), settings.value("reversed", false));
     if (settings.value("kind", "tcp") == "udp") {
-        udp_[id] = std::make_unique<UdpRelay>(context_, end, settings);
-        return udp_[id]->address();
+        auto &relay = udp_[id];
+        if (relay) {
+            relay->close();
+        }
+        relay = std::make_shared<UdpRelay>(context_, end, settings);
+        relay->start();
+        return relay->address();
     }
     tcp_[id] = {linkId, std::make_unique<TcpRelay>(context_, end, settings)};
     return tcp_[id].relay->address();
--- a/Source/StandIns/FaultProxy.h
+++ b/Source/StandIns/FaultProxy.h
@@ -42,7 +42,7 @@
     asio::io_context &context_;
     std::map<std::string, std::shared_ptr<Link>> links_;
     std::map<std::string, TcpEntry> tcp_;
-    std::map<std::string, std::unique_ptr<UdpRelay>> udp_;
+    std::map<std::string, std::shared_ptr<UdpRelay>> udp_;
 };
 
 } // namespace LaburnumChute::StandIns
--- a/Source/StandIns/UdpRelay.cpp
+++ b/Source/StandIns/UdpRelay.cpp
@@ -22,9 +22,24 @@
     , socket_(std::make_shared<Udp::socket>(context,
                                             udpEndpoint(settings.value("listen", "127.0.0.1:0"))))
     , target_(udpEndpoint(settings.at("target")))
+{
+}
+
+void UdpRelay::start()
 {
     asio::co_spawn(
-        context_, [this] { return receiveFromClients(); }, asio::detached);
+        context_, [self = shared_from_this()] { return self->receiveFromClients(); },
+        asio::detached);
+}
+
+void UdpRelay::close()
+{
+    closed_ = true;
+    boost::system::error_code ignored;
+    socket_->close(ignored);
+    for (const auto &[client, socket] : clients_) {
+        socket->close(ignored);
+    }
 }
 
 std::string UdpRelay::address() const
@@ -35,13 +50,14 @@
 
 asio::awaitable<void> UdpRelay::receiveFromClients()
 {
+    const auto self = shared_from_this();
     std::vector<char> buffer(MaxDatagram);
     for (;;) {
         Udp::endpoint client;
         boost::system::error_code error;
         const auto count = co_await socket_->async_receive_from(
             asio::buffer(buffer), client, asio::redirect_error(asio::use_awaitable, error));
-        if (error == asio::error::operation_aborted) {
+        if (error == asio::error::operation_aborted || closed_) {
             co_return;
         }
         if (!error) {
@@ -57,7 +73,10 @@
     if (!socket) {
         socket = std::make_shared<Udp::socket>(context_, Udp::endpoint(Udp::v4(), 0));
         asio::co_spawn(
-            context_, [this, socket, client] { return receiveFromTarget(socket, client); },
+            context_,
+            [self = shared_from_this(), socket, client] {
+                return self->receiveFromTarget(socket, client);
+            },
             asio::detached);
     }
     return socket;
@@ -65,13 +84,14 @@
 
 asio::awaitable<void> UdpRelay::receiveFromTarget(SocketPointer socket, Udp::endpoint client)
 {
+    const auto self = shared_from_this();
     std::vector<char> buffer(MaxDatagram);
     for (;;) {
         Udp::endpoint from;
         boost::system::error_code error;
         const auto count = co_await socket->async_receive_from(
             asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, error));
-        if (error == asio::error::operation_aborted) {
+        if (error == asio::error::operation_aborted || closed_) {
             co_return;
         }
         if (!error) {
--- a/Source/StandIns/UdpRelay.h
+++ b/Source/StandIns/UdpRelay.h
@@ -13,11 +13,15 @@
 
 /// A UDP port whose datagrams go over a link to a target, and the target's answers back to who
 /// asked. Datagrams are lost where a real link loses them: when it is cut, held or overfull.
-class UdpRelay
+class UdpRelay : public std::enable_shared_from_this<UdpRelay>
 {
 public:
     UdpRelay(asio::io_context &context, LinkEnd link, const nlohmann::json &settings);
 
+    void start();
+    /// Ends the relay. It is destroyed when its pending receives have ended.
+    void close();
+
     std::string address() const;
 
 private:
@@ -34,6 +38,7 @@
     SocketPointer socket_;
     Udp::endpoint target_;
     std::map<Udp::endpoint, SocketPointer> clients_;
+    bool closed_ = false;
 };
 
 } // namespace LaburnumChute::StandIns
