Play retry rules with real processes; write up what was seen of the retry budget

Retries are judged by what callers sent and what reached endpoints.

Instances can now be reached at another address than the one that they listen on (--advertised-ip), as behind an address translation; the soak cuts paths there.

--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -44,16 +44,18 @@
     return ip + ":" + std::to_string(port);
 }
 
-Fleet::InstanceRecord makeInstanceRecord(const Catalog::InstanceSettings &settings)
+Fleet::InstanceRecord makeInstanceRecord(const Catalog::InstanceSettings &settings,
+                                         const RelayOptions &options)
 {
+    const auto &ip = options.advertisedIp.empty() ? settings.ip : options.advertisedIp;
     Fleet::InstanceRecord record;
     record.id = settings.instance;
     record.incarnation = randomNumber();
     record.region = settings.region;
     record.failureDomain = settings.failureDomain;
     record.callerAddress = settings.callerAddress;
-    record.gossipAddress = withPort(settings.ip, settings.gossipPort);
-    record.peerAddress = withPort(settings.ip, settings.peerPort);
+    record.gossipAddress = withPort(ip, settings.gossipPort);
+    record.peerAddress = withPort(ip, settings.peerPort);
     return record;
 }
 
@@ -124,7 +126,7 @@
     , controlMetrics_(registry_)
     , log_(StandardOutput, options_.log, settings_.instance.text())
     , catalog_(&Platform::readItem)
-    , roster_(options_.roster, makeInstanceRecord(settings_), randomNumber())
+    , roster_(options_.roster, makeInstanceRecord(settings_, options_), randomNumber())
     , scheduler_(options_.dispatch, settings_.instance, settings_.region, randomNumber(),
                  steadyNow())
     , limiter_(Customers::UsageLimiterOptions(), randomNumber())
--- a/Source/Core/Relay/RelayOptions.h
+++ b/Source/Core/Relay/RelayOptions.h
@@ -18,6 +18,9 @@
     std::string settingsPath;
     /// Port for metrics and the state dump; 0 disables it.
     std::uint16_t metricsPort = 0;
+    /// IP address at which other instances reach this one; empty if it is the one of the settings
+    /// file.
+    std::string advertisedIp;
     EventLog::Options log;
     Dispatch::DispatchOptions dispatch;
     Fleet::RosterOptions roster;
--- /dev/null
+++ b/Source/IntegrationTests/soak.py
@@ -0,0 +1,151 @@
+"""Soak of the retry rules: real processes, faults from a seed, judged by callers and endpoints.
+
+    BUILD_DIR=Build python3 Source/IntegrationTests/soak.py --seeds 1-50 --seconds 60
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import logging
+import pathlib
+import sys
+import tempfile
+
+import soak_rules
+from soak_callers import Callers
+from soak_deployment import Deployment
+from soak_faults import MEAN_GAPS, Faults
+
+BOUNDS = soak_rules.Bounds(ratio=0.2, slack=58.0, window=10.0)
+#: The plain service gets two thirds of them.
+PER_SECOND = 40.0
+DEADLY_PER_SECOND = 1.0
+SETTLE = 5.0
+
+
+@dataclasses.dataclass
+class Report:
+    seed: int
+    broken: list
+    requests: int
+    served: int
+    repeats: int
+    windows: dict
+    faults: list
+
+    def line(self):
+        fullest = ", ".join(
+            f"{name} {one.repeats} of {one.limit:.0f}" for name, one in sorted(self.windows.items())
+        )
+        state = "; ".join(self.broken) or "kept"
+        return (
+            f"seed {self.seed}: {self.served} of {self.requests} served, {self.repeats} repeats;"
+            f" fullest windows: {fullest}; {state}"
+        )
+
+
+async def end_tasks():
+    """Connections that stand-ins still serve end with the loop; how they end does not matter."""
+    asyncio.get_running_loop().set_exception_handler(lambda _loop, _context: None)
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def in_touch_since(deployment, bounds):
+    """Whether an instance was undisturbed before an arrival, as far as that is known at the end."""
+    disturbances = {one.name: list(one.disturbances) for one in deployment.instances}
+
+    def in_touch(name, at):
+        return not any(at - bounds.stable <= moment <= at for moment in disturbances.get(name, ()))
+
+    return in_touch
+
+
+# Writes to connections that a killed process has reset are part of every soak.
+logging.getLogger("asyncio").setLevel(logging.ERROR)
+
+
+async def play(seed, instances, folder, disturb):
+    """
+    @param disturb: coroutine function that gets the deployment and a log of faults; the callers
+        stop some time after it has ended
+    """
+    deployment = Deployment(folder, BOUNDS, instances, seed)
+    faults_log = []
+    callers = Callers(deployment, PER_SECOND, DEADLY_PER_SECOND, seed + 1)
+    try:
+        await deployment.start()
+        for instance in deployment.instances:
+            # One after another, so that each finds the earlier ones at work.
+            instance.start()
+            await deployment.wait_ready(instance)
+        callers.start()
+        await disturb(deployment, faults_log)
+        await asyncio.sleep(SETTLE)
+        await callers.stop()
+    finally:
+        deployment.stop()
+        await end_tasks()
+    in_touch = in_touch_since(deployment, BOUNDS)
+    broken = soak_rules.check_all(
+        callers.requests, deployment.arrivals, deployment.deadly_crashes, BOUNDS, in_touch
+    )
+    return Report(
+        seed=seed,
+        broken=broken,
+        requests=len(callers.requests),
+        served=sum(1 for one in callers.requests if one.status == 200),
+        repeats=sum(len(one) for one in soak_rules.repeats_of(deployment.arrivals).values()),
+        windows=soak_rules.fullest_windows(callers.requests, deployment.arrivals, BOUNDS),
+        faults=sorted(faults_log),
+    )
+
+
+def run(seed, seconds, instances, folder, families=tuple(MEAN_GAPS)):
+    """Faults of all kinds, drawn from the seed."""
+
+    async def disturb(deployment, log):
+        await Faults(deployment, seed + 2, log, families).play(seconds)
+
+    return asyncio.run(play(seed, instances, folder, disturb))
+
+
+def keep(folder, kept, report):
+    kept.mkdir(parents=True, exist_ok=True)
+    for path in pathlib.Path(folder).iterdir():
+        (kept / path.name).write_bytes(path.read_bytes())
+    lines = [
+        f"{began:7.2f} to {ended:7.2f}  {name}: {details}"
+        for began, ended, name, details in report.faults
+    ]
+    (kept / "faults.txt").write_text("\n".join([report.line(), *lines, ""]))
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--seeds", default="1", help="N or FIRST-LAST")
+    parser.add_argument("--seconds", type=float, default=60)
+    parser.add_argument("--instances", type=int, default=4)
+    parser.add_argument("--faults", default=",".join(MEAN_GAPS), help="families of faults")
+    parser.add_argument("--keep", help="folder for the logs of seeds that break a rule")
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        with tempfile.TemporaryDirectory() as folder:
+            report = run(
+                seed, options.seconds, options.instances, folder, options.faults.split(",")
+            )
+            print(report.line(), flush=True)
+            if report.broken:
+                failed += 1
+                if options.keep:
+                    keep(folder, pathlib.Path(options.keep) / f"seed-{seed}", report)
+    print(f"{failed} seeds broke a rule")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/Source/IntegrationTests/soak_callers.py
@@ -0,0 +1,116 @@
+"""Callers that keep connections open until their instance is gone."""
+
+import asyncio
+import random
+
+from soak_deployment import standin
+from soak_rules import Request
+
+DEADLINE = 4.0
+KINDS = {
+    "draft": ("POST", "/stream/x", "model", 2),
+    "order": ("POST", "/order/x", "desk", 1),
+    "status": ("GET", "/status/x", "desk", 2),
+}
+CONNECT_TIMEOUT = 1.0
+#: How long an instance that refused a connection is left out.
+AVOID_TIME = 0.5
+
+
+class Callers:
+    def __init__(self, deployment, per_second, deadly_per_second, seed):
+        self.deployment = deployment
+        self.per_second = per_second
+        self.deadly_per_second = deadly_per_second
+        self.random = random.Random(seed)
+        self.requests = []
+        self.idle = {one.name: [] for one in deployment.instances}
+        self.avoided = {}
+        self.pending = set()
+        self.sources = []
+
+    def start(self):
+        self.sources = [asyncio.create_task(self._send_often(self.per_second, False))]
+        if self.deadly_per_second > 0:
+            self.sources.append(asyncio.create_task(self._send_often(self.deadly_per_second, True)))
+
+    async def stop(self):
+        for source in self.sources:
+            source.cancel()
+        await asyncio.gather(*self.sources, *self.pending, return_exceptions=True)
+
+    async def _send_often(self, per_second, deadly):
+        while True:
+            await asyncio.sleep(self.random.expovariate(per_second))
+            task = asyncio.create_task(self._request(deadly))
+            self.pending.add(task)
+            task.add_done_callback(self.pending.discard)
+
+    def _choose_instance(self):
+        now = self.deployment.now()
+        started = [one for one in self.deployment.instances if one.process is not None]
+        usable = [one for one in started if self.avoided.get(one.name, 0) < now]
+        return self.random.choice(usable or started)
+
+    async def _request(self, deadly):
+        instance = self._choose_instance()
+        kind = "draft" if deadly else self.random.choice(list(KINDS))
+        method, path, service, endpoints_allowed = KINDS[kind]
+        identity = f"{instance.number:02x}{len(self.requests):014x}"
+        request = Request(
+            identity,
+            service,
+            instance.name,
+            self.deployment.now(),
+            DEADLINE,
+            endpoints_allowed,
+            deadly=deadly,
+        )
+        self.requests.append(request)
+        body = standin.Endpoint.CRASHING_BODY if deadly else b"x" if method == "POST" else b""
+        try:
+            answer = self._exchange(instance, identity, method, path, body)
+            request.status = await asyncio.wait_for(answer, DEADLINE)
+        except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass
+
+    async def _connect(self, instance):
+        while self.idle[instance.name]:
+            reader, writer = self.idle[instance.name].pop()
+            if not reader.at_eof() and not writer.transport.is_closing():
+                return reader, writer
+        try:
+            opening = asyncio.open_connection(instance.ip, self.deployment.ports)
+            return await asyncio.wait_for(opening, CONNECT_TIMEOUT)
+        except (OSError, asyncio.TimeoutError):
+            self.avoided[instance.name] = self.deployment.now() + AVOID_TIME
+            raise
+
+    async def _exchange(self, instance, identity, method, path, body):
+        reader, writer = await self._connect(instance)
+        kept = False
+        try:
+            head = [f"{method} {path} HTTP/1.1", "Host: shop.example"]
+            head += [f"{standin.ATTEMPT}: {identity}", f"{standin.DEADLINE}: {int(DEADLINE * 1000)}"]
+            head += [f"Content-Length: {len(body)}", "", ""]
+            writer.write("\r\n".join(head).encode() + body)
+            status, kept = await self._read_answer(reader)
+            return status
+        finally:
+            if kept:
+                self.idle[instance.name].append((reader, writer))
+            else:
+                writer.close()
+
+    @staticmethod
+    async def _read_answer(reader):
+        """The status, and whether the connection stays open."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower().split("\r\n")
+        headers = dict(line.split(": ", 1) for line in head[1:] if ": " in line)
+        if headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readline(), 16):
+                await reader.readexactly(size + 2)
+            await reader.readline()
+        else:
+            await reader.readexactly(int(headers.get("content-length", 0)))
+        return int(head[0].split()[1]), headers.get("connection") != "close"
--- /dev/null
+++ b/Source/IntegrationTests/soak_faults.py
@@ -0,0 +1,200 @@
+"""Faults of a soak: drawn from a seed, in series, overlapping."""
+
+import asyncio
+import random
+import signal
+
+#: Families of faults, and the mean time between two faults of a family.
+MEAN_GAPS = {"endpoints": 1.5, "kills": 3.0, "pauses": 4.0, "paths": 6.0}
+
+
+class Faults:
+    """Plays faults until it is cancelled, and ends all of them."""
+
+    def __init__(self, deployment, seed, log, families=tuple(MEAN_GAPS)):
+        self.deployment = deployment
+        self.families = families
+        self.random = random.Random(seed)
+        self.log = log
+        self.tasks = set()
+
+    async def play(self, seconds):
+        """The families come independently of each other."""
+        end = self.deployment.now() + seconds
+        faults = {
+            "endpoints": self._endpoint_faults(),
+            "kills": self._kills(),
+            "pauses": self._pauses(),
+            "paths": self._path_faults(),
+        }
+        await asyncio.gather(
+            *(self._series(end, faults[name], MEAN_GAPS[name]) for name in self.families)
+        )
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _series(self, end, faults, mean_gap):
+        names = list(faults)
+        while self.deployment.now() < end:
+            name = self.random.choice(names)
+            task = asyncio.create_task(self._run(name, faults[name]))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(self.random.expovariate(1 / mean_gap))
+
+    async def _run(self, name, fault):
+        began = self.deployment.now()
+        details = await fault()
+        self.log.append((began, self.deployment.now(), name, details))
+
+    def _some(self, things, share):
+        count = max(1, round(share * len(things)))
+        return self.random.sample(things, count)
+
+    # Endpoints.
+
+    def _endpoint_faults(self):
+        return {
+            "errors": lambda: self._fail("errors"),
+            "resets": lambda: self._fail("resets"),
+            "rejects": lambda: self._fail("rejects"),
+            "rests": lambda: self._fail("rests"),
+            "crashes": self._crash_endpoints,
+        }
+
+    def _endpoints_of(self, service):
+        return [one for one in self.deployment.endpoints if one.service == service]
+
+    async def _fail(self, fault):
+        service = self.random.choice(["model", "desk"])
+        chosen = self._some(self._endpoints_of(service), self.random.choice([0.4, 1.0, 1.0]))
+        share = self.random.choice([0.3, 0.6, 0.9])
+        for endpoint in chosen:
+            endpoint.fault, endpoint.share = fault, share
+        await asyncio.sleep(self.random.uniform(2, 10))
+        for endpoint in chosen:
+            if endpoint.fault == fault:
+                endpoint.fault = None
+        return f"{service}: {len(chosen)} endpoints, {share} of their requests"
+
+    async def _crash_endpoints(self):
+        service = self.random.choice(["model", "desk"])
+        chosen = self._some(self._endpoints_of(service), 0.4)
+        for endpoint in chosen:
+            endpoint.crash()
+        return f"{service}: {len(chosen)} endpoints"
+
+    # Instances.
+
+    def _kills(self):
+        return {
+            "kill": self._kill_some,
+            "kill all": self._kill_all,
+            "kill again and again": self._kill_in_series,
+            "stop": self._stop_one,
+        }
+
+    def _pauses(self):
+        return {"pause": self._pause, "starve": self._starve}
+
+    def _running(self):
+        return [one for one in self.deployment.instances if one.process.poll() is None]
+
+    async def _restart(self, instances):
+        for instance in instances:
+            instance.kill()
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        for instance in instances:
+            if instance.process.poll() is not None:
+                instance.start()
+        return ", ".join(one.name for one in instances)
+
+    async def _kill_some(self):
+        running = self._running()
+        return await self._restart(self._some(running, 0.4)) if running else "none runs"
+
+    async def _kill_all(self):
+        return await self._restart(self._running())
+
+    async def _kill_in_series(self):
+        instance = self.random.choice(self.deployment.instances)
+        for _ in range(self.random.randint(2, 4)):
+            await self._restart([instance])
+            await asyncio.sleep(self.random.uniform(0.8, 2.5))
+        return instance.name
+
+    async def _pause(self):
+        chosen = self._some(self.deployment.instances, 0.5)
+        for instance in chosen:
+            instance.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.5, 5))
+        for instance in chosen:
+            instance.signal(signal.SIGCONT)
+        return ", ".join(one.name for one in chosen)
+
+    async def _starve(self):
+        """The process runs for a tenth of the time."""
+        instance = self.random.choice(self.deployment.instances)
+        for _ in range(self.random.randint(10, 40)):
+            instance.signal(signal.SIGSTOP)
+            await asyncio.sleep(0.09)
+            instance.signal(signal.SIGCONT)
+            await asyncio.sleep(0.01)
+        return instance.name
+
+    async def _stop_one(self):
+        instance = self.random.choice(self.deployment.instances)
+        instance.signal(signal.SIGTERM)
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        instance.kill()
+        instance.start()
+        return instance.name
+
+    # Paths.
+
+    def _path_faults(self):
+        return {
+            "regions apart": self._cut_regions,
+            "one instance alone": self._cut_one,
+            "one way": self._cut_one_way,
+            "from endpoints": lambda: self._cut_from_endpoints("cut_from"),
+            "answers of endpoints": lambda: self._cut_from_endpoints("muted_for"),
+        }
+
+    async def _cut_pairs(self, pairs, one_way=False):
+        added = {(first.name, second.name) for first, second in pairs}
+        if not one_way:
+            added |= {(second, first) for first, second in added}
+        for first, second in pairs:
+            self.deployment.cut(first, second, one_way)
+        await asyncio.sleep(self.random.uniform(3, 12))
+        self.deployment.heal(added)
+        for pair in pairs:
+            for instance in pair:
+                instance.disturbed()
+        return ", ".join(sorted(f"{one} to {other}" for one, other in added))
+
+    def _pairs(self):
+        all_of_them = self.deployment.instances
+        return [(one, two) for one in all_of_them for two in all_of_them if one.number < two.number]
+
+    async def _cut_regions(self):
+        return await self._cut_pairs([(a, b) for a, b in self._pairs() if a.zone != b.zone])
+
+    async def _cut_one(self):
+        one = self.random.choice(self.deployment.instances)
+        return await self._cut_pairs([pair for pair in self._pairs() if one in pair])
+
+    async def _cut_one_way(self):
+        return await self._cut_pairs([self.random.choice(self._pairs())], one_way=True)
+
+    async def _cut_from_endpoints(self, path):
+        instance = self.random.choice(self.deployment.instances)
+        chosen = self._some(self.deployment.endpoints, self.random.choice([0.3, 1.0]))
+        for endpoint in chosen:
+            getattr(endpoint, path).add(instance.name)
+        instance.disturbed()
+        await asyncio.sleep(self.random.uniform(1, 8))
+        for endpoint in chosen:
+            getattr(endpoint, path).discard(instance.name)
+        instance.disturbed()
+        return f"{instance.name}, {len(chosen)} endpoints"
--- /dev/null
+++ b/Source/IntegrationTests/soak_rules.py
@@ -0,0 +1,175 @@
+"""What must hold for retries, judged only by what callers sent and what reached endpoints."""
+
+import bisect
+import dataclasses
+
+
+@dataclasses.dataclass
+class Request:
+    """One attempt of a caller."""
+
+    identity: str
+    service: str
+    entry: str
+    sent_at: float
+    allowed: float
+    """Seconds that its caller waits."""
+    endpoints_allowed: int
+    status: int = None
+    """None if no answer came."""
+    deadly: bool = False
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request that reached an endpoint."""
+
+    identity: str
+    service: str
+    endpoint: str
+    at: float
+    allowed: float = None
+    """Seconds that the endpoint was given; None if it was told no deadline."""
+    ran: bool = False
+    interrupted: bool = False
+    """The endpoint ended, or its path was cut, while it ran the request."""
+
+
+@dataclasses.dataclass
+class Bounds:
+    ratio: float
+    slack: float
+    window: float
+    stable: float = 5.0
+
+
+#: More requests than this must break a rule before it counts as broken.
+TOLERATED_RUNS = 3
+TOLERATED_DEADLINES = 20
+DEADLINE_SHARE = 0.2
+DEADLINE_TOLERANCE = 0.5
+TOLERATED_DEADLY_RETRIES = 3
+
+
+def count_between(times, start, end):
+    return bisect.bisect_right(times, end) - bisect.bisect_left(times, start)
+
+
+@dataclasses.dataclass
+class Window:
+    service: str
+    at: float
+    repeats: int
+    limit: float
+
+    def excess(self):
+        return self.repeats - self.limit
+
+
+def repeats_of(arrivals):
+    """Arrivals beyond the first of each request, by service."""
+    seen = set()
+    repeats = {}
+    for arrival in sorted(arrivals, key=lambda one: one.at):
+        key = (arrival.service, arrival.identity)
+        if key in seen:
+            repeats.setdefault(arrival.service, []).append(arrival)
+        seen.add(key)
+    return repeats
+
+
+def fullest_windows(requests, arrivals, bounds):
+    """For each service the window whose repeats exceed the limit by most, or come closest to it."""
+    result = {}
+    for service, repeats in repeats_of(arrivals).items():
+        sent = sorted(one.sent_at for one in requests if one.service == service)
+        times = [one.at for one in repeats]
+        for start in times:
+            spans = (start, start - bounds.window, start - bounds.window / 2)
+            most = max(count_between(sent, span, span + bounds.window) for span in spans)
+            limit = bounds.ratio * most + bounds.slack
+            window = Window(
+                service, start, count_between(times, start, start + bounds.window), limit
+            )
+            if service not in result or window.excess() > result[service].excess():
+                result[service] = window
+    return result
+
+
+def check_retry_budget(requests, arrivals, bounds):
+    return [
+        f"retries: {window.repeats} repeats at {window.service} in the window from"
+        f" {window.at:.2f} s, {window.limit:.1f} allowed"
+        for window in fullest_windows(requests, arrivals, bounds).values()
+        if window.excess() > 0
+    ]
+
+
+def check_endpoints_per_request(requests, arrivals):
+    runs = {}
+    for arrival in arrivals:
+        if arrival.ran and not arrival.interrupted:
+            runs.setdefault(arrival.identity, set()).add(arrival.endpoint)
+    exceeded = [
+        one.identity
+        for one in requests
+        if not one.deadly and len(runs.get(one.identity, ())) > one.endpoints_allowed
+    ]
+    if len(exceeded) <= TOLERATED_RUNS:
+        return []
+    return [f"attempts: {len(exceeded)} requests ran on too many endpoints: {exceeded[:5]}"]
+
+
+def check_deadlines(requests, arrivals, in_touch):
+    by_identity = {one.identity: one for one in requests}
+    first_ends = {}
+    wrong = []
+    late_repeats = 0
+    for arrival in sorted(arrivals, key=lambda one: one.at):
+        request = by_identity.get(arrival.identity)
+        if request is None or not in_touch(request.entry, arrival.at):
+            continue
+        is_repeat = request.identity in first_ends
+        first_at, first_end = first_ends.setdefault(
+            request.identity, (arrival.at, arrival.at + (arrival.allowed or 0))
+        )
+        is_late = is_repeat and arrival.at > first_at + DEADLINE_TOLERANCE
+        late_repeats += is_late
+        if arrival.allowed is None or arrival.allowed > request.allowed + DEADLINE_TOLERANCE:
+            wrong.append(arrival)
+        elif is_late:
+            latest = max(first_end, request.sent_at + request.allowed) + DEADLINE_TOLERANCE
+            if arrival.at + arrival.allowed > latest:
+                wrong.append(arrival)
+    if len(wrong) <= max(TOLERATED_DEADLINES, DEADLINE_SHARE * late_repeats):
+        return []
+    return [f"deadlines: {len(wrong)} requests got more time than was left"]
+
+
+def check_deadly_requests(requests, arrivals, crashes, bounds, in_touch):
+    """@param crashes: times at which an endpoint crashed under the deadly request"""
+    if len(crashes) < 3:
+        return []
+    settled = sorted(crashes)[2] + bounds.stable
+    deadly = {one.identity: one for one in requests if one.deadly}
+    late = [
+        arrival
+        for arrival in arrivals
+        if arrival.identity in deadly
+        and arrival.at > settled
+        and in_touch(deadly[arrival.identity].entry, arrival.at)
+    ]
+    if len(late) <= TOLERATED_DEADLY_RETRIES:
+        return []
+    times = ", ".join(f"{arrival.at:.1f}" for arrival in late)
+    return [f"deadly: {len(late)} arrivals after {settled:.1f} s: {times}"]
+
+
+def check_all(requests, arrivals, crashes, bounds, in_touch):
+    """The broken rules."""
+    return (
+        check_retry_budget(requests, arrivals, bounds)
+        + check_endpoints_per_request(requests, arrivals)
+        + check_deadlines(requests, arrivals, in_touch)
+        + check_deadly_requests(requests, arrivals, crashes, bounds, in_touch)
+    )
