--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -183,6 +183,21 @@
     bool reportedByPeer = false;
 };
 
+/// Whether the budget allowed another attempt of a request, for the log.
+struct RetryDecision
+{
+    CallId call = 0;
+    ServiceName service;
+    bool allowed = false;
+    /// Requests and retries of this instance in the window of the budget.
+    std::size_t requests = 0;
+    std::size_t retries = 0;
+    /// Retries that this instance may make in the window.
+    double limit = 0;
+    /// Instances among which the fixed part of the budget is divided.
+    std::size_t instances = 0;
+};
+
 /// What became known of crashes, for the log.
 using CrashEvent = std::variant<EndpointCrash, RequestHold, RequestQuarantine>;
 
--- a/Source/Core/Dispatch/RetryBudget.cpp
+++ b/Source/Core/Dispatch/RetryBudget.cpp
@@ -43,13 +43,23 @@
     requests_.push_back(now);
 }
 
+double RetryBudget::limit() const
+{
+    return std::floor(ratio_ * static_cast<double>(requests_.size()) + slack_ + rounding_);
+}
+
 bool RetryBudget::available(Time now)
 {
     forget(now);
     drawRounding(now);
-    const double allowed =
-        std::floor(ratio_ * static_cast<double>(requests_.size()) + slack_ + rounding_);
-    return static_cast<double>(retries_.size()) + 1 <= allowed;
+    return static_cast<double>(retries_.size()) + 1 <= limit();
+}
+
+RetryBudget::State RetryBudget::state(Time now)
+{
+    forget(now);
+    drawRounding(now);
+    return {requests_.size(), retries_.size(), limit()};
 }
 
 bool RetryBudget::take(Time now)
--- a/Source/Core/Dispatch/RetryBudget.h
+++ b/Source/Core/Dispatch/RetryBudget.h
@@ -32,9 +32,18 @@
     /// Uses one retry of the budget; false if none is left.
     bool take(Time now);
 
+    struct State
+    {
+        std::size_t requests = 0;
+        std::size_t retries = 0;
+        double limit = 0;
+    };
+    State state(Time now);
+
 private:
     void forget(Time now);
     void drawRounding(Time now);
+    double limit() const;
 
     double ratio_;
     double slack_;
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -409,7 +409,7 @@
     return effects;
 }
 
-nlohmann::json Scheduler::dump(Time now) const
+nlohmann::json Scheduler::dump(Time now)
 {
     auto endpoints = nlohmann::json::array();
     for (const auto *endpoint : table_.all()) {
@@ -431,6 +431,7 @@
     return {{"instance", self_.text()},           {"region", home_.text()},
             {"instances", instances_.size()},     {"requests", calls_.size()},
             {"waiting", queue_.size()},           {"endpoints", endpoints},
+            {"retry_budgets", dumpRetryBudgets(now)},
             {"quarantine", quarantine_.dump(now)}};
 }
 
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -114,6 +114,8 @@
     Effects tick(Time now);
     /// Crashes of endpoints and quarantines of requests since the last call, for the log.
     std::vector<CrashEvent> takeCrashEvents();
+    /// Decisions on retries since the last call, for the log.
+    std::vector<RetryDecision> takeRetryDecisions();
 
     // Queries.
 
@@ -131,7 +133,7 @@
     {
         return calls_.count(call) > 0;
     }
-    nlohmann::json dump(Time now) const;
+    nlohmann::json dump(Time now);
 
 private:
     // Processing of a request.
@@ -192,6 +194,9 @@
     /// Time until the first endpoint of the service ends its rest; zero if any has none.
     Duration restOfAll(const ServiceName &service, Time now) const;
     RetryBudget &budget(const ServiceName &service);
+    /// Charges the budget with another attempt of the request; false if none is left.
+    bool takeRetry(const Call &call, Time now);
+    nlohmann::json dumpRetryBudgets(Time now);
     /// This instance's part of the fixed number of retries that are allowed in addition to the
     /// ratio.
     double retrySlack() const;
@@ -221,6 +226,7 @@
     std::vector<InstanceId> instances_;
     std::size_t allInstances_ = 1;
     std::map<ServiceName, RetryBudget> budgets_;
+    std::vector<RetryDecision> retryDecisions_;
     std::vector<PromptNotice> notices_;
     std::unordered_map<CallId, Call> calls_;
     /// In the order in which requests are served.
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -129,7 +129,6 @@
         dispatchQueue(now, effects);
         return effects;
     }
-    auto &retryBudget = budget(call.facts.service);
     const bool unsent = isUnsent(outcome);
     const bool notRun = isNotRun(outcome);
     if (!notRun) {
@@ -145,7 +144,7 @@
     const bool allowed =
         notRun ? attemptsLeft : call.facts.repeatable && call.runs < call.facts.maxRuns;
     const bool retry =
-        mayRetry && allowed && now < call.facts.deadline && (unsent || retryBudget.take(now));
+        mayRetry && allowed && now < call.facts.deadline && (unsent || takeRetry(call, now));
     const auto &usable = table_.usable(call.facts.service);
     const bool allAttempted = std::all_of(usable.begin(), usable.end(), [&](const auto *endpoint) {
         return contains(call.attemptedEndpoints, endpoint->listed.record.id);
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -149,6 +149,36 @@
         .first->second;
 }
 
+bool Scheduler::takeRetry(const Call &call, Time now)
+{
+    const auto &service = call.facts.service;
+    auto &retryBudget = budget(service);
+    const auto state = retryBudget.state(now);
+    const bool allowed = retryBudget.take(now);
+    retryDecisions_.push_back({call.facts.id, service, allowed, state.requests, state.retries,
+                               state.limit, allInstances_});
+    return allowed;
+}
+
+std::vector<RetryDecision> Scheduler::takeRetryDecisions()
+{
+    return std::exchange(retryDecisions_, {});
+}
+
+nlohmann::json Scheduler::dumpRetryBudgets(Time now)
+{
+    auto budgets = nlohmann::json::array();
+    for (auto &[service, budget] : budgets_) {
+        const auto state = budget.state(now);
+        budgets.push_back({{"service", service.text()},
+                           {"requests", state.requests},
+                           {"retries", state.retries},
+                           {"limit", state.limit},
+                           {"instances", allInstances_}});
+    }
+    return budgets;
+}
+
 std::vector<CrashEvent> Scheduler::takeCrashEvents()
 {
     return crashes_.takeEvents();
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -109,6 +109,10 @@
                                "Endpoints that crashed while they ran requests of this instance"))
     , quarantines(registry.counter("laburnumchute_relay_quarantines_total",
                                    "Requests that are rejected since endpoints crashed under them"))
+    , retries(registry.counter("laburnumchute_relay_retries_total",
+                               "Further attempts that the retry budget allowed"))
+    , retriesDenied(registry.counter("laburnumchute_relay_retries_denied_total",
+                                     "Further attempts that the retry budget did not allow"))
     , firstEvent(registry.histogram("laburnumchute_relay_first_event_seconds",
                                     "From the request to the first event of its answer"))
     , queueTime(registry.histogram("laburnumchute_relay_queue_seconds",
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -52,6 +52,8 @@
     Common::Counter &resumed;
     Common::Counter &crashes;
     Common::Counter &quarantines;
+    Common::Counter &retries;
+    Common::Counter &retriesDenied;
     Common::DurationHistogram &firstEvent;
     Common::DurationHistogram &queueTime;
 };
@@ -163,6 +165,7 @@
     void applyReports(const Fleet::Heartbeat &heartbeat, Common::Time now);
     /// Logs crashes of endpoints and quarantines of requests that became known.
     void logCrashEvents(Common::Time now);
+    void logRetryDecisions(Common::Time now);
     /// Sends the pending prompt notices to the peers in the region.
     void sendPromptNotices();
     /// Sends the pending notices of suspected requests to the peers in the region and to one
@@ -190,7 +193,7 @@
     void continueShutdown(Common::Time now);
     ShutdownStep shutdownStep(Common::Time now) const;
     bool ready() const;
-    nlohmann::json dump(Common::Time now) const;
+    nlohmann::json dump(Common::Time now);
     nlohmann::json dumpCustomers(Common::Time now) const;
 
     RelayOptions options_;
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -331,6 +331,23 @@
     }
 }
 
+void RelayGateway::logRetryDecisions(Common::Time now)
+{
+    for (const auto &decision : scheduler_.takeRetryDecisions()) {
+        (decision.allowed ? relayMetrics_.retries : relayMetrics_.retriesDenied).add();
+        const auto call = calls_.find(decision.call);
+        EventLine line("retry");
+        line.add("request", call == calls_.end() ? "" : call->second->plan().head.requestId)
+            .add("service", decision.service)
+            .add("allowed", decision.allowed)
+            .add("requests", static_cast<std::int64_t>(decision.requests))
+            .add("retries", static_cast<std::int64_t>(decision.retries))
+            .add("limit", static_cast<std::int64_t>(decision.limit))
+            .add("instances", static_cast<std::int64_t>(decision.instances));
+        log_.write(line, now);
+    }
+}
+
 void RelayGateway::sendPromptNotices()
 {
     const auto notices = scheduler_.takeNotices();
--- a/Source/Core/Relay/RelayServers.cpp
+++ b/Source/Core/Relay/RelayServers.cpp
@@ -160,7 +160,7 @@
                         Platform::directoryAnswer(addresses, lifetime));
 }
 
-nlohmann::json RelayGateway::dump(Common::Time now) const
+nlohmann::json RelayGateway::dump(Common::Time now)
 {
     auto peers = nlohmann::json::array();
     for (const auto &peer : knownPeers_) {
