Divide the retry budget by the instances that may exist, not by those heard from

Callers' failed requests were retried beyond what the endpoints' operator allows. The fixed part of the budget was divided by the instances heard from in the last two seconds, so that instances that were cut off, or had just started, each took all of it; and a new process did not know what the one before it had used in the same window.

Fleet::Population now is the one owner of how many instances share a bound: the largest number alive at the same time within ten minutes, as far as anyone has told, with the age of the evidence, so that instances do not keep a number alive by repeating it. An instance that has not been told of all regions knows no number and uses no fixed part. Neither does a process in its first window. The part that is a ratio to an instance's own requests needs neither and is used always.

The tests of the budget no longer send requests that crash endpoints: instances that are all cut from each other still learn of those one by one, which is a test of its own and listed.

--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -194,7 +194,8 @@
     std::size_t retries = 0;
     /// Retries that this instance may make in the window.
     double limit = 0;
-    /// Instances among which the fixed part of the budget is divided.
+    /// Instances among which the fixed part of the budget is divided; zero while their number is
+    /// not known.
     std::size_t instances = 0;
 };
 
--- a/Source/Core/Dispatch/RetryBudget.cpp
+++ b/Source/Core/Dispatch/RetryBudget.cpp
@@ -4,19 +4,22 @@
 
 namespace LaburnumChute::Dispatch {
 
-RetryBudget::RetryBudget(double ratio, double slack, Duration window, std::uint64_t seed)
+RetryBudget::RetryBudget(double ratio, double slack, Duration window, Time slackFrom,
+                         std::uint64_t seed)
     : ratio_(ratio)
     , slack_(slack)
     , window_(window)
+    , slackFrom_(slackFrom)
     , random_(seed)
 {
 }
 
-void RetryBudget::setBounds(double ratio, double slack, Duration window)
+void RetryBudget::setBounds(double ratio, double slack, Duration window, Time slackFrom)
 {
     ratio_ = ratio;
     slack_ = slack;
     window_ = window;
+    slackFrom_ = slackFrom;
 }
 
 void RetryBudget::forget(Time now)
@@ -43,23 +46,24 @@
     requests_.push_back(now);
 }
 
-double RetryBudget::limit() const
+double RetryBudget::limit(Time now) const
 {
-    return std::floor(ratio_ * static_cast<double>(requests_.size()) + slack_ + rounding_);
+    const double slack = now >= slackFrom_ ? slack_ : 0;
+    return std::floor(ratio_ * static_cast<double>(requests_.size()) + slack + rounding_);
 }
 
 bool RetryBudget::available(Time now)
 {
     forget(now);
     drawRounding(now);
-    return static_cast<double>(retries_.size()) + 1 <= limit();
+    return static_cast<double>(retries_.size()) + 1 <= limit(now);
 }
 
 RetryBudget::State RetryBudget::state(Time now)
 {
     forget(now);
     drawRounding(now);
-    return {requests_.size(), retries_.size(), limit()};
+    return {requests_.size(), retries_.size(), limit(now)};
 }
 
 bool RetryBudget::take(Time now)
--- a/Source/Core/Dispatch/RetryBudget.h
+++ b/Source/Core/Dispatch/RetryBudget.h
@@ -13,7 +13,8 @@
 /// Without a limit the number of attempts multiplies just when the endpoints can handle the fewest,
 /// and a short failure becomes a long one. The limit is a ratio to the requests in a time window
 /// plus a fixed number (the slack), for all instances together; each instance applies the ratio to
-/// its own requests and gets an equal part of the slack.
+/// its own requests and gets an equal part of the slack. The first needs no knowledge of other
+/// instances or of the time before a restart; the second does, and is not used without it.
 ///
 /// With hundreds of instances, the limit of each is a fraction that is mostly below one retry. It
 /// is therefore rounded up or down at random, once per window: all instances together still keep to
@@ -22,11 +23,13 @@
 class RetryBudget
 {
 public:
-    RetryBudget(double ratio, double slack, Duration window, std::uint64_t seed);
+    /// @param slackFrom when this process has run for a window: an earlier process of the instance
+    ///        may have used its part of the slack just before, and keeps no record of that
+    RetryBudget(double ratio, double slack, Duration window, Time slackFrom, std::uint64_t seed);
 
     /// The limits change with the settings, and this instance's part of the slack changes with the
     /// number of instances.
-    void setBounds(double ratio, double slack, Duration window);
+    void setBounds(double ratio, double slack, Duration window, Time slackFrom);
     void request(Time now);
     bool available(Time now);
     /// Uses one retry of the budget; false if none is left.
@@ -43,11 +46,12 @@
 private:
     void forget(Time now);
     void drawRounding(Time now);
-    double limit() const;
+    double limit(Time now) const;
 
     double ratio_;
     double slack_;
     Duration window_;
+    Time slackFrom_;
     std::mt19937_64 random_;
     /// Added to the limit before it is rounded down; from 0 to 1.
     double rounding_ = 0;
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -63,7 +63,9 @@
     void setBounds(const Catalog::Bounds &bounds);
     /// Sets the live instances of the own region (including this one), the number of instances of
     /// all regions, and the reachable other regions.
-    void setFleet(const std::vector<InstanceId> &ownRegion, std::size_t allInstances,
+    /// @param sharers instances of all regions that may use the retry budget; nothing while their
+    ///        number is not known
+    void setFleet(const std::vector<InstanceId> &ownRegion, std::optional<std::size_t> sharers,
                   const std::vector<RegionName> &reachableRegions);
     Effects setRegionLoadReport(const InstanceId &instance, const RegionLoadReport &report,
                                 Time now);
@@ -198,7 +200,7 @@
     bool takeRetry(const Call &call, Time now);
     nlohmann::json dumpRetryBudgets(Time now);
     /// This instance's part of the fixed number of retries that are allowed in addition to the
-    /// ratio.
+    /// ratio; zero while the number of instances is not known.
     double retrySlack() const;
     void updateRetryBudgets();
     void checkListed(Time now);
@@ -224,7 +226,7 @@
     Placement placement_;
     EndpointHealth health_;
     std::vector<InstanceId> instances_;
-    std::size_t allInstances_ = 1;
+    std::optional<std::size_t> sharers_ = 1;
     std::map<ServiceName, RetryBudget> budgets_;
     std::vector<RetryDecision> retryDecisions_;
     std::vector<PromptNotice> notices_;
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -114,13 +114,14 @@
     updateRetryBudgets();
 }
 
-void Scheduler::setFleet(const std::vector<InstanceId> &ownRegion, std::size_t allInstances,
+void Scheduler::setFleet(const std::vector<InstanceId> &ownRegion,
+                         std::optional<std::size_t> sharers,
                          const std::vector<RegionName> &reachableRegions)
 {
     instances_ = ownRegion;
     placement_.setInstances(instances_);
     reachability_.setInstances(instances_);
-    allInstances_ = std::max<std::size_t>(1, allInstances);
+    sharers_ = sharers;
     table_.keepReports(instances_);
     spareCapacity_.setOwnInstances(instances_.size());
     spareCapacity_.setReachable(reachableRegions);
@@ -129,14 +130,19 @@
 
 double Scheduler::retrySlack() const
 {
-    return bounds_.retrySlack * options_.sharedBoundFraction / static_cast<double>(allInstances_);
+    if (!sharers_) {
+        return 0;
+    }
+    const auto sharers = static_cast<double>(std::max<std::size_t>(1, *sharers_));
+    return bounds_.retrySlack * options_.sharedBoundFraction / sharers;
 }
 
 void Scheduler::updateRetryBudgets()
 {
     const double ratio = bounds_.retryRatio * options_.sharedBoundFraction;
     for (auto &[service, budget] : budgets_) {
-        budget.setBounds(ratio, retrySlack(), bounds_.retryWindow);
+        budget.setBounds(ratio, retrySlack(), bounds_.retryWindow,
+                         startedAt_ + bounds_.retryWindow);
     }
 }
 
@@ -145,6 +151,7 @@
     const double ratio = bounds_.retryRatio * options_.sharedBoundFraction;
     return budgets_
         .try_emplace(service, ratio, retrySlack(), bounds_.retryWindow,
+                     startedAt_ + bounds_.retryWindow,
                      Common::stableHash(service.text(), random_()))
         .first->second;
 }
@@ -156,7 +163,7 @@
     const auto state = retryBudget.state(now);
     const bool allowed = retryBudget.take(now);
     retryDecisions_.push_back({call.facts.id, service, allowed, state.requests, state.retries,
-                               state.limit, allInstances_});
+                               state.limit, sharers_.value_or(0)});
     return allowed;
 }
 
@@ -174,7 +181,7 @@
                            {"requests", state.requests},
                            {"retries", state.retries},
                            {"limit", state.limit},
-                           {"instances", allInstances_}});
+                           {"instances", sharers_.value_or(0)}});
     }
     return budgets;
 }
--- a/Source/Core/Fleet/Fleet.h
+++ b/Source/Core/Fleet/Fleet.h
@@ -4,5 +4,6 @@
 // discovered from seed addresses alone. A state machine that performs no I/O.
 
 #include "Fleet/Heartbeat.h"
+#include "Fleet/Population.h"
 #include "Fleet/Roster.h"
 #include "Fleet/StoreWatch.h"
--- a/Source/Core/Fleet/Heartbeat.h
+++ b/Source/Core/Fleet/Heartbeat.h
@@ -66,6 +66,21 @@
     }
 };
 
+/// Number of instances of a region that were alive at the same time, and when.
+struct RegionPopulation
+{
+    Common::RegionName region;
+    std::uint32_t instances = 0;
+    std::uint32_t ageMs = 0;
+
+    /// For cereal.
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(region, instances, ageMs);
+    }
+};
+
 /// State of the sender, for instances of its region. Instances of other regions get one only on the
 /// first contact and when the sender leaves.
 struct Heartbeat
@@ -76,6 +91,8 @@
     std::vector<InstanceRecord> instanceRecords;
     /// Instances whose records the sender lacks and asks the receiver for.
     std::vector<std::uint32_t> wantedRecords;
+    /// What the sender knows of the number of instances.
+    std::vector<RegionPopulation> populations;
     /// Encoded load report of the sender. Not interpreted by this library.
     std::string loadReport;
     /// Encoded report on the usage of customers, likewise.
@@ -85,7 +102,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(self, heard, instanceRecords, wantedRecords, loadReport, usageReport);
+        archive(self, heard, instanceRecords, wantedRecords, populations, loadReport, usageReport);
     }
 };
 
@@ -101,6 +118,8 @@
     std::uint32_t aliveInstances = 0;
     /// Other instances of the region that accept requests.
     std::vector<InstanceRecord> contacts;
+    /// What the speaker knows of the number of instances of all regions.
+    std::vector<RegionPopulation> populations;
     /// Encoded reports of the region. Not interpreted by this library.
     std::string loadReport;
     std::string usageReport;
@@ -109,7 +128,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(speaker, ageMs, aliveInstances, contacts, loadReport, usageReport);
+        archive(speaker, ageMs, aliveInstances, contacts, populations, loadReport, usageReport);
     }
 };
 
--- /dev/null
+++ b/Source/Core/Fleet/Population.cpp
@@ -0,0 +1,109 @@
+#include "Fleet/Population.h"
+
+#include <algorithm>
+
+namespace LaburnumChute::Fleet {
+
+using Common::Duration;
+using Common::milliseconds;
+using Common::RegionName;
+using Common::Time;
+
+Population::Population(PopulationOptions options, RegionName ownRegion)
+    : options_(options)
+    , ownRegion_(std::move(ownRegion))
+    , regions_({ownRegion_})
+{
+}
+
+void Population::setRegions(const std::set<RegionName> &regions)
+{
+    regions_ = regions;
+    regions_.insert(ownRegion_);
+}
+
+bool Population::valid(const Evidence &evidence, Time now) const
+{
+    return now - evidence.at <= options_.memory;
+}
+
+void Population::seen(const RegionName &region, std::size_t instances, Time at)
+{
+    if (!since_) {
+        since_ = at;
+    }
+    auto &known = evidence_[region];
+    const bool covered = std::any_of(known.begin(), known.end(), [&](const Evidence &each) {
+        return each.instances >= instances && each.at >= at;
+    });
+    if (covered) {
+        return;
+    }
+    std::erase_if(known, [&](const Evidence &each) {
+        return (each.instances <= instances && each.at <= at) || !valid(each, at);
+    });
+    known.push_back({instances, at});
+}
+
+void Population::merge(const std::vector<RegionPopulation> &reports, Time now)
+{
+    for (const auto &report : reports) {
+        toldOfOwnRegion_ = toldOfOwnRegion_ || report.region == ownRegion_;
+        seen(report.region, report.instances, now - milliseconds(report.ageMs));
+    }
+}
+
+std::vector<RegionPopulation> Population::reports(Time now) const
+{
+    std::vector<RegionPopulation> result;
+    for (const auto &[region, known] : evidence_) {
+        for (const auto &each : known) {
+            if (valid(each, now)) {
+                const auto age = std::chrono::duration_cast<milliseconds>(now - each.at);
+                result.push_back({region, static_cast<std::uint32_t>(each.instances),
+                                  static_cast<std::uint32_t>(age.count())});
+            }
+        }
+    }
+    return result;
+}
+
+void Population::postpone(Duration suspension)
+{
+    for (auto &[region, known] : evidence_) {
+        for (auto &each : known) {
+            each.at += suspension;
+        }
+    }
+}
+
+std::size_t Population::inRegion(const RegionName &region, Time now) const
+{
+    const auto found = evidence_.find(region);
+    std::size_t most = 0;
+    if (found != evidence_.end()) {
+        for (const auto &each : found->second) {
+            most = std::max(most, valid(each, now) ? each.instances : 0);
+        }
+    }
+    return most;
+}
+
+std::optional<std::size_t> Population::total(bool seedsUnheard, Time now) const
+{
+    const bool mayBeIncomplete = !since_ || now - *since_ <= options_.memory;
+    if (mayBeIncomplete && seedsUnheard && !toldOfOwnRegion_) {
+        return std::nullopt;
+    }
+    std::size_t sum = 0;
+    for (const auto &region : regions_) {
+        const auto instances = inRegion(region, now);
+        if (instances == 0 && mayBeIncomplete) {
+            return std::nullopt;
+        }
+        sum += instances;
+    }
+    return std::max<std::size_t>(1, sum);
+}
+
+} // namespace LaburnumChute::Fleet
--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -40,6 +40,7 @@
     : options_(options)
     , self_(std::move(self))
     , selfSpeakerWeight_(speakerWeight(self_))
+    , population_(options_.population, self_.region)
     , random_(seed)
 {
 }
@@ -50,6 +51,11 @@
     isSeed_ = seeds_.erase(self_.gossipAddress) > 0;
 }
 
+void Roster::setRegions(const std::set<Common::RegionName> &regions)
+{
+    population_.setRegions(regions);
+}
+
 void Roster::setReady(bool ready)
 {
     self_.ready = ready;
@@ -141,6 +147,29 @@
     return count;
 }
 
+bool Roster::hasUnheardSeeds() const
+{
+    const auto isHeard = [this](const std::string &address) {
+        return seedRegions_.count(address) > 0
+               || std::any_of(entries_.begin(), entries_.end(), [&](const auto &item) {
+                      return item.second.record.gossipAddress == address;
+                  });
+    };
+    return !std::all_of(seeds_.begin(), seeds_.end(), isHeard);
+}
+
+std::optional<std::size_t> Roster::sharers(Time now) const
+{
+    return population_.total(hasUnheardSeeds(), now);
+}
+
+void Roster::countOwnRegion(Time now)
+{
+    const auto others = std::count_if(entries_.begin(), entries_.end(),
+                                      [&](const auto &item) { return alive(item.second, now); });
+    population_.seen(self_.region, 1 + static_cast<std::size_t>(others), now);
+}
+
 // Messages to others.
 
 /// Chooses half of the entries among the instances that were heard from most recently, since their
@@ -216,6 +245,7 @@
 Roster::MessagePtr Roster::makeResponse(const Common::RegionName &receiver, Time now)
 {
     auto heartbeat = receiver == self_.region ? makeHeartbeat(now) : briefHeartbeat();
+    heartbeat.populations = population_.reports(now);
     heartbeat.instanceRecords = sampleRecords(receiver, now);
     return std::make_shared<const Message>(std::move(heartbeat));
 }
@@ -334,6 +364,7 @@
             digest.contacts.back().storeAgeMs.reset();
         }
     }
+    digest.populations = population_.reports(now);
     digest.loadReport = digestReports_.load;
     digest.usageReport = digestReports_.usage;
     const auto message = std::make_shared<const Message>(std::move(digest));
@@ -357,6 +388,7 @@
             }
         };
         postpone(entries_);
+        population_.postpone(shift);
         for (auto &[name, region] : otherRegions_) {
             postpone(region.contacts);
             region.digestMadeAt += shift;
@@ -385,6 +417,7 @@
 Sends Roster::tick(Time now)
 {
     compensateForSuspension(now);
+    countOwnRegion(now);
     ++self_.sequence;
     Sends sends;
     const auto message = std::make_shared<const Message>(makeHeartbeat(now));
--- a/Source/Core/Fleet/Roster.h
+++ b/Source/Core/Fleet/Roster.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Fleet/Heartbeat.h"
+#include "Fleet/Population.h"
 
 namespace LaburnumChute::Fleet {
 
@@ -58,6 +59,7 @@
     std::size_t recordsPerMessage = 5;
     /// Entries of silent instances are removed after this time.
     milliseconds forgetAfter{120000};
+    PopulationOptions population;
 };
 
 /// Another instance as this one knows it.
@@ -116,6 +118,8 @@
 
     /// Sets the addresses that are contacted before any peer is known; may be called again.
     void setSeeds(const std::set<std::string> &gossipAddresses);
+    /// Sets the regions in which there may be instances.
+    void setRegions(const std::set<Common::RegionName> &regions);
     void setReady(bool ready);
     void setLeaving();
     void setStoreRevision(std::uint64_t revision);
@@ -151,6 +155,9 @@
     std::vector<Peer> peers(Time now) const;
     /// Number of instances of all regions that are alive, including this one.
     std::size_t aliveInstances(Time now) const;
+    /// Number of instances that may use bounds of all instances together, see Population; nothing
+    /// while it is not known.
+    std::optional<std::size_t> sharers(Time now) const;
     const InstanceRecord &self() const
     {
         return self_;
@@ -196,6 +203,9 @@
     std::vector<const Entry *> chooseContacts(const OtherRegion &region, Time now);
     void addRetryHeartbeats(Sends &sends, const MessagePtr &message, Time now);
     void addDigests(Sends &sends, Time now);
+    /// Returns true if nothing has been heard of some seed since the start.
+    bool hasUnheardSeeds() const;
+    void countOwnRegion(Time now);
     bool seedIsKnown(const std::string &address, Time now) const;
     Sends receiveFromOwnRegion(const Heartbeat &heartbeat, Time now);
     Sends receiveFromOtherRegion(const Heartbeat &heartbeat, Time now);
@@ -224,6 +234,7 @@
     std::map<Common::InstanceId, Entry> entries_;
     std::unordered_map<std::uint32_t, Entry *> byShortId_;
     std::map<Common::RegionName, OtherRegion> otherRegions_;
+    Population population_;
     Reports reports_;
     Reports digestReports_;
     std::mt19937_64 random_;
--- a/Source/Core/Fleet/RosterReceive.cpp
+++ b/Source/Core/Fleet/RosterReceive.cpp
@@ -181,6 +181,7 @@
     if (sender.id == self_.id) {
         return {};
     }
+    population_.merge(heartbeat.populations, now);
     auto sends = sender.region == self_.region ? receiveFromOwnRegion(heartbeat, now)
                                                : receiveFromOtherRegion(heartbeat, now);
     if (heartbeat.instanceRecords.empty()) {
@@ -242,6 +243,8 @@
             mergeContact(region, contact, madeAt);
         }
     }
+    population_.seen(speaker.region, digest.aliveInstances, madeAt);
+    population_.merge(digest.populations, madeAt);
     if (madeAt >= region.digestMadeAt) {
         region.digestMadeAt = madeAt;
         region.aliveInstances = digest.aliveInstances;
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -235,6 +235,11 @@
         seeds.insert(withPort(ip, settings_.gossipPort));
     }
     roster_.setSeeds(seeds);
+    std::set<Common::RegionName> regions;
+    for (const auto &[failureDomain, region] : settings_.regions) {
+        regions.insert(region);
+    }
+    roster_.setRegions(regions);
     store_.setAddress(settings_.storeAddress);
     store_.setOptions(watchOptions(settings_.bounds));
     scheduler_.setBounds(settings_.bounds);
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -418,7 +418,7 @@
     if (hasCustomers()) {
         limiter_.setInstances({own.begin() + 1, own.end()}, aliveCount, now);
     }
-    scheduler_.setFleet(own, aliveCount, {reachable.begin(), reachable.end()});
+    scheduler_.setFleet(own, roster_.sharers(now), {reachable.begin(), reachable.end()});
     updateWatchDuty(now);
 }
 
--- a/Source/IntegrationTests/soak.py
+++ b/Source/IntegrationTests/soak.py
@@ -67,14 +67,15 @@
 logging.getLogger("asyncio").setLevel(logging.ERROR)
 
 
-async def play(seed, instances, folder, disturb):
+async def play(seed, instances, folder, disturb, deadly_per_second=DEADLY_PER_SECOND):
     """
+    @param deadly_per_second: rate of a request that crashes the endpoints that run it
     @param disturb: coroutine function that gets the deployment and a log of faults; the callers
         stop some time after it has ended
     """
     deployment = Deployment(folder, BOUNDS, instances, seed)
     faults_log = []
-    callers = Callers(deployment, PER_SECOND, DEADLY_PER_SECOND, seed + 1)
+    callers = Callers(deployment, PER_SECOND, deadly_per_second, seed + 1)
     try:
         await deployment.start()
         for instance in deployment.instances:
--- a/Source/UnitTests/Relay/SimulatedInstances.h
+++ b/Source/UnitTests/Relay/SimulatedInstances.h
@@ -50,6 +50,11 @@
         record.ready = true;
         node.roster = std::make_unique<Fleet::Roster>(Fleet::RosterOptions(), record, random_());
         node.roster->setSeeds(seeds());
+        std::set<Common::RegionName> regions;
+        for (std::size_t each = 0; each < std::min(Regions, nodes_.size()); ++each) {
+            regions.insert(Common::RegionName(regionOf(each)));
+        }
+        node.roster->setRegions(regions);
         node.scheduler = std::make_unique<Dispatch::Scheduler>(
             Dispatch::DispatchOptions(), record.id, record.region, random_(), now_);
         node.scheduler->setBounds(bounds_);
@@ -198,7 +203,7 @@
                 own.push_back(peer.record.id);
             }
         }
-        node.scheduler->setFleet(own, node.roster->aliveInstances(now_), {});
+        node.scheduler->setFleet(own, node.roster->sharers(now_), {});
     }
 
     void tick(std::size_t index)
