--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -428,9 +428,12 @@
                              {"limit", endpoint->limit.statement().perSecond.value_or(-1)},
                              {"error_share", endpoint->errorRate}});
     }
-    return {{"instance", self_.text()},           {"region", home_.text()},
-            {"instances", instances_.size()},     {"requests", calls_.size()},
-            {"waiting", queue_.size()},           {"endpoints", endpoints},
+    return {{"instance", self_.text()},
+            {"region", home_.text()},
+            {"instances", instances_.size()},
+            {"requests", calls_.size()},
+            {"waiting", queue_.size()},
+            {"endpoints", endpoints},
             {"retry_budgets", dumpRetryBudgets(now)},
             {"quarantine", quarantine_.dump(now)}};
 }
--- a/Source/Core/Fleet/Population.h
+++ b/Source/Core/Fleet/Population.h
@@ -24,10 +24,11 @@
 /// messages are late hear from few others or from none. If each of them divided a bound by the
 /// instances that it hears from, all together would exceed it by a multiple. This number therefore
 /// only follows an increase at once: it is the largest number of instances that were alive at the
-/// same time within the memory, as far as anyone has told. Reports carry the age of the evidence, so
-/// that instances cannot keep a number alive by repeating it to each other.
+/// same time within the memory, as far as anyone has told. Reports carry the age of the evidence,
+/// so that instances cannot keep a number alive by repeating it to each other.
 ///
-/// An instance that has just started does not know the number until it has been told of each region.
+/// An instance that has just started does not know the number until it has been told of each
+/// region.
 class Population
 {
 public:
--- a/Source/Core/Relay/RelayOptions.cpp
+++ b/Source/Core/Relay/RelayOptions.cpp
@@ -25,9 +25,12 @@
     "a whole number from 0 to 65535",
     [](const std::int64_t &v) { return v >= 0 && v <= 65535; }};
 const Setting<std::string> AdvertisedIpSetting{
-    "advertised-ip", "network", "",
+    "advertised-ip",
+    "network",
+    "",
     "IP address at which other instances reach this one, if it is not the one that it listens on",
-    "an IPv4 address", [](const std::string &text) { return text.empty() || isIpAddress(text); }};
+    "an IPv4 address",
+    [](const std::string &text) { return text.empty() || isIpAddress(text); }};
 const Setting<std::int64_t> LinesSetting{"log-lines-per-second",
                                          "logs",
                                          100,
--- a/Source/UnitTests/Dispatch/RetryBudgetTest.cpp
+++ b/Source/UnitTests/Dispatch/RetryBudgetTest.cpp
@@ -21,7 +21,8 @@
 {
     std::vector<RetryBudget> budgets;
     for (int index = 0; index < instances; ++index) {
-        budgets.emplace_back(Ratio, slack / instances, Window, Time(), static_cast<std::uint64_t>(index));
+        budgets.emplace_back(Ratio, slack / instances, Window, Time(),
+                             static_cast<std::uint64_t>(index));
     }
     std::mt19937_64 random(7);
     std::uniform_real_distribution<double> phase(0, 1);
--- a/Source/UnitTests/Relay/SimulatedInstances.h
+++ b/Source/UnitTests/Relay/SimulatedInstances.h
@@ -121,9 +121,9 @@
                 return static_cast<double>(last - first);
             };
             const auto window = Duration(bounds_.retryWindow);
-            const auto requests = std::max({count(requests_, start),
-                                            count(requests_, start - window),
-                                            count(requests_, start - window / 2)});
+            const auto requests =
+                std::max({count(requests_, start), count(requests_, start - window),
+                          count(requests_, start - window / 2)});
             const double limit = bounds_.retryRatio * requests + bounds_.retrySlack;
             fullest = std::max(fullest, count(retries_, start) / limit);
         }
