Discard what a cancelled call has not delivered

After a plain close the kernel goes on sending what has not been acknowledged. A call that is given up now resets its connection, which discards these bytes.

Guarded by OutboundCallTest.CancelledCallDiscardsWhatWasNotDelivered, which saw an end of file before and sees a reset now.

--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -257,7 +257,10 @@
     }
     finished_ = true;
     if (connection_) {
+        // After a plain close, the kernel still delivers bytes that have not been acknowledged,
+        // such as a request sent on a path that works again seconds later.
         boost::system::error_code ignored;
+        connection_->socket.set_option(asio::socket_base::linger(true, 0), ignored);
         connection_->socket.close(ignored);
     }
 }
--- a/Source/UnitTests/Relay/OutboundCallTest.cpp
+++ b/Source/UnitTests/Relay/OutboundCallTest.cpp
@@ -79,8 +79,36 @@
     };
 }
 
+/// Reads until the connection ends, and records how.
+ScriptedServer::Script recordEnd(boost::system::error_code &end)
+{
+    return [&end](tcp::socket &socket) {
+        ScriptedServer::readHead(socket);
+        char byte = 0;
+        while (!end) {
+            socket.read_some(asio::buffer(&byte, 1), end);
+        }
+    };
+}
+
 } // namespace
 
+// Guards against requests that reach an endpoint after their callers have left: a path is cut, the
+// call is cancelled, and the kernel delivers the request when the path works again.
+TEST_F(OutboundCallTest, CancelledCallDiscardsWhatWasNotDelivered)
+{
+    boost::system::error_code end;
+    {
+        ScriptedServer server({recordEnd(end)});
+        const auto running =
+            std::make_shared<OutboundCall>(pool_, request(server.address()), CallEvents());
+        running->start(std::chrono::steady_clock::now());
+        context_.run_for(Common::milliseconds(100));
+        running->cancel();
+    }
+    EXPECT_EQ(end, asio::error::connection_reset);
+}
+
 TEST_F(OutboundCallTest, ReusesTheConnectionAfterACompleteResponse)
 {
     ScriptedServer server({[](tcp::socket &socket) {
