Charge retries to the budget when they are sent

A retry was charged when it was decided. It may then wait in the queue for seconds, so that endpoints got the retries of two windows in one. A retry is now reserved when it is decided, charged when it is sent, and returned if it is not made or nothing of it has reached an endpoint; the last two used to cost a retry that endpoints never saw.

Guarded by ReservedRetryTest.

--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -6,6 +6,15 @@
 
 namespace LaburnumChute::Dispatch {
 
+enum class RetryCharge {
+    /// It is the first one that may reach an endpoint.
+    None,
+    /// It has not been sent.
+    Reserved,
+    /// It was sent at Call::sentAt.
+    Sent,
+};
+
 /// A request that was submitted to the scheduler and has not ended.
 struct Call
 {
@@ -35,6 +44,8 @@
     int attempts = 0;
     /// Those of them that ended before anything was sent.
     int unsentAttempts = 0;
+    /// How the current or next attempt is charged to the retry budget.
+    RetryCharge retryCharge = RetryCharge::None;
     std::vector<EndpointId> attemptedEndpoints;
     std::vector<RegionName> attemptedRegions;
     /// Instances of the own region that it was handed over to.
--- a/Source/Core/Dispatch/RetryBudget.cpp
+++ b/Source/Core/Dispatch/RetryBudget.cpp
@@ -1,5 +1,6 @@
 #include "Dispatch/RetryBudget.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace LaburnumChute::Dispatch {
@@ -56,23 +57,43 @@
 {
     forget(now);
     drawRounding(now);
-    return static_cast<double>(retries_.size()) + 1 <= limit(now);
+    return static_cast<double>(retries_.size() + reserved_) + 1 <= limit(now);
 }
 
 RetryBudget::State RetryBudget::state(Time now)
 {
     forget(now);
     drawRounding(now);
-    return {requests_.size(), retries_.size(), limit(now)};
+    return {requests_.size(), retries_.size() + reserved_, limit(now)};
 }
 
-bool RetryBudget::take(Time now)
+bool RetryBudget::reserve(Time now)
 {
     if (!available(now)) {
         return false;
     }
-    retries_.push_back(now);
+    ++reserved_;
     return true;
 }
 
+void RetryBudget::release()
+{
+    --reserved_;
+}
+
+void RetryBudget::sent(Time now)
+{
+    --reserved_;
+    retries_.push_back(now);
+}
+
+void RetryBudget::undoSent(Time sentAt)
+{
+    ++reserved_;
+    const auto found = std::find(retries_.rbegin(), retries_.rend(), sentAt);
+    if (found != retries_.rend()) {
+        retries_.erase(std::prev(found.base()));
+    }
+}
+
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/RetryBudget.h
+++ b/Source/Core/Dispatch/RetryBudget.h
@@ -32,12 +32,20 @@
     void setBounds(double ratio, double slack, Duration window, Time slackFrom);
     void request(Time now);
     bool available(Time now);
-    /// Uses one retry of the budget; false if none is left.
-    bool take(Time now);
+    /// Reserves one retry of the budget; false if none is left. The retry may be sent much later,
+    /// and counts in the window in which endpoints get it.
+    bool reserve(Time now);
+    /// A reserved retry is not made.
+    void release();
+    /// A reserved retry is sent.
+    void sent(Time now);
+    /// Nothing of the retry that was sent then has reached an endpoint; it is reserved again.
+    void undoSent(Time sentAt);
 
     struct State
     {
         std::size_t requests = 0;
+        /// Reserved and sent ones.
         std::size_t retries = 0;
         double limit = 0;
     };
@@ -58,6 +66,7 @@
     Time roundingDrawnAt_{};
     std::deque<Time> requests_;
     std::deque<Time> retries_;
+    std::size_t reserved_ = 0;
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -178,6 +178,7 @@
     call.endpoint = record.id;
     call.region = RegionName();
     call.sentAt = now;
+    chargeRetry(call, now);
     call.expected = candidate.expected;
     call.prefillTokens = candidate.prefillTokens;
     call.answering = false;
@@ -239,6 +240,7 @@
     dequeue(call);
     call.endpoint = EndpointId();
     call.sentAt = now;
+    chargeRetry(call, now);
     call.expected = expected;
     call.answering = false;
     call.attemptCancelled = false;
@@ -369,7 +371,7 @@
         std::uniform_real_distribution<double> factor(1, 1 + options_.retryAfterJitter);
         retryAfter = scaled(rest, factor(random_));
     }
-    calls_.erase(id);
+    forget(call);
     effects.push_back(Reject{id, reason, retryAfter});
 }
 
@@ -377,7 +379,7 @@
 {
     dequeue(call);
     const auto id = call.facts.id;
-    calls_.erase(id);
+    forget(call);
     effects.push_back(Fail{id});
 }
 
@@ -391,7 +393,7 @@
     call.withdrawn = true;
     if (call.queued) {
         dequeue(call);
-        calls_.erase(found);
+        forget(call);
     }
 }
 
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -196,8 +196,12 @@
     /// Time until the first endpoint of the service ends its rest; zero if any has none.
     Duration restOfAll(const ServiceName &service, Time now) const;
     RetryBudget &budget(const ServiceName &service);
-    /// Charges the budget with another attempt of the request; false if none is left.
-    bool takeRetry(const Call &call, Time now);
+    /// Reserves a retry for another attempt of the request; false if none is left.
+    bool reserveRetry(Call &call, Time now);
+    /// Charges a reserved retry with the attempt that begins now.
+    void chargeRetry(Call &call, Time now);
+    /// Removes the request, and returns a retry that was reserved for it and not sent.
+    void forget(Call &call);
     nlohmann::json dumpRetryBudgets(Time now);
     /// This instance's part of the fixed number of retries that are allowed in addition to the
     /// ratio; zero while the number of instances is not known.
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -125,7 +125,7 @@
     const bool done = call.withdrawn || outcome == AttemptOutcome::Completed
                       || outcome == AttemptOutcome::Cancelled;
     if (done) {
-        calls_.erase(found);
+        forget(call);
         dispatchQueue(now, effects);
         return effects;
     }
@@ -139,12 +139,16 @@
     // An attempt by which nothing was sent costs nothing, and no endpoint, instance or region is
     // tried a second time.
     call.unsentAttempts += unsent ? 1 : 0;
+    if (unsent && call.retryCharge == RetryCharge::Sent) {
+        call.retryCharge = RetryCharge::Reserved;
+        budget(call.facts.service).undoSent(call.sentAt);
+    }
     const bool attemptsLeft =
         call.attempts - call.unsentAttempts < call.facts.maxRuns + ExtraAttempts;
     const bool allowed =
         notRun ? attemptsLeft : call.facts.repeatable && call.runs < call.facts.maxRuns;
     const bool retry =
-        mayRetry && allowed && now < call.facts.deadline && (unsent || takeRetry(call, now));
+        mayRetry && allowed && now < call.facts.deadline && (unsent || reserveRetry(call, now));
     const auto &usable = table_.usable(call.facts.service);
     const bool allAttempted = std::all_of(usable.begin(), usable.end(), [&](const auto *endpoint) {
         return contains(call.attemptedEndpoints, endpoint->listed.record.id);
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -156,17 +156,34 @@
         .first->second;
 }
 
-bool Scheduler::takeRetry(const Call &call, Time now)
+bool Scheduler::reserveRetry(Call &call, Time now)
 {
     const auto &service = call.facts.service;
     auto &retryBudget = budget(service);
     const auto state = retryBudget.state(now);
-    const bool allowed = retryBudget.take(now);
+    const bool allowed = retryBudget.reserve(now);
+    call.retryCharge = allowed ? RetryCharge::Reserved : RetryCharge::None;
     retryDecisions_.push_back({call.facts.id, service, allowed, state.requests, state.retries,
                                state.limit, sharers_.value_or(0)});
     return allowed;
 }
 
+void Scheduler::chargeRetry(Call &call, Time now)
+{
+    if (call.retryCharge == RetryCharge::Reserved) {
+        call.retryCharge = RetryCharge::Sent;
+        budget(call.facts.service).sent(now);
+    }
+}
+
+void Scheduler::forget(Call &call)
+{
+    if (call.retryCharge == RetryCharge::Reserved) {
+        budget(call.facts.service).release();
+    }
+    calls_.erase(call.facts.id);
+}
+
 std::vector<RetryDecision> Scheduler::takeRetryDecisions()
 {
     return std::exchange(retryDecisions_, {});
--- a/Source/UnitTests/Dispatch/RetryBudgetTest.cpp
+++ b/Source/UnitTests/Dispatch/RetryBudgetTest.cpp
@@ -17,6 +17,16 @@
     int mostInAWindow = 0;
 };
 
+/// Makes a retry at once, if one is left.
+bool take(RetryBudget &budget, Time now)
+{
+    const bool reserved = budget.reserve(now);
+    if (reserved) {
+        budget.sent(now);
+    }
+    return reserved;
+}
+
 Outcome simulate(int instances, double slack, int requestsPerInstance)
 {
     std::vector<RetryBudget> budgets;
@@ -36,7 +46,7 @@
                 budget.request(at);
                 if (phase(random) < 1.0 / 7) {
                     ++outcome.wanted;
-                    allowed += budget.take(at) ? 1 : 0;
+                    allowed += take(budget, at) ? 1 : 0;
                 }
             }
         }
@@ -70,4 +80,56 @@
     }
 }
 
+class ReservedRetryTest : public testing::Test
+{
+protected:
+    int reserveAll()
+    {
+        int count = 0;
+        while (budget_.reserve(now_)) {
+            ++count;
+        }
+        return count;
+    }
+
+    static constexpr double Slack = 10;
+    Time now_ = Time(seconds(1000));
+    RetryBudget budget_{0, Slack, Window, Time(), 1};
+};
+
+// Guards against two windows' retries at endpoints in one: some wait in a queue and are sent beside
+// those of the next window.
+TEST_F(ReservedRetryTest, RetriesCountWhenTheyAreSent)
+{
+    const int reserved = reserveAll();
+    EXPECT_GE(reserved, Slack);
+    now_ += Window - seconds(1);
+    for (int sent = 0; sent < reserved; ++sent) {
+        budget_.sent(now_);
+    }
+    now_ += seconds(2);
+    EXPECT_FALSE(budget_.available(now_));
+    now_ += Window;
+    EXPECT_TRUE(budget_.available(now_));
+}
+
+TEST_F(ReservedRetryTest, RetriesThatWaitAreCharged)
+{
+    reserveAll();
+    now_ += Window + Window;
+    // A new window may round the limit up by one.
+    EXPECT_LE(reserveAll(), 1);
+}
+
+TEST_F(ReservedRetryTest, RetriesThatAreNotMadeAreReturned)
+{
+    reserveAll();
+    budget_.release();
+    EXPECT_TRUE(budget_.reserve(now_));
+    budget_.sent(now_);
+    budget_.undoSent(now_);
+    budget_.release();
+    EXPECT_TRUE(budget_.reserve(now_));
+}
+
 } // namespace LaburnumChute::Dispatch
