Keep the quotas of silent instances at cold endpoints

The same cause as that of the retry budget: the rate of a cold endpoint was divided by the instances of the region that are heard from, so instances that are cut from each other each took all of it. Instances that are known keep their quotas while they are silent, and the number of those that a new process cannot know comes from Fleet::Population.

Guarded by RosterTest.SilentInstancesShareTheBoundsOfTheirRegion and by ColdRateLimitTest.InstancesThatKnowOnlySomeOthersKeepToTheBoundTogether.

--- a/Source/Core/Dispatch/ColdRateLimit.cpp
+++ b/Source/Core/Dispatch/ColdRateLimit.cpp
@@ -15,14 +15,15 @@
 } // namespace
 
 int ColdRateLimit::quota(double bound, const EndpointId &endpoint, const InstanceId &self,
-                         const std::vector<InstanceId> &instances)
+                         const std::vector<InstanceId> &known, std::size_t count)
 {
     const auto total = static_cast<std::size_t>(std::max(1.0, std::floor(bound)));
-    const auto count = std::max<std::size_t>(1, instances.size());
     if (total >= count) {
         return static_cast<int>(total / count);
     }
-    return rendezvousRank(endpoint, self, instances) < total ? 1 : 0;
+    // Instances that do not know each other rank themselves apart, each group for its part.
+    const auto holders = total * known.size() / count;
+    return rendezvousRank(endpoint, self, known) < holders ? 1 : 0;
 }
 
 bool ColdRateLimit::allows(int quota, Time now) const
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -29,7 +29,7 @@
     , self_(std::move(self))
     , random_(seed)
     , startedAt_(startedAt)
-    , instances_({self_})
+    , sharers_({self_})
 {
 }
 
@@ -38,16 +38,17 @@
     bounds_ = bounds;
 }
 
-void Placement::setInstances(const std::vector<InstanceId> &instances)
+void Placement::setSharers(const std::vector<InstanceId> &known, std::size_t count)
 {
-    instances_ = instances;
+    sharers_ = known;
+    sharerCount_ = std::max<std::size_t>(1, count);
 }
 
 int Placement::coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const
 {
     const double bound = (service.coldRate * bounds_.coldOvershoot + bounds_.coldSlack)
                          * options_->sharedBoundFraction;
-    return ColdRateLimit::quota(bound, endpoint.listed.record.id, self_, instances_);
+    return ColdRateLimit::quota(bound, endpoint.listed.record.id, self_, sharers_, sharerCount_);
 }
 
 bool Placement::hasSpareCapacity(const EndpointState &endpoint, std::size_t position,
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -38,8 +38,8 @@
               Time startedAt);
 
     void setBounds(const Catalog::Bounds &bounds);
-    /// Live instances of the own region, including this one.
-    void setInstances(const std::vector<InstanceId> &instances);
+    /// Instances of the own region that may send to its cold endpoints, see ColdRateLimit::quota().
+    void setSharers(const std::vector<InstanceId> &known, std::size_t count);
 
     std::optional<Candidate> choose(const Call &call, Time now);
     /// Whether to send the request to the candidate now, rather than queue or forward it.
@@ -81,7 +81,8 @@
     std::mt19937_64 random_;
     Time startedAt_;
     Catalog::Bounds bounds_;
-    std::vector<InstanceId> instances_;
+    std::vector<InstanceId> sharers_;
+    std::size_t sharerCount_ = 1;
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -61,6 +61,11 @@
     /// polled by one instance of the region.
     std::vector<Catalog::EndpointRecord> enginesToPoll() const;
     void setBounds(const Catalog::Bounds &bounds);
+    /// Instances that may use bounds of the own region. To be called after setFleet(), which takes
+    /// the live ones for all.
+    /// @param known those that are known, including this one
+    /// @param count how many there may be
+    void setRegionSharers(const std::vector<InstanceId> &known, std::size_t count);
     /// Sets the live instances of the own region (including this one), the number of instances of
     /// all regions, and the reachable other regions.
     /// @param sharers instances of all regions that may use the retry budget; nothing while their
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -119,7 +119,7 @@
                          const std::vector<RegionName> &reachableRegions)
 {
     instances_ = ownRegion;
-    placement_.setInstances(instances_);
+    placement_.setSharers(instances_, instances_.size());
     reachability_.setInstances(instances_);
     sharers_ = sharers;
     table_.keepReports(instances_);
@@ -128,6 +128,11 @@
     updateRetryBudgets();
 }
 
+void Scheduler::setRegionSharers(const std::vector<InstanceId> &known, std::size_t count)
+{
+    placement_.setSharers(known, count);
+}
+
 double Scheduler::retrySlack() const
 {
     if (!sharers_) {
--- a/Source/Core/Fleet/Population.cpp
+++ b/Source/Core/Fleet/Population.cpp
@@ -89,16 +89,28 @@
     return most;
 }
 
+bool Population::mayBeIncomplete(Time now) const
+{
+    return !since_ || now - *since_ <= options_.memory;
+}
+
+std::size_t Population::inOwnRegion(std::size_t unheardSeeds, Time now) const
+{
+    const auto instances = std::max<std::size_t>(1, inRegion(ownRegion_, now));
+    const bool seedsCount = !toldOfOwnRegion_ && mayBeIncomplete(now);
+    return instances + (seedsCount ? unheardSeeds : 0);
+}
+
 std::optional<std::size_t> Population::total(bool seedsUnheard, Time now) const
 {
-    const bool mayBeIncomplete = !since_ || now - *since_ <= options_.memory;
-    if (mayBeIncomplete && seedsUnheard && !toldOfOwnRegion_) {
+    const bool incomplete = mayBeIncomplete(now);
+    if (incomplete && seedsUnheard && !toldOfOwnRegion_) {
         return std::nullopt;
     }
     std::size_t sum = 0;
     for (const auto &region : regions_) {
         const auto instances = inRegion(region, now);
-        if (instances == 0 && mayBeIncomplete) {
+        if (instances == 0 && incomplete) {
             return std::nullopt;
         }
         sum += instances;
--- a/Source/Core/Fleet/Population.h
+++ b/Source/Core/Fleet/Population.h
@@ -44,13 +44,18 @@
     /// The process was suspended for this time, in which it could not hear of anyone.
     void postpone(Common::Duration suspension);
 
-    /// Instances of the region; zero if nothing is known.
-    std::size_t inRegion(const Common::RegionName &region, Common::Time now) const;
+    /// Instances of the own region, including this one.
+    /// @param unheardSeeds seeds of which nothing has been heard yet; they may be in this region
+    std::size_t inOwnRegion(std::size_t unheardSeeds, Common::Time now) const;
     /// Instances of all regions, including this one; nothing while that is not known.
     /// @param seedsUnheard there are seeds of which nothing has been heard yet
     std::optional<std::size_t> total(bool seedsUnheard, Common::Time now) const;
 
 private:
+    /// Zero if nothing is known of the region.
+    std::size_t inRegion(const Common::RegionName &region, Common::Time now) const;
+    /// There may be instances that nobody has told of since the start of this process.
+    bool mayBeIncomplete(Common::Time now) const;
     struct Evidence
     {
         std::size_t instances = 0;
--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -147,7 +147,7 @@
     return count;
 }
 
-bool Roster::hasUnheardSeeds() const
+std::size_t Roster::unheardSeeds() const
 {
     const auto isHeard = [this](const std::string &address) {
         return seedRegions_.count(address) > 0
@@ -155,12 +155,24 @@
                       return item.second.record.gossipAddress == address;
                   });
     };
-    return !std::all_of(seeds_.begin(), seeds_.end(), isHeard);
+    const auto heard = std::count_if(seeds_.begin(), seeds_.end(), isHeard);
+    return seeds_.size() - static_cast<std::size_t>(heard);
 }
 
 std::optional<std::size_t> Roster::sharers(Time now) const
 {
-    return population_.total(hasUnheardSeeds(), now);
+    return population_.total(unheardSeeds() > 0, now);
+}
+
+RegionSharers Roster::regionSharers(Time now) const
+{
+    RegionSharers sharers;
+    sharers.known.push_back(self_.id);
+    for (const auto &[id, entry] : entries_) {
+        sharers.known.push_back(id);
+    }
+    sharers.count = std::max(sharers.known.size(), population_.inOwnRegion(unheardSeeds(), now));
+    return sharers;
 }
 
 void Roster::countOwnRegion(Time now)
--- a/Source/Core/Fleet/Roster.h
+++ b/Source/Core/Fleet/Roster.h
@@ -83,6 +83,15 @@
 
 using Sends = std::vector<Send>;
 
+/// Instances that may use a bound of their region.
+struct RegionSharers
+{
+    /// Those that are known, including this one, alive or not.
+    std::vector<Common::InstanceId> known;
+    /// How many there may be; at least as many as are known.
+    std::size_t count = 1;
+};
+
 /// Encoded reports that messages carry.
 struct Reports
 {
@@ -158,6 +167,8 @@
     /// Number of instances that may use bounds of all instances together, see Population; nothing
     /// while it is not known.
     std::optional<std::size_t> sharers(Time now) const;
+    /// Likewise for bounds of the instances of the own region.
+    RegionSharers regionSharers(Time now) const;
     const InstanceRecord &self() const
     {
         return self_;
@@ -203,8 +214,8 @@
     std::vector<const Entry *> chooseContacts(const OtherRegion &region, Time now);
     void addRetryHeartbeats(Sends &sends, const MessagePtr &message, Time now);
     void addDigests(Sends &sends, Time now);
-    /// Returns true if nothing has been heard of some seed since the start.
-    bool hasUnheardSeeds() const;
+    /// Seeds of which nothing has been heard since the start.
+    std::size_t unheardSeeds() const;
     void countOwnRegion(Time now);
     bool seedIsKnown(const std::string &address, Time now) const;
     Sends receiveFromOwnRegion(const Heartbeat &heartbeat, Time now);
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -419,6 +419,8 @@
         limiter_.setInstances({own.begin() + 1, own.end()}, aliveCount, now);
     }
     scheduler_.setFleet(own, roster_.sharers(now), {reachable.begin(), reachable.end()});
+    const auto regionSharers = roster_.regionSharers(now);
+    scheduler_.setRegionSharers(regionSharers.known, regionSharers.count);
     updateWatchDuty(now);
 }
 
--- a/Source/UnitTests/Dispatch/ColdRateLimitTest.cpp
+++ b/Source/UnitTests/Dispatch/ColdRateLimitTest.cpp
@@ -26,13 +26,36 @@
         const auto all = instances(count);
         int sum = 0;
         for (const auto &self : all) {
-            sum += ColdRateLimit::quota(Bound, EndpointId("e"), self, all);
+            sum += ColdRateLimit::quota(Bound, EndpointId("e"), self, all, all.size());
         }
         EXPECT_LE(sum, Bound) << count;
         EXPECT_GE(sum, Bound / 2) << count;
     }
 }
 
+// Guards against instances that each use the whole bound after a restart in which they could not
+// hear of each other.
+TEST(ColdRateLimitTest, InstancesThatKnowOnlySomeOthersKeepToTheBoundTogether)
+{
+    for (const double bound : {1.0, 2.0, 7.0, 30.0}) {
+        for (const int count : {2, 4, 12, 40}) {
+            const auto all = instances(count);
+            for (const int groups : {2, 3, count}) {
+                int sum = 0;
+                for (int index = 0; index < count; ++index) {
+                    std::vector<InstanceId> known;
+                    for (int other = index % groups; other < count; other += groups) {
+                        known.push_back(all[other]);
+                    }
+                    sum +=
+                        ColdRateLimit::quota(bound, EndpointId("e"), all[index], known, all.size());
+                }
+                EXPECT_LE(sum, bound) << count << " in " << groups;
+            }
+        }
+    }
+}
+
 TEST(ColdRateLimitTest, AnySpanOfASecondKeepsToTheQuota)
 {
     ColdRateLimit limit;
--- a/Source/UnitTests/Fleet/RosterTest.cpp
+++ b/Source/UnitTests/Fleet/RosterTest.cpp
@@ -360,6 +360,23 @@
     EXPECT_EQ(fleet.alive("b"), 1U);
 }
 
+// Guards against instances of a region that are cut from each other and each take a bound of the
+// region for themselves.
+TEST(RosterTest, SilentInstancesShareTheBoundsOfTheirRegion)
+{
+    SimulatedFleet fleet({"a", "b"});
+    fleet.start("a", "north");
+    fleet.start("b", "north");
+    fleet.run(milliseconds(3000));
+    fleet.setDropRule([](const std::string &, const std::string &) { return true; });
+    fleet.run(milliseconds(15000));
+    EXPECT_EQ(fleet.alive("a"), 0U);
+    EXPECT_EQ(fleet.at("a").regionSharers(fleet.now()).known.size(), 2U);
+    fleet.start("a", "north", 2);
+    fleet.run(milliseconds(5000));
+    EXPECT_EQ(fleet.at("a").regionSharers(fleet.now()).count, 2U);
+}
+
 // In a large fleet, an instance exchanges heartbeats with only some of its peers. The ages in their
 // heartbeats must keep the remaining ones alive.
 TEST(RosterTest, LargeRegionStaysAliveThroughRelayedAges)
