--- a/Source/IntegrationTests/soak_deployment.py
+++ b/Source/IntegrationTests/soak_deployment.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
 
 import standin  # noqa: E402
-from soak_rules import Arrival  # noqa: E402
+from faulty_endpoint import POLL, FaultyEndpoint  # noqa: E402
 
 PROGRAM = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "Build")) / "bin" / "laburnumchute"
 REGIONS = ("north", "central", "south")
@@ -24,109 +24,6 @@
 MODELS_PER_REGION = 3
 DESKS_PER_REGION = 2
 GOSSIP_PORT, PEER_PORT, PORTS = 4, 5, 12
-POLL = 0.05
-REST = 3.0
-WORK = 0.03
-
-
-class FaultyEndpoint(standin.Endpoint):
-    """An endpoint whose faults are switched while it runs."""
-
-    def __init__(self, deployment, identity, service, zone):
-        super().__init__(deployment.store, identity, service, zone, work=WORK)
-        self.deployment = deployment
-        self.name = identity
-        #: How it fails requests ("errors", "resets", "rejects", "rests"), and which share of them.
-        self.fault = None
-        self.share = 0.0
-        #: Entry instances whose requests do not arrive, or whose answers are lost.
-        self.cut_from = set()
-        self.muted_for = set()
-        self.down = False
-
-    async def _held(self, entries, entry, writer):
-        """Waits until the path works again; false if the sender reset the connection meanwhile."""
-        while entry in entries:
-            await asyncio.sleep(POLL)
-        return not writer.transport.is_closing()
-
-    async def _handle(self, _method, target, headers, body, writer):
-        identity = headers.get("attempt-id", "")
-        entry = self.deployment.entry_of(identity)
-        if not await self._held(self.cut_from, entry, writer):
-            return
-        if headers.get("expect-instance") != self.identity:
-            writer.write(standin.whole_answer(421, {"Instance-Id": self.identity}, b""))
-            return
-        deadline = headers.get("deadline-ms")
-        arrival = Arrival(
-            identity,
-            self.service,
-            self.identity,
-            self.deployment.now(),
-            int(deadline) / 1000 if deadline else None,
-        )
-        self.deployment.arrivals.append(arrival)
-        fails = self.fault is not None and self.deployment.random.random() < self.share
-        if fails and self.fault in ("rejects", "rests"):
-            headers = {"Attempt-Id": identity, "Not-Executed": "1"}
-            if self.fault == "rests":
-                arrival.rest = REST
-                headers["Retry-After"] = f"{REST:g}"
-            writer.write(standin.whole_answer(503, headers, b""))
-            return
-        arrival.ran = True
-        if body == self.CRASHING_BODY:
-            self.deployment.deadly_crashes.append(arrival.at)
-            self.crash()
-        if self.down:
-            arrival.interrupted = True
-            return
-        await asyncio.sleep(self.work)
-        if self.down:
-            arrival.interrupted = True
-            return
-        if entry in self.muted_for:
-            arrival.interrupted = True
-            await self._held(self.muted_for, entry, writer)
-        if fails and self.fault == "resets":
-            writer.transport.abort()
-            return
-        seal = {"Attempt-Id": identity, "Server-Seal": f"seal-{identity}"}
-        seal["Server-Load"] = f"{self.running},0,{self.slots}"
-        if fails:
-            writer.write(standin.whole_answer(500, seal, b""))
-            return
-        if "/stream/" in target:
-            await self._stream(headers, identity, seal, writer)
-        else:
-            writer.write(standin.whole_answer(200, seal, f"done {identity}".encode()))
-
-    async def _stream(self, headers, identity, seal, writer):
-        lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in seal.items()]
-        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked", "", ""]
-        writer.write("\r\n".join(lines).encode())
-        first = int(headers.get("last-event-id", 0)) + 1
-        for number in range(first, self.EVENTS + 1):
-            event = f"id: {number}\ndata: {identity}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await asyncio.sleep(self.work / 2)
-        writer.write(b"0\r\n\r\n")
-
-    def crash(self):
-        """Ends; returns later at its address under another id."""
-        if self.down:
-            return
-        self.down = True
-        self.server.crash()
-        asyncio.get_running_loop().create_task(self._return())
-
-    async def _return(self):
-        await self._restart()
-
-    def register(self, state="ready"):
-        self.down = False
-        super().register(state)
 
 
 class GossipPath(asyncio.DatagramProtocol):
--- a/Source/IntegrationTests/soak_rules.py
+++ b/Source/IntegrationTests/soak_rules.py
@@ -20,23 +20,6 @@
     deadly: bool = False
 
 
-@dataclasses.dataclass
-class Arrival:
-    """A request that reached an endpoint."""
-
-    identity: str
-    service: str
-    endpoint: str
-    at: float
-    allowed: float = None
-    """Seconds that the endpoint was given; None if it was told no deadline."""
-    ran: bool = False
-    interrupted: bool = False
-    """The endpoint ended, or its path was cut, while it ran the request."""
-    rest: float = 0.0
-    """Seconds of rest that the endpoint asked the sender for."""
-
-
 @dataclasses.dataclass
 class Bounds:
     ratio: float
