Bound what reports of the population carry, and count its wait from this process's first message

Found when the change was read again: a report carried each smaller number that was seen since, one for each instance that stopped within the memory, and the wait for regions that nobody has told of counted from the age of the first evidence, which may be ten minutes old. Both have a test.

--- a/Source/Core/Fleet/Population.cpp
+++ b/Source/Core/Fleet/Population.cpp
@@ -43,10 +43,14 @@
         return (each.instances <= instances && each.at <= at) || !valid(each, at);
     });
     known.push_back({instances, at});
+    std::sort(known.begin(), known.end(), [](const Evidence &one, const Evidence &other) {
+        return one.instances > other.instances;
+    });
 }
 
 void Population::merge(const std::vector<RegionPopulation> &reports, Time now)
 {
+    since_ = since_.value_or(now);
     for (const auto &report : reports) {
         toldOfOwnRegion_ = toldOfOwnRegion_ || report.region == ownRegion_;
         seen(report.region, report.instances, now - milliseconds(report.ageMs));
@@ -57,12 +61,12 @@
 {
     std::vector<RegionPopulation> result;
     for (const auto &[region, known] : evidence_) {
-        for (const auto &each : known) {
-            if (valid(each, now)) {
-                const auto age = std::chrono::duration_cast<milliseconds>(now - each.at);
-                result.push_back({region, static_cast<std::uint32_t>(each.instances),
-                                  static_cast<std::uint32_t>(age.count())});
-            }
+        const auto largest = std::find_if(known.begin(), known.end(),
+                                          [&](const Evidence &each) { return valid(each, now); });
+        if (largest != known.end()) {
+            const auto age = std::chrono::duration_cast<milliseconds>(now - largest->at);
+            result.push_back({region, static_cast<std::uint32_t>(largest->instances),
+                              static_cast<std::uint32_t>(age.count())});
         }
     }
     return result;
@@ -80,13 +84,13 @@
 std::size_t Population::inRegion(const RegionName &region, Time now) const
 {
     const auto found = evidence_.find(region);
-    std::size_t most = 0;
-    if (found != evidence_.end()) {
-        for (const auto &each : found->second) {
-            most = std::max(most, valid(each, now) ? each.instances : 0);
-        }
+    if (found == evidence_.end()) {
+        return 0;
     }
-    return most;
+    const auto &known = found->second;
+    const auto largest = std::find_if(known.begin(), known.end(),
+                                      [&](const Evidence &each) { return valid(each, now); });
+    return largest == known.end() ? 0 : largest->instances;
 }
 
 bool Population::mayBeIncomplete(Time now) const
--- a/Source/Core/Fleet/Population.h
+++ b/Source/Core/Fleet/Population.h
@@ -40,6 +40,7 @@
     void seen(const Common::RegionName &region, std::size_t instances, Common::Time at);
     /// Evidence from another instance.
     void merge(const std::vector<RegionPopulation> &reports, Common::Time now);
+    /// The largest number of each region.
     std::vector<RegionPopulation> reports(Common::Time now) const;
     /// The process was suspended for this time, in which it could not hear of anyone.
     void postpone(Common::Duration suspension);
@@ -67,7 +68,7 @@
     PopulationOptions options_;
     Common::RegionName ownRegion_;
     std::set<Common::RegionName> regions_;
-    /// Later evidence of a region is always of fewer instances than earlier evidence.
+    /// In order of falling numbers of instances; the larger ones are older.
     std::map<Common::RegionName, std::vector<Evidence>> evidence_;
     /// Another instance has told of this one's region.
     bool toldOfOwnRegion_ = false;
--- a/Source/IntegrationTests/soak_faults.py
+++ b/Source/IntegrationTests/soak_faults.py
@@ -9,7 +9,7 @@
 
 
 class Faults:
-    """Plays faults until it is cancelled, and ends all of them."""
+    """Disturbs a deployment; what a fault changed is restored when it ends."""
 
     def __init__(self, deployment, seed, log, families=tuple(MEAN_GAPS)):
         self.deployment = deployment
--- a/Source/UnitTests/Fleet/PopulationTest.cpp
+++ b/Source/UnitTests/Fleet/PopulationTest.cpp
@@ -76,6 +76,28 @@
     EXPECT_EQ(total(), 9U);
 }
 
+// Guards against taking the age of another instance's evidence for the time since the start.
+TEST_F(PopulationTest, OldEvidenceOfOthersDoesNotEndTheWaitForTheRest)
+{
+    const auto age = std::chrono::duration_cast<milliseconds>(options_.memory) - milliseconds(100);
+    population_.merge({{North, 9, static_cast<std::uint32_t>(age.count())}}, now_);
+    pass(milliseconds(200));
+    population_.seen(North, 1, now_);
+    EXPECT_EQ(total(), std::nullopt);
+}
+
+// Guards against reports that grow with each instance that stops.
+TEST_F(PopulationTest, ReportsHaveOneNumberForEachRegion)
+{
+    for (std::size_t instances = 100; instances > 0; --instances) {
+        pass(milliseconds(250));
+        population_.seen(North, instances, now_);
+        population_.seen(South, instances, now_);
+    }
+    EXPECT_EQ(population_.reports(now_).size(), 2U);
+    EXPECT_EQ(total(), 200U);
+}
+
 // Guards against two instances that repeat a number to each other for ever.
 TEST_F(PopulationTest, RepeatedEvidenceExpires)
 {
