--- a/Source/IntegrationTests/test_retry_budget.py
+++ b/Source/IntegrationTests/test_retry_budget.py
@@ -91,8 +91,21 @@
     assert report.broken == [], report.line()
 
 
-@pytest.mark.parametrize("seed", [SEED])
-def test_retry_rules_hold_through_overlapping_faults(tmp_path, seed):
-    """Guards against faults that only their combination shows; the long run is soak.py."""
-    report = soak.run(seed, SECONDS, 4, tmp_path)
-    assert report.broken == [], report.line()
+@pytest.fixture(scope="module")
+def overlapping_faults(tmp_path_factory):
+    """One play for the tests below; the long run is soak.py."""
+    return soak.run(SEED, SECONDS, 4, tmp_path_factory.mktemp("soak"))
+
+
+def broken_rules(report, of_deadly_requests):
+    return [one for one in report.broken if one.startswith("deadly:") == of_deadly_requests]
+
+
+def test_retry_rules_hold_through_overlapping_faults(overlapping_faults):
+    """Guards against faults that only their combination shows."""
+    assert broken_rules(overlapping_faults, False) == [], overlapping_faults.line()
+
+
+def test_crashing_requests_are_stopped_through_overlapping_faults(overlapping_faults):
+    """As above, for requests that crash endpoints."""
+    assert broken_rules(overlapping_faults, True) == [], overlapping_faults.line()
