Log why evidence that a request crashes endpoints does not count

Change: the line evidence-lost with a reason for each way in which evidence is wiped, does not count or is told to no one, and the counter laburnumchute_relay_evidence_lost_total. The send line bears a second fingerprint, of the customer, the path and the body without the query, so that repeats whose query changes can be told apart from repeats whose evidence was wiped. No decision uses it yet.

--- a/Source/Core/Dispatch/CrashAttribution.cpp
+++ b/Source/Core/Dispatch/CrashAttribution.cpp
@@ -53,6 +53,33 @@
 
 } // namespace
 
+std::string_view toString(EvidenceLoss reason)
+{
+    switch (reason) {
+    case EvidenceLoss::Completed:
+        return "completed";
+    case EvidenceLoss::CompletedAtPeer:
+        return "completed at peer";
+    case EvidenceLoss::CompletedBefore:
+        return "completed before";
+    case EvidenceLoss::EndpointAnswered:
+        return "endpoint answered";
+    case EvidenceLoss::Unconfirmed:
+        return "unconfirmed";
+    case EvidenceLoss::PutDownToOther:
+        return "put down to another request";
+    case EvidenceLoss::EndpointLeft:
+        return "endpoint left";
+    case EvidenceLoss::PathsDoubtful:
+        return "paths doubtful";
+    case EvidenceLoss::NoMemory:
+        return "no memory";
+    case EvidenceLoss::NotAnnounced:
+        return "not announced";
+    }
+    return "unknown";
+}
+
 RunId runId(const Catalog::EndpointRecord &record)
 {
     return Common::stableHash(record.id.text(), static_cast<std::uint64_t>(record.startedAt));
@@ -70,6 +97,9 @@
                              Time now)
 {
     addBreak(run, fingerprint, {now, true}, now);
+    if (pathsDoubtful()) {
+        ignored(fingerprint, EvidenceLoss::PathsDoubtful);
+    }
     if (const auto entry = runs_.find(run); entry != runs_.end()) {
         entry->second.endpoint = endpoint;
     }
@@ -82,11 +112,13 @@
 {
     const bool full = runs_.count(run) == 0 && runs_.size() >= MaxRuns;
     if (full || completedRecently(fingerprint, now)) {
+        ignored(fingerprint, full ? EvidenceLoss::NoMemory : EvidenceLoss::CompletedBefore);
         return;
     }
     auto &entry = runs_[run];
     entry.listed = entry.listed || added.own;
     if (entry.breaks.size() >= MaxBreaksPerRun) {
+        ignored(fingerprint, EvidenceLoss::NoMemory);
         return;
     }
     const bool wasHeld = rejectedFor(fingerprint, now).has_value();
@@ -102,6 +134,29 @@
     }
 }
 
+void CrashAttribution::ignored(std::uint64_t fingerprint, EvidenceLoss reason)
+{
+    lose(reason, {fingerprint});
+}
+
+void CrashAttribution::lose(EvidenceLoss reason, std::vector<std::uint64_t> fingerprints)
+{
+    if (!fingerprints.empty()) {
+        events_.push_back(EvidenceLost{reason, std::move(fingerprints)});
+    }
+}
+
+std::vector<std::uint64_t> CrashAttribution::suspectsOn(RunId run) const
+{
+    std::vector<std::uint64_t> fingerprints;
+    if (const auto found = runs_.find(run); found != runs_.end()) {
+        for (const auto &[fingerprint, recorded] : found->second.breaks) {
+            fingerprints.push_back(fingerprint);
+        }
+    }
+    return fingerprints;
+}
+
 void CrashAttribution::eraseBreaks(RunId run)
 {
     const auto found = runs_.find(run);
@@ -168,6 +223,7 @@
         return item.second.at < sentAt;
     });
     if (refuted) {
+        lose(EvidenceLoss::EndpointAnswered, suspectsOn(run));
         eraseBreaks(run);
     }
 }
@@ -186,8 +242,10 @@
     }
     EndpointCrash crash{found->second.endpoint, {}};
     std::vector<Decisions::SuspectNotice> ofOthers;
+    std::vector<std::uint64_t> bystanders;
     for (const auto &[fingerprint, recorded] : found->second.breaks) {
         if (evidence(fingerprint) < mostEvidence) {
+            bystanders.push_back(fingerprint);
             continue;
         }
         if (recorded.own) {
@@ -196,6 +254,7 @@
             ofOthers.push_back({fingerprint, {nameOf(run)}, now - recorded.at});
         }
     }
+    lose(EvidenceLoss::PutDownToOther, std::move(bystanders));
     eraseBreaks(run);
     const auto starts = quarantine_->recordDeaths(nameOf(run), crash.suspects, now);
     for (const auto &start : starts) {
@@ -228,11 +287,14 @@
     if (completedAt_.size() < MaxCompletions || completedAt_.count(fingerprint) > 0) {
         completedAt_[fingerprint] = now;
     }
-    clear(fingerprint, now);
+    clear(fingerprint, EvidenceLoss::Completed, now);
 }
 
-void CrashAttribution::clear(std::uint64_t fingerprint, Time now)
+void CrashAttribution::clear(std::uint64_t fingerprint, EvidenceLoss reason, Time now)
 {
+    if (evidence(fingerprint) > 0) {
+        lose(reason, {fingerprint});
+    }
     quarantine_->completed(fingerprint, now);
     const auto found = runsOf_.find(fingerprint);
     if (found == runsOf_.end()) {
@@ -261,6 +323,7 @@
         }
     }
     for (const auto run : expired) {
+        lose(EvidenceLoss::Unconfirmed, suspectsOn(run));
         eraseBreaks(run);
     }
     std::erase_if(unconnected_,
@@ -448,7 +511,8 @@
     std::vector<SuspectReport> notices;
     for (const auto fingerprint : std::exchange(unannounced_, {})) {
         if (notices.size() >= MaxRecentSuspects) {
-            break;
+            ignored(fingerprint, EvidenceLoss::NotAnnounced);
+            continue;
         }
         if (vindicatedAt_.count(fingerprint) > 0) {
             notices.push_back(vindication(fingerprint));
@@ -464,7 +528,7 @@
     std::vector<Decisions::SuspectNotice> deaths;
     for (const auto &report : reports) {
         if (report.completes) {
-            clear(report.fingerprint, now);
+            clear(report.fingerprint, EvidenceLoss::CompletedAtPeer, now);
             continue;
         }
         for (const auto run : report.deaths) {
--- a/Source/Core/Dispatch/CrashAttribution.h
+++ b/Source/Core/Dispatch/CrashAttribution.h
@@ -57,6 +57,8 @@
     /// Sets the endpoints that are listed; a run that was listed and is not any more has ended.
     void setListed(const std::set<RunId> &runs, Time now);
     void completed(std::uint64_t fingerprint, Time now);
+    /// An attempt broke off that does not count.
+    void ignored(std::uint64_t fingerprint, EvidenceLoss reason);
     void expire(Time now);
     /// Whether there are breaks that are neither refuted nor confirmed.
     bool hasBreaks() const
@@ -112,8 +114,10 @@
     /// An endpoint answered a request sent at the given time, so the paths worked then.
     void confirmRefusals(RunId answered, Time sentAt);
     bool pathsDoubtful() const;
-    void clear(std::uint64_t fingerprint, Time now);
+    void clear(std::uint64_t fingerprint, EvidenceLoss reason, Time now);
     void eraseBreaks(RunId run);
+    void lose(EvidenceLoss reason, std::vector<std::uint64_t> fingerprints);
+    std::vector<std::uint64_t> suspectsOn(RunId run) const;
     void forget(Time now);
     /// Breaks that count against the request.
     std::size_t breakCount(std::uint64_t fingerprint) const;
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -107,7 +107,9 @@
         return;
     case AttemptOutcome::Broken:
         // An endpoint that leaves may end on purpose before its last requests have.
-        if (!endpoint.listed.leaving) {
+        if (endpoint.listed.leaving) {
+            crashes_->ignored(call.facts.fingerprint, EvidenceLoss::EndpointLeft);
+        } else {
             crashes_->broke(endpoint.listed.record.id, endpoint.run, call.facts.fingerprint, now);
         }
         return;
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -56,6 +56,8 @@
     int maxRuns = 1;
     /// Equal for requests with the same content from the same customer.
     std::uint64_t fingerprint = 0;
+    /// As above, whatever the method and the query of the target.
+    std::uint64_t contentFingerprint = 0;
 };
 
 /// Why an attempt on an endpoint or in another region ended.
@@ -183,6 +185,39 @@
     bool reportedByPeer = false;
 };
 
+/// Why evidence that requests crash endpoints does not count, or not any more.
+enum class EvidenceLoss {
+    /// The request completed here.
+    Completed,
+    /// The request completed at another instance.
+    CompletedAtPeer,
+    /// The request had completed shortly before the attempt broke off.
+    CompletedBefore,
+    /// The endpoint answered a later request.
+    EndpointAnswered,
+    /// Nothing showed in time whether the endpoint has ended.
+    Unconfirmed,
+    /// The crash was put down to another request.
+    PutDownToOther,
+    /// The endpoint was leaving, and may have ended on purpose.
+    EndpointLeft,
+    /// This instance may have lost its paths to the endpoints.
+    PathsDoubtful,
+    /// No memory was left for it.
+    NoMemory,
+    /// It did not fit into a notice to the other instances.
+    NotAnnounced,
+};
+
+std::string_view toString(EvidenceLoss reason);
+
+/// Evidence against requests that does not count.
+struct EvidenceLost
+{
+    EvidenceLoss reason = EvidenceLoss::Completed;
+    std::vector<std::uint64_t> fingerprints;
+};
+
 /// Whether the budget allowed another attempt of a request, for the log.
 struct RetryDecision
 {
@@ -200,7 +235,7 @@
 };
 
 /// What became known of crashes, for the log.
-using CrashEvent = std::variant<EndpointCrash, RequestHold, RequestQuarantine>;
+using CrashEvent = std::variant<EndpointCrash, RequestHold, RequestQuarantine, EvidenceLost>;
 
 using Effect = std::variant<Send, Forward, Reject, Fail, CancelAttempt>;
 using Effects = std::vector<Effect>;
--- a/Source/Core/Relay/ForwardMetadata.h
+++ b/Source/Core/Relay/ForwardMetadata.h
@@ -25,6 +25,7 @@
     std::int64_t objectiveMs = 0;
     std::int64_t gapMs = 0;
     std::uint64_t fingerprint = 0;
+    std::uint64_t contentFingerprint = 0;
     std::string fromRegion;
     /// Name of the customer that the request is served for; empty if there is none.
     std::string customer;
@@ -39,7 +40,8 @@
     void serialize(Archive &archive)
     {
         archive(service, kind, resumable, priority, attempts, objectiveLeftMs, deadlineLeftMs,
-                objectiveMs, gapMs, fingerprint, fromRegion, customer, receiver, handedOver);
+                objectiveMs, gapMs, fingerprint, contentFingerprint, fromRegion, customer, receiver,
+                handedOver);
     }
 };
 
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -109,6 +109,8 @@
                                "Endpoints that crashed while they ran requests of this instance"))
     , quarantines(registry.counter("laburnumchute_relay_quarantines_total",
                                    "Requests that are rejected since endpoints crashed under them"))
+    , evidenceLost(registry.counter("laburnumchute_relay_evidence_lost_total",
+                                    "Broken attempts that do not count against their requests"))
     , retries(registry.counter("laburnumchute_relay_retries_total",
                                "Further attempts that the retry budget allowed"))
     , retriesDenied(registry.counter("laburnumchute_relay_retries_denied_total",
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -52,6 +52,7 @@
     Common::Counter &resumed;
     Common::Counter &crashes;
     Common::Counter &quarantines;
+    Common::Counter &evidenceLost;
     Common::Counter &retries;
     Common::Counter &retriesDenied;
     Common::DurationHistogram &firstEvent;
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -325,6 +325,14 @@
                 .add("reported_by_peer", quarantine.reportedByPeer);
             gateway.log_.write(line, now);
         }
+        void operator()(const Dispatch::EvidenceLost &lost) const
+        {
+            gateway.relayMetrics_.evidenceLost.add(lost.fingerprints.size());
+            EventLine line("evidence-lost");
+            line.add("reason", Dispatch::toString(lost.reason))
+                .add("fingerprints", joinFingerprints(lost.fingerprints));
+            gateway.log_.write(line, now);
+        }
     };
     for (const auto &event : scheduler_.takeCrashEvents()) {
         std::visit(Visitor{*this, now}, event);
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -40,6 +40,15 @@
     return Common::stableHash(*request.body, Common::stableHash(head));
 }
 
+/// Repeats may differ in their query, for example in a number of the attempt.
+std::uint64_t contentFingerprintOf(const InboundRequest &request,
+                                   const Common::CustomerName &customer)
+{
+    const auto path = std::string_view(request.target).substr(0, request.target.find('?'));
+    const auto head = fmt::format("{}\n{}", customer.text(), path);
+    return Common::stableHash(*request.body, Common::stableHash(head));
+}
+
 /// Removes API keys, and headers by which a caller could pass for another instance.
 Common::Headers callerHeadersToPassOn(const Common::Headers &headers)
 {
@@ -183,6 +192,7 @@
     facts.allowedRegions = access->regions;
     facts.maxRuns = std::max(1, route->attempts);
     facts.fingerprint = fingerprintOf(request, plan.customer);
+    facts.contentFingerprint = contentFingerprintOf(request, plan.customer);
     plan.head = std::move(*head);
     plan.headers = callerHeadersToPassOn(request.headers);
     plan.method = std::move(request.method);
@@ -226,6 +236,7 @@
     facts.handedOver = metadata->handedOver;
     facts.maxRuns = metadata->attempts;
     facts.fingerprint = metadata->fingerprint;
+    facts.contentFingerprint = metadata->contentFingerprint;
     plan.customer = Common::CustomerName(metadata->customer);
     plan.head = std::move(*head);
     plan.resumable = metadata->resumable;
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -210,7 +210,8 @@
         .add("assumed_there", static_cast<std::int64_t>(std::lround(effect.assumed)))
         .add("copies_cache", effect.copyCacheFrom.has_value())
         .add("resumes", streamStarted_)
-        .add("fingerprint", formatFingerprint(plan_.facts.fingerprint));
+        .add("fingerprint", formatFingerprint(plan_.facts.fingerprint))
+        .add("content_fingerprint", formatFingerprint(plan_.facts.contentFingerprint));
     gateway_.log().write(line, now);
     auto request =
         outboundRequest(effect.address, Platform::endpointHeaders(plan_.headers, order), now);
@@ -258,6 +259,7 @@
     metadata.deadlineLeftMs = timeLeft(now).count();
     metadata.gapMs = plan_.gap ? plan_.gap->count() : 0;
     metadata.fingerprint = facts.fingerprint;
+    metadata.contentFingerprint = facts.contentFingerprint;
     metadata.fromRegion = gateway_.settings().region.text();
     metadata.customer = plan_.customer.text();
     metadata.receiver = peer->incarnation;
