--- a/Source/IntegrationTests/soak_callers.py
+++ b/Source/IntegrationTests/soak_callers.py
@@ -23,6 +23,8 @@
         self.per_second = per_second
         self.deadly_per_second = deadly_per_second
         self.random = random.Random(seed)
+        #: Whether each repeat of the deadly request has another query.
+        self.deadly_query_varies = random.Random(f"query {seed}").random() < 0.5
         self.requests = []
         self.idle = {one.name: [] for one in deployment.instances}
         self.avoided = {}
@@ -66,6 +68,8 @@
             endpoints_allowed,
             deadly=deadly,
         )
+        if deadly and self.deadly_query_varies:
+            path += f"?attempt={len(self.requests)}"
         self.requests.append(request)
         body = standin.Endpoint.CRASHING_BODY if deadly else b"x" if method == "POST" else b""
         try:
--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -482,9 +482,10 @@
     assert {line["limited"] for line in limit_lines} == {True, False}
 
 
-def test_a_request_that_crashes_endpoints_stops_reaching_them(fleet):
+@pytest.mark.parametrize("query_varies", [False, True])
+def test_a_request_that_crashes_endpoints_stops_reaching_them(fleet, query_varies):
     """One request crashes each endpoint that runs it. It comes again at all instances, through
-    different addresses, beside others that break off with it."""
+    different addresses and with the same or another query, beside others that break off with it."""
     callers = Callers(fleet, count=16)
     began = time.monotonic()
     answers = []
@@ -493,7 +494,8 @@
         address = f"{INSTANCES[name][0]}:{fleet.ports}"
         source = f"127.0.1.{1 + turn % 20}"
         body = standin.Endpoint.CRASHING_BODY
-        answers.append(attempt(address, "POST", "/stream/x", body, source=source))
+        target = f"/stream/x?attempt={turn}" if query_varies else "/stream/x"
+        answers.append(attempt(address, "POST", target, body, source=source))
         time.sleep(max(0, began + (turn + 1) * 0.3 - time.monotonic()))
     count = len(callers.outcomes)
     time.sleep(2)
