--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
-#include "Dispatch/Facts.h"
+#include "Dispatch/EndpointRuns.h"
 
 namespace LaburnumChute::Dispatch {
 
@@ -19,11 +20,14 @@
 struct Call
 {
     CallFacts facts;
+    /// See suspectKeys().
+    std::vector<SuspectKey> keys;
     bool queued = false;
     bool withdrawn = false;
     /// Where the current attempt runs; the endpoint is empty if the request was forwarded to a
     /// region.
     EndpointId endpoint;
+    RunId run = 0;
     RegionName region;
     Time sentAt{};
     Duration expected{0};
@@ -32,8 +36,8 @@
     /// Events of its answer so far, over all attempts.
     int events = 0;
     bool attemptCancelled = false;
-    /// The current attempt is one of a suspected request, see CrashAttribution::started().
-    bool countedAsSuspect = false;
+    /// Keys that were suspected when the current attempt began, see CrashAttribution::started().
+    std::vector<SuspectKey> suspectedKeys;
     /// The endpoint had a free slot when the request was sent.
     bool slotFreeAtSend = false;
     /// The endpoint was idle when the request was sent, so that prefill started at once.
@@ -44,6 +48,8 @@
     int attempts = 0;
     /// Those of them that ended before anything was sent.
     int unsentAttempts = 0;
+    /// What it is rejected for, if endpoints crashed under it.
+    std::optional<SuspectKey> rejectedFor;
     /// How the current or next attempt is charged to the retry budget.
     RetryCharge retryCharge = RetryCharge::None;
     std::vector<EndpointId> attemptedEndpoints;
--- a/Source/Core/Dispatch/CrashAttribution.h
+++ b/Source/Core/Dispatch/CrashAttribution.h
@@ -5,48 +5,46 @@
 #include <optional>
 #include <random>
 #include <set>
-#include <unordered_map>
 #include <vector>
 
-#include "Decisions/Decisions.h"
-#include "Dispatch/Facts.h"
+#include "Dispatch/CrashEvidence.h"
 #include "Dispatch/LoadReports.h"
+#include "Dispatch/SoundKeys.h"
 
 namespace LaburnumChute::Dispatch {
 
-/// Identifies one run of an endpoint's process: a crashed endpoint may return under its old id.
-using RunId = std::uint64_t;
-RunId runId(const Catalog::EndpointRecord &record);
+/// For this long, evidence is repeated in every report, which tolerates the loss of many of them.
+inline constexpr seconds SuspectRepeatTime{5};
+
+/// Why a request must not be sent.
+struct SuspectRejection
+{
+    SuspectKey key;
+    Duration retryAfter{0};
+};
 
 /// Finds requests that crash endpoints, from what this instance and others see.
 ///
 /// Load pattern: a request crashes every endpoint that runs it, and its caller repeats it at any
-/// instance. Dozens of other requests break off on the endpoint at the same moment, at several
-/// instances. The proof that the process has ended (a refused connection, another endpoint at its
-/// address, the removal of its record) comes later, and mostly to an instance that did not run the
-/// request.
-///
-/// So an attempt that breaks off counts against its request at once, as a break. The break is
-/// refuted if the endpoint answers a request that was sent later, and becomes a death in the
-/// quarantine when the endpoint is known to have ended, whoever learns it. A request whose breaks
-/// and deaths together reach the number of deaths for a quarantine is held: it is rejected until
-/// its breaks are refuted or expire. A request that has completed shortly before is no suspect:
-/// many callers may send the same one, and some are always on an endpoint that crashes. Breaks and
-/// deaths are reported to the other instances; those of a request that is held or quarantined at
-/// once.
+/// instance, with the same or another query. Dozens of other requests break off on the endpoint at
+/// the same moment, at several instances. The proof that the process has ended (a refused
+/// connection, another endpoint at its address, the removal of its record) comes later, and mostly
+/// to an instance that did not run the request.
 ///
-/// A refused connection proves that the process has ended only if this instance reaches other
-/// endpoints: connections are refused and reset in the same way on a path that is lost. While
-/// several endpoints have not accepted a connection since any answered, neither refusals nor breaks
-/// of this instance count; they do again once an endpoint answers a later request.
+/// So an attempt that breaks off counts against the keys of its request at once. It is refuted if
+/// the endpoint answers a request that was sent later, and confirmed when the endpoint is known to
+/// have ended, whoever learns it. A key that endpoints have served shortly before is no suspect:
+/// many callers may send the same request, and some are always on an endpoint that crashes.
+/// Evidence is reported to the other instances; that on keys that are rejected at once.
 class CrashAttribution
 {
 public:
-    CrashAttribution(Decisions::Quarantine &quarantine, std::uint64_t seed);
+    CrashAttribution(const Decisions::QuarantineOptions &options, std::uint64_t seed);
 
     // Evidence of this instance.
 
-    void broke(const EndpointId &endpoint, RunId run, std::uint64_t fingerprint, Time now);
+    void broke(const EndpointId &endpoint, RunId run, const std::vector<SuspectKey> &keys,
+               Time now);
     /// The endpoint answered a request that was sent at the given time.
     void answered(RunId run, Time sentAt);
     /// No connection was established.
@@ -54,98 +52,81 @@
     void notConnected(RunId run, bool refused, Time now);
     /// The process has ended: another one has its address.
     void ended(RunId run, Time now);
-    /// Sets the endpoints that are listed; a run that was listed and is not any more has ended.
+    /// Sets the runs of endpoints that are listed; one that is not, or not any more, has ended.
     void setListed(const std::set<RunId> &runs, Time now);
-    void completed(std::uint64_t fingerprint, Time now);
+    /// An endpoint has served a request with the keys.
+    void served(const std::vector<SuspectKey> &keys, Time now);
     /// An attempt broke off that does not count.
-    void ignored(std::uint64_t fingerprint, EvidenceLoss reason);
+    void ignored(const std::vector<SuspectKey> &keys, EvidenceLoss reason);
     void expire(Time now);
-    /// Whether there are breaks that are neither refuted nor confirmed.
+    /// Whether there are runs that are not known to have ended.
     bool hasBreaks() const
     {
-        return !runs_.empty();
+        return evidence_.hasOpenRuns();
+    }
+    /// Whether this instance hears from none of the others.
+    void setAlone(bool alone)
+    {
+        evidence_.setAlone(alone);
     }
 
     // Decisions.
 
-    /// Time for which the request is rejected; nothing if it may be sent.
-    std::optional<Duration> rejectedFor(std::uint64_t fingerprint, Time now) const;
+    /// Why a request is rejected; nothing if it may be sent.
+    /// @param retry it was sent before and broke off
+    std::optional<SuspectRejection> rejection(const std::vector<SuspectKey> &keys, bool retry,
+                                              Time now) const;
     /// False while another attempt of a suspected request runs here, so that its copies do not
     /// crash several endpoints before the first crash is noticed.
-    bool mayStart(std::uint64_t fingerprint) const;
-    /// Returns true if the attempt was counted; only then must stopped() follow.
-    bool started(std::uint64_t fingerprint);
-    void stopped(std::uint64_t fingerprint);
+    bool mayStart(const std::vector<SuspectKey> &keys, Time now) const;
+    /// Returns the suspected keys; stopped() must follow with them.
+    std::vector<SuspectKey> started(const std::vector<SuspectKey> &keys, Time now);
+    void stopped(const std::vector<SuspectKey> &keys);
 
     // Messages.
 
+    enum class Audience {
+        OwnRegion,
+        OtherRegions,
+    };
     /// Suspects for the periodic reports: the recent ones, and some of those in quarantine, so that
-    /// instances that have just started learn of all of them within seconds.
-    std::vector<SuspectReport> reports(Time now);
+    /// instances that have just started learn of all of them within seconds. An instance speaks for
+    /// its region to others, and includes what its neighbors have seen.
+    std::vector<SuspectReport> reports(Audience audience, Time now);
     /// Suspects that have been held or quarantined here since the last call.
     std::vector<SuspectReport> takeNotices(Time now);
     void merge(const std::vector<SuspectReport> &reports, Time now);
     /// What became known since the last call.
     std::vector<CrashEvent> takeEvents();
 
-private:
-    struct Break
-    {
-        Time at{};
-        /// The attempt was one of this instance.
-        bool own = false;
-    };
-    struct Run
-    {
-        /// Known if an attempt of this instance broke off.
-        EndpointId endpoint;
-        bool listed = false;
-        std::map<std::uint64_t, Break> breaks;
-    };
-
-    struct Unconnected
+    nlohmann::json dump(Time now) const
     {
-        Time at{};
-        /// The connection was refused, and that has not counted yet.
-        bool refused = false;
-    };
+        return evidence_.dump(now);
+    }
 
-    void addBreak(RunId run, std::uint64_t fingerprint, const Break &added, Time now);
-    /// An endpoint answered a request sent at the given time, so the paths worked then.
-    void confirmRefusals(RunId answered, Time sentAt);
-    bool pathsDoubtful() const;
-    void clear(std::uint64_t fingerprint, EvidenceLoss reason, Time now);
-    void eraseBreaks(RunId run);
-    void lose(EvidenceLoss reason, std::vector<std::uint64_t> fingerprints);
-    std::vector<std::uint64_t> suspectsOn(RunId run) const;
-    void forget(Time now);
-    /// Breaks that count against the request.
-    std::size_t breakCount(std::uint64_t fingerprint) const;
-    /// Breaks and deaths together.
-    std::size_t evidence(std::uint64_t fingerprint) const;
-    bool held(std::uint64_t fingerprint) const;
-    bool completedRecently(std::uint64_t fingerprint, Time now) const;
-    Time lastBreak(std::uint64_t fingerprint) const;
-    void recordStarts(const std::vector<Decisions::QuarantineStart> &starts, bool reportedByPeer);
-    void mergeBreaks(const SuspectReport &report, Time now);
-    SuspectReport reportOf(std::uint64_t fingerprint, bool includeOthers, Time now) const;
-
-    Decisions::Quarantine *quarantine_;
+private:
+    /// Records the ends of runs.
+    void record(const EndpointRuns::Ends &ends, Time now);
+    void addCrash(const SuspectKey &key, const CrashRecord &crash, Time now);
+    void acquit(const SuspectKey &key, EvidenceLoss reason, Time servedAt);
+    void lose(EvidenceLoss reason, std::vector<SuspectKey> keys);
+    void updateDoubts();
+    /// Logs the key, and announces it to the other instances, if it has begun to be rejected.
+    void review(const SuspectKey &key, bool reportedByPeer, Time now);
+    void mergeCrashes(const SuspectReport &report, Time now);
+    SuspectReport reportOf(const SuspectKey &key, bool includeOthers, Time now) const;
+    std::vector<SuspectKey> recentSuspects(Time now) const;
+
+    CrashEvidence evidence_;
+    EndpointRuns runs_;
+    SoundKeys sound_;
     std::mt19937_64 random_;
-    std::map<RunId, Run> runs_;
-    /// Runs on which attempts of a fingerprint broke off; never empty.
-    std::unordered_map<std::uint64_t, std::set<RunId>> runsOf_;
-    std::unordered_map<RunId, Time> endedAt_;
-    /// Runs that have not accepted a connection since another one answered.
-    std::map<RunId, Unconnected> unconnected_;
-    /// Latest send time of a request that was answered.
-    std::unordered_map<RunId, Time> answeredAt_;
-    std::unordered_map<std::uint64_t, Time> completedAt_;
-    /// When another instance suspected a request that completes here.
-    std::unordered_map<std::uint64_t, Time> vindicatedAt_;
-    std::unordered_map<std::uint64_t, int> running_;
-    Time forgottenAt_{};
-    std::set<std::uint64_t> unannounced_;
+    std::map<SuspectKey, int> running_;
+    /// When another instance suspected a key that is served here.
+    std::map<SuspectKey, Time> vindicatedAt_;
+    /// Keys that are rejected, as far as that was logged.
+    std::map<SuspectKey, SuspectState> rejected_;
+    std::set<SuspectKey> unannounced_;
     std::vector<CrashEvent> events_;
 };
 
--- /dev/null
+++ b/Source/Core/Dispatch/CrashEvidence.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "Decisions/Decisions.h"
+#include "Dispatch/EndpointRuns.h"
+#include "Dispatch/SuspectKey.h"
+
+namespace LaburnumChute::Dispatch {
+
+/// A run of an endpoint under which an attempt broke off.
+struct CrashRecord
+{
+    RunId run = 0;
+    Time at{};
+    /// The attempt was one of this instance.
+    bool own = false;
+};
+
+enum class SuspectState {
+    /// Nothing counts against it.
+    Clear,
+    /// Its requests run one at a time.
+    Suspected,
+    /// Its requests are rejected until it is known whether the endpoints have ended.
+    Held,
+    /// Its requests are rejected, since endpoints crashed under it.
+    Quarantined,
+};
+
+/// What is known against a key.
+struct Judgement
+{
+    /// Runs that ended and that nothing else accounts for.
+    std::size_t ended = 0;
+    /// The same for runs that are not known to have ended.
+    std::size_t open = 0;
+    /// When the last attempt on an open run broke off.
+    Time lastOpen{};
+
+    std::size_t total() const
+    {
+        return ended + open;
+    }
+};
+
+/// Evidence that requests with some key crash endpoints, and the verdict on each key.
+///
+/// Load pattern: each crash of an endpoint breaks off dozens of requests with several keys each,
+/// and all but one of the keys are bystanders. The key that causes crashes is on all of them, with
+/// ever other bystanders. Two crashes are enough for a whole request. A key that unlike requests
+/// share needs two crashes that its more specific keys do not account for: a request that crashes
+/// endpoints says nothing about others with the same content. A crash under a key that is rejected
+/// does not count against keys with fewer crashes.
+///
+/// Bounded in memory: the suspects with a single crash are dropped first.
+class CrashEvidence
+{
+public:
+    explicit CrashEvidence(const Decisions::QuarantineOptions &options);
+
+    /// Adds a crash, or an attempt that broke off on a run that may have ended.
+    /// @return false if there is no memory left for it
+    bool add(const SuspectKey &key, const CrashRecord &crash);
+    void setEndpoint(RunId run, const EndpointId &endpoint);
+    /// The run has ended.
+    /// @return requests on it that are less suspected than others, and not charged
+    std::vector<SuspectKey> confirm(RunId run, Time at);
+    /// Removes all evidence of the run, and returns whom it was against.
+    std::vector<SuspectKey> erase(RunId run);
+    void forget(const SuspectKey &key);
+    /// Removes old suspects.
+    void expire(Time now);
+
+    /// Attempts of this instance that broke off do not count while its paths may be lost.
+    void setPathsDoubtful(bool doubtful);
+    /// The instance hears from no other, so that each of them has to see all crashes itself: a
+    /// single one is enough.
+    void setAlone(bool alone);
+
+    /// @param retry the request was sent before and broke off, so its caller waits for it
+    SuspectState state(const SuspectKey &key, bool retry, Time now) const;
+    /// Time until a rejected key may be tried again.
+    Duration rejectedFor(const SuspectKey &key, Time now) const;
+    Judgement judgement(const SuspectKey &key) const;
+    bool isRejected(const SuspectKey &key, Time now) const
+    {
+        return state(key, false, now) >= SuspectState::Held;
+    }
+    bool has(const SuspectKey &key) const
+    {
+        return suspects_.count(key) > 0;
+    }
+    std::vector<SuspectKey> suspects() const;
+    const std::vector<CrashRecord> &crashesOf(const SuspectKey &key) const;
+    Time lastCrash(const SuspectKey &key) const;
+    /// Whether an attempt of this instance counts at present.
+    bool counts(const CrashRecord &crash) const;
+
+    // Runs under which attempts broke off.
+
+    std::vector<SuspectKey> keysOn(RunId run) const;
+    /// Whether there are runs that are not known to have ended.
+    bool hasOpenRuns() const
+    {
+        return !open_.empty();
+    }
+    const std::set<RunId> &openRuns() const
+    {
+        return open_;
+    }
+    struct Run
+    {
+        /// Known if an attempt of this instance broke off.
+        EndpointId endpoint;
+        bool listed = false;
+        Time firstAt{};
+        Time lastAt{};
+        std::optional<Time> endedAt;
+        std::set<SuspectKey> keys;
+    };
+    const Run *run(RunId run) const;
+    void setListed(RunId run);
+
+    nlohmann::json dump(Time now) const;
+
+private:
+    struct Suspect
+    {
+        std::vector<CrashRecord> crashes;
+        Time lastCrash{};
+        /// The last crash was seen here and not reported by another instance.
+        bool sawLastCrash = false;
+        /// Crashes after the end of a quarantine.
+        int repeats = 0;
+        // The last judgement, and the state of the evidence that it was made on.
+        mutable Judgement judgement;
+        mutable std::uint64_t judgedAt = 0;
+    };
+
+    const Suspect *find(const SuspectKey &key) const;
+    bool makeRoom(const SuspectKey &key, RunId run);
+    void dropWeakSuspects();
+    void eraseCrash(const SuspectKey &key, RunId run);
+    Judgement judge(const SuspectKey &key, const Suspect &suspect) const;
+    /// Another key accounts for the crash.
+    bool isRelieved(const Suspect &suspect, RunId run) const;
+    /// Removes the runs that the most frequent request accounts for.
+    void setAside(const SuspectKey &key, std::vector<const CrashRecord *> &crashes) const;
+    std::size_t neededCrashes(const SuspectKey &key, bool retry) const;
+    Time quarantinedUntil(const SuspectKey &key, const Suspect &suspect) const;
+
+    Decisions::QuarantineOptions options_;
+    std::map<SuspectKey, Suspect> suspects_;
+    std::map<RunId, Run> runs_;
+    std::set<RunId> open_;
+    bool pathsDoubtful_ = false;
+    bool alone_ = false;
+    /// Changes with the evidence.
+    std::uint64_t version_ = 1;
+};
+
+} // namespace LaburnumChute::Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/CrashReports.cpp
@@ -0,0 +1,165 @@
+// What instances tell each other of requests that crash endpoints.
+
+#include <algorithm>
+#include <tuple>
+
+#include "Dispatch/CrashAttribution.h"
+#include "Dispatch/Util.h"
+
+namespace LaburnumChute::Dispatch {
+
+namespace {
+
+/// Reported breaks that are older are not taken over: they are confirmed or refuted by then.
+constexpr seconds MaxOpenAge{6};
+constexpr std::size_t MaxRecentSuspects = 32;
+constexpr std::size_t MaxOldSuspects = 4;
+constexpr std::size_t MaxReportedCrashes = 8;
+
+std::uint32_t toMilliseconds(Duration age)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, UINT32_MAX));
+}
+
+SuspectReport vindication(const SuspectKey &key, Time servedAt, Time now)
+{
+    SuspectReport report;
+    report.key = key;
+    report.served = true;
+    report.servedAgeMs = toMilliseconds(now - servedAt);
+    return report;
+}
+
+} // namespace
+
+SuspectReport CrashAttribution::reportOf(const SuspectKey &key, bool includeOthers, Time now) const
+{
+    SuspectReport report;
+    report.key = key;
+    for (const auto &crash : evidence_.crashesOf(key)) {
+        const bool ended = evidence_.run(crash.run)->endedAt.has_value();
+        const bool mayTell = ended || crash.own || includeOthers;
+        if (mayTell && evidence_.counts(crash)) {
+            report.crashes.push_back({crash.run, toMilliseconds(now - crash.at), ended});
+        }
+    }
+    const auto surplus =
+        report.crashes.size() - std::min(report.crashes.size(), MaxReportedCrashes);
+    report.crashes.erase(report.crashes.begin(),
+                         report.crashes.begin() + static_cast<std::ptrdiff_t>(surplus));
+    return report;
+}
+
+/// The most suspected first: those that are rejected, those with several crashes, and keys that
+/// unlike requests share, of which each instance sees a few crashes only.
+std::vector<SuspectKey> CrashAttribution::recentSuspects(Time now) const
+{
+    using Rank = std::tuple<bool, std::size_t, bool, Time, SuspectKey>;
+    std::vector<Rank> ranks;
+    for (const auto &key : evidence_.suspects()) {
+        const auto lastCrash = evidence_.lastCrash(key);
+        if (now - lastCrash <= SuspectRepeatTime) {
+            ranks.emplace_back(evidence_.isRejected(key, now), evidence_.crashesOf(key).size(),
+                               isShared(key), lastCrash, key);
+        }
+    }
+    std::sort(ranks.rbegin(), ranks.rend());
+    ranks.resize(std::min(ranks.size(), MaxRecentSuspects));
+    std::vector<SuspectKey> keys;
+    for (const auto &rank : ranks) {
+        keys.push_back(std::get<SuspectKey>(rank));
+    }
+    return keys;
+}
+
+std::vector<SuspectReport> CrashAttribution::reports(Audience audience, Time now)
+{
+    std::vector<SuspectReport> reports;
+    for (const auto &key : recentSuspects(now)) {
+        const bool includeOthers =
+            audience == Audience::OtherRegions || evidence_.isRejected(key, now);
+        reports.push_back(reportOf(key, includeOthers, now));
+    }
+    std::vector<SuspectKey> old;
+    for (const auto &[key, state] : rejected_) {
+        if (now - evidence_.lastCrash(key) > SuspectRepeatTime) {
+            old.push_back(key);
+        }
+    }
+    std::vector<SuspectKey> sampled;
+    std::sample(old.begin(), old.end(), std::back_inserter(sampled), MaxOldSuspects, random_);
+    for (const auto &key : sampled) {
+        reports.push_back(reportOf(key, true, now));
+    }
+    std::erase_if(reports, [](const SuspectReport &report) { return report.crashes.empty(); });
+    for (const auto &[key, at] : vindicatedAt_) {
+        const auto servedAt = sound_.lastServed(key, now);
+        if (servedAt && reports.size() < MaxRecentSuspects + MaxOldSuspects) {
+            reports.push_back(vindication(key, *servedAt, now));
+        }
+    }
+    return reports;
+}
+
+std::vector<SuspectReport> CrashAttribution::takeNotices(Time now)
+{
+    std::vector<SuspectReport> notices;
+    // Keys that unlike requests share come first.
+    for (auto next = unannounced_.begin();
+         next != unannounced_.end() && notices.size() < MaxRecentSuspects;
+         next = unannounced_.erase(next)) {
+        const auto servedAt = sound_.lastServed(*next, now);
+        if (servedAt && vindicatedAt_.count(*next) > 0) {
+            notices.push_back(vindication(*next, *servedAt, now));
+        } else if (evidence_.isRejected(*next, now)) {
+            notices.push_back(reportOf(*next, true, now));
+        }
+    }
+    return notices;
+}
+
+void CrashAttribution::merge(const std::vector<SuspectReport> &reports, Time now)
+{
+    for (const auto &report : reports) {
+        const auto &key = report.key;
+        if (report.served) {
+            acquit(key, EvidenceLoss::CompletedAtPeer, now - milliseconds(report.servedAgeMs));
+            continue;
+        }
+        for (const auto &crash : report.crashes) {
+            if (crash.ended && evidence_.run(crash.run) != nullptr) {
+                record({{crash.run, now}}, now);
+            }
+        }
+        if (sound_.lastServed(key, now)) {
+            if (vindicatedAt_.emplace(key, now).second && !isShared(key)) {
+                unannounced_.insert(key);
+            }
+            continue;
+        }
+        mergeCrashes(report, now);
+    }
+    for (const auto &report : reports) {
+        review(report.key, true, now);
+    }
+}
+
+void CrashAttribution::mergeCrashes(const SuspectReport &report, Time now)
+{
+    for (const auto &crash : report.crashes) {
+        const Time at = now - milliseconds(crash.ageMs);
+        const auto answeredAt = runs_.answeredAt(crash.run);
+        const bool refuted = answeredAt && *answeredAt > at;
+        const bool tooOld = !crash.ended && now - at > MaxOpenAge;
+        if (refuted || tooOld) {
+            continue;
+        }
+        addCrash(report.key, {crash.run, at, false}, now);
+        if (crash.ended || runs_.endedAt(crash.run)) {
+            record({{crash.run, at}}, now);
+        }
+    }
+}
+
+} // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -29,7 +29,7 @@
 
 void EndpointHealth::recordFirstEvent(EndpointState &endpoint, const Call &call, Duration took)
 {
-    crashes_->answered(endpoint.run, call.sentAt);
+    crashes_->answered(call.run, call.sentAt);
     constexpr double RatioMin = 0.3;
     constexpr double RatioMax = 3;
     const auto expected = std::max<Duration>(call.expected, options_->firstEventFloor);
@@ -87,32 +87,33 @@
 {
     switch (outcome) {
     case AttemptOutcome::Completed:
-        crashes_->completed(call.facts.fingerprint, now);
-        crashes_->answered(endpoint.run, call.sentAt);
+        crashes_->served(call.keys, now);
+        crashes_->answered(call.run, call.sentAt);
         return;
     case AttemptOutcome::Error:
     case AttemptOutcome::NotRun:
-        crashes_->answered(endpoint.run, call.sentAt);
+        crashes_->answered(call.run, call.sentAt);
         return;
     case AttemptOutcome::Refused:
-        crashes_->notConnected(endpoint.run, true, now);
+        crashes_->notConnected(call.run, true, now);
         endpoint.cache.clear();
         return;
     case AttemptOutcome::NotConnected:
-        crashes_->notConnected(endpoint.run, false, now);
+        crashes_->notConnected(call.run, false, now);
         return;
     case AttemptOutcome::Replaced:
-        crashes_->ended(endpoint.run, now);
+        crashes_->ended(call.run, now);
         endpoint.cache.clear();
         return;
     case AttemptOutcome::Broken:
         // An endpoint that leaves may end on purpose before its last requests have.
         if (endpoint.listed.leaving) {
-            crashes_->ignored(call.facts.fingerprint, EvidenceLoss::EndpointLeft);
+            crashes_->ignored(call.keys, EvidenceLoss::EndpointLeft);
         } else {
-            crashes_->broke(endpoint.listed.record.id, endpoint.run, call.facts.fingerprint, now);
+            crashes_->broke(endpoint.listed.record.id, call.run, call.keys, now);
         }
         return;
+    case AttemptOutcome::Closed:
     case AttemptOutcome::Cancelled:
     case AttemptOutcome::Withheld:
     case AttemptOutcome::Silent:
@@ -125,9 +126,9 @@
 {
     recordEvidence(endpoint, call, outcome, now);
     const auto *service = table_->service(call.facts.service);
-    const bool good = outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Error
-                      || outcome == AttemptOutcome::NotRun;
-    if (outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Error) {
+    const bool answered = isWhole(outcome) || outcome == AttemptOutcome::Error;
+    const bool good = answered || outcome == AttemptOutcome::NotRun;
+    if (answered) {
         const double error = outcome == AttemptOutcome::Error ? 1 : 0;
         endpoint.errorRate += options_->errorWeight * (error - endpoint.errorRate);
         // A request that waited in the endpoint's queue does not show how long a slot is held.
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -467,12 +467,14 @@
 {
     std::set<RunId> runs;
     for (const auto &[id, state] : byShortId_) {
-        if (!state->removed) {
+        if (!state->removed && !state->listed.missing) {
             runs.insert(state->run);
         }
     }
     for (const auto &[id, remote] : remote_) {
-        runs.insert(runId(remote.listed.record));
+        if (!remote.listed.missing) {
+            runs.insert(runId(remote.listed.record));
+        }
     }
     return runs;
 }
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -11,6 +11,7 @@
 
 #include "Catalog/Catalog.h"
 #include "Dialect/Dialect.h"
+#include "Dispatch/SuspectKey.h"
 
 namespace LaburnumChute::Dispatch {
 
@@ -64,6 +65,8 @@
 enum class AttemptOutcome {
     /// The whole answer was received, whatever its content.
     Completed,
+    /// As above, as far as the close of the connection shows; the endpoint may have ended with it.
+    Closed,
     /// The caller disconnected.
     Cancelled,
     /// No connection was established, so nothing was sent.
@@ -85,6 +88,8 @@
 };
 
 std::string_view toString(AttemptOutcome outcome);
+/// Whether a whole answer was received.
+bool isWhole(AttemptOutcome outcome);
 /// Whether the request is known not to have been sent.
 bool isUnsent(AttemptOutcome outcome);
 /// Whether the request is known not to have run.
@@ -143,6 +148,8 @@
     CallId call = 0;
     RejectReason reason = RejectReason::Overloaded;
     Duration retryAfter{0};
+    /// What endpoints crashed under.
+    std::optional<SuspectKey> suspect;
 };
 
 /// The request may have run and is not sent again; tell its caller what is known.
@@ -161,27 +168,28 @@
 struct EndpointCrash
 {
     EndpointId endpoint;
-    /// Fingerprints of the requests of this instance that broke off there, each once.
-    std::vector<std::uint64_t> suspects;
+    /// Keys of the requests that broke off there and that count.
+    std::vector<SuspectKey> suspects;
 };
 
-/// Requests with the fingerprint are rejected until it is known whether the endpoints on which they
-/// broke off have ended.
-struct RequestHold
+/// Requests with the key are rejected until it is known whether the endpoints on which they broke
+/// off have ended.
+struct SuspectHold
 {
-    std::uint64_t fingerprint = 0;
-    std::size_t breaks = 0;
-    std::size_t deaths = 0;
-    /// The last break was reported by another instance.
+    SuspectKey key;
+    /// Endpoints that may have ended, and that have ended, under the key alone.
+    std::size_t open = 0;
+    std::size_t ended = 0;
+    /// The last evidence was reported by another instance.
     bool reportedByPeer = false;
 };
 
-/// Requests with the fingerprint are rejected from now on.
-struct RequestQuarantine
+/// Requests with the key are rejected from now on.
+struct SuspectQuarantine
 {
-    std::uint64_t fingerprint = 0;
-    std::size_t deaths = 0;
-    /// The last death was reported by another instance.
+    SuspectKey key;
+    std::size_t ended = 0;
+    /// The last evidence was reported by another instance.
     bool reportedByPeer = false;
 };
 
@@ -205,17 +213,15 @@
     PathsDoubtful,
     /// No memory was left for it.
     NoMemory,
-    /// It did not fit into a notice to the other instances.
-    NotAnnounced,
 };
 
 std::string_view toString(EvidenceLoss reason);
 
-/// Evidence against requests that does not count.
+/// Evidence that does not count.
 struct EvidenceLost
 {
     EvidenceLoss reason = EvidenceLoss::Completed;
-    std::vector<std::uint64_t> fingerprints;
+    std::vector<SuspectKey> keys;
 };
 
 /// Whether the budget allowed another attempt of a request, for the log.
@@ -235,7 +241,7 @@
 };
 
 /// What became known of crashes, for the log.
-using CrashEvent = std::variant<EndpointCrash, RequestHold, RequestQuarantine, EvidenceLost>;
+using CrashEvent = std::variant<EndpointCrash, SuspectHold, SuspectQuarantine, EvidenceLost>;
 
 using Effect = std::variant<Send, Forward, Reject, Fail, CancelAttempt>;
 using Effects = std::vector<Effect>;
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -84,36 +84,34 @@
     }
 };
 
-/// An attempt that broke off on a run of an endpoint.
-struct BreakReport
+/// A run of an endpoint on which an attempt broke off.
+struct CrashReport
 {
     std::uint64_t run = 0;
     std::uint32_t ageMs = 0;
+    /// The run is known to have ended.
+    bool ended = false;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(run, ageMs);
+        archive(run, ageMs, ended);
     }
 };
 
-/// A request that is suspected of crashing endpoints.
+/// A key that is suspected of crashing endpoints.
 struct SuspectReport
 {
-    std::uint64_t fingerprint = 0;
-    /// Runs of endpoints that ended under it.
-    std::vector<std::uint64_t> deaths;
-    /// Time since the last of them.
-    std::uint32_t ageMs = 0;
-    /// Runs that are not known to have ended.
-    std::vector<BreakReport> breaks;
-    /// The request completed at the sender shortly before, so it is no suspect.
-    bool completes = false;
+    SuspectKey key;
+    std::vector<CrashReport> crashes;
+    /// An endpoint has served a request with the key shortly before, so it is no suspect.
+    bool served = false;
+    std::uint32_t servedAgeMs = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(fingerprint, deaths, ageMs, breaks, completes);
+        archive(key, crashes, served, servedAgeMs);
     }
 };
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -23,6 +23,8 @@
     switch (outcome) {
     case AttemptOutcome::Completed:
         return "completed";
+    case AttemptOutcome::Closed:
+        return "closed";
     case AttemptOutcome::Cancelled:
         return "cancelled";
     case AttemptOutcome::NotConnected:
@@ -45,6 +47,11 @@
     return "unknown";
 }
 
+bool isWhole(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Closed;
+}
+
 bool isUnsent(AttemptOutcome outcome)
 {
     return outcome == AttemptOutcome::NotConnected || outcome == AttemptOutcome::Refused
@@ -80,8 +87,7 @@
     , random_(seed)
     , table_(options_)
     , spareCapacity_(options_)
-    , quarantine_(Decisions::QuarantineOptions())
-    , crashes_(quarantine_, seed + 2)
+    , crashes_(Decisions::QuarantineOptions(), seed + 2)
     , reachability_(self_)
     , placement_(options_, table_, reachability_, self_, seed + 1, startedAt)
     , health_(options_, table_, crashes_)
@@ -104,6 +110,7 @@
     const auto id = facts.id;
     auto &call = calls_[id];
     call.facts = std::move(facts);
+    call.keys = suspectKeys(call.facts);
     if (!call.facts.forwarded) {
         budget(call.facts.service).request(now);
     }
@@ -157,16 +164,17 @@
 
 bool Scheduler::rejectIfSuspected(Call &call, Time now, Effects &effects)
 {
-    const auto rejectedFor = crashes_.rejectedFor(call.facts.fingerprint, now);
-    if (rejectedFor) {
-        reject(call, RejectReason::Quarantined, *rejectedFor, now, effects);
+    const auto rejection = crashes_.rejection(call.keys, call.runs > 0, now);
+    if (rejection) {
+        call.rejectedFor = rejection->key;
+        reject(call, RejectReason::Quarantined, rejection->retryAfter, now, effects);
     }
-    return rejectedFor.has_value();
+    return rejection.has_value();
 }
 
 std::optional<Candidate> Scheduler::chooseEndpoint(const Call &call, Time now)
 {
-    const bool mayStart = crashes_.mayStart(call.facts.fingerprint);
+    const bool mayStart = crashes_.mayStart(call.keys, now);
     return mayStart ? placement_.choose(call, now) : std::nullopt;
 }
 
@@ -176,6 +184,7 @@
     const auto &record = endpoint.listed.record;
     dequeue(call);
     call.endpoint = record.id;
+    call.run = endpoint.run;
     call.region = RegionName();
     call.sentAt = now;
     chargeRetry(call, now);
@@ -185,7 +194,7 @@
     call.attemptCancelled = false;
     call.idleAtSend = endpoint.idle();
     call.slotFreeAtSend = endpoint.load() < record.slots;
-    call.countedAsSuspect = crashes_.started(call.facts.fingerprint);
+    call.suspectedKeys = crashes_.started(call.keys, now);
     call.attemptedEndpoints.push_back(record.id);
     ++call.attempts;
     ++endpoint.own;
@@ -371,8 +380,9 @@
         std::uniform_real_distribution<double> factor(1, 1 + options_.retryAfterJitter);
         retryAfter = scaled(rest, factor(random_));
     }
+    const auto suspect = call.rejectedFor;
     forget(call);
-    effects.push_back(Reject{id, reason, retryAfter});
+    effects.push_back(Reject{id, reason, retryAfter, suspect});
 }
 
 void Scheduler::fail(Call &call, Effects &effects)
@@ -437,7 +447,7 @@
             {"waiting", queue_.size()},
             {"endpoints", endpoints},
             {"retry_budgets", dumpRetryBudgets(now)},
-            {"quarantine", quarantine_.dump(now)}};
+            {"suspects", crashes_.dump(now)}};
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -228,7 +228,6 @@
     std::mt19937_64 random_;
     EndpointTable table_;
     SpareCapacity spareCapacity_;
-    Decisions::Quarantine quarantine_;
     CrashAttribution crashes_;
     Time listCheckedAt_{};
     Reachability reachability_;
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -26,7 +26,7 @@
     const auto *endpoint = table_.find(found->second.endpoint);
     return endpoint != nullptr && !endpoint->listed.leaving && !endpoint->evacuated
            && endpoint->rest.left(now) == Duration(0)
-           && !crashes_.rejectedFor(found->second.facts.fingerprint, now);
+           && !crashes_.rejection(found->second.keys, found->second.runs > 0, now);
 }
 
 // Evaluation of attempts.
@@ -86,15 +86,13 @@
 
 void Scheduler::leaveEndpoint(Call &call, AttemptOutcome outcome, Time now)
 {
-    if (std::exchange(call.countedAsSuspect, false)) {
-        crashes_.stopped(call.facts.fingerprint);
-    }
+    crashes_.stopped(std::exchange(call.suspectedKeys, {}));
     auto *endpoint = table_.find(call.endpoint);
     if (endpoint == nullptr) {
         return;
     }
     endpoint->own = std::max(0, endpoint->own - 1);
-    if (outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Error) {
+    if (isWhole(outcome) || outcome == AttemptOutcome::Error) {
         endpoint->rest.accepted(call.sentAt);
     }
     endpoint->rest.ended(call.sentAt);
@@ -119,11 +117,10 @@
     if (atEndpoint) {
         leaveEndpoint(call, outcome, now);
     }
-    if (outcome == AttemptOutcome::Completed && call.facts.kind == RequestKind::Stream) {
+    if (isWhole(outcome) && call.facts.kind == RequestKind::Stream) {
         table_.engine(call.facts.service).answerSeen(call.facts.outputTokens, call.events);
     }
-    const bool done = call.withdrawn || outcome == AttemptOutcome::Completed
-                      || outcome == AttemptOutcome::Cancelled;
+    const bool done = call.withdrawn || isWhole(outcome) || outcome == AttemptOutcome::Cancelled;
     if (done) {
         forget(call);
         dispatchQueue(now, effects);
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -122,6 +122,8 @@
     placement_.setSharers(instances_, instances_.size());
     reachability_.setInstances(instances_);
     sharers_ = sharers;
+    const bool othersExist = !sharers || *sharers > 1;
+    crashes_.setAlone(othersExist && instances_.size() == 1 && reachableRegions.empty());
     table_.keepReports(instances_);
     spareCapacity_.setOwnInstances(instances_.size());
     spareCapacity_.setReachable(reachableRegions);
@@ -292,7 +294,7 @@
             report.services.push_back(work);
         }
     }
-    report.suspects = crashes_.reports(now);
+    report.suspects = crashes_.reports(CrashAttribution::Audience::OwnRegion, now);
     for (const auto &name : unreachableServices()) {
         report.unreachableServices.push_back(shortId(name));
     }
@@ -303,8 +305,7 @@
 {
     CrossRegionLoadReport report;
     table_.refreshLoad(now);
-    auto own = regionLoadReport(now);
-    report.suspects = std::move(own.suspects);
+    report.suspects = crashes_.reports(CrashAttribution::Audience::OtherRegions, now);
     report.placements = table_.placementsForOtherRegions(now);
     for (const auto &[name, service] : table_.services()) {
         // The region's other instances have room for them, which this one cannot measure.
--- a/Source/Core/Relay/EventLog.cpp
+++ b/Source/Core/Relay/EventLog.cpp
@@ -41,6 +41,11 @@
     return fmt::format("{:016x}", fingerprint);
 }
 
+std::string formatSuspect(const Dispatch::SuspectKey &key)
+{
+    return fmt::format("{}:{}", Dispatch::toString(key.kind), formatFingerprint(key.value));
+}
+
 EventLine::EventLine(std::string_view event)
     : event_(event)
 {
--- a/Source/Core/Relay/EventLog.h
+++ b/Source/Core/Relay/EventLog.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "Common/Common.h"
+#include "Dispatch/Dispatch.h"
 
 namespace LaburnumChute::Relay {
 
@@ -53,6 +54,8 @@
 
 /// Fingerprint of a request as it appears in log lines.
 std::string formatFingerprint(std::uint64_t fingerprint);
+/// What crashes are put down to, as KIND:FINGERPRINT.
+std::string formatSuspect(const Dispatch::SuspectKey &key);
 
 /// Writes structured log lines to a file descriptor.
 ///
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -14,15 +14,15 @@
 /// Within this time after the start, seeds of all regions have responded, even if they start at the
 /// same time.
 constexpr Common::milliseconds PeerResponseTime{400};
-/// Fingerprints in one log line.
-constexpr std::size_t MaxLoggedFingerprints = 32;
+/// Keys in one log line.
+constexpr std::size_t MaxLoggedKeys = 32;
 
-std::string joinFingerprints(const std::vector<std::uint64_t> &fingerprints)
+std::string joinKeys(const std::vector<Dispatch::SuspectKey> &keys)
 {
     std::string text;
-    const auto count = std::min(fingerprints.size(), MaxLoggedFingerprints);
+    const auto count = std::min(keys.size(), MaxLoggedKeys);
     for (std::size_t index = 0; index < count; ++index) {
-        text += (index > 0 ? " " : "") + formatFingerprint(fingerprints[index]);
+        text += (index > 0 ? " " : "") + formatSuspect(keys[index]);
     }
     return text;
 }
@@ -303,34 +303,34 @@
             gateway.relayMetrics_.crashes.add();
             EventLine line("endpoint-crash");
             line.add("endpoint", crash.endpoint)
-                .add("suspects", static_cast<std::int64_t>(crash.suspects.size()))
-                .add("fingerprints", joinFingerprints(crash.suspects));
+                .add("count", static_cast<std::int64_t>(crash.suspects.size()))
+                .add("suspects", joinKeys(crash.suspects));
             gateway.log_.write(line, now);
         }
-        void operator()(const Dispatch::RequestHold &hold) const
+        void operator()(const Dispatch::SuspectHold &hold) const
         {
             EventLine line("hold");
-            line.add("fingerprint", formatFingerprint(hold.fingerprint))
-                .add("breaks", static_cast<std::int64_t>(hold.breaks))
-                .add("deaths", static_cast<std::int64_t>(hold.deaths))
+            line.add("suspect", formatSuspect(hold.key))
+                .add("open", static_cast<std::int64_t>(hold.open))
+                .add("ended", static_cast<std::int64_t>(hold.ended))
                 .add("reported_by_peer", hold.reportedByPeer);
             gateway.log_.write(line, now);
         }
-        void operator()(const Dispatch::RequestQuarantine &quarantine) const
+        void operator()(const Dispatch::SuspectQuarantine &quarantine) const
         {
             gateway.relayMetrics_.quarantines.add();
             EventLine line("quarantine");
-            line.add("fingerprint", formatFingerprint(quarantine.fingerprint))
-                .add("deaths", static_cast<std::int64_t>(quarantine.deaths))
+            line.add("suspect", formatSuspect(quarantine.key))
+                .add("ended", static_cast<std::int64_t>(quarantine.ended))
                 .add("reported_by_peer", quarantine.reportedByPeer);
             gateway.log_.write(line, now);
         }
         void operator()(const Dispatch::EvidenceLost &lost) const
         {
-            gateway.relayMetrics_.evidenceLost.add(lost.fingerprints.size());
+            gateway.relayMetrics_.evidenceLost.add(lost.keys.size());
             EventLine line("evidence-lost");
             line.add("reason", Dispatch::toString(lost.reason))
-                .add("fingerprints", joinFingerprints(lost.fingerprints));
+                .add("suspects", joinKeys(lost.keys));
             gateway.log_.write(line, now);
         }
     };
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -135,6 +135,7 @@
     responseMode_ = ResponseMode::None;
     response_ = {};
     responseEnd_.reset();
+    endShown_ = true;
     incompleteEventBytes_ = 0;
     cutter_.restart();
     sentAt_ = now;
@@ -510,6 +511,7 @@
         handleFailure(CallFailure::Broken, "the endpoint ended together with its answer");
         return;
     }
+    endShown_ = state == ConnectionState::Established;
     completeResponse(steadyNow());
 }
 
@@ -523,14 +525,14 @@
         }
         connection_->endStream();
         gateway_.metrics().completed.add();
-        endAttempt(AttemptOutcome::Completed, false, now);
+        endAttempt(endShown_ ? AttemptOutcome::Completed : AttemptOutcome::Closed, false, now);
         finish("completed");
         return;
     }
     if (response_.status < FirstServerError && !meansNotRun(response_.status)) {
         gateway_.metrics().completed.add();
         sendKeptResponse();
-        endAttempt(AttemptOutcome::Completed, false, now);
+        endAttempt(endShown_ ? AttemptOutcome::Completed : AttemptOutcome::Closed, false, now);
         finish("completed");
         return;
     }
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -145,6 +145,8 @@
     int eventsPassedOn_ = 0;
     /// What showed the end of the last response.
     std::optional<ResponseEnd> responseEnd_;
+    /// False if it is not known whether the endpoint still ran after the close of the connection.
+    bool endShown_ = true;
     std::size_t incompleteEventBytes_ = 0;
     /// Rate limit stated in the last response of an endpoint.
     std::optional<double> limitPerSecond_;
--- a/Source/Core/Relay/RelayedCallEnd.cpp
+++ b/Source/Core/Relay/RelayedCallEnd.cpp
@@ -53,6 +53,9 @@
         .add("waiting", static_cast<std::int64_t>(gateway_.scheduler().waiting()))
         .add("retry_after", effect.retryAfter)
         .add("fingerprint", formatFingerprint(plan_.facts.fingerprint));
+    if (effect.suspect) {
+        line.add("suspect", formatSuspect(*effect.suspect));
+    }
     gateway_.log().write(line, now);
     gateway_.metrics().rejected.add();
     sendOwnResponse(ServiceUnavailable, std::string(Dispatch::toString(effect.reason)), retryAfter,
--- a/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
+++ b/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
@@ -7,16 +7,31 @@
 constexpr std::uint64_t Suspect = 4711;
 constexpr std::uint64_t Bystander = 4712;
 
+std::vector<SuspectKey> keys(std::uint64_t fingerprint)
+{
+    return {{SuspectKind::Request, fingerprint}};
+}
+
+std::vector<SuspectReport> reportsOf(CrashAttribution &crashes, Time now)
+{
+    return crashes.reports(CrashAttribution::Audience::OwnRegion, now);
+}
+
+bool rejects(const CrashAttribution &crashes, std::uint64_t fingerprint, Time now)
+{
+    return crashes.rejection(keys(fingerprint), false, now).has_value();
+}
+
 class CrashAttributionTest : public testing::Test
 {
 protected:
     void breakOn(RunId run, std::uint64_t fingerprint = Suspect)
     {
-        crashes_.broke(EndpointId(std::to_string(run)), run, fingerprint, now_);
+        crashes_.broke(EndpointId(std::to_string(run)), run, keys(fingerprint), now_);
     }
     bool rejected(std::uint64_t fingerprint = Suspect) const
     {
-        return crashes_.rejectedFor(fingerprint, now_).has_value();
+        return rejects(crashes_, fingerprint, now_);
     }
     void pass(milliseconds time)
     {
@@ -24,8 +39,12 @@
         crashes_.expire(now_);
     }
 
-    Decisions::Quarantine quarantine_{Decisions::QuarantineOptions()};
-    CrashAttribution crashes_{quarantine_, 7};
+    Duration rejectedFor(std::uint64_t fingerprint) const
+    {
+        return crashes_.rejection(keys(fingerprint), false, now_)->retryAfter;
+    }
+
+    CrashAttribution crashes_{Decisions::QuarantineOptions(), 7};
     Time now_ = Time(seconds(1000));
 };
 
@@ -36,7 +55,7 @@
     EXPECT_FALSE(rejected());
     breakOn(2);
     EXPECT_TRUE(rejected());
-    EXPECT_LE(*crashes_.rejectedFor(Suspect, now_), seconds(6));
+    EXPECT_LE(rejectedFor(Suspect), seconds(6));
 }
 
 // Endpoints that break off some of their answers do not crash. Guards against rejecting requests
@@ -61,10 +80,10 @@
     crashes_.notConnected(2, true, now_);
     breakOn(3);
     EXPECT_FALSE(rejected());
-    const auto reports = crashes_.reports(now_);
+    const auto reports = reportsOf(crashes_, now_);
     ASSERT_EQ(reports.size(), 1U);
-    EXPECT_EQ(reports[0].deaths.size(), 1U) << "the first refusal alone looks like a crash";
-    EXPECT_TRUE(reports[0].breaks.empty());
+    ASSERT_EQ(reports[0].crashes.size(), 1U) << "the first refusal alone looks like a crash";
+    EXPECT_TRUE(reports[0].crashes[0].ended);
     pass(milliseconds(7000));
     EXPECT_FALSE(rejected());
     EXPECT_FALSE(crashes_.hasBreaks());
@@ -159,16 +178,16 @@
     breakOn(1);
     crashes_.ended(1, now_);
     breakOn(2);
-    crashes_.completed(Suspect, now_);
+    crashes_.served(keys(Suspect), now_);
     EXPECT_FALSE(rejected());
-    EXPECT_TRUE(crashes_.reports(now_).empty());
+    EXPECT_TRUE(reportsOf(crashes_, now_).empty());
 }
 
 // Many callers send the same request, so that copies of it are on each endpoint that crashes.
 // Guards against rejecting them all.
 TEST_F(CrashAttributionTest, ARequestThatCompletedShortlyBeforeIsNoSuspect)
 {
-    crashes_.completed(Suspect, now_);
+    crashes_.served(keys(Suspect), now_);
     pass(milliseconds(5000));
     for (const RunId run : {1, 2, 3}) {
         breakOn(run);
@@ -186,32 +205,31 @@
 TEST_F(CrashAttributionTest, ASuspectRunsOnceAtATime)
 {
     breakOn(1);
-    EXPECT_TRUE(crashes_.mayStart(Suspect));
-    EXPECT_TRUE(crashes_.started(Suspect));
-    EXPECT_FALSE(crashes_.mayStart(Suspect));
-    EXPECT_TRUE(crashes_.mayStart(Bystander));
-    crashes_.stopped(Suspect);
-    EXPECT_TRUE(crashes_.mayStart(Suspect));
+    EXPECT_TRUE(crashes_.mayStart(keys(Suspect), now_));
+    EXPECT_EQ(crashes_.started(keys(Suspect), now_), keys(Suspect));
+    EXPECT_FALSE(crashes_.mayStart(keys(Suspect), now_));
+    EXPECT_TRUE(crashes_.mayStart(keys(Bystander), now_));
+    crashes_.stopped(keys(Suspect));
+    EXPECT_TRUE(crashes_.mayStart(keys(Suspect), now_));
 }
 
 // One instance ran the request, another learns that the endpoints have ended.
 TEST_F(CrashAttributionTest, BreaksAndDeathsOfSeveralInstancesAddUp)
 {
     breakOn(1);
-    Decisions::Quarantine otherQuarantine{Decisions::QuarantineOptions()};
-    CrashAttribution other(otherQuarantine, 8);
-    other.broke(EndpointId("2"), 2, Suspect, now_);
-    other.merge(crashes_.reports(now_), now_);
-    EXPECT_TRUE(other.rejectedFor(Suspect, now_).has_value());
-    crashes_.merge(other.reports(now_), now_);
+    CrashAttribution other(Decisions::QuarantineOptions(), 8);
+    other.broke(EndpointId("2"), 2, keys(Suspect), now_);
+    other.merge(reportsOf(crashes_, now_), now_);
+    EXPECT_TRUE(rejects(other, Suspect, now_));
+    crashes_.merge(reportsOf(other, now_), now_);
     EXPECT_TRUE(rejected());
     // This instance learns of both ends and tells the other.
     crashes_.ended(1, now_);
     crashes_.ended(2, now_);
-    other.merge(crashes_.reports(now_), now_);
+    other.merge(reportsOf(crashes_, now_), now_);
     now_ += seconds(20);
     other.expire(now_);
-    EXPECT_TRUE(other.rejectedFor(Suspect, now_).has_value());
+    EXPECT_TRUE(rejects(other, Suspect, now_));
 }
 
 // A request that many callers send was on two endpoints when they crashed, and completes at another
@@ -221,10 +239,9 @@
     breakOn(1);
     breakOn(2);
     ASSERT_TRUE(rejected());
-    Decisions::Quarantine otherQuarantine{Decisions::QuarantineOptions()};
-    CrashAttribution other(otherQuarantine, 8);
-    other.completed(Suspect, now_);
-    other.merge(crashes_.reports(now_), now_);
+    CrashAttribution other(Decisions::QuarantineOptions(), 8);
+    other.served(keys(Suspect), now_);
+    other.merge(reportsOf(crashes_, now_), now_);
     crashes_.merge(other.takeNotices(now_), now_);
     EXPECT_FALSE(rejected());
 }
@@ -233,13 +250,12 @@
 TEST_F(CrashAttributionTest, APeerDoesNotBringBackARefutedBreak)
 {
     breakOn(1);
-    Decisions::Quarantine otherQuarantine{Decisions::QuarantineOptions()};
-    CrashAttribution other(otherQuarantine, 8);
-    other.broke(EndpointId("2"), 2, Suspect, now_);
-    other.merge(crashes_.reports(now_), now_);
+    CrashAttribution other(Decisions::QuarantineOptions(), 8);
+    other.broke(EndpointId("2"), 2, keys(Suspect), now_);
+    other.merge(reportsOf(crashes_, now_), now_);
     crashes_.answered(1, now_ + milliseconds(1));
     pass(milliseconds(10));
-    crashes_.merge(other.reports(now_), now_);
+    crashes_.merge(reportsOf(other, now_), now_);
     EXPECT_FALSE(rejected());
 }
 
@@ -251,9 +267,9 @@
     }
     breakOn(1);
     breakOn(2);
-    const auto reports = crashes_.reports(now_);
+    const auto reports = reportsOf(crashes_, now_);
     ASSERT_FALSE(reports.empty());
-    EXPECT_EQ(reports.front().fingerprint, Suspect);
+    EXPECT_EQ(reports.front().key.value, Suspect);
     EXPECT_LE(reports.size(), 40U);
 }
 
@@ -270,10 +286,10 @@
     pass(milliseconds(10000));
     std::set<std::uint64_t> reported;
     for (int round = 0; round < 60; ++round) {
-        const auto reports = crashes_.reports(now_);
+        const auto reports = reportsOf(crashes_, now_);
         EXPECT_LE(reports.size(), 4U);
         for (const auto &report : reports) {
-            reported.insert(report.fingerprint);
+            reported.insert(report.key.value);
         }
     }
     EXPECT_GE(reported.size(), Count - 2);
@@ -286,12 +302,115 @@
     breakOn(2);
     crashes_.ended(1, now_);
     crashes_.ended(2, now_);
-    Decisions::Quarantine otherQuarantine{Decisions::QuarantineOptions()};
-    CrashAttribution other(otherQuarantine, 8);
-    other.merge(crashes_.reports(now_), now_);
+    CrashAttribution other(Decisions::QuarantineOptions(), 8);
+    other.merge(reportsOf(crashes_, now_), now_);
     const auto later = now_ + Decisions::QuarantineOptions().firstQuarantine + seconds(1);
-    EXPECT_FALSE(crashes_.rejectedFor(Suspect, later).has_value());
-    EXPECT_TRUE(other.rejectedFor(Suspect, later).has_value());
+    EXPECT_FALSE(rejects(crashes_, Suspect, later));
+    EXPECT_TRUE(rejects(other, Suspect, later));
+}
+
+std::vector<SuspectKey> withContent(std::uint64_t fingerprint, std::uint64_t content)
+{
+    return {{SuspectKind::Request, fingerprint}, {SuspectKind::Content, content}};
+}
+
+// Guards against evidence that never adds up, since each repeat has another query.
+TEST_F(CrashAttributionTest, RepeatsWithOtherQueriesAreRejected)
+{
+    for (const RunId run : {1, 2, 3}) {
+        EXPECT_FALSE(crashes_.rejection(withContent(100 + run, 7), false, now_));
+        crashes_.broke(EndpointId(std::to_string(run)), run, withContent(100 + run, 7), now_);
+        crashes_.ended(run, now_);
+    }
+    EXPECT_TRUE(crashes_.rejection(withContent(999, 7), false, now_));
+    EXPECT_FALSE(crashes_.rejection(withContent(999, 8), false, now_));
+}
+
+// Guards against rejecting all queries of a path for the one that crashes endpoints.
+TEST_F(CrashAttributionTest, OtherQueriesOfACrashingRequestAreServed)
+{
+    for (const RunId run : {1, 2, 3}) {
+        crashes_.broke(EndpointId(std::to_string(run)), run, withContent(100, 7), now_);
+        crashes_.ended(run, now_);
+    }
+    EXPECT_TRUE(crashes_.rejection(withContent(100, 7), false, now_));
+    EXPECT_FALSE(crashes_.rejection(withContent(101, 7), false, now_));
+}
+
+// The endpoint was gone before this process had its first list. Guards against a reported break
+// that expires, since the endpoint cannot vanish from the list.
+TEST_F(CrashAttributionTest, AReportedRunThatIsNotListedHasEnded)
+{
+    CrashAttribution other(Decisions::QuarantineOptions(), 8);
+    other.broke(EndpointId("1"), 1, keys(Suspect), now_);
+    other.broke(EndpointId("2"), 2, keys(Suspect), now_);
+    crashes_.merge(reportsOf(other, now_), now_);
+    crashes_.setListed({9}, now_);
+    pass(milliseconds(3500));
+    crashes_.setListed({9}, now_);
+    pass(milliseconds(7000));
+    EXPECT_TRUE(rejected());
+}
+
+// Guards against breaks at an instance that does not speak for its region, of which the other
+// regions learn only once the endpoint is known to have ended.
+TEST_F(CrashAttributionTest, OtherRegionsLearnOfBreaksThatNeighborsSaw)
+{
+    CrashAttribution neighbor(Decisions::QuarantineOptions(), 8);
+    neighbor.broke(EndpointId("1"), 1, keys(Suspect), now_);
+    crashes_.merge(reportsOf(neighbor, now_), now_);
+    CrashAttribution remote(Decisions::QuarantineOptions(), 9);
+    remote.merge(crashes_.reports(CrashAttribution::Audience::OtherRegions, now_), now_);
+    remote.broke(EndpointId("2"), 2, keys(Suspect), now_);
+    EXPECT_TRUE(rejects(remote, Suspect, now_));
+}
+
+// Guards against bystanders of many crashes that leave no memory for the request behind the next.
+TEST_F(CrashAttributionTest, ManyBystandersDoNotCrowdOutASuspect)
+{
+    std::uint64_t bystander = 100000;
+    for (RunId run = 1; run <= 200; ++run) {
+        for (int count = 0; count < 50; ++count) {
+            breakOn(run, bystander++);
+        }
+        crashes_.ended(run, now_);
+    }
+    breakOn(1001);
+    crashes_.ended(1001, now_);
+    breakOn(1002);
+    EXPECT_TRUE(rejected());
+    EXPECT_LE(crashes_.dump(now_).size(), Decisions::QuarantineOptions().maxSuspects);
+}
+
+// Guards against more new suspects than fit into a notice, of which the others never hear.
+TEST_F(CrashAttributionTest, AllRejectedRequestsAreAnnounced)
+{
+    std::set<std::uint64_t> announced;
+    for (std::uint64_t fingerprint = 1; fingerprint <= 100; ++fingerprint) {
+        breakOn(1, fingerprint);
+        breakOn(2, fingerprint);
+    }
+    for (int round = 0; round < 10; ++round) {
+        const auto notices = crashes_.takeNotices(now_);
+        EXPECT_LE(notices.size(), 40U);
+        for (const auto &notice : notices) {
+            announced.insert(notice.key.value);
+        }
+    }
+    EXPECT_EQ(announced.size(), 100U);
+}
+
+// Guards against one instance after another that lets a request crash two endpoints while they hear
+// nothing from each other.
+TEST_F(CrashAttributionTest, OneCrashIsEnoughForAnInstanceThatHearsFromNoOther)
+{
+    crashes_.setAlone(true);
+    breakOn(1);
+    crashes_.ended(1, now_);
+    EXPECT_TRUE(rejected());
+    EXPECT_FALSE(crashes_.rejection(keys(Suspect), true, now_)) << "its caller still waits";
+    crashes_.setAlone(false);
+    EXPECT_FALSE(rejected());
 }
 
 // Reports go back and forth with the delay of the network. Guards against a quarantine that each of
@@ -302,11 +421,11 @@
     breakOn(2);
     crashes_.ended(1, now_);
     crashes_.ended(2, now_);
-    const auto reports = crashes_.reports(now_);
-    const auto end = now_ + *crashes_.rejectedFor(Suspect, now_);
+    const auto reports = reportsOf(crashes_, now_);
+    const auto end = now_ + rejectedFor(Suspect);
     pass(milliseconds(4000));
     crashes_.merge(reports, now_);
-    EXPECT_EQ(now_ + *crashes_.rejectedFor(Suspect, now_), end);
+    EXPECT_EQ(now_ + rejectedFor(Suspect), end);
 }
 
 } // namespace
@@ -335,6 +454,56 @@
     EXPECT_EQ(rejects, 1);
 }
 
+// Nothing but the close of its connection ended the answer. Guards against a crash that clears the
+// request behind it.
+TEST_F(SchedulerTest, AnAnswerThatOnlyACloseEndedClearsNoSuspect)
+{
+    setEndpoints({endpoint("a", Plain), endpoint("b", Plain), endpoint("c", Plain)});
+    const auto submit = [&] {
+        auto call = facts(Plain, RequestKind::AtMostOnce);
+        call.fingerprint = Suspect;
+        return std::pair(call.id, scheduler_.submit(call, now_));
+    };
+    const auto first = submit();
+    scheduler_.ended(first.first, AttemptOutcome::Broken, false, now_);
+    const auto second = submit();
+    scheduler_.ended(second.first, AttemptOutcome::Closed, false, now_);
+    const auto third = submit();
+    scheduler_.ended(third.first, AttemptOutcome::Broken, false, now_);
+    const auto fourth = submit();
+    ASSERT_NE(only<Reject>(fourth.second), nullptr);
+    EXPECT_EQ(only<Reject>(fourth.second)->reason, RejectReason::Quarantined);
+}
+
+// The endpoint returns under its id before the break of its old connection is noticed. Guards
+// against evidence that an answer of the new process refutes.
+TEST_F(SchedulerTest, ABreakCountsAgainstTheRunThatTheRequestWasSentTo)
+{
+    setEndpoints({endpoint("a", Plain), endpoint("b", Plain)});
+    for (int count = 0; count < 2; ++count) {
+        auto call = facts(Plain, RequestKind::AtMostOnce);
+        call.fingerprint = Suspect;
+        const auto sent = scheduler_.submit(call, now_);
+        ASSERT_NE(only<Send>(sent), nullptr);
+        for (auto &each : endpoints_) {
+            each.record.startedAt += each.record.id == only<Send>(sent)->endpoint ? 1 : 0;
+        }
+        scheduler_.setEndpoints(endpoints_, {}, now_);
+        scheduler_.ended(call.id, AttemptOutcome::Broken, false, now_);
+        for (int other = 0; other < 8; ++other) {
+            pass(milliseconds(10));
+            const auto sound = facts(Plain, RequestKind::AtMostOnce);
+            scheduler_.submit(sound, now_);
+            scheduler_.ended(sound.id, AttemptOutcome::Completed, false, now_);
+        }
+    }
+    auto copy = facts(Plain, RequestKind::AtMostOnce);
+    copy.fingerprint = Suspect;
+    const auto effects = scheduler_.submit(copy, now_);
+    ASSERT_NE(only<Reject>(effects), nullptr);
+    EXPECT_EQ(only<Reject>(effects)->reason, RejectReason::Quarantined);
+}
+
 // The copy's connection is established after the verdict. Guards against a send that was decided on
 // before it.
 TEST_F(SchedulerTest, ACrashingRequestIsNotSentOnceItsConnectionIsEstablished)
