--- a/Source/IntegrationTests/soak.py
+++ b/Source/IntegrationTests/soak.py
@@ -8,12 +8,13 @@
 import dataclasses
 import logging
 import pathlib
+import random
 import sys
 import tempfile
 
 import soak_rules
 from soak_callers import Callers
-from soak_deployment import Deployment
+from soak_deployment import Deployment, standin
 from soak_faults import MEAN_GAPS, Faults
 
 BOUNDS = soak_rules.Bounds(ratio=0.2, slack=58.0, window=10.0)
@@ -32,6 +33,9 @@
     repeats: int
     windows: dict
     faults: list
+    part_crashes: dict
+    sound: list
+    """Broken rules of sound requests beside those that crash endpoints; for plays without faults."""
 
     def line(self):
         fullest = ", ".join(
@@ -67,15 +71,25 @@
 logging.getLogger("asyncio").setLevel(logging.ERROR)
 
 
-async def play(seed, instances, folder, disturb, deadly_per_second=DEADLY_PER_SECOND):
+async def play(
+    seed,
+    instances,
+    folder,
+    disturb,
+    deadly_per_second=DEADLY_PER_SECOND,
+    bad_parts=None,
+    per_second=PER_SECOND,
+):
     """
     @param deadly_per_second: rate of a request that crashes the endpoints that run it
+    @param bad_parts: parts of prompts that crash endpoints, with their requests per second
     @param disturb: coroutine function that gets the deployment and a log of faults; the callers
         stop some time after it has ended
     """
     deployment = Deployment(folder, BOUNDS, instances, seed)
     faults_log = []
-    callers = Callers(deployment, PER_SECOND, deadly_per_second, seed + 1)
+    callers = Callers(deployment, per_second, deadly_per_second, seed + 1, bad_parts)
+    deployment.callers = callers
     try:
         await deployment.start()
         for instance in deployment.instances:
@@ -91,7 +105,12 @@
         await end_tasks()
     in_touch = in_touch_since(deployment, BOUNDS)
     broken = soak_rules.check_all(
-        callers.requests, deployment.arrivals, deployment.deadly_crashes, BOUNDS, in_touch
+        callers.requests,
+        deployment.arrivals,
+        deployment.deadly_crashes,
+        deployment.part_crashes,
+        BOUNDS,
+        in_touch,
     )
     return Report(
         seed=seed,
@@ -101,6 +120,8 @@
         repeats=sum(len(one) for one in soak_rules.repeats_of(deployment.arrivals).values()),
         windows=soak_rules.fullest_windows(callers.requests, deployment.arrivals, BOUNDS),
         faults=sorted(faults_log),
+        part_crashes=deployment.part_crashes,
+        sound=soak_rules.check_sound_requests(callers.requests, deployment.part_crashes, BOUNDS),
     )
 
 
@@ -110,7 +131,16 @@
     async def disturb(deployment, log):
         await Faults(deployment, seed + 2, log, families).play(seconds)
 
-    return asyncio.run(play(seed, instances, folder, disturb))
+    return asyncio.run(play(seed, instances, folder, disturb, bad_parts=draw_bad_parts(seed)))
+
+
+def draw_bad_parts(seed):
+    """Half of the seeds have parts that crash endpoints, one or two."""
+    draw = random.Random(f"bad parts {seed}")
+    if draw.random() < 0.5:
+        return {}
+    count = draw.choice([1, 2])
+    return {part: draw.uniform(0.5, 2) for part in standin.Endpoint.CRASHING_PARTS[:count]}
 
 
 def keep(folder, kept, report):
--- a/Source/IntegrationTests/soak_callers.py
+++ b/Source/IntegrationTests/soak_callers.py
@@ -12,17 +12,23 @@
     "order": ("POST", "/order/x", "desk", 1),
     "status": ("GET", "/status/x", "desk", 2),
 }
+#: Parts that prompts have in common: the first one, and one of a few others.
+FIRST_PART = "f1"
+OTHER_PARTS = ("a1", "a2", "a3", "a4")
 CONNECT_TIMEOUT = 1.0
 #: How long an instance that refused a connection is left out.
 AVOID_TIME = 0.5
 
 
 class Callers:
-    def __init__(self, deployment, per_second, deadly_per_second, seed):
+    def __init__(self, deployment, per_second, deadly_per_second, seed, bad_parts=None):
+        """@param bad_parts: parts of prompts that crash endpoints, with their requests per second"""
         self.deployment = deployment
         self.per_second = per_second
         self.deadly_per_second = deadly_per_second
         self.random = random.Random(seed)
+        self.bad_parts = bad_parts or {}
+        self.part_random = random.Random(f"parts {seed}")
         #: Whether each repeat of the deadly request has another query.
         self.deadly_query_varies = random.Random(f"query {seed}").random() < 0.5
         self.requests = []
@@ -35,6 +41,11 @@
         self.sources = [asyncio.create_task(self._send_often(self.per_second, False))]
         if self.deadly_per_second > 0:
             self.sources.append(asyncio.create_task(self._send_often(self.deadly_per_second, True)))
+        for part, per_second in self.bad_parts.items():
+            self.start_bad_part(part, per_second)
+
+    def start_bad_part(self, part, per_second):
+        self.sources.append(asyncio.create_task(self._send_bad_parts(part, per_second)))
 
     async def stop(self):
         for source in self.sources:
@@ -44,19 +55,32 @@
     async def _send_often(self, per_second, deadly):
         while True:
             await asyncio.sleep(self.random.expovariate(per_second))
-            task = asyncio.create_task(self._request(deadly))
-            self.pending.add(task)
-            task.add_done_callback(self.pending.discard)
+            self._begin(self._request(self.random, deadly))
+
+    async def _send_bad_parts(self, part, per_second):
+        while True:
+            await asyncio.sleep(self.part_random.expovariate(per_second))
+            self._begin(self._request(self.part_random, bad_part=part))
+
+    def _begin(self, request):
+        task = asyncio.create_task(request)
+        self.pending.add(task)
+        task.add_done_callback(self.pending.discard)
+
+    def _prompt(self, identity, bad_part):
+        """Requests with a bad part share the other parts with sound ones."""
+        parts = [FIRST_PART, bad_part, self.part_random.choice(OTHER_PARTS), identity]
+        return ",".join(f"{part}:50" for part in parts if part is not None)
 
-    def _choose_instance(self):
+    def _choose_instance(self, draw):
         now = self.deployment.now()
         started = [one for one in self.deployment.instances if one.process is not None]
         usable = [one for one in started if self.avoided.get(one.name, 0) < now]
-        return self.random.choice(usable or started)
+        return draw.choice(usable or started)
 
-    async def _request(self, deadly):
-        instance = self._choose_instance()
-        kind = "draft" if deadly else self.random.choice(list(KINDS))
+    async def _request(self, draw, deadly=False, bad_part=None):
+        instance = self._choose_instance(draw)
+        kind = "draft" if deadly or bad_part else draw.choice(list(KINDS))
         method, path, service, endpoints_allowed = KINDS[kind]
         identity = f"{instance.number:02x}{len(self.requests):014x}"
         request = Request(
@@ -67,13 +91,18 @@
             DEADLINE,
             endpoints_allowed,
             deadly=deadly,
+            bad_part=bad_part,
         )
         if deadly and self.deadly_query_varies:
             path += f"?attempt={len(self.requests)}"
         self.requests.append(request)
         body = standin.Endpoint.CRASHING_BODY if deadly else b"x" if method == "POST" else b""
+        headers = {}
+        if kind == "draft" and not deadly:
+            body = identity.encode()
+            headers = {standin.TOKENS: "200,20", standin.PROMPT: self._prompt(identity, bad_part)}
         try:
-            answer = self._exchange(instance, identity, method, path, body)
+            answer = self._exchange(instance, identity, method, path, body, headers)
             request.status = await asyncio.wait_for(answer, DEADLINE)
         except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass
@@ -90,12 +119,13 @@
             self.avoided[instance.name] = self.deployment.now() + AVOID_TIME
             raise
 
-    async def _exchange(self, instance, identity, method, path, body):
+    async def _exchange(self, instance, identity, method, path, body, headers):
         reader, writer = await self._connect(instance)
         kept = False
         try:
             head = [f"{method} {path} HTTP/1.1", "Host: shop.example"]
             head += [f"{standin.ATTEMPT}: {identity}", f"{standin.DEADLINE}: {int(DEADLINE * 1000)}"]
+            head += [f"{name}: {value}" for name, value in headers.items()]
             head += [f"Content-Length: {len(body)}", "", ""]
             writer.write("\r\n".join(head).encode() + body)
             status, kept = await self._read_answer(reader)
--- a/Source/IntegrationTests/soak_deployment.py
+++ b/Source/IntegrationTests/soak_deployment.py
@@ -112,6 +112,10 @@
         self.started_at = time.monotonic()
         self.arrivals = []
         self.deadly_crashes = []
+        #: Set by the play.
+        self.callers = None
+        #: Times at which endpoints crashed under a part of prompts, by part.
+        self.part_crashes = {}
         #: Pairs of instances, sender first, whose datagrams are lost.
         self.cuts = set()
         zones = list(ZONES)
--- a/Source/IntegrationTests/soak_rules.py
+++ b/Source/IntegrationTests/soak_rules.py
@@ -18,6 +18,8 @@
     status: int = None
     """None if no answer came."""
     deadly: bool = False
+    bad_part: str = None
+    """The part of its prompt that crashes endpoints, if it has one."""
 
 
 @dataclasses.dataclass
@@ -34,6 +36,11 @@
 DEADLINE_SHARE = 0.2
 DEADLINE_TOLERANCE = 0.5
 TOLERATED_DEADLY_RETRIES = 3
+TOLERATED_PART_ARRIVALS = 3
+#: Sound requests that share the first part of their prompts with those that crash endpoints: the
+#: least share that is answered, compared with before, and how many there must be of each.
+LEAST_SOUND_SHARE = 0.5
+LEAST_SOUND_REQUESTS = 20
 #: Requests of one sender to an endpoint after REST_GRACE seconds of a rest that it was asked for.
 TOLERATED_IN_REST = 4
 REST_GRACE = 0.5
@@ -101,7 +108,7 @@
     exceeded = [
         one.identity
         for one in requests
-        if not one.deadly and len(runs.get(one.identity, ())) > one.endpoints_allowed
+        if not one.deadly and not one.bad_part and len(runs.get(one.identity, ())) > one.endpoints_allowed
     ]
     if len(exceeded) <= TOLERATED_RUNS:
         return []
@@ -153,6 +160,44 @@
     return [f"deadly: {len(late)} arrivals after {settled:.1f} s: {times}"]
 
 
+def check_bad_parts(requests, arrivals, crashes, bounds, in_touch):
+    """@param crashes: times at which endpoints crashed under a part of prompts, by part"""
+    broken = []
+    for part, times in crashes.items():
+        if len(times) < 5:
+            continue
+        settled = sorted(times)[4] + bounds.stable
+        entries = {one.identity: one.entry for one in requests if one.bad_part == part}
+        late = [
+            arrival.at
+            for arrival in arrivals
+            if arrival.identity in entries
+            and arrival.at > settled
+            and in_touch(entries[arrival.identity], arrival.at)
+        ]
+        if len(late) > TOLERATED_PART_ARRIVALS:
+            shown = ", ".join(f"{at:.1f}" for at in late[:10])
+            broken.append(f"part {part}: {len(late)} arrivals after {settled:.1f} s: {shown}")
+    return broken
+
+
+def check_sound_requests(requests, crashes, bounds):
+    """For plays without other faults: whether requests that share the first part are answered."""
+    if not crashes:
+        return []
+    first = min(min(times) for times in crashes.values())
+    settled = max(sorted(times)[:5][-1] for times in crashes.values()) + 2 * bounds.stable
+    sound = [one for one in requests if one.service == "model" and not one.bad_part]
+    before = [one for one in sound if one.sent_at < first - 1]
+    after = [one for one in sound if one.sent_at > settled]
+    if len(before) < LEAST_SOUND_REQUESTS or len(after) < LEAST_SOUND_REQUESTS:
+        return [f"sound: {len(before)} requests before the crashes and {len(after)} after"]
+    shares = [sum(1 for one in some if one.status == 200) / len(some) for some in (before, after)]
+    if shares[1] < LEAST_SOUND_SHARE * shares[0]:
+        return [f"sound: {shares[1]:.2f} answered after the crashes, {shares[0]:.2f} before"]
+    return []
+
+
 def check_rests(requests, arrivals, in_touch):
     entries = {one.identity: one.entry for one in requests}
     by_path = {}
@@ -170,12 +215,13 @@
     return broken[:3]
 
 
-def check_all(requests, arrivals, crashes, bounds, in_touch):
+def check_all(requests, arrivals, crashes, part_crashes, bounds, in_touch):
     """The broken rules."""
     return (
         check_retry_budget(requests, arrivals, bounds)
         + check_endpoints_per_request(requests, arrivals)
         + check_deadlines(requests, arrivals, in_touch)
         + check_deadly_requests(requests, arrivals, crashes, bounds, in_touch)
+        + check_bad_parts(requests, arrivals, part_crashes, bounds, in_touch)
         + check_rests(requests, arrivals, in_touch)
     )
--- a/Source/UnitTests/Dispatch/CrashSimulation.h
+++ b/Source/UnitTests/Dispatch/CrashSimulation.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -29,10 +30,24 @@
 inline constexpr milliseconds RecordExpiry{3600};
 /// Time after which an instance knows that it does not hear from another one.
 inline constexpr milliseconds CutNoticeTime{1500};
+/// Time until an answer begins, and between its events.
+inline constexpr milliseconds BeginTime{150};
+inline constexpr milliseconds EventInterval{100};
+inline constexpr seconds StableTime{5};
 inline constexpr int Slots = 64;
 inline constexpr std::uint64_t CrashingFingerprint = 4711;
 inline constexpr const char *ModelName = "model";
 
+/// Requests that are all unlike crash engines, since they have a part of their prompts in common.
+struct PromptSetting
+{
+    std::size_t badParts = 1;
+    /// Parts that ordinary requests have between the first part and their own.
+    std::size_t soundParts = 4;
+    /// Answers have no length, and nothing shows whether their engine ended with them.
+    bool answersWithoutLength = false;
+};
+
 struct CrashSetting
 {
     std::size_t regions = 2;
@@ -47,6 +62,9 @@
     int maxRuns = 2;
     /// Each repeat of the crashing request has another query.
     bool queryVaries = false;
+    std::optional<PromptSetting> prompts;
+    /// Interval at which an engine crashes for no reason.
+    std::optional<milliseconds> otherCrashes;
     /// All instances are restarted at this time and know nothing of the crashes before.
     std::optional<milliseconds> restartAllAt;
     /// From this time on, instances of different regions do not hear from each other.
@@ -64,6 +82,59 @@
     int ordinary = 0;
     int ordinaryQuarantined = 0;
 
+    /// A bad part of prompts: when its requests reached engines, and when engines crashed.
+    struct BadPart
+    {
+        std::vector<Time> arrivals;
+        std::vector<Time> crashes;
+    };
+    std::map<std::size_t, BadPart> badParts;
+    /// An ordinary request: when it arrived, and whether its answer began.
+    struct Sound
+    {
+        Time at{};
+        bool begun = false;
+    };
+    std::map<CallId, Sound> sound;
+
+    /// The users' rule allows three arrivals later than 5 s after the fifth crash.
+    std::ptrdiff_t mostLateArrivalsOfAPart() const
+    {
+        std::ptrdiff_t most = 0;
+        for (const auto &[index, part] : badParts) {
+            if (part.crashes.size() >= 5) {
+                const auto since = part.crashes[4] + StableTime;
+                most = std::max(most, std::count_if(part.arrivals.begin(), part.arrivals.end(),
+                                                    [since](Time at) { return at > since; }));
+            }
+        }
+        return most;
+    }
+    /// Share of the ordinary requests of some time whose answers began.
+    double begunShare(Time from, Time until) const
+    {
+        int asked = 0;
+        int begun = 0;
+        for (const auto &[call, request] : sound) {
+            const bool counts = request.at >= from && request.at < until;
+            asked += counts ? 1 : 0;
+            begun += counts && request.begun ? 1 : 0;
+        }
+        return asked == 0 ? 1 : static_cast<double>(begun) / asked;
+    }
+    /// Time from which ordinary requests have to be served again.
+    std::optional<Time> settledAt() const
+    {
+        std::optional<Time> settled;
+        for (const auto &[index, part] : badParts) {
+            if (!part.crashes.empty()) {
+                const auto last = part.crashes[std::min<std::size_t>(part.crashes.size(), 5) - 1];
+                settled = std::max(settled.value_or(Time()), last + 2 * StableTime);
+            }
+        }
+        return settled;
+    }
+
     /// The users' rule allows three arrivals later than 5 s after the third crash.
     std::ptrdiff_t lateArrivals() const
     {
@@ -76,6 +147,8 @@
     }
 };
 
+inline constexpr seconds CrashesBegin{2};
+
 /// Two regions of instances in front of engines that one request crashes. Each instance sees only
 /// its own attempts, and load reports and digests arrive late.
 class CrashSimulation
@@ -103,7 +176,8 @@
 
     CrashOutcome simulate(milliseconds duration)
     {
-        auto crashingAt = now_ + seconds(2);
+        auto crashingAt = now_ + CrashesBegin;
+        otherCrashAt_ = now_ + CrashesBegin;
         bool restarted = false;
         while (now_ - begun_ < duration) {
             now_ += Step;
@@ -119,6 +193,7 @@
                     arrive(true);
                 }
             }
+            crashForNoReason();
             advanceEngines();
             deliverReports();
             for (std::size_t index = 0; index < instances_.size(); ++index) {
@@ -143,6 +218,8 @@
         CallId call = 0;
         bool crashes = false;
         Time endsAt{};
+        /// When its next event is due; never for attempts without prompts.
+        Time nextEventAt = Time::max();
     };
     struct Engine
     {
@@ -269,9 +346,50 @@
         facts.fingerprint = repeated ? CrashingFingerprint : 1000000 + facts.id;
         facts.contentFingerprint = crashes ? CrashingFingerprint : facts.fingerprint;
         crashes_[facts.id] = crashes;
+        if (setting_.prompts) {
+            fillPrompt(facts, crashes);
+        }
         apply(index, instances_[index].scheduler->submit(facts, now_));
     }
 
+    /// Crashing requests have the first part, and one of the others, in common with ordinary ones.
+    void fillPrompt(CallFacts &facts, bool crashes)
+    {
+        const auto any = [this](std::size_t count) {
+            return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+        };
+        facts.fingerprint = 1000000 + facts.id;
+        facts.contentFingerprint = 2000000 + facts.id;
+        facts.parts.push_back({1, 100});
+        if (crashes) {
+            const auto bad = any(setting_.prompts->badParts);
+            badPartOf_[facts.id] = bad;
+            facts.parts.push_back({10 + bad, 100});
+        } else {
+            outcome_.sound[facts.id].at = now_;
+        }
+        facts.parts.push_back({100 + any(setting_.prompts->soundParts), 50});
+        facts.parts.push_back({3000000 + facts.id, 50});
+    }
+
+    void crashForNoReason()
+    {
+        if (!setting_.otherCrashes || now_ < otherCrashAt_) {
+            return;
+        }
+        otherCrashAt_ = now_ + *setting_.otherCrashes;
+        std::vector<Engine *> alive;
+        for (auto &[id, engine] : engines_) {
+            if (engine.alive) {
+                alive.push_back(&engine);
+            }
+        }
+        if (!alive.empty()) {
+            std::uniform_int_distribution<std::size_t> any(0, alive.size() - 1);
+            crash(*alive[any(random_)]);
+        }
+    }
+
     void apply(std::size_t index, const Effects &effects)
     {
         for (const auto &effect : effects) {
@@ -306,8 +424,15 @@
         if (crashes) {
             outcome_.arrivals.push_back(now_);
         }
-        engine.attempts.push_back(
-            {index, send.call, crashes, now_ + (crashes ? CrashTime : AnswerTime)});
+        Attempt attempt{index, send.call, crashes, now_ + (crashes ? CrashTime : AnswerTime)};
+        if (setting_.prompts) {
+            attempt.endsAt = now_ + (crashes ? BeginTime : AnswerTime);
+            attempt.nextEventAt = now_ + BeginTime;
+        }
+        if (setting_.prompts && crashes) {
+            outcome_.badParts[badPartOf_.at(send.call)].arrivals.push_back(now_);
+        }
+        engine.attempts.push_back(attempt);
     }
 
     void advanceEngines()
@@ -350,21 +475,56 @@
             }
             return due;
         });
-        const bool crashed = std::any_of(ended.begin(), ended.end(),
-                                         [](const Attempt &attempt) { return attempt.crashes; });
-        if (crashed) {
-            engine.alive = false;
-            engine.crashedAt = now_;
+        const auto crashing = std::find_if(ended.begin(), ended.end(),
+                                           [](const auto &attempt) { return attempt.crashes; });
+        if (crashing != ended.end()) {
             ++outcome_.crashes;
             outcome_.crashTimes.push_back(now_);
-            ended.insert(ended.end(), engine.attempts.begin(), engine.attempts.end());
-            engine.attempts.clear();
+            if (setting_.prompts) {
+                outcome_.badParts[badPartOf_.at(crashing->call)].crashes.push_back(now_);
+            }
+            engine.attempts.insert(engine.attempts.begin(), ended.begin(), ended.end());
+            crash(engine);
+            return;
         }
+        const bool withoutLength = setting_.prompts && setting_.prompts->answersWithoutLength;
         for (const auto &attempt : ended) {
             auto &scheduler = *instances_[attempt.instance].scheduler;
             scheduler.answering(attempt.call, now_);
-            const auto outcome = crashed ? AttemptOutcome::Broken : AttemptOutcome::Completed;
-            apply(attempt.instance, scheduler.ended(attempt.call, outcome, crashed, now_));
+            const auto outcome = withoutLength ? AttemptOutcome::Closed : AttemptOutcome::Completed;
+            apply(attempt.instance, scheduler.ended(attempt.call, outcome, false, now_));
+        }
+        sendEvents(engine);
+    }
+
+    void sendEvents(Engine &engine)
+    {
+        for (auto &attempt : engine.attempts) {
+            if (now_ < attempt.nextEventAt) {
+                continue;
+            }
+            auto &scheduler = *instances_[attempt.instance].scheduler;
+            auto &begun = outcome_.sound[attempt.call].begun;
+            if (std::exchange(begun, true)) {
+                scheduler.progressed(attempt.call, 1, EventInterval, now_);
+            } else {
+                scheduler.answering(attempt.call, now_);
+            }
+            attempt.nextEventAt = now_ + EventInterval;
+        }
+    }
+
+    void crash(Engine &engine)
+    {
+        engine.alive = false;
+        engine.crashedAt = now_;
+        for (const auto &attempt : std::exchange(engine.attempts, {})) {
+            auto &scheduler = *instances_[attempt.instance].scheduler;
+            if (!setting_.prompts) {
+                scheduler.answering(attempt.call, now_);
+            }
+            apply(attempt.instance,
+                  scheduler.ended(attempt.call, AttemptOutcome::Broken, true, now_));
         }
     }
 
@@ -486,6 +646,8 @@
     std::map<EndpointId, Engine> engines_;
     std::multimap<Time, Delivery> deliveries_;
     std::unordered_map<CallId, bool> crashes_;
+    std::unordered_map<CallId, std::size_t> badPartOf_;
+    Time otherCrashAt_{};
     CallId nextCall_ = 1;
     int nextEngine_ = 0;
 };
