Find parts of prompts that crash endpoints

Cause: evidence was kept for whole requests, and unlike ones have one or two crashes each.

Change: the parts of a prompt before the last are keys of a request beside the whole one, at their service. A key that unlike requests share is rejected after two crashes that its most frequent request and two later parts do not account for. Parts with which an answer went on for 250 ms are sound, at all instances; a request that lacks one of two parts which all crashes had in common is sent to tell them apart. Instances that hear from less than three quarters of the others need one crash less. A whole answer clears its keys only if it is a success.

--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -33,6 +33,10 @@
     Duration expected{0};
     std::int64_t prefillTokens = 0;
     bool answering = false;
+    /// When the answer began.
+    Time answeringSince{};
+    /// The answer has gone on for a while, so the endpoint does not crash as it begins it.
+    bool answerGoesOn = false;
     /// Events of its answer so far, over all attempts.
     int events = 0;
     bool attemptCancelled = false;
--- a/Source/Core/Dispatch/CrashAttribution.cpp
+++ b/Source/Core/Dispatch/CrashAttribution.cpp
@@ -56,6 +56,7 @@
     }
     for (const auto &key : keys) {
         addCrash(key, {run, now, true}, now);
+        evidence_.narrowCompanions(key, keys);
     }
     evidence_.setEndpoint(run, endpoint);
     if (runs_.endedAt(run)) {
@@ -170,11 +171,17 @@
 void CrashAttribution::acquit(const SuspectKey &key, EvidenceLoss reason, Time servedAt)
 {
     sound_.add(key, servedAt);
-    if (evidence_.has(key)) {
-        lose(reason, {key});
-        evidence_.forget(key);
-    }
     rejected_.erase(key);
+    if (!evidence_.has(key)) {
+        return;
+    }
+    // What it is cleared of is put down to the others.
+    const auto neighbors = evidence_.sharedNeighbors(key);
+    lose(reason, {key});
+    evidence_.forget(key);
+    for (const auto &neighbor : neighbors) {
+        review(neighbor, reason == EvidenceLoss::CompletedAtPeer, servedAt);
+    }
 }
 
 void CrashAttribution::expire(Time now)
@@ -226,7 +233,7 @@
 {
     std::optional<SuspectRejection> longest;
     for (const auto &key : keys) {
-        if (evidence_.state(key, retry, now) < SuspectState::Held) {
+        if (evidence_.state(key, retry, now) < SuspectState::Held || isTrial(key, keys)) {
             continue;
         }
         const auto retryAfter = evidence_.rejectedFor(key, now);
@@ -237,6 +244,17 @@
     return longest;
 }
 
+/// Load pattern: prompts with a part that crashes endpoints have another part in common with sound
+/// ones, and all processes have just started, so that nothing tells the two parts apart.
+bool CrashAttribution::isTrial(const SuspectKey &key, const std::vector<SuspectKey> &keys) const
+{
+    const auto &companions = evidence_.companions(key);
+    return std::any_of(companions.begin(), companions.end(), [&](const auto &companion) {
+        return evidence_.has(companion)
+               && std::find(keys.begin(), keys.end(), companion) == keys.end();
+    });
+}
+
 bool CrashAttribution::mayStart(const std::vector<SuspectKey> &keys, Time now) const
 {
     return std::none_of(keys.begin(), keys.end(), [&](const auto &key) {
--- a/Source/Core/Dispatch/CrashAttribution.h
+++ b/Source/Core/Dispatch/CrashAttribution.h
@@ -26,10 +26,11 @@
 /// Finds requests that crash endpoints, from what this instance and others see.
 ///
 /// Load pattern: a request crashes every endpoint that runs it, and its caller repeats it at any
-/// instance, with the same or another query. Dozens of other requests break off on the endpoint at
-/// the same moment, at several instances. The proof that the process has ended (a refused
-/// connection, another endpoint at its address, the removal of its record) comes later, and mostly
-/// to an instance that did not run the request.
+/// instance, with the same or another query; or one part of a prompt crashes every endpoint that
+/// begins an answer, and unlike requests have it in common. Dozens of other requests break off on
+/// the endpoint at the same moment, at several instances, with the same other parts. The proof that
+/// the process has ended (a refused connection, another endpoint at its address, the removal of its
+/// record) comes later, and mostly to an instance that did not run the request.
 ///
 /// So an attempt that breaks off counts against the keys of its request at once. It is refuted if
 /// the endpoint answers a request that was sent later, and confirmed when the endpoint is known to
@@ -54,7 +55,7 @@
     void ended(RunId run, Time now);
     /// Sets the runs of endpoints that are listed; one that is not, or not any more, has ended.
     void setListed(const std::set<RunId> &runs, Time now);
-    /// An endpoint has served a request with the keys.
+    /// An endpoint has served a request with the keys, or the answer to it goes on.
     void served(const std::vector<SuspectKey> &keys, Time now);
     /// An attempt broke off that does not count.
     void ignored(const std::vector<SuspectKey> &keys, EvidenceLoss reason);
@@ -64,10 +65,9 @@
     {
         return evidence_.hasOpenRuns();
     }
-    /// Whether this instance hears from none of the others.
-    void setAlone(bool alone)
+    void setHearing(Hearing hearing)
     {
-        evidence_.setAlone(alone);
+        evidence_.setHearing(hearing);
     }
 
     // Decisions.
@@ -113,6 +113,9 @@
     void updateDoubts();
     /// Logs the key, and announces it to the other instances, if it has begun to be rejected.
     void review(const SuspectKey &key, bool reportedByPeer, Time now);
+    /// The request has a suspected part, but lacks another one that was in all of the crashes: it
+    /// is sent to find out which of the two is the cause.
+    bool isTrial(const SuspectKey &key, const std::vector<SuspectKey> &keys) const;
     void mergeCrashes(const SuspectReport &report, Time now);
     SuspectReport reportOf(const SuspectKey &key, bool includeOthers, Time now) const;
     std::vector<SuspectKey> recentSuspects(Time now) const;
--- a/Source/Core/Dispatch/CrashEvidence.cpp
+++ b/Source/Core/Dispatch/CrashEvidence.cpp
@@ -14,16 +14,20 @@
 /// A key that unlike requests share is on more innocent ones, so it is tried again earlier.
 constexpr seconds FirstSharedQuarantine{30};
 /// As above, for a key with a single crash at an instance that hears from no other.
-constexpr seconds QuarantineWhileAlone{30};
+constexpr seconds QuarantineUnheard{30};
 constexpr int SharedQuarantineFactor = 4;
 constexpr int MaxRepeats = 8;
 constexpr std::size_t MaxRuns = 1024;
 constexpr std::size_t MaxKeysPerRun = 512;
 constexpr std::size_t MaxCrashesPerKey = 16;
 
-bool isMoreSpecific(const SuspectKey &one, const SuspectKey &other)
+std::uint16_t lastPositionOf(const std::set<SuspectKey> &keys)
 {
-    return one.kind > other.kind;
+    std::uint16_t last = 0;
+    for (const auto &key : keys) {
+        last = std::max(last, key.position);
+    }
+    return last;
 }
 
 } // namespace
@@ -110,6 +114,12 @@
     }
     suspect.crashes.push_back(crash);
     entry.keys.insert(key);
+    entry.lastPosition = std::max(entry.lastPosition, key.position);
+    if (suspect.crashes.size() > 1) {
+        for (const auto &each : suspect.crashes) {
+            runs_.at(each.run).recurring.insert(key);
+        }
+    }
     if (crash.at >= suspect.lastCrash) {
         suspect.lastCrash = crash.at;
         suspect.sawLastCrash = crash.own;
@@ -159,13 +169,21 @@
 {
     ++version_;
     if (const auto found = suspects_.find(key); found != suspects_.end()) {
-        std::erase_if(found->second.crashes, [run](const auto &each) { return each.run == run; });
-        if (found->second.crashes.empty()) {
+        auto &crashes = found->second.crashes;
+        std::erase_if(crashes, [run](const auto &each) { return each.run == run; });
+        if (crashes.size() == 1) {
+            runs_.at(crashes.front().run).recurring.erase(key);
+        }
+        if (crashes.empty()) {
             suspects_.erase(found);
         }
     }
     if (const auto found = runs_.find(run); found != runs_.end()) {
         found->second.keys.erase(key);
+        found->second.recurring.erase(key);
+        if (key.kind == SuspectKind::Part) {
+            found->second.lastPosition = lastPositionOf(found->second.keys);
+        }
         if (found->second.keys.empty()) {
             open_.erase(run);
             runs_.erase(found);
@@ -215,9 +233,9 @@
     pathsDoubtful_ = doubtful;
 }
 
-void CrashEvidence::setAlone(bool alone)
+void CrashEvidence::setHearing(Hearing hearing)
 {
-    alone_ = alone;
+    hearing_ = hearing;
 }
 
 // Judgement.
@@ -229,37 +247,69 @@
 
 bool CrashEvidence::isRelieved(const Suspect &suspect, RunId run) const
 {
-    const auto &keys = runs_.at(run).keys;
-    return std::any_of(keys.begin(), keys.end(), [&](const auto &other) {
+    const auto &recurring = runs_.at(run).recurring;
+    return std::any_of(recurring.begin(), recurring.end(), [&](const auto &other) {
         return suspects_.at(other).crashes.size() > suspect.crashes.size()
                && judgement(other).total() >= options_.maxDeaths;
     });
 }
 
-void CrashEvidence::setAside(const SuspectKey &key, std::vector<const CrashRecord *> &crashes) const
+bool CrashEvidence::setAsideMostFrequent(const SuspectKey &key, bool parts, Crashes &crashes) const
 {
     std::map<SuspectKey, std::size_t> frequency;
     for (const auto *crash : crashes) {
-        for (const auto &other : runs_.at(crash->run).keys) {
-            if (isMoreSpecific(other, key)) {
+        for (const auto &other : runs_.at(crash->run).recurring) {
+            if ((other.kind == SuspectKind::Part) == parts && isMoreSpecific(other, key)) {
                 ++frequency[other];
             }
         }
     }
     if (frequency.empty()) {
-        return;
+        return false;
     }
     const auto most = std::max_element(
         frequency.begin(), frequency.end(),
         [](const auto &one, const auto &other) { return one.second < other.second; });
     std::erase_if(crashes, [&](const auto *crash) {
-        return runs_.at(crash->run).keys.count(most->first) > 0;
+        return runs_.at(crash->run).recurring.count(most->first) > 0;
     });
+    return true;
+}
+
+void CrashEvidence::setAsideRequest(const SuspectKey &key, Crashes &crashes) const
+{
+    // Each crash is under some request.
+    if (!setAsideMostFrequent(key, false, crashes) && !crashes.empty()) {
+        crashes.erase(crashes.begin());
+    }
+}
+
+void CrashEvidence::setAsidePart(const SuspectKey &key, Crashes &crashes) const
+{
+    if (setAsideMostFrequent(key, true, crashes)) {
+        return;
+    }
+    const auto underLaterPart =
+        std::find_if(crashes.begin(), crashes.end(), [&](const auto *crash) {
+            return runs_.at(crash->run).lastPosition > key.position;
+        });
+    if (underLaterPart != crashes.end()) {
+        crashes.erase(underLaterPart);
+    }
+}
+
+void CrashEvidence::setAside(const SuspectKey &key, Crashes &crashes) const
+{
+    setAsideRequest(key, crashes);
+    if (key.kind == SuspectKind::Part) {
+        setAsidePart(key, crashes);
+        setAsidePart(key, crashes);
+    }
 }
 
 Judgement CrashEvidence::judge(const SuspectKey &key, const Suspect &suspect) const
 {
-    std::vector<const CrashRecord *> crashes;
+    Crashes crashes;
     for (const auto &crash : suspect.crashes) {
         if (counts(crash) && !isRelieved(suspect, crash.run)) {
             crashes.push_back(&crash);
@@ -290,16 +340,57 @@
     return suspect->judgement;
 }
 
+void CrashEvidence::narrowCompanions(const SuspectKey &key, const std::vector<SuspectKey> &others)
+{
+    const auto found = suspects_.find(key);
+    if (found == suspects_.end()) {
+        return;
+    }
+    auto &companions = found->second.companions;
+    if (!companions) {
+        companions.emplace();
+        std::copy_if(
+            others.begin(), others.end(), std::back_inserter(*companions),
+            [&](const auto &other) { return other.kind == SuspectKind::Part && other != key; });
+        return;
+    }
+    std::erase_if(*companions, [&](const auto &known) {
+        return std::find(others.begin(), others.end(), known) == others.end();
+    });
+}
+
+const std::vector<SuspectKey> &CrashEvidence::companions(const SuspectKey &key) const
+{
+    static const std::vector<SuspectKey> none;
+    const auto *suspect = find(key);
+    return suspect == nullptr || !suspect->companions ? none : *suspect->companions;
+}
+
+std::set<SuspectKey> CrashEvidence::sharedNeighbors(const SuspectKey &key) const
+{
+    std::set<SuspectKey> neighbors;
+    for (const auto &crash : crashesOf(key)) {
+        for (const auto &other : runs_.at(crash.run).keys) {
+            if (isShared(other) && other != key) {
+                neighbors.insert(other);
+            }
+        }
+    }
+    return neighbors;
+}
+
 std::size_t CrashEvidence::neededCrashes(const SuspectKey &key, bool retry) const
 {
-    return alone_ && !retry && !isShared(key) ? 1 : options_.maxDeaths;
+    const bool fewer =
+        isShared(key) ? hearing_ != Hearing::All : hearing_ == Hearing::None && !retry;
+    return options_.maxDeaths - (fewer ? 1 : 0);
 }
 
 Time CrashEvidence::quarantinedUntil(const SuspectKey &key, const Suspect &suspect) const
 {
     Duration time = options_.firstQuarantine;
     if (suspect.crashes.size() < options_.maxDeaths) {
-        time = QuarantineWhileAlone;
+        time = QuarantineUnheard;
     } else if (isShared(key)) {
         time = FirstSharedQuarantine;
     }
--- a/Source/Core/Dispatch/CrashEvidence.h
+++ b/Source/Core/Dispatch/CrashEvidence.h
@@ -32,6 +32,14 @@
     Quarantined,
 };
 
+/// How many of the instances of the deployment this one hears from.
+enum class Hearing {
+    All,
+    /// Too few to add up what each of them sees of requests that are spread over all instances.
+    Some,
+    None,
+};
+
 /// What is known against a key.
 struct Judgement
 {
@@ -54,8 +62,9 @@
 /// and all but one of the keys are bystanders. The key that causes crashes is on all of them, with
 /// ever other bystanders. Two crashes are enough for a whole request. A key that unlike requests
 /// share needs two crashes that its more specific keys do not account for: a request that crashes
-/// endpoints says nothing about others with the same content. A crash under a key that is rejected
-/// does not count against keys with fewer crashes.
+/// endpoints says nothing about others with the same content, nor do two later parts of prompts
+/// about those with the same first part. A crash under a key that is rejected does not count
+/// against keys with fewer crashes.
 ///
 /// Bounded in memory: the suspects with a single crash are dropped first.
 class CrashEvidence
@@ -66,6 +75,8 @@
     /// Adds a crash, or an attempt that broke off on a run that may have ended.
     /// @return false if there is no memory left for it
     bool add(const SuspectKey &key, const CrashRecord &crash);
+    /// Narrows the parts that all requests with the key which broke off had in common.
+    void narrowCompanions(const SuspectKey &key, const std::vector<SuspectKey> &others);
     void setEndpoint(RunId run, const EndpointId &endpoint);
     /// The run has ended.
     /// @return requests on it that are less suspected than others, and not charged
@@ -78,9 +89,9 @@
 
     /// Attempts of this instance that broke off do not count while its paths may be lost.
     void setPathsDoubtful(bool doubtful);
-    /// The instance hears from no other, so that each of them has to see all crashes itself: a
-    /// single one is enough.
-    void setAlone(bool alone);
+    /// Instances that do not hear from each other have to see all crashes themselves, so one crash
+    /// less is enough for them.
+    void setHearing(Hearing hearing);
 
     /// @param retry the request was sent before and broke off, so its caller waits for it
     SuspectState state(const SuspectKey &key, bool retry, Time now) const;
@@ -91,6 +102,11 @@
     {
         return state(key, false, now) >= SuspectState::Held;
     }
+    /// Parts of prompts that all requests with the key which broke off had in common. A request
+    /// without one of them tells which of the two is the cause.
+    const std::vector<SuspectKey> &companions(const SuspectKey &key) const;
+    /// Keys that unlike requests share, and that were in a crash together with this one.
+    std::set<SuspectKey> sharedNeighbors(const SuspectKey &key) const;
     bool has(const SuspectKey &key) const
     {
         return suspects_.count(key) > 0;
@@ -122,6 +138,10 @@
         Time lastAt{};
         std::optional<Time> endedAt;
         std::set<SuspectKey> keys;
+        /// Those with several crashes.
+        std::set<SuspectKey> recurring;
+        /// Position of the last part among the keys.
+        std::uint16_t lastPosition = 0;
     };
     const Run *run(RunId run) const;
     void setListed(RunId run);
@@ -129,6 +149,8 @@
     nlohmann::json dump(Time now) const;
 
 private:
+    using Crashes = std::vector<const CrashRecord *>;
+
     struct Suspect
     {
         std::vector<CrashRecord> crashes;
@@ -137,6 +159,8 @@
         bool sawLastCrash = false;
         /// Crashes after the end of a quarantine.
         int repeats = 0;
+        /// Not known before the first request.
+        std::optional<std::vector<SuspectKey>> companions;
         // The last judgement, and the state of the evidence that it was made on.
         mutable Judgement judgement;
         mutable std::uint64_t judgedAt = 0;
@@ -149,8 +173,14 @@
     Judgement judge(const SuspectKey &key, const Suspect &suspect) const;
     /// Another key accounts for the crash.
     bool isRelieved(const Suspect &suspect, RunId run) const;
-    /// Removes the runs that the most frequent request accounts for.
-    void setAside(const SuspectKey &key, std::vector<const CrashRecord *> &crashes) const;
+    /// Removes the crashes that the most frequent request and the two most frequent more specific
+    /// parts account for.
+    void setAside(const SuspectKey &key, Crashes &crashes) const;
+    /// Removes the crashes under the most frequent more specific key of one sort.
+    /// @return there was a key with several crashes
+    bool setAsideMostFrequent(const SuspectKey &key, bool parts, Crashes &crashes) const;
+    void setAsideRequest(const SuspectKey &key, Crashes &crashes) const;
+    void setAsidePart(const SuspectKey &key, Crashes &crashes) const;
     std::size_t neededCrashes(const SuspectKey &key, bool retry) const;
     Time quarantinedUntil(const SuspectKey &key, const Suspect &suspect) const;
 
@@ -159,7 +189,7 @@
     std::map<RunId, Run> runs_;
     std::set<RunId> open_;
     bool pathsDoubtful_ = false;
-    bool alone_ = false;
+    Hearing hearing_ = Hearing::All;
     /// Changes with the evidence.
     std::uint64_t version_ = 1;
 };
--- a/Source/Core/Dispatch/CrashReports.cpp
+++ b/Source/Core/Dispatch/CrashReports.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t MaxRecentSuspects = 32;
 constexpr std::size_t MaxOldSuspects = 4;
 constexpr std::size_t MaxReportedCrashes = 8;
+/// With fewer of them, fewer requests are sent to tell parts apart.
+constexpr std::size_t MaxReportedCompanions = 4;
+constexpr std::size_t MaxVindications = 1024;
 
 std::uint32_t toMilliseconds(Duration age)
 {
@@ -44,6 +47,8 @@
             report.crashes.push_back({crash.run, toMilliseconds(now - crash.at), ended});
         }
     }
+    report.companions = evidence_.companions(key);
+    report.companions.resize(std::min(report.companions.size(), MaxReportedCompanions));
     const auto surplus =
         report.crashes.size() - std::min(report.crashes.size(), MaxReportedCrashes);
     report.crashes.erase(report.crashes.begin(),
@@ -133,7 +138,8 @@
             }
         }
         if (sound_.lastServed(key, now)) {
-            if (vindicatedAt_.emplace(key, now).second && !isShared(key)) {
+            const bool full = vindicatedAt_.size() >= MaxVindications;
+            if (!full && vindicatedAt_.emplace(key, now).second && !isShared(key)) {
                 unannounced_.insert(key);
             }
             continue;
@@ -156,6 +162,7 @@
             continue;
         }
         addCrash(report.key, {crash.run, at, false}, now);
+        evidence_.narrowCompanions(report.key, report.companions);
         if (crash.ended || runs_.endedAt(crash.run)) {
             record({{crash.run, at}}, now);
         }
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -17,6 +17,22 @@
 /// An endpoint that was ejected for this long may have been restarted in the meantime.
 constexpr milliseconds RestartEjectionTime{1000};
 
+std::vector<SuspectKey> partsOf(const Call &call)
+{
+    std::vector<SuspectKey> keys;
+    std::copy_if(call.keys.begin(), call.keys.end(), std::back_inserter(keys),
+                 [](const auto &key) { return key.kind == SuspectKind::Part; });
+    return keys;
+}
+
+std::vector<SuspectKey> wholeOf(const Call &call)
+{
+    std::vector<SuspectKey> keys;
+    std::copy_if(call.keys.begin(), call.keys.end(), std::back_inserter(keys),
+                 [](const auto &key) { return key.kind != SuspectKind::Part; });
+    return keys;
+}
+
 } // namespace
 
 EndpointHealth::EndpointHealth(const DispatchOptions &options, const EndpointTable &table,
@@ -39,6 +55,11 @@
         std::clamp(endpoint.slowness * (1 + AverageWeight * (ratio - 1)), SlownessMin, SlownessMax);
 }
 
+void EndpointHealth::recordProgress(const Call &call, Time now)
+{
+    crashes_->served(partsOf(call), now);
+}
+
 void EndpointHealth::eject(EndpointState &endpoint, Time now)
 {
     const auto doubled = std::max<Duration>(options_->firstEjection, endpoint.ejectionTime * 2);
@@ -110,10 +131,11 @@
         if (endpoint.listed.leaving) {
             crashes_->ignored(call.keys, EvidenceLoss::EndpointLeft);
         } else {
-            crashes_->broke(endpoint.listed.record.id, call.run, call.keys, now);
+            crashes_->broke(endpoint.listed.record.id, call.run,
+                            call.answerGoesOn ? wholeOf(call) : call.keys, now);
         }
         return;
-    case AttemptOutcome::Closed:
+    case AttemptOutcome::Answered:
     case AttemptOutcome::Cancelled:
     case AttemptOutcome::Withheld:
     case AttemptOutcome::Silent:
--- a/Source/Core/Dispatch/EndpointHealth.h
+++ b/Source/Core/Dispatch/EndpointHealth.h
@@ -17,6 +17,8 @@
     /// Readmits an ejected endpoint when the answer to a probe begins.
     void recordAnswer(EndpointState &endpoint, const Call &call, Time now);
     /// @param took time from sending the request to its first event
+    /// The answer has gone on for a while after its first event.
+    void recordProgress(const Call &call, Time now);
     void recordFirstEvent(EndpointState &endpoint, const Call &call, Duration took);
     void recordOutcome(EndpointState &endpoint, const Call &call, AttemptOutcome outcome, Time now);
 
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -63,10 +63,11 @@
 
 /// Why an attempt on an endpoint or in another region ended.
 enum class AttemptOutcome {
-    /// The whole answer was received, whatever its content.
+    /// The whole answer was received.
     Completed,
-    /// As above, as far as the close of the connection shows; the endpoint may have ended with it.
-    Closed,
+    /// As above, but it does not show that the endpoint served the request: it is an error of the
+    /// caller, or only the close of its connection ended it, and the endpoint could not be asked.
+    Answered,
     /// The caller disconnected.
     Cancelled,
     /// No connection was established, so nothing was sent.
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -104,6 +104,8 @@
 {
     SuspectKey key;
     std::vector<CrashReport> crashes;
+    /// Parts of prompts that all requests with the key which broke off had in common.
+    std::vector<SuspectKey> companions;
     /// An endpoint has served a request with the key shortly before, so it is no suspect.
     bool served = false;
     std::uint32_t servedAgeMs = 0;
@@ -111,7 +113,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(key, crashes, served, servedAgeMs);
+        archive(key, crashes, companions, served, servedAgeMs);
     }
 };
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -23,8 +23,8 @@
     switch (outcome) {
     case AttemptOutcome::Completed:
         return "completed";
-    case AttemptOutcome::Closed:
-        return "closed";
+    case AttemptOutcome::Answered:
+        return "answered";
     case AttemptOutcome::Cancelled:
         return "cancelled";
     case AttemptOutcome::NotConnected:
@@ -49,7 +49,7 @@
 
 bool isWhole(AttemptOutcome outcome)
 {
-    return outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Closed;
+    return outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Answered;
 }
 
 bool isUnsent(AttemptOutcome outcome)
@@ -191,6 +191,7 @@
     call.expected = candidate.expected;
     call.prefillTokens = candidate.prefillTokens;
     call.answering = false;
+    call.answerGoesOn = false;
     call.attemptCancelled = false;
     call.idleAtSend = endpoint.idle();
     call.slotFreeAtSend = endpoint.load() < record.slots;
@@ -252,6 +253,7 @@
     chargeRetry(call, now);
     call.expected = expected;
     call.answering = false;
+    call.answerGoesOn = false;
     call.attemptCancelled = false;
     ++call.attempts;
 }
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -72,6 +72,9 @@
     ///        number is not known
     void setFleet(const std::vector<InstanceId> &ownRegion, std::optional<std::size_t> sharers,
                   const std::vector<RegionName> &reachableRegions);
+    /// Sets how many instances of all regions are heard from, including this one. To be called
+    /// after setFleet().
+    void setHeardInstances(std::size_t heard);
     Effects setRegionLoadReport(const InstanceId &instance, const RegionLoadReport &report,
                                 Time now);
     void setCrossRegionLoadReport(const RegionName &region, const InstanceId &instance,
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -14,6 +14,8 @@
 /// A brittle endpoint that has rejected a request gets none for the time over which it counts
 /// rejections.
 constexpr milliseconds BrittlePause{1000};
+/// An endpoint that crashes as it begins an answer does so within this time of the first event.
+constexpr milliseconds BeginTime{250};
 
 } // namespace
 
@@ -39,6 +41,7 @@
     }
     auto &call = found->second;
     call.answering = true;
+    call.answeringSince = now;
     auto *endpoint = table_.find(call.endpoint);
     if (endpoint == nullptr) {
         return;
@@ -77,6 +80,10 @@
     }
     auto &call = found->second;
     call.events += events;
+    if (!call.answerGoesOn && now - call.answeringSince >= BeginTime) {
+        call.answerGoesOn = true;
+        health_.recordProgress(call, now);
+    }
     if (auto *endpoint = table_.find(call.endpoint)) {
         auto &engine = table_.engine(call.facts.service);
         endpoint->pace.seen(events, pause, now);
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -11,6 +11,8 @@
 
 /// Prompt length for which the wait reported to other regions is computed.
 constexpr std::int64_t NominalTokens = 400;
+/// A few instances that are restarted are no partition.
+constexpr double HeardFraction = 0.75;
 
 } // namespace
 
@@ -122,14 +124,23 @@
     placement_.setSharers(instances_, instances_.size());
     reachability_.setInstances(instances_);
     sharers_ = sharers;
-    const bool othersExist = !sharers || *sharers > 1;
-    crashes_.setAlone(othersExist && instances_.size() == 1 && reachableRegions.empty());
     table_.keepReports(instances_);
     spareCapacity_.setOwnInstances(instances_.size());
     spareCapacity_.setReachable(reachableRegions);
     updateRetryBudgets();
 }
 
+void Scheduler::setHeardInstances(std::size_t heard)
+{
+    auto hearing = Hearing::All;
+    if (heard <= 1 && sharers_.value_or(2) > 1) {
+        hearing = Hearing::None;
+    } else if (sharers_ && static_cast<double>(heard) < HeardFraction * *sharers_) {
+        hearing = Hearing::Some;
+    }
+    crashes_.setHearing(hearing);
+}
+
 void Scheduler::setRegionSharers(const std::vector<InstanceId> &known, std::size_t count)
 {
     placement_.setSharers(known, count);
--- a/Source/Core/Relay/EventLog.cpp
+++ b/Source/Core/Relay/EventLog.cpp
@@ -46,6 +46,16 @@
     return fmt::format("{}:{}", Dispatch::toString(key.kind), formatFingerprint(key.value));
 }
 
+std::string formatSuspects(const std::vector<Dispatch::SuspectKey> &keys)
+{
+    constexpr std::size_t MaxKeys = 32;
+    std::string text;
+    for (std::size_t index = 0; index < std::min(keys.size(), MaxKeys); ++index) {
+        text += (index > 0 ? " " : "") + formatSuspect(keys[index]);
+    }
+    return text;
+}
+
 EventLine::EventLine(std::string_view event)
     : event_(event)
 {
--- a/Source/Core/Relay/EventLog.h
+++ b/Source/Core/Relay/EventLog.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "Common/Common.h"
 #include "Dispatch/Dispatch.h"
@@ -56,6 +57,8 @@
 std::string formatFingerprint(std::uint64_t fingerprint);
 /// What crashes are put down to, as KIND:FINGERPRINT.
 std::string formatSuspect(const Dispatch::SuspectKey &key);
+/// The first ones, separated by spaces.
+std::string formatSuspects(const std::vector<Dispatch::SuspectKey> &keys);
 
 /// Writes structured log lines to a file descriptor.
 ///
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -14,19 +14,6 @@
 /// Within this time after the start, seeds of all regions have responded, even if they start at the
 /// same time.
 constexpr Common::milliseconds PeerResponseTime{400};
-/// Keys in one log line.
-constexpr std::size_t MaxLoggedKeys = 32;
-
-std::string joinKeys(const std::vector<Dispatch::SuspectKey> &keys)
-{
-    std::string text;
-    const auto count = std::min(keys.size(), MaxLoggedKeys);
-    for (std::size_t index = 0; index < count; ++index) {
-        text += (index > 0 ? " " : "") + formatSuspect(keys[index]);
-    }
-    return text;
-}
-
 } // namespace
 
 // Catalog.
@@ -304,7 +291,7 @@
             EventLine line("endpoint-crash");
             line.add("endpoint", crash.endpoint)
                 .add("count", static_cast<std::int64_t>(crash.suspects.size()))
-                .add("suspects", joinKeys(crash.suspects));
+                .add("suspects", formatSuspects(crash.suspects));
             gateway.log_.write(line, now);
         }
         void operator()(const Dispatch::SuspectHold &hold) const
@@ -330,7 +317,7 @@
             gateway.relayMetrics_.evidenceLost.add(lost.keys.size());
             EventLine line("evidence-lost");
             line.add("reason", Dispatch::toString(lost.reason))
-                .add("suspects", joinKeys(lost.keys));
+                .add("suspects", formatSuspects(lost.keys));
             gateway.log_.write(line, now);
         }
     };
@@ -427,6 +414,7 @@
         limiter_.setInstances({own.begin() + 1, own.end()}, aliveCount, now);
     }
     scheduler_.setFleet(own, roster_.sharers(now), {reachable.begin(), reachable.end()});
+    scheduler_.setHeardInstances(aliveCount);
     const auto regionSharers = roster_.regionSharers(now);
     scheduler_.setRegionSharers(regionSharers.known, regionSharers.count);
     updateWatchDuty(now);
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -212,7 +212,7 @@
         .add("copies_cache", effect.copyCacheFrom.has_value())
         .add("resumes", streamStarted_)
         .add("fingerprint", formatFingerprint(plan_.facts.fingerprint))
-        .add("content_fingerprint", formatFingerprint(plan_.facts.contentFingerprint));
+        .add("suspect_keys", formatSuspects(Dispatch::suspectKeys(plan_.facts)));
     gateway_.log().write(line, now);
     auto request =
         outboundRequest(effect.address, Platform::endpointHeaders(plan_.headers, order), now);
@@ -515,6 +515,11 @@
     completeResponse(steadyNow());
 }
 
+AttemptOutcome RelayedCall::wholeOutcome() const
+{
+    return endShown_ && isSuccess() ? AttemptOutcome::Completed : AttemptOutcome::Answered;
+}
+
 void RelayedCall::completeResponse(Common::Time now)
 {
     const auto self = shared_from_this();
@@ -525,14 +530,14 @@
         }
         connection_->endStream();
         gateway_.metrics().completed.add();
-        endAttempt(endShown_ ? AttemptOutcome::Completed : AttemptOutcome::Closed, false, now);
+        endAttempt(wholeOutcome(), false, now);
         finish("completed");
         return;
     }
     if (response_.status < FirstServerError && !meansNotRun(response_.status)) {
         gateway_.metrics().completed.add();
         sendKeptResponse();
-        endAttempt(endShown_ ? AttemptOutcome::Completed : AttemptOutcome::Closed, false, now);
+        endAttempt(wholeOutcome(), false, now);
         finish("completed");
         return;
     }
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -107,6 +107,8 @@
     void checkEnd(Common::Time now);
     void handleEndCheck(ConnectionState state);
     void completeResponse(Common::Time now);
+    /// What a whole answer shows.
+    Dispatch::AttemptOutcome wholeOutcome() const;
     void handleFailure(CallFailure failure, const std::string &reason);
     void endAttempt(Dispatch::AttemptOutcome outcome, bool mayRetry, Common::Time now);
     bool isSuccess() const;
--- a/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
+++ b/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
@@ -404,12 +404,12 @@
 // nothing from each other.
 TEST_F(CrashAttributionTest, OneCrashIsEnoughForAnInstanceThatHearsFromNoOther)
 {
-    crashes_.setAlone(true);
+    crashes_.setHearing(Hearing::None);
     breakOn(1);
     crashes_.ended(1, now_);
     EXPECT_TRUE(rejected());
     EXPECT_FALSE(crashes_.rejection(keys(Suspect), true, now_)) << "its caller still waits";
-    crashes_.setAlone(false);
+    crashes_.setHearing(Hearing::All);
     EXPECT_FALSE(rejected());
 }
 
@@ -467,7 +467,7 @@
     const auto first = submit();
     scheduler_.ended(first.first, AttemptOutcome::Broken, false, now_);
     const auto second = submit();
-    scheduler_.ended(second.first, AttemptOutcome::Closed, false, now_);
+    scheduler_.ended(second.first, AttemptOutcome::Answered, false, now_);
     const auto third = submit();
     scheduler_.ended(third.first, AttemptOutcome::Broken, false, now_);
     const auto fourth = submit();
--- a/Source/UnitTests/Dispatch/CrashSimulation.h
+++ b/Source/UnitTests/Dispatch/CrashSimulation.h
@@ -304,6 +304,8 @@
         const bool apart = alone || isCut(setting_.regionsCutAt);
         instance.scheduler->setFleet(alone ? std::vector{instance.id} : own, instances_.size(),
                                      apart ? std::vector<RegionName>() : others);
+        const auto heard = alone ? 1 : apart ? own.size() : instances_.size();
+        instance.scheduler->setHeardInstances(heard);
     }
 
     void restartInstances()
@@ -491,7 +493,8 @@
         for (const auto &attempt : ended) {
             auto &scheduler = *instances_[attempt.instance].scheduler;
             scheduler.answering(attempt.call, now_);
-            const auto outcome = withoutLength ? AttemptOutcome::Closed : AttemptOutcome::Completed;
+            const auto outcome =
+                withoutLength ? AttemptOutcome::Answered : AttemptOutcome::Completed;
             apply(attempt.instance, scheduler.ended(attempt.call, outcome, false, now_));
         }
         sendEvents(engine);
