Count holds and quarantines by what they are for; move the end of answers to RelayedCallEnd.cpp

On-call could not tell from metrics whether requests or parts of prompts were rejected. RelayedCall.cpp had over 600 lines; the functions moved are unchanged.

--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -107,8 +107,13 @@
                                "Streams that went on at another endpoint"))
     , crashes(registry.counter("laburnumchute_relay_endpoint_crashes_total",
                                "Endpoints that crashed while they ran requests of this instance"))
-    , quarantines(registry.counter("laburnumchute_relay_quarantines_total",
-                                   "Requests that are rejected since endpoints crashed under them"))
+    , holds(
+          registry, "laburnumchute_relay_holds_total",
+          "Requests, contents and parts of prompts that were rejected for a few seconds, since it "
+          "was not known whether endpoints had crashed under them")
+    , quarantines(registry, "laburnumchute_relay_quarantines_total",
+                  "Requests, contents and parts of prompts that are rejected since endpoints "
+                  "crashed under them")
     , evidenceLost(registry.counter("laburnumchute_relay_evidence_lost_total",
                                     "Broken attempts that do not count against their requests"))
     , retries(registry.counter("laburnumchute_relay_retries_total",
@@ -122,6 +127,25 @@
 {
 }
 
+SuspectCounters::SuspectCounters(Common::MetricsRegistry &registry, const std::string &name,
+                                 const std::string &help)
+{
+    using Kind = Dispatch::SuspectKind;
+    for (const auto kind : {Kind::Part, Kind::Content, Kind::Request}) {
+        const Common::Labels labels = {{"kind", std::string(Dispatch::toString(kind))}};
+        counters_[kind] = &registry.counter(name, help, labels);
+    }
+}
+
+void SuspectCounters::count(const Dispatch::SuspectKey &key)
+{
+    // Reports of peers may be of another version.
+    const auto found = counters_.find(key.kind);
+    if (found != counters_.end()) {
+        found->second->add();
+    }
+}
+
 RelayGateway::RelayGateway(RelayOptions options, Catalog::InstanceSettings settings)
     : options_(std::move(options))
     , settings_(std::move(settings))
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -34,6 +34,18 @@
 
 namespace LaburnumChute::Relay {
 
+/// A counter for each kind of what crashes are put down to.
+class SuspectCounters
+{
+public:
+    SuspectCounters(Common::MetricsRegistry &registry, const std::string &name,
+                    const std::string &help);
+    void count(const Dispatch::SuspectKey &key);
+
+private:
+    std::map<Dispatch::SuspectKind, Common::Counter *> counters_;
+};
+
 /// Counters and histograms of relayed requests.
 struct RelayMetrics
 {
@@ -51,7 +63,8 @@
     Common::Counter &abandoned;
     Common::Counter &resumed;
     Common::Counter &crashes;
-    Common::Counter &quarantines;
+    SuspectCounters holds;
+    SuspectCounters quarantines;
     Common::Counter &evidenceLost;
     Common::Counter &retries;
     Common::Counter &retriesDenied;
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -296,6 +296,7 @@
         }
         void operator()(const Dispatch::SuspectHold &hold) const
         {
+            gateway.relayMetrics_.holds.count(hold.key);
             EventLine line("hold");
             line.add("suspect", formatSuspect(hold.key))
                 .add("open", static_cast<std::int64_t>(hold.open))
@@ -305,7 +306,7 @@
         }
         void operator()(const Dispatch::SuspectQuarantine &quarantine) const
         {
-            gateway.relayMetrics_.quarantines.add();
+            gateway.relayMetrics_.quarantines.count(quarantine.key);
             EventLine line("quarantine");
             line.add("suspect", formatSuspect(quarantine.key))
                 .add("ended", static_cast<std::int64_t>(quarantine.ended))
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -18,7 +18,6 @@
 
 constexpr unsigned FirstSuccess = 200;
 constexpr unsigned FirstRedirect = 300;
-constexpr unsigned FirstServerError = 500;
 
 /// A request that may run only once uses a pooled connection only if it was in use this recently.
 /// Endpoints close idle connections after 1 s or more; if one is closed during the write, it is
@@ -35,9 +34,6 @@
 /// A stream has stalled after a pause of this many times the route's longest pause between events.
 constexpr int StallGapFactor = 3;
 constexpr milliseconds MinStallTime{1000};
-/// An endpoint that has not crashed accepts a connection within a few milliseconds. A complete
-/// response must not wait long for one that cannot be reached.
-constexpr milliseconds EndCheckTimeout{200};
 /// Urgency sent to endpoints; higher numbers are less urgent. Endpoints default to 5, so requests
 /// of low priority are placed behind requests without an urgency.
 constexpr int HighestPriorityUrgency = 3;
@@ -461,91 +457,6 @@
     }
 }
 
-void RelayedCall::handleEnd(ResponseEnd end)
-{
-    const auto self = shared_from_this();
-    const auto now = steadyNow();
-    responseEnd_ = end;
-    incompleteEventBytes_ = cutter_.incompleteEventBytes();
-    switch (responseMode_) {
-    case ResponseMode::None:
-    case ResponseMode::NotRun:
-        endAttempt(AttemptOutcome::NotRun, true, now);
-        return;
-    case ResponseMode::Replaced:
-        endAttempt(AttemptOutcome::Replaced, true, now);
-        return;
-    case ResponseMode::Unknown:
-        lastReason_ = "the other instance does not know what became of it";
-        endAttempt(AttemptOutcome::Broken, !streamStarted_ || plan_.resumable, now);
-        return;
-    case ResponseMode::Streamed:
-        if (incompleteEventBytes_ > 0) {
-            handleFailure(CallFailure::Broken, "the stream ended inside an event");
-            return;
-        }
-        break;
-    case ResponseMode::Buffered:
-        break;
-    }
-    if (end == ResponseEnd::ConnectionClose) {
-        checkEnd(now);
-        return;
-    }
-    completeResponse(now);
-}
-
-void RelayedCall::checkEnd(Common::Time now)
-{
-    endCheck_ =
-        std::make_shared<ConnectionCheck>(gateway_.pool(), address_, EndCheckTimeout,
-                                          [this](ConnectionState state) { handleEndCheck(state); });
-    endCheck_->start(now);
-}
-
-void RelayedCall::handleEndCheck(ConnectionState state)
-{
-    const auto self = shared_from_this();
-    endCheck_.reset();
-    if (state == ConnectionState::Refused) {
-        handleFailure(CallFailure::Broken, "the endpoint ended together with its answer");
-        return;
-    }
-    endShown_ = state == ConnectionState::Established;
-    completeResponse(steadyNow());
-}
-
-AttemptOutcome RelayedCall::wholeOutcome() const
-{
-    return endShown_ && isSuccess() ? AttemptOutcome::Completed : AttemptOutcome::Answered;
-}
-
-void RelayedCall::completeResponse(Common::Time now)
-{
-    const auto self = shared_from_this();
-    if (responseMode_ == ResponseMode::Streamed) {
-        const auto rest = cutter_.takeRemainder();
-        if (!rest.empty() || !streamStarted_) {
-            passOnEvents(rest);
-        }
-        connection_->endStream();
-        gateway_.metrics().completed.add();
-        endAttempt(wholeOutcome(), false, now);
-        finish("completed");
-        return;
-    }
-    if (response_.status < FirstServerError && !meansNotRun(response_.status)) {
-        gateway_.metrics().completed.add();
-        sendKeptResponse();
-        endAttempt(wholeOutcome(), false, now);
-        finish("completed");
-        return;
-    }
-    lastReason_ = fmt::format("the endpoint answered {}", response_.status);
-    lastErrorResponse_ = std::move(response_);
-    endAttempt(AttemptOutcome::Error, !streamStarted_ || plan_.resumable, now);
-}
-
 void RelayedCall::handleFailure(CallFailure failure, const std::string &reason)
 {
     const auto self = shared_from_this();
--- a/Source/Core/Relay/RelayedCallEnd.cpp
+++ b/Source/Core/Relay/RelayedCallEnd.cpp
@@ -12,9 +12,100 @@
 using Dispatch::AttemptOutcome;
 
 constexpr milliseconds TimeoutRetryAfter{700};
+constexpr unsigned FirstServerError = 500;
+/// An endpoint that has not crashed accepts a connection within a few milliseconds. A complete
+/// response must not wait long for one that cannot be reached.
+constexpr milliseconds EndCheckTimeout{200};
 
 } // namespace
 
+// The end of an endpoint's answer.
+
+void RelayedCall::handleEnd(ResponseEnd end)
+{
+    const auto self = shared_from_this();
+    const auto now = steadyNow();
+    responseEnd_ = end;
+    incompleteEventBytes_ = cutter_.incompleteEventBytes();
+    switch (responseMode_) {
+    case ResponseMode::None:
+    case ResponseMode::NotRun:
+        endAttempt(AttemptOutcome::NotRun, true, now);
+        return;
+    case ResponseMode::Replaced:
+        endAttempt(AttemptOutcome::Replaced, true, now);
+        return;
+    case ResponseMode::Unknown:
+        lastReason_ = "the other instance does not know what became of it";
+        endAttempt(AttemptOutcome::Broken, !streamStarted_ || plan_.resumable, now);
+        return;
+    case ResponseMode::Streamed:
+        if (incompleteEventBytes_ > 0) {
+            handleFailure(CallFailure::Broken, "the stream ended inside an event");
+            return;
+        }
+        break;
+    case ResponseMode::Buffered:
+        break;
+    }
+    if (end == ResponseEnd::ConnectionClose) {
+        checkEnd(now);
+        return;
+    }
+    completeResponse(now);
+}
+
+void RelayedCall::checkEnd(Common::Time now)
+{
+    endCheck_ =
+        std::make_shared<ConnectionCheck>(gateway_.pool(), address_, EndCheckTimeout,
+                                          [this](ConnectionState state) { handleEndCheck(state); });
+    endCheck_->start(now);
+}
+
+void RelayedCall::handleEndCheck(ConnectionState state)
+{
+    const auto self = shared_from_this();
+    endCheck_.reset();
+    if (state == ConnectionState::Refused) {
+        handleFailure(CallFailure::Broken, "the endpoint ended together with its answer");
+        return;
+    }
+    endShown_ = state == ConnectionState::Established;
+    completeResponse(steadyNow());
+}
+
+AttemptOutcome RelayedCall::wholeOutcome() const
+{
+    return endShown_ && isSuccess() ? AttemptOutcome::Completed : AttemptOutcome::Answered;
+}
+
+void RelayedCall::completeResponse(Common::Time now)
+{
+    const auto self = shared_from_this();
+    if (responseMode_ == ResponseMode::Streamed) {
+        const auto rest = cutter_.takeRemainder();
+        if (!rest.empty() || !streamStarted_) {
+            passOnEvents(rest);
+        }
+        connection_->endStream();
+        gateway_.metrics().completed.add();
+        endAttempt(wholeOutcome(), false, now);
+        finish("completed");
+        return;
+    }
+    if (response_.status < FirstServerError && !meansNotRun(response_.status)) {
+        gateway_.metrics().completed.add();
+        sendKeptResponse();
+        endAttempt(wholeOutcome(), false, now);
+        finish("completed");
+        return;
+    }
+    lastReason_ = fmt::format("the endpoint answered {}", response_.status);
+    lastErrorResponse_ = std::move(response_);
+    endAttempt(AttemptOutcome::Error, !streamStarted_ || plan_.resumable, now);
+}
+
 // Responses to the caller, and the end of a call.
 
 void RelayedCall::sendKeptResponse()
--- a/Source/UnitTests/Relay/PeerMessagesTest.cpp
+++ b/Source/UnitTests/Relay/PeerMessagesTest.cpp
@@ -13,12 +13,14 @@
     metadata.attempts = 2;
     metadata.objectiveLeftMs = -40;
     metadata.fingerprint = 0xfedcba9876543210ULL;
+    metadata.contentFingerprint = 0x0123456789abcdefULL;
     metadata.fromRegion = "north";
     const auto read = decodeForwardMetadata(encodeForwardMetadata(metadata));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->service, "desk");
     EXPECT_EQ(read->objectiveLeftMs, -40);
     EXPECT_EQ(read->fingerprint, metadata.fingerprint);
+    EXPECT_EQ(read->contentFingerprint, metadata.contentFingerprint);
     EXPECT_EQ(read->fromRegion, "north");
 }
 
