--- a/Source/Core/Dispatch/CrashAttribution.cpp
+++ b/Source/Core/Dispatch/CrashAttribution.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Time within which a crash is noticed: the record of a silent endpoint expires after three of its
-/// heartbeat intervals, and lists of the store are a second old at most.
-constexpr seconds ConfirmationTime{6};
 /// By then the list of this instance has each endpoint that another instance has used.
 constexpr seconds ListingDelay{3};
 
--- a/Source/Core/Dispatch/CrashEvidence.cpp
+++ b/Source/Core/Dispatch/CrashEvidence.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Time within which a crash is noticed: the record of a silent endpoint expires after three of its
-/// heartbeat intervals, and lists of the store are a second old at most.
-constexpr seconds ConfirmationTime{6};
 /// A key that unlike requests share is on more innocent ones, so it is tried again earlier.
 constexpr seconds FirstSharedQuarantine{30};
 /// As above, for a key with a single crash at an instance that hears from no other.
--- a/Source/Core/Dispatch/CrashEvidence.h
+++ b/Source/Core/Dispatch/CrashEvidence.h
@@ -12,6 +12,10 @@
 
 namespace LaburnumChute::Dispatch {
 
+/// Time within which a crash is noticed: the record of a silent endpoint expires after three of its
+/// heartbeat intervals, and lists of the store are a second old at most.
+inline constexpr seconds ConfirmationTime{6};
+
 /// A run of an endpoint under which an attempt broke off.
 struct CrashRecord
 {
--- a/Source/Core/Dispatch/CrashReports.cpp
+++ b/Source/Core/Dispatch/CrashReports.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Reported breaks that are older are not taken over: they are confirmed or refuted by then.
-constexpr seconds MaxOpenAge{6};
 constexpr std::size_t MaxRecentSuspects = 32;
 constexpr std::size_t MaxOldSuspects = 4;
 constexpr std::size_t MaxReportedCrashes = 8;
@@ -157,7 +155,7 @@
         const Time at = now - milliseconds(crash.ageMs);
         const auto answeredAt = runs_.answeredAt(crash.run);
         const bool refuted = answeredAt && *answeredAt > at;
-        const bool tooOld = !crash.ended && now - at > MaxOpenAge;
+        const bool tooOld = !crash.ended && now - at > ConfirmationTime;
         if (refuted || tooOld) {
             continue;
         }
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -17,19 +17,12 @@
 /// An endpoint that was ejected for this long may have been restarted in the meantime.
 constexpr milliseconds RestartEjectionTime{1000};
 
-std::vector<SuspectKey> partsOf(const Call &call)
+/// Keys of the request that are parts of its prompt, or the others.
+std::vector<SuspectKey> keysOf(const Call &call, bool parts)
 {
     std::vector<SuspectKey> keys;
     std::copy_if(call.keys.begin(), call.keys.end(), std::back_inserter(keys),
-                 [](const auto &key) { return key.kind == SuspectKind::Part; });
-    return keys;
-}
-
-std::vector<SuspectKey> wholeOf(const Call &call)
-{
-    std::vector<SuspectKey> keys;
-    std::copy_if(call.keys.begin(), call.keys.end(), std::back_inserter(keys),
-                 [](const auto &key) { return key.kind != SuspectKind::Part; });
+                 [parts](const auto &key) { return (key.kind == SuspectKind::Part) == parts; });
     return keys;
 }
 
@@ -57,7 +50,7 @@
 
 void EndpointHealth::recordProgress(const Call &call, Time now)
 {
-    crashes_->served(partsOf(call), now);
+    crashes_->served(keysOf(call, true), now);
 }
 
 void EndpointHealth::eject(EndpointState &endpoint, Time now)
@@ -132,7 +125,7 @@
             crashes_->ignored(call.keys, EvidenceLoss::EndpointLeft);
         } else {
             crashes_->broke(endpoint.listed.record.id, call.run,
-                            call.answerGoesOn ? wholeOf(call) : call.keys, now);
+                            call.answerGoesOn ? keysOf(call, false) : call.keys, now);
         }
         return;
     case AttemptOutcome::Answered:
--- a/Source/UnitTests/Dispatch/CrashingPartTest.cpp
+++ b/Source/UnitTests/Dispatch/CrashingPartTest.cpp
@@ -104,6 +104,15 @@
     expectStopped(cut);
 }
 
+// As above, among instances that have just started.
+TEST_P(CrashingPartTest, StopsWhileRegionsAreCutAfterARestart)
+{
+    auto cut = setting();
+    cut.restartAllAt = milliseconds(2500);
+    cut.regionsCutAt = milliseconds(2500);
+    expectStopped(cut);
+}
+
 // Guards against answers whose end shows nothing, and that clear neither sound parts nor bad ones.
 TEST_P(CrashingPartTest, StopsAmongAnswersWithoutLength)
 {
@@ -129,6 +138,21 @@
     }
 }
 
+// No instance hears from any other. Guards against one instance after another that waits for as
+// many crashes as if it did.
+TEST(CutCrashingPartTest, StopsWhenNoInstanceHearsFromAnother)
+{
+    CrashSetting cut;
+    cut.instancesPerRegion = 2;
+    cut.allCutAt = milliseconds(0);
+    cut.crashingInterval = milliseconds(400);
+    cut.prompts = PromptSetting();
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        const auto outcome = CrashSimulation(cut, seed).simulate(Played);
+        EXPECT_LE(outcome.mostLateArrivalsOfAPart(), AllowedLateArrivals) << "seed " << seed;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Instances, CrashingPartTest, testing::Values(2, 12, 40));
 
 } // namespace
