--- a/Source/Core/Dispatch/CrashEvidence.cpp
+++ b/Source/Core/Dispatch/CrashEvidence.cpp
@@ -232,6 +232,7 @@
 
 void CrashEvidence::setHearing(Hearing hearing)
 {
+    version_ += hearing != hearing_ ? 1 : 0;
     hearing_ = hearing;
 }
 
@@ -312,7 +313,9 @@
             crashes.push_back(&crash);
         }
     }
-    if (isShared(key)) {
+    // Alone, an instance sees too few repeats to tell a request from its content.
+    const bool likeRequest = key.kind == SuspectKind::Content && hearing_ == Hearing::None;
+    if (isShared(key) && !likeRequest) {
         setAside(key, crashes);
     }
     Judgement judgement;
@@ -378,9 +381,9 @@
 
 std::size_t CrashEvidence::neededCrashes(const SuspectKey &key, bool retry) const
 {
-    const bool fewer =
-        isShared(key) ? hearing_ != Hearing::All : hearing_ == Hearing::None && !retry;
-    return options_.maxDeaths - (fewer ? 1 : 0);
+    const bool alone = hearing_ == Hearing::None && (!retry || key.kind == SuspectKind::Part);
+    const bool apart = hearing_ == Hearing::Some && isShared(key);
+    return options_.maxDeaths - (alone || apart ? 1 : 0);
 }
 
 Time CrashEvidence::quarantinedUntil(const SuspectKey &key, const Suspect &suspect) const
--- a/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
+++ b/Source/UnitTests/Dispatch/CrashAttributionTest.cpp
@@ -413,6 +413,16 @@
     EXPECT_FALSE(rejected());
 }
 
+// As above, with another query each time.
+TEST_F(CrashAttributionTest, OneCrashOfAContentIsEnoughForAnInstanceThatHearsFromNoOther)
+{
+    crashes_.setHearing(Hearing::None);
+    crashes_.broke(EndpointId("1"), 1, withContent(100, 7), now_);
+    crashes_.ended(1, now_);
+    EXPECT_TRUE(crashes_.rejection(withContent(101, 7), false, now_));
+    EXPECT_FALSE(crashes_.rejection(withContent(100, 7), true, now_)) << "its caller still waits";
+}
+
 // Reports go back and forth with the delay of the network. Guards against a quarantine that each of
 // them extends.
 TEST_F(CrashAttributionTest, RepeatedReportsDoNotExtendAQuarantine)
