--- a/Source/Core/Dispatch/CrashEvidence.cpp
+++ b/Source/Core/Dispatch/CrashEvidence.cpp
@@ -190,7 +190,7 @@
 
 std::vector<SuspectKey> CrashEvidence::erase(RunId run)
 {
-    const auto keys = keysOn(run);
+    auto keys = keysOn(run);
     for (const auto &key : keys) {
         eraseCrash(key, run);
     }
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -11,8 +11,6 @@
 
 /// Prompt length for which the wait reported to other regions is computed.
 constexpr std::int64_t NominalTokens = 400;
-/// A few instances that are restarted are no partition.
-constexpr double HeardFraction = 0.75;
 
 } // namespace
 
@@ -135,7 +133,8 @@
     auto hearing = Hearing::All;
     if (heard <= 1 && sharers_.value_or(2) > 1) {
         hearing = Hearing::None;
-    } else if (sharers_ && static_cast<double>(heard) < HeardFraction * *sharers_) {
+    } else if (sharers_ && heard * 4 < *sharers_ * 3) {
+        // A quarter may be missing: a few instances that are restarted are no partition.
         hearing = Hearing::Some;
     }
     crashes_.setHearing(hearing);
