Reject for want of an endpoint what no further region may take

Cause: once a region had refused a request that no endpoint was left for at home, an instance whose retry budget allowed nothing more rejected it as "tries used", with the wait of a service that has endpoints.

Change: without a usable endpoint at home and without another region that may be attempted, the reason is "no endpoint" and the caller is told the usual time of it, whatever the budget.

The new unit test failed before.

--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -101,6 +101,25 @@
     return facts.allowedRegions.empty() || contains(facts.allowedRegions, home_);
 }
 
+bool Scheduler::hasDestination(const Call &call, Time now)
+{
+    return usableAtHome(call.facts) || offerOfAnyRegion(call, now);
+}
+
+bool Scheduler::usableAtHome(const CallFacts &facts)
+{
+    return homeAllowed(facts) && !table_.usable(facts.service).empty();
+}
+
+std::optional<SpareCapacity::Offer> Scheduler::offerOfAnyRegion(const Call &call, Time now)
+{
+    const auto &facts = call.facts;
+    if (facts.forwarded) {
+        return std::nullopt;
+    }
+    return spareCapacity_.any(facts.service, facts.allowedRegions, call.attemptedRegions, now);
+}
+
 // Requests.
 
 Effects Scheduler::submit(CallFacts facts, Time now)
@@ -124,13 +143,10 @@
     if (rejectIfSuspected(call, now, effects)) {
         return;
     }
-    const bool atHome = homeAllowed(facts) && !table_.usable(facts.service).empty();
-    if (!atHome) {
-        const auto offer = facts.forwarded ? std::nullopt
-                                           : spareCapacity_.any(facts.service, facts.allowedRegions,
-                                                                call.attemptedRegions, now);
-        if (!forward(call, offer, now, effects) && !waitForRegions(call, now)) {
-            reject(call, RejectReason::NoEndpoint, NoEndpointRetryAfter, now, effects);
+    if (!usableAtHome(facts)) {
+        if (!forward(call, offerOfAnyRegion(call, now), now, effects)
+            && !waitForRegions(call, now)) {
+            rejectWithoutEndpoint(call, now, effects);
         }
         return;
     }
@@ -145,7 +161,7 @@
         }
         if (facts.forwarded) {
             // The instance that forwarded it knows others.
-            reject(call, RejectReason::NoEndpoint, NoEndpointRetryAfter, now, effects);
+            rejectWithoutEndpoint(call, now, effects);
             return;
         }
     }
@@ -258,17 +274,17 @@
     ++call.attempts;
 }
 
+void Scheduler::rejectWithoutEndpoint(Call &call, Time now, Effects &effects)
+{
+    reject(call, RejectReason::NoEndpoint, NoEndpointRetryAfter, now, effects);
+}
+
 bool Scheduler::forwardUnreachable(Call &call, Time now, Effects &effects)
 {
-    const auto &facts = call.facts;
     if (handOver(call, now, effects)) {
         return true;
     }
-    return !facts.forwarded
-           && forward(
-               call,
-               spareCapacity_.any(facts.service, facts.allowedRegions, call.attemptedRegions, now),
-               now, effects);
+    return forward(call, offerOfAnyRegion(call, now), now, effects);
 }
 
 bool Scheduler::handOver(Call &call, Time now, Effects &effects)
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -168,12 +168,18 @@
     /// Time from sending a request to its first event, apart from the wait for other requests.
     Duration timeToFirstEvent(const Call &call, const std::optional<Candidate> &candidate);
     void reject(Call &call, RejectReason reason, Duration wait, Time now, Effects &effects);
+    void rejectWithoutEndpoint(Call &call, Time now, Effects &effects);
     void fail(Call &call, Effects &effects);
     void enqueue(Call &call);
     void dequeue(Call &call);
     void dispatchQueue(Time now, Effects &effects);
     void cancelSilentAttempts(Time now, Effects &effects);
     bool homeAllowed(const CallFacts &facts) const;
+    bool usableAtHome(const CallFacts &facts);
+    /// The best of the regions that have not been attempted.
+    std::optional<SpareCapacity::Offer> offerOfAnyRegion(const Call &call, Time now);
+    /// Whether there is an endpoint at home or a region that the request may be sent to.
+    bool hasDestination(const Call &call, Time now);
 
     /// Rate at which the endpoints of a service process queued requests.
     struct Capacity
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -166,6 +166,8 @@
     const bool mayWait = !(allAttempted && notRun);
     if (retry) {
         place(call, mayWait, now, effects);
+    } else if (call.runs == 0 && !hasDestination(call, now)) {
+        rejectWithoutEndpoint(call, now, effects);
     } else if (call.runs == 0) {
         reject(call, RejectReason::AttemptsUsed, expectedWait(call, now), now, effects);
     } else {
--- a/Source/UnitTests/Dispatch/RetryTest.cpp
+++ b/Source/UnitTests/Dispatch/RetryTest.cpp
@@ -48,6 +48,22 @@
     EXPECT_NE(only<Fail>(scheduler_.ended(call.id, AttemptOutcome::Error, true, now_)), nullptr);
 }
 
+// No region has an endpoint any more, and the retry budget allows no further attempt after the one
+// at a region whose report was old. Guards against a log that says that the attempts were used up.
+TEST_F(SchedulerTest, RequestThatNoRegionHasAnEndpointForIsRejectedForThat)
+{
+    Catalog::Bounds noRetries;
+    noRetries.retryRatio = 0;
+    noRetries.retrySlack = 0;
+    scheduler_.setBounds(noRetries);
+    setSpareCapacityAway(Plain, 10);
+    const auto call = facts(Plain);
+    ASSERT_NE(only<Forward>(scheduler_.submit(call, now_)), nullptr);
+    const auto effects = scheduler_.ended(call.id, AttemptOutcome::NotRun, true, now_);
+    ASSERT_NE(only<Reject>(effects), nullptr);
+    EXPECT_EQ(only<Reject>(effects)->reason, RejectReason::NoEndpoint);
+}
+
 // The connection breaks during an order, which may have run; a second run would be a second order.
 TEST_F(SchedulerTest, OrderIsNotSentAgainAfterABrokenConnection)
 {
