--- a/Source/UnitTests/Dispatch/SuspectPartsTest.cpp
+++ b/Source/UnitTests/Dispatch/SuspectPartsTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 
 #include "Support.h"
@@ -42,6 +43,20 @@
         return crashes_.rejection(request(parts), false, now_).has_value();
     }
 
+    /// In how many of the next reports the key is.
+    int reportedTimes(const SuspectKey &key, int reports)
+    {
+        int times = 0;
+        for (int count = 0; count < reports; ++count) {
+            const auto report = crashes_.reports(CrashAttribution::Audience::OwnRegion, now_);
+            times += std::any_of(report.begin(), report.end(),
+                                 [&](const auto &each) { return each.key == key; })
+                         ? 1
+                         : 0;
+        }
+        return times;
+    }
+
     CrashAttribution crashes_{Decisions::QuarantineOptions(), 7};
     Time now_ = Time(seconds(1000));
     RunId nextRun_ = 1;
@@ -148,6 +163,35 @@
     EXPECT_FALSE(rejected({First}));
 }
 
+// Dozens of requests are retried while two endpoints crash, and are rejected since they broke off
+// twice. Guards against reports that have no room left for the part that is the cause.
+TEST_F(SuspectPartsTest, RejectedBystandersDoNotCrowdOutAPart)
+{
+    std::vector<std::vector<SuspectKey>> requests = {request({Bad})};
+    for (int count = 0; count < 60; ++count) {
+        requests.push_back(request({}));
+    }
+    crash(requests);
+    crash(requests);
+    EXPECT_EQ(reportedTimes(requests.front().back(), 1), 1);
+}
+
+// As above. Guards against contents that are never reported, since others are suspected alike.
+TEST_F(SuspectPartsTest, SuspectsOfOneRankAreReportedInTurn)
+{
+    std::vector<std::vector<SuspectKey>> requests;
+    for (int count = 0; count < 60; ++count) {
+        requests.push_back(request({}));
+    }
+    crash(requests);
+    crash(requests);
+    for (const auto &keys : requests) {
+        for (const auto &key : keys) {
+            EXPECT_GE(reportedTimes(key, 18), 1) << toString(key.kind) << " " << key.value;
+        }
+    }
+}
+
 // Guards against memory and reports that a caller with ever new parts fills.
 TEST_F(SuspectPartsTest, EverNewPartsTakeBoundedMemory)
 {
