Report suspects of each kind, and those of one rank in turn

Cause: reports carried 32 suspects, rejected ones first, then by the number of crashes. Requests that are retried while one endpoint after the other crashes have two crashes and are rejected, dozens of them, with as many contents. A part of which each instance sees one or two crashes was told to no one, and no instance reached a verdict; nor was a content that had the misfortune of a high key among others of its rank.

Change: requests, contents and parts share the places evenly, and among suspects of one rank each report takes any.

--- a/Source/Core/Dispatch/CrashAttribution.h
+++ b/Source/Core/Dispatch/CrashAttribution.h
@@ -118,7 +118,7 @@
     bool isTrial(const SuspectKey &key, const std::vector<SuspectKey> &keys) const;
     void mergeCrashes(const SuspectReport &report, Time now);
     SuspectReport reportOf(const SuspectKey &key, bool includeOthers, Time now) const;
-    std::vector<SuspectKey> recentSuspects(Time now) const;
+    std::vector<SuspectKey> recentSuspects(Time now);
 
     CrashEvidence evidence_;
     EndpointRuns runs_;
--- a/Source/Core/Dispatch/CrashReports.cpp
+++ b/Source/Core/Dispatch/CrashReports.cpp
@@ -54,24 +54,36 @@
     return report;
 }
 
-/// The most suspected first: those that are rejected, those with several crashes, and keys that
-/// unlike requests share, of which each instance sees a few crashes only.
-std::vector<SuspectKey> CrashAttribution::recentSuspects(Time now) const
+/// The most suspected of each kind, and any of those that are suspected alike.
+///
+/// Load pattern: requests are retried while one endpoint after the other crashes, so dozens of
+/// bystanders have two crashes and are rejected. Of a part of a prompt, or of a content that
+/// callers repeat, each instance sees a few crashes only, and there is no verdict before they are
+/// added up. So no kind takes the room of another, and over several reports each key has its turn.
+std::vector<SuspectKey> CrashAttribution::recentSuspects(Time now)
 {
-    using Rank = std::tuple<bool, std::size_t, bool, Time, SuspectKey>;
-    std::vector<Rank> ranks;
+    using Rank = std::tuple<bool, std::size_t, std::uint64_t, SuspectKey>;
+    std::map<SuspectKind, std::vector<Rank>> ranks;
+    std::size_t left = 0;
     for (const auto &key : evidence_.suspects()) {
-        const auto lastCrash = evidence_.lastCrash(key);
-        if (now - lastCrash <= SuspectRepeatTime) {
-            ranks.emplace_back(evidence_.isRejected(key, now), evidence_.crashesOf(key).size(),
-                               isShared(key), lastCrash, key);
+        if (now - evidence_.lastCrash(key) <= SuspectRepeatTime) {
+            ranks[key.kind].emplace_back(evidence_.isRejected(key, now),
+                                         evidence_.crashesOf(key).size(), random_(), key);
+            ++left;
         }
     }
-    std::sort(ranks.rbegin(), ranks.rend());
-    ranks.resize(std::min(ranks.size(), MaxRecentSuspects));
+    for (auto &[kind, ofKind] : ranks) {
+        std::sort(ofKind.begin(), ofKind.end());
+    }
     std::vector<SuspectKey> keys;
-    for (const auto &rank : ranks) {
-        keys.push_back(std::get<SuspectKey>(rank));
+    for (left = std::min(left, MaxRecentSuspects); left > 0;) {
+        for (auto &[kind, ofKind] : ranks) {
+            if (!ofKind.empty() && left > 0) {
+                keys.push_back(std::get<SuspectKey>(ofKind.back()));
+                ofKind.pop_back();
+                --left;
+            }
+        }
     }
     return keys;
 }
