--- a/Source/UnitTests/Dispatch/SuspectPartsTest.cpp
+++ b/Source/UnitTests/Dispatch/SuspectPartsTest.cpp
@@ -38,6 +38,11 @@
         crashes_.ended(run, now_);
         now_ += milliseconds(300);
     }
+    void pass(seconds time)
+    {
+        now_ += time;
+        crashes_.expire(now_);
+    }
     bool rejected(const std::vector<std::uint64_t> &parts)
     {
         return crashes_.rejection(request(parts), false, now_).has_value();
@@ -176,6 +181,31 @@
     EXPECT_EQ(reportedTimes(requests.front().back(), 1), 1);
 }
 
+// As above. Guards against sound parts that stay condemned elsewhere, since this instance has no room
+// left to say that it serves them.
+TEST_F(SuspectPartsTest, SuspectsDoNotCrowdOutWhatIsServedHere)
+{
+    std::vector<std::vector<SuspectKey>> requests;
+    for (int count = 0; count < 60; ++count) {
+        requests.push_back(request({}));
+    }
+    crash(requests);
+    crash(requests);
+    pass(seconds(6));
+    std::vector<std::vector<SuspectKey>> others;
+    for (int count = 0; count < 60; ++count) {
+        others.push_back(request({}));
+    }
+    crash(others);
+    const auto sound = request({First}).back();
+    crashes_.served({sound}, now_);
+    SuspectReport suspected;
+    suspected.key = sound;
+    suspected.crashes = {{4711, 100, true}};
+    crashes_.merge({suspected}, now_);
+    EXPECT_EQ(reportedTimes(sound, 1), 1);
+}
+
 // As above. Guards against contents that are never reported, since others are suspected alike.
 TEST_F(SuspectPartsTest, SuspectsOfOneRankAreReportedInTurn)
 {
