Keep room in reports for sound keys that others suspect

Cause: an instance that serves a key which others suspect says so in its reports, but only in the places that suspects left. While endpoints crash, suspects fill all of them, so sound parts stayed suspected elsewhere.

Change: sixteen places of their own for sound keys.

--- a/Source/Core/Dispatch/CrashReports.cpp
+++ b/Source/Core/Dispatch/CrashReports.cpp
@@ -16,6 +16,8 @@
 /// With fewer of them, fewer requests are sent to tell parts apart.
 constexpr std::size_t MaxReportedCompanions = 4;
 constexpr std::size_t MaxVindications = 1024;
+/// They are small. Reports full of suspects must leave room for what clears suspects elsewhere.
+constexpr std::size_t MaxReportedVindications = 16;
 
 std::uint32_t toMilliseconds(Duration age)
 {
@@ -64,24 +66,24 @@
 {
     using Rank = std::tuple<bool, std::size_t, std::uint64_t, SuspectKey>;
     std::map<SuspectKind, std::vector<Rank>> ranks;
-    std::size_t left = 0;
+    std::size_t count = 0;
     for (const auto &key : evidence_.suspects()) {
         if (now - evidence_.lastCrash(key) <= SuspectRepeatTime) {
             ranks[key.kind].emplace_back(evidence_.isRejected(key, now),
                                          evidence_.crashesOf(key).size(), random_(), key);
-            ++left;
+            ++count;
         }
     }
     for (auto &[kind, ofKind] : ranks) {
         std::sort(ofKind.begin(), ofKind.end());
     }
+    count = std::min(count, MaxRecentSuspects);
     std::vector<SuspectKey> keys;
-    for (left = std::min(left, MaxRecentSuspects); left > 0;) {
+    while (keys.size() < count) {
         for (auto &[kind, ofKind] : ranks) {
-            if (!ofKind.empty() && left > 0) {
+            if (!ofKind.empty() && keys.size() < count) {
                 keys.push_back(std::get<SuspectKey>(ofKind.back()));
                 ofKind.pop_back();
-                --left;
             }
         }
     }
@@ -108,10 +110,12 @@
         reports.push_back(reportOf(key, true, now));
     }
     std::erase_if(reports, [](const SuspectReport &report) { return report.crashes.empty(); });
+    std::size_t vindications = 0;
     for (const auto &[key, at] : vindicatedAt_) {
         const auto servedAt = sound_.lastServed(key, now);
-        if (servedAt && reports.size() < MaxRecentSuspects + MaxOldSuspects) {
+        if (servedAt && vindications < MaxReportedVindications) {
             reports.push_back(vindication(key, *servedAt, now));
+            ++vindications;
         }
     }
     return reports;
--- a/Source/UnitTests/Dispatch/SuspectPartsTest.cpp
+++ b/Source/UnitTests/Dispatch/SuspectPartsTest.cpp
@@ -181,8 +181,8 @@
     EXPECT_EQ(reportedTimes(requests.front().back(), 1), 1);
 }
 
-// As above. Guards against sound parts that stay condemned elsewhere, since this instance has no room
-// left to say that it serves them.
+// As above. Guards against sound parts that stay condemned elsewhere, since this instance has no
+// room left to say that it serves them.
 TEST_F(SuspectPartsTest, SuspectsDoNotCrowdOutWhatIsServedHere)
 {
     std::vector<std::vector<SuspectKey>> requests;
