Look for ports of test deployments that are free for datagrams as well

Both functions that look for free ports tried connections only.

Change: one function for both, which tries both kinds of sockets.

The failure itself was not reproduced; that the other run took the port is inferred.

--- a/Source/IntegrationTests/soak_deployment.py
+++ b/Source/IntegrationTests/soak_deployment.py
@@ -6,7 +6,6 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -16,6 +15,7 @@
 
 import standin  # noqa: E402
 from faulty_endpoint import POLL, FaultyEndpoint  # noqa: E402
+from ports import free_ports  # noqa: E402
 
 PROGRAM = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "Build")) / "bin" / "laburnumchute"
 REGIONS = ("north", "central", "south")
@@ -122,7 +122,8 @@
         self.instances = [
             Instance(self, number, zones[number % len(zones)]) for number in range(instances)
         ]
-        self.ports = self._free_ports()
+        addresses = [ip for one in self.instances for ip in (one.ip, one.advertised_ip)]
+        self.ports = free_ports(addresses, PORTS)
 
     def now(self):
         return time.monotonic() - self.started_at
@@ -134,23 +135,6 @@
     def instance_at(self, ip):
         return next((one.name for one in self.instances if one.ip == ip), ip)
 
-    def _free_ports(self):
-        for first in random.sample(range(20000, 30000, 20), 400):
-            taken = []
-            try:
-                for port in range(first, first + PORTS):
-                    for instance in self.instances:
-                        for ip in (instance.ip, instance.advertised_ip):
-                            taken.append(socket.socket())
-                            taken[-1].bind((ip, port))
-                return first
-            except OSError:
-                continue
-            finally:
-                for one in taken:
-                    one.close()
-        raise RuntimeError("no free ports")
-
     async def start(self):
         self.store = standin.Store()
         await self.store.server.start()
--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -20,6 +20,7 @@
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
 
 import standin  # noqa: E402
+from ports import free_ports  # noqa: E402
 
 PROGRAM = pathlib.Path(os.environ["BUILD_DIR"]) / "bin" / "laburnumchute"
 ZONES = {"north-a": "north", "south-a": "south"}
@@ -35,6 +36,8 @@
     "north-2": ("127.0.0.12", "north-a"),
     "south-1": ("127.0.0.13", "south-a"),
 }
+ADDRESSES = [ip for ip, _ in INSTANCES.values()]
+PORTS = 12
 ROUTES = [
     standin.route("draft", "/stream/", "model", "stream", resumable=True, gap=400),
     standin.route("order", "/order/", "desk", "once"),
@@ -45,32 +48,13 @@
 SERVICES = [standin.service("model", model=True), standin.service("desk")]
 
 
-def free_ports(count):
-    """The first of some ports in a row that are free on all loopback addresses used here."""
-    for first in random.sample(range(20000, 30000, 20), 400):
-        sockets = []
-        try:
-            for port in range(first, first + count):
-                for ip, _ in INSTANCES.values():
-                    taken = socket.socket()
-                    sockets.append(taken)
-                    taken.bind((ip, port))
-            return first
-        except OSError:
-            continue
-        finally:
-            for taken in sockets:
-                taken.close()
-    raise RuntimeError("no free ports")
-
-
 class Fleet:
     """The processes of one deployment."""
 
     def __init__(self, folder):
         self.folder = folder
         self.platform = standin.Platform(ENDPOINTS)
-        self.ports = free_ports(12)
+        self.ports = free_ports(ADDRESSES, PORTS)
         self.processes = {}
         self.platform.publish(1, ROUTES, SERVICES)
         for name in INSTANCES:
@@ -351,7 +335,7 @@
     the machine's clock as the time since the store's last answer, and whoever was on call looked
     for a store that had been silent for twenty hours."""
     ip, zone = INSTANCES["north-1"]
-    first_port = free_ports(12)
+    first_port = free_ports(ADDRESSES, PORTS)
     nobody_listens = first_port + 10
     settings = standin.settings(
         "north-1", ip, zone, ZONES[zone], ZONES, [ip], nobody_listens, first_port
