--- a/Source/UnitTests/Dispatch/SuspectPartsTest.cpp
+++ b/Source/UnitTests/Dispatch/SuspectPartsTest.cpp
@@ -28,6 +28,15 @@
         facts.parts.push_back({nextRequest_++, 100});
         return suspectKeys(facts);
     }
+    /// More requests than a report has room for, without a part in common.
+    std::vector<std::vector<SuspectKey>> bystanders()
+    {
+        std::vector<std::vector<SuspectKey>> requests;
+        for (int count = 0; count < 60; ++count) {
+            requests.push_back(request({}));
+        }
+        return requests;
+    }
     /// An endpoint crashes under the request and its bystanders.
     void crash(const std::vector<std::vector<SuspectKey>> &requests)
     {
@@ -172,31 +181,22 @@
 // twice. Guards against reports that have no room left for the part that is the cause.
 TEST_F(SuspectPartsTest, RejectedBystandersDoNotCrowdOutAPart)
 {
-    std::vector<std::vector<SuspectKey>> requests = {request({Bad})};
-    for (int count = 0; count < 60; ++count) {
-        requests.push_back(request({}));
-    }
+    auto requests = bystanders();
+    requests.push_back(request({Bad}));
     crash(requests);
     crash(requests);
-    EXPECT_EQ(reportedTimes(requests.front().back(), 1), 1);
+    EXPECT_EQ(reportedTimes(requests.back().back(), 1), 1);
 }
 
 // As above. Guards against sound parts that stay condemned elsewhere, since this instance has no
 // room left to say that it serves them.
 TEST_F(SuspectPartsTest, SuspectsDoNotCrowdOutWhatIsServedHere)
 {
-    std::vector<std::vector<SuspectKey>> requests;
-    for (int count = 0; count < 60; ++count) {
-        requests.push_back(request({}));
-    }
+    const auto requests = bystanders();
     crash(requests);
     crash(requests);
     pass(seconds(6));
-    std::vector<std::vector<SuspectKey>> others;
-    for (int count = 0; count < 60; ++count) {
-        others.push_back(request({}));
-    }
-    crash(others);
+    crash(bystanders());
     const auto sound = request({First}).back();
     crashes_.served({sound}, now_);
     SuspectReport suspected;
@@ -209,10 +209,7 @@
 // As above. Guards against contents that are never reported, since others are suspected alike.
 TEST_F(SuspectPartsTest, SuspectsOfOneRankAreReportedInTurn)
 {
-    std::vector<std::vector<SuspectKey>> requests;
-    for (int count = 0; count < 60; ++count) {
-        requests.push_back(request({}));
-    }
+    const auto requests = bystanders();
     crash(requests);
     crash(requests);
     for (const auto &keys : requests) {
