--- a/Source/Core/Catalog/Types.h
+++ b/Source/Core/Catalog/Types.h
@@ -81,6 +81,10 @@
     std::int64_t cacheTokens = 0;
     /// KV cache entries can be copied from one endpoint to another.
     bool supportsCacheTransfer = false;
+    /// Size of a token's KV cache entries; 0 if unknown.
+    double cacheBytesPerToken = 0;
+    /// Rate of an endpoint's link for transfers of KV cache entries; 0 if unknown.
+    double linkBitsPerSecond = 0;
 };
 
 struct Service
