Schedule KV cache transfers by the links of endpoints

All instances copied from the first holder in order of ids, at a constant expected time of 15 ms, although a part of 4.36 GB takes 124 ms on an idle link and transfers on a link run one after another. Instances now keep reservations of links from their own sends and from notices, take the holder with the earliest first event, and prefill again where that is sooner than any copy.

--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "Dispatch/EndpointRuns.h"
+#include "Dispatch/TransferModel.h"
 
 namespace LaburnumChute::Dispatch {
 
@@ -16,6 +17,18 @@
     Sent,
 };
 
+/// A copy whose time is expected from its size and the link rate.
+struct MeasuredCopy
+{
+    EndpointId source;
+    RunId sourceRun = 0;
+    TransferPath path = TransferPath::WithinRegion;
+    std::int64_t tokens = 0;
+    /// Expected time to the first event without the transfer, and with a prefill instead of it.
+    Duration others{0};
+    Duration withoutCopy{0};
+};
+
 /// A request that was submitted to the scheduler and has not ended.
 struct Call
 {
@@ -32,6 +45,7 @@
     Time sentAt{};
     Duration expected{0};
     std::int64_t prefillTokens = 0;
+    std::optional<MeasuredCopy> copy;
     bool answering = false;
     /// When the answer began.
     Time answeringSince{};
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -92,6 +92,7 @@
     if (!isNew && !sameIncarnation) {
         // The endpoint has restarted under its old id: nothing known about it applies any more.
         const int own = state->own;
+        transfers_.discard(shortId(record.id), now);
         *state = EndpointState();
         state->own = own;
     }
@@ -320,6 +321,7 @@
     auto &state = *found->second;
     const auto &model = engine(state.listed.record.service);
     state.prefillQueue.add(now, model.busyPrefillTime(notice.prefillTokens));
+    noticeTransfer(state, notice, now);
     estimate_.noticed(sender, notice.endpoint, now);
     loadIsStale_ = true;
     for (const auto &part : notice.parts) {
@@ -328,6 +330,45 @@
     }
 }
 
+void EndpointTable::noticeTransfer(const EndpointState &target, const PromptNotice &notice,
+                                   Time now)
+{
+    const auto &name = target.listed.record.service;
+    const auto *traits = service(name);
+    if (notice.source == 0 || traits == nullptr || !traits->engine
+        || !TransferModel::knows(*traits->engine)) {
+        return;
+    }
+    const auto path = byShortId_.count(notice.source) > 0 ? TransferPath::WithinRegion
+                                                          : TransferPath::BetweenRegions;
+    transfers_.add(std::nullopt, notice.source, notice.endpoint,
+                   transferModel(name).time(*traits->engine, notice.copiedTokens, path, now), now);
+}
+
+bool EndpointTable::couldCopyFrom(const EndpointId &source, RunId run, Time since) const
+{
+    if (const auto *state = find(source)) {
+        const bool ejected = state->ejectedUntil || state->ejectedAt >= since;
+        return state->run == run && !state->listed.leaving && !state->evacuated && !ejected;
+    }
+    const auto found = remote_.find(source);
+    if (found == remote_.end()) {
+        return false;
+    }
+    const auto &listed = found->second.listed;
+    return runId(listed.record) == run && !listed.leaving && !listed.missing;
+}
+
+void EndpointTable::forgetParts(const EndpointId &id, const std::vector<Dialect::PromptPart> &parts)
+{
+    const auto found = remote_.find(id);
+    if (auto *state = find(id)) {
+        state->cache.forget(parts);
+    } else if (found != remote_.end()) {
+        found->second.cache.forget(parts);
+    }
+}
+
 std::vector<PartPlacement> EndpointTable::caches() const
 {
     std::vector<PartPlacement> placements;
@@ -454,6 +495,11 @@
     return engines_.try_emplace(name, *options_).first->second;
 }
 
+TransferModel &EndpointTable::transferModel(const ServiceName &name)
+{
+    return transferModels_.try_emplace(name, *options_).first->second;
+}
+
 std::vector<const EndpointState *> EndpointTable::all() const
 {
     std::vector<const EndpointState *> states;
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -22,6 +22,8 @@
 #include "Dispatch/PrefillQueue.h"
 #include "Dispatch/PrefixCache.h"
 #include "Dispatch/RateLimit.h"
+#include "Dispatch/TransferModel.h"
+#include "Dispatch/TransferSchedule.h"
 #include "Dispatch/Util.h"
 
 namespace LaburnumChute::Dispatch {
@@ -172,6 +174,24 @@
     EndpointState *find(const EndpointId &id);
     const EndpointState *find(const EndpointId &id) const;
     EngineModel &engine(const ServiceName &name);
+    TransferModel &transferModel(const ServiceName &name);
+    const std::map<ServiceName, TransferModel> &transferModels() const
+    {
+        return transferModels_;
+    }
+    TransferSchedule &transfers()
+    {
+        return transfers_;
+    }
+    const TransferSchedule &transfers() const
+    {
+        return transfers_;
+    }
+    /// Whether the run of an endpoint of any region is still there and has not been ejected since,
+    /// so that a copy from it that began then could be completed.
+    bool couldCopyFrom(const EndpointId &source, RunId run, Time since) const;
+    /// Removes parts from the record of what an endpoint of any region has cached.
+    void forgetParts(const EndpointId &id, const std::vector<Dialect::PromptPart> &parts);
     std::vector<const EndpointState *> all() const;
     /// Endpoints of all regions that are listed and not known to have been replaced.
     std::set<RunId> listedRuns() const;
@@ -238,6 +258,7 @@
     void rebuild();
     void updateRemoteEndpoint(const Catalog::ListedEndpoint &endpoint);
     void rebuildRemote();
+    void noticeTransfer(const EndpointState &target, const PromptNotice &notice, Time now);
     void estimateLoad(const ServiceName &name, Time now);
     std::vector<LimitReport> limits(Time now) const;
     std::int64_t cacheCapacity(const ServiceName &name) const;
@@ -249,6 +270,8 @@
     std::map<ServiceName, std::vector<EndpointState *>> usable_;
     std::map<ServiceName, std::vector<EndpointState *>> running_;
     std::map<ServiceName, EngineModel> engines_;
+    std::map<ServiceName, TransferModel> transferModels_;
+    TransferSchedule transfers_;
     std::unordered_map<std::uint32_t, EndpointState *> byShortId_;
     std::map<EndpointId, RemoteEndpoint> remote_;
     std::map<ServiceName, std::vector<const RemoteEndpoint *>> remoteByService_;
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -114,6 +114,17 @@
 
 std::string_view toString(RejectReason reason);
 
+/// Copy of cached parts of a prompt that an endpoint makes before it prefills the rest.
+struct CacheCopy
+{
+    EndpointId source;
+    std::int64_t tokens = 0;
+    double bytes = 0;
+    /// Expected time until the links of both endpoints are free, and of the transfer itself.
+    Duration wait{0};
+    Duration time{0};
+};
+
 /// Send the request to the endpoint now.
 struct Send
 {
@@ -123,6 +134,9 @@
     std::string address;
     /// "ip:port" of an endpoint that has more of the prompt in its prefix cache.
     std::optional<std::string> copyCacheFrom;
+    std::optional<CacheCopy> copy;
+    /// Another endpoint has more of the prompt, but prefilling it again is sooner than a copy.
+    bool prefillsSooner = false;
     /// The endpoint has failed, and an idle connection to it may hang: nothing is sent unless a new
     /// connection is established.
     bool newConnection = false;
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -63,11 +63,14 @@
     std::uint32_t endpoint = 0;
     std::uint32_t prefillTokens = 0;
     std::vector<NoticedPart> parts;
+    /// Endpoint from which tokens of the prompt are copied, and their number; 0 for none.
+    std::uint32_t source = 0;
+    std::uint32_t copiedTokens = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(endpoint, prefillTokens, parts);
+        archive(endpoint, prefillTokens, parts, source, copiedTokens);
     }
 };
 
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -121,26 +121,36 @@
     return scaled(endpoint.holdTime, 1 + excess / slots);
 }
 
-Placement::CacheHolder Placement::cacheHolder(const Call &call, Time now) const
+Placement::CacheHolders Placement::cacheHolders(const Call &call, const Catalog::Service &service,
+                                                Time now) const
 {
-    CacheHolder holder;
+    CacheHolders holders;
+    const bool measured = TransferModel::knows(*service.engine);
+    const auto add = [&](const CacheHolder &holder, std::int64_t atLeast) {
+        if (holder.tokens >= atLeast) {
+            holders.most = holder;
+        }
+        if (measured && holder.tokens >= options_->copyMinimumTokens) {
+            holders.all.push_back(holder);
+            holders.all.back().freeAt = table_->transfers().freeAt(shortId(holder.record->id), now);
+        }
+    };
     for (const auto *endpoint : table_->running(call.facts.service)) {
         const bool reachable = !endpoint->ejectedUntil && !endpoint->evacuated
                                && endpoint->rest.left(now) == Duration(0)
                                && (!endpoint->listed.endsAt || now < *endpoint->listed.endsAt);
-        const auto cached = reachable ? endpoint->cache.cachedTokens(call.facts.parts) : 0;
-        if (cached > holder.tokens) {
-            holder = {endpoint->listed.record.address, endpoint, cached};
+        if (reachable) {
+            const auto cached = endpoint->cache.cachedTokens(call.facts.parts);
+            add({&endpoint->listed.record, endpoint, cached, now}, holders.most.tokens + 1);
         }
     }
     // A prompt that is restricted to certain regions may be cached only there.
     for (const auto *remote : table_->remote(call.facts.service)) {
         const auto cached = remote->cache.cachedTokens(call.facts.parts);
-        if (cached >= holder.tokens + options_->copyMinimumTokens) {
-            holder = {remote->listed.record.address, nullptr, cached};
-        }
+        add({&remote->listed.record, nullptr, cached, now},
+            holders.most.tokens + options_->copyMinimumTokens);
     }
-    return holder;
+    return holders;
 }
 
 const EndpointState *Placement::preferredEndpoint(const Call &call) const
@@ -203,28 +213,87 @@
            + TieBreak * (1 + assumedFraction * loadRatio) * distribution(random_);
 }
 
+/// Load pattern: a popular prompt part of gigabytes is needed at several engines at once. Copies
+/// from one holder would wait for each other, while other holders' links are free and some engines
+/// would prefill the part sooner.
+void Placement::planCopy(Candidate &candidate, const Catalog::Service &service, const Call &call,
+                         const CacheHolders &holders, Time now)
+{
+    const auto &facts = call.facts;
+    const auto &target = *candidate.endpoint;
+    const auto cached = target.cache.cachedTokens(facts.parts);
+    candidate.prefillTokens = std::max<std::int64_t>(0, facts.promptTokens - cached);
+    const auto &traits = *service.engine;
+    const auto &most = holders.most;
+    const bool mayCopy = traits.supportsCacheTransfer && most.endpoint != &target
+                         && most.tokens - cached >= options_->copyMinimumTokens;
+    if (!mayCopy) {
+        return;
+    }
+    if (!TransferModel::knows(traits)) {
+        const auto time =
+            most.endpoint != nullptr ? options_->copyTime : options_->copyTimeBetweenRegions;
+        const auto bytes = static_cast<double>(most.tokens - cached) * traits.cacheBytesPerToken;
+        candidate.copy = CacheCopy{most.record->id, most.tokens - cached, bytes, Duration(0), time};
+        candidate.copyFrom = most.record->address;
+        candidate.prefillTokens = std::max<std::int64_t>(0, facts.promptTokens - most.tokens);
+        return;
+    }
+    const auto &engine = table_->engine(service.name);
+    const auto &model = table_->transferModel(service.name);
+    const auto targetFreeAt = table_->transfers().freeAt(shortId(target.listed.record.id), now);
+    const auto again = engine.prefillTime(candidate.prefillTokens);
+    const auto beforePrefill = options_->firstEventFloor + candidate.wait;
+    std::optional<Duration> soonest;
+    for (const auto &holder : holders.all) {
+        const auto tokens = holder.tokens - cached;
+        if (holder.endpoint == &target || tokens < options_->copyMinimumTokens) {
+            continue;
+        }
+        const auto path =
+            holder.endpoint != nullptr ? TransferPath::WithinRegion : TransferPath::BetweenRegions;
+        const auto time = model.time(traits, tokens, path, now);
+        const auto wait = std::max(holder.freeAt, targetFreeAt) - now;
+        const auto rest = std::max<std::int64_t>(0, facts.promptTokens - holder.tokens);
+        const auto prefill = engine.prefillTime(rest);
+        const auto total = wait + time.expected + prefill;
+        if (total + time.deviation >= again || (soonest && total >= *soonest)) {
+            continue;
+        }
+        soonest = total;
+        const auto bytes = static_cast<double>(tokens) * traits.cacheBytesPerToken;
+        candidate.copy = CacheCopy{holder.record->id, tokens, bytes, wait, time.expected};
+        candidate.copyFrom = holder.record->address;
+        candidate.copyTime = time;
+        candidate.prefillTokens = rest;
+        candidate.measuredCopy = MeasuredCopy{holder.record->id,
+                                              runId(*holder.record),
+                                              path,
+                                              tokens,
+                                              beforePrefill + wait + prefill,
+                                              beforePrefill + again};
+    }
+    candidate.prefillsSooner = !soonest;
+    // The wait for links is caused by other requests, like that for the engine.
+    candidate.wait += candidate.copy ? candidate.copy->wait : Duration(0);
+}
+
 Candidate Placement::evaluate(EndpointState &endpoint, const Catalog::Service &service,
-                              const Call &call, const CacheHolder &holder, Time now)
+                              const Call &call, const CacheHolders &holders, Time now)
 {
     Candidate candidate;
     candidate.endpoint = &endpoint;
     double extraMs = 0;
     if (service.engine) {
-        auto cached = endpoint.cache.cachedTokens(call.facts.parts);
-        const bool copies = service.engine->supportsCacheTransfer && holder.endpoint != &endpoint
-                            && holder.tokens - cached >= options_->copyMinimumTokens;
-        Duration copying{0};
-        if (copies) {
-            cached = holder.tokens;
-            candidate.copyFrom = holder.address;
-            copying =
-                holder.endpoint != nullptr ? options_->copyTime : options_->copyTimeBetweenRegions;
+        candidate.wait = engineWait(endpoint, now);
+        planCopy(candidate, service, call, holders, now);
+        const auto prefill = table_->engine(service.name).prefillTime(candidate.prefillTokens);
+        candidate.expected = options_->firstEventFloor + candidate.wait + prefill
+                             + (candidate.copy ? candidate.copy->time : Duration(0));
+        // To prefill a part again evicts another one as well.
+        if (candidate.copy || candidate.prefillsSooner) {
             extraMs += inMilliseconds(options_->copyCost).count();
         }
-        candidate.prefillTokens = std::max<std::int64_t>(0, call.facts.promptTokens - cached);
-        const auto prefill = table_->engine(service.name).prefillTime(candidate.prefillTokens);
-        candidate.wait = engineWait(endpoint, now);
-        candidate.expected = options_->firstEventFloor + copying + candidate.wait + prefill;
         extraMs += generationCost(endpoint, call, prefill, now);
     } else {
         candidate.expected = plainWait(endpoint);
@@ -252,9 +321,9 @@
     if (table_->unreachable(service->name) && table_->probing(service->name)) {
         return std::nullopt;
     }
-    const auto holder = service->engine ? cacheHolder(call, now) : CacheHolder();
+    const auto holders = service->engine ? cacheHolders(call, *service, now) : CacheHolders();
     const bool cachedHere =
-        holder.endpoint != nullptr && holder.tokens >= options_->copyMinimumTokens;
+        holders.most.endpoint != nullptr && holders.most.tokens >= options_->copyMinimumTokens;
     const auto *preferred = service->engine && !cachedHere ? preferredEndpoint(call) : nullptr;
     std::optional<Candidate> best;
     std::optional<Candidate> atPreferred;
@@ -264,7 +333,7 @@
         if (!available(*endpoint, position, *service, call, now)) {
             continue;
         }
-        const auto candidate = evaluate(*endpoint, *service, call, holder, now);
+        const auto candidate = evaluate(*endpoint, *service, call, holders, now);
         if (endpoint == preferred) {
             atPreferred = candidate;
         }
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -21,6 +21,13 @@
     double cost = 0;
     std::int64_t prefillTokens = 0;
     std::optional<std::string> copyFrom;
+    std::optional<CacheCopy> copy;
+    /// The copy, if its time follows from its size.
+    std::optional<MeasuredCopy> measuredCopy;
+    /// Time for which the copy occupies the links.
+    TransferTime copyTime;
+    /// Another endpoint has more of the prompt, but prefilling it again is sooner than a copy.
+    bool prefillsSooner = false;
 };
 
 /// Chooses an endpoint of the own region for a request.
@@ -50,14 +57,22 @@
     Duration plainWait(const EndpointState &endpoint) const;
 
 private:
-    /// The endpoint that has most of a prompt in its prefix cache.
+    /// An endpoint that has parts of a prompt in its prefix cache.
     struct CacheHolder
     {
-        /// Empty if no endpoint has any of it.
-        std::string address;
+        const Catalog::EndpointRecord *record = nullptr;
         /// Null for an endpoint of another region.
         const EndpointState *endpoint = nullptr;
         std::int64_t tokens = 0;
+        /// When its link is free.
+        Time freeAt{};
+    };
+    struct CacheHolders
+    {
+        /// The one that has most; without a record if no endpoint has any.
+        CacheHolder most;
+        /// Those that have enough for a copy, if the time of transfers is known.
+        std::vector<CacheHolder> all;
     };
 
     /// @param position of the endpoint among those of its service
@@ -67,10 +82,13 @@
                           const Catalog::Service &service, const Call &call, Time now) const;
     double tieBreak(const EndpointState &endpoint);
     Candidate evaluate(EndpointState &endpoint, const Catalog::Service &service, const Call &call,
-                       const CacheHolder &holder, Time now);
+                       const CacheHolders &holders, Time now);
+    /// Sets the copy that is expected to be completed first, if it is sooner than to prefill again.
+    void planCopy(Candidate &candidate, const Catalog::Service &service, const Call &call,
+                  const CacheHolders &holders, Time now);
     double generationCost(const EndpointState &endpoint, const Call &call, Duration prefill,
                           Time now) const;
-    CacheHolder cacheHolder(const Call &call, Time now) const;
+    CacheHolders cacheHolders(const Call &call, const Catalog::Service &service, Time now) const;
     const EndpointState *preferredEndpoint(const Call &call) const;
     int coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const;
 
--- a/Source/Core/Dispatch/PrefixCache.cpp
+++ b/Source/Core/Dispatch/PrefixCache.cpp
@@ -51,6 +51,18 @@
     return {order_.rbegin(), order_.rend()};
 }
 
+void PrefixCache::forget(const std::vector<Dialect::PromptPart> &parts)
+{
+    for (const auto &part : parts) {
+        const auto found = byId_.find(part.id);
+        if (found != byId_.end()) {
+            cachedTokens_ -= found->second->tokens;
+            order_.erase(found->second);
+            byId_.erase(found);
+        }
+    }
+}
+
 void PrefixCache::clear()
 {
     order_.clear();
--- a/Source/Core/Dispatch/PrefixCache.h
+++ b/Source/Core/Dispatch/PrefixCache.h
@@ -26,6 +26,8 @@
     std::int64_t cachedTokens(const std::vector<Dialect::PromptPart> &parts) const;
     /// Ordered from the least to the most recently used.
     std::vector<Dialect::PromptPart> parts() const;
+    /// Removes the parts, which were found not to be cached.
+    void forget(const std::vector<Dialect::PromptPart> &parts);
     void clear();
 
 private:
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -211,6 +211,11 @@
     chargeRetry(call, now);
     call.expected = candidate.expected;
     call.prefillTokens = candidate.prefillTokens;
+    call.copy = candidate.measuredCopy;
+    if (call.copy) {
+        table_.transfers().add(call.facts.id, shortId(call.copy->source), shortId(record.id),
+                               candidate.copyTime, now);
+    }
     call.answering = false;
     call.readmittedEndpoint = false;
     call.answerGoesOn = false;
@@ -244,6 +249,8 @@
     effect.address = record.address;
     effect.expected = candidate.expected;
     effect.copyCacheFrom = candidate.copyFrom;
+    effect.copy = candidate.copy;
+    effect.prefillsSooner = candidate.prefillsSooner;
     effect.newConnection = endpoint.probing;
     effect.prefillTokens = candidate.prefillTokens;
     effect.own = endpoint.own - 1;
@@ -272,6 +279,7 @@
 {
     dequeue(call);
     call.endpoint = EndpointId();
+    call.copy.reset();
     call.sentAt = now;
     chargeRetry(call, now);
     budget(call.facts.service).requestForwarded(now);
@@ -469,13 +477,10 @@
                              {"limit", endpoint->limit.statement().perSecond.value_or(-1)},
                              {"error_share", endpoint->errorRate}});
     }
-    return {{"instance", self_.text()},
-            {"region", home_.text()},
-            {"instances", instances_.size()},
-            {"requests", calls_.size()},
-            {"waiting", queue_.size()},
-            {"endpoints", endpoints},
-            {"retry_budgets", dumpRetryBudgets(now)},
+    return {{"instance", self_.text()},        {"region", home_.text()},
+            {"instances", instances_.size()},  {"requests", calls_.size()},
+            {"waiting", queue_.size()},        {"endpoints", endpoints},
+            {"transfers", dumpTransfers(now)}, {"retry_budgets", dumpRetryBudgets(now)},
             {"suspects", crashes_.dump(now)}};
 }
 
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -244,6 +244,9 @@
     std::optional<Candidate> chooseEndpoint(const Call &call, Time now);
 
     // Evaluation of attempts.
+    /// Learns from the first event of an answer that carried a copy.
+    void recordCopy(const Call &call, Duration took, Time now);
+    nlohmann::json dumpTransfers(Time now) const;
     void leaveEndpoint(Call &call, AttemptOutcome outcome, Time now);
 
     DispatchOptions options_;
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -51,6 +51,7 @@
     endpoint->rest.accepted(call.sentAt);
     health_.recordAnswer(*endpoint, call, now);
     const auto took = now - call.sentAt;
+    table_.transfers().remove(id, now);
     if (call.sentAt < endpoint->silentUntil) {
         crashes_.answered(call.run, call.sentAt);
         endpoint->prefillQueue.remove(call.sentAt, now);
@@ -67,6 +68,12 @@
     if (service == nullptr || !service->engine) {
         return;
     }
+    if (call.copy) {
+        // The time of the copy is not known apart from that of the engine.
+        recordCopy(call, took, now);
+        crashes_.answered(call.run, call.sentAt);
+        return;
+    }
     auto &engine = table_.engine(call.facts.service);
     if (call.idleAtSend) {
         engine.samplePrefill(call.prefillTokens, took);
@@ -79,6 +86,21 @@
     health_.recordFirstEvent(*endpoint, call, took);
 }
 
+void Scheduler::recordCopy(const Call &call, Duration took, Time now)
+{
+    const auto &copy = *call.copy;
+    const auto &name = call.facts.service;
+    if (!table_.couldCopyFrom(copy.source, copy.sourceRun, call.sentAt)) {
+        return;
+    }
+    table_.transferModel(name).sample(*table_.service(name)->engine, copy.tokens, copy.path, took,
+                                      copy.others, now);
+    if (took >= copy.withoutCopy) {
+        // The source may not have had the parts, so that the engine prefilled them.
+        table_.forgetParts(copy.source, call.facts.parts);
+    }
+}
+
 void Scheduler::progressed(CallId id, int events, Duration pause, Time now)
 {
     const auto found = calls_.find(id);
@@ -107,6 +129,7 @@
 void Scheduler::leaveEndpoint(Call &call, AttemptOutcome outcome, Time now)
 {
     crashes_.stopped(std::exchange(call.suspectedKeys, {}));
+    table_.transfers().remove(call.facts.id, now);
     auto *endpoint = table_.find(call.endpoint);
     if (endpoint == nullptr) {
         return;
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -2,6 +2,8 @@
 #include <cmath>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "Dispatch/Scheduler.h"
 #include "Dispatch/Util.h"
 
@@ -220,6 +222,36 @@
     return budgets;
 }
 
+nlohmann::json Scheduler::dumpTransfers(Time now) const
+{
+    std::map<std::uint32_t, std::string> names;
+    for (const auto *endpoint : table_.all()) {
+        names[shortId(endpoint->listed.record.id)] = endpoint->listed.record.id.text();
+    }
+    const auto nameOf = [&](std::uint32_t id) {
+        const auto found = names.find(id);
+        return found == names.end() ? fmt::format("{:08x}", id) : found->second;
+    };
+    auto inProgress = nlohmann::json::array();
+    for (const auto &transfer : table_.transfers().transfers()) {
+        inProgress.push_back({{"source", nameOf(transfer.source)},
+                              {"target", nameOf(transfer.target)},
+                              {"own", transfer.call.has_value()},
+                              {"starts_in", Common::toSeconds(transfer.startsAt - now)},
+                              {"ends_in", Common::toSeconds(transfer.endsAt - now)}});
+    }
+    auto ratios = nlohmann::json::array();
+    for (const auto &[name, model] : table_.transferModels()) {
+        for (const auto path : {TransferPath::WithinRegion, TransferPath::BetweenRegions}) {
+            ratios.push_back({{"service", name.text()},
+                              {"between_regions", path == TransferPath::BetweenRegions},
+                              {"ratio", model.ratio(path, now)},
+                              {"deviation", model.deviation(path)}});
+        }
+    }
+    return {{"in_progress", inProgress}, {"ratios", ratios}};
+}
+
 std::vector<CrashEvent> Scheduler::takeCrashEvents()
 {
     return crashes_.takeEvents();
@@ -270,13 +302,17 @@
         }
     }
     const bool worthReporting =
-        call.prefillTokens >= options_.noticeTokens || !notice.parts.empty();
+        call.prefillTokens >= options_.noticeTokens || !notice.parts.empty() || call.copy;
     if (!worthReporting || instances_.size() < 2) {
         return;
     }
     notice.endpoint = shortId(endpoint.listed.record.id);
     notice.prefillTokens =
         static_cast<std::uint32_t>(std::max<std::int64_t>(0, call.prefillTokens));
+    if (call.copy) {
+        notice.source = shortId(call.copy->source);
+        notice.copiedTokens = static_cast<std::uint32_t>(call.copy->tokens);
+    }
     notices_.push_back(std::move(notice));
 }
 
