Log and count copies of cached prompt parts

The line send gets copy_ms, copy_wait_ms, copy_source and copied_tokens. Counters show copies made and not made and their bytes, and a histogram the expected wait for links.

--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -143,6 +143,13 @@
                                "Further attempts that the retry budget allowed"))
     , retriesDenied(registry.counter("laburnumchute_relay_retries_denied_total",
                                      "Further attempts that the retry budget did not allow"))
+    , copies(registry.counter("laburnumchute_relay_cache_copies_total",
+                              "Tries with a copy of cached prompt parts from another endpoint"))
+    , copiedBytes(registry.counter("laburnumchute_relay_cache_copied_bytes_total",
+                                   "Bytes of cached prompt parts that were to be copied"))
+    , copiesNotChosen(registry.counter("laburnumchute_relay_cache_copies_not_chosen_total",
+                                       "Tries that prefill parts which another endpoint has, since "
+                                       "that is sooner than a copy"))
     , answersGivenUp(registry.counter("laburnumchute_relay_answers_given_up_total",
                                       "Incomplete answers that were discarded, since all of them "
                                       "together occupied too much memory"))
@@ -154,6 +161,8 @@
                                     "From the request to the first event of its answer"))
     , queueTime(registry.histogram("laburnumchute_relay_queue_seconds",
                                    "From the request to its first send"))
+    , copyWait(registry.histogram("laburnumchute_relay_cache_copy_wait_seconds",
+                                  "Expected wait of a copy of cached prompt parts for links"))
 {
 }
 
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -70,11 +70,15 @@
     Common::Counter &evidenceLost;
     Common::Counter &retries;
     Common::Counter &retriesDenied;
+    Common::Counter &copies;
+    Common::Counter &copiedBytes;
+    Common::Counter &copiesNotChosen;
     Common::Counter &answersGivenUp;
     Common::Gauge &heldAnswerBytes;
     Common::Gauge &unsentBytes;
     Common::DurationHistogram &firstEvent;
     Common::DurationHistogram &queueTime;
+    Common::DurationHistogram &copyWait;
 };
 
 /// One instance that relays requests by host and path to the endpoints of its region, or to an
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -194,6 +194,14 @@
     if (streamStarted_) {
         order.lastEventId = cutter_.lastId();
     }
+    if (effect.copy) {
+        metrics.copies.add();
+        metrics.copiedBytes.add(static_cast<std::uint64_t>(effect.copy->bytes));
+        metrics.copyWait.record(effect.copy->wait);
+    } else if (effect.prefillsSooner) {
+        metrics.copiesNotChosen.add();
+    }
+    const auto copy = effect.copy.value_or(Dispatch::CacheCopy());
     EventLine line("send");
     line.add("request", plan_.head.requestId)
         .add("endpoint", effect.endpoint)
@@ -206,6 +214,10 @@
         .add("others_there", static_cast<std::int64_t>(std::lround(effect.others)))
         .add("assumed_there", static_cast<std::int64_t>(std::lround(effect.assumed)))
         .add("copies_cache", effect.copyCacheFrom.has_value())
+        .add("copy", copy.time)
+        .add("copy_wait", copy.wait)
+        .add("copy_source", copy.source)
+        .add("copied_tokens", copy.tokens)
         .add("resumes", streamStarted_)
         .add("fingerprint", formatFingerprint(plan_.facts.fingerprint))
         .add("suspect_keys", formatSuspects(Dispatch::suspectKeys(plan_.facts)));
