--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -54,7 +54,7 @@
     /// Delay of a request by the engine's other work.
     Duration engineWait(const EndpointState &endpoint, Time now) const;
     /// Duration of a call on a plain endpoint, including its wait.
-    Duration plainWait(const EndpointState &endpoint) const;
+    Duration plainWait(const EndpointState &endpoint, Time now) const;
 
 private:
     /// An endpoint that has parts of a prompt in its prefix cache.
