Reserve the ports of deployments among all processes

Instances and stand-ins leave their ports while they are killed, crashed or cut off. Another deployment could get them meanwhile, from another test run on the machine or from a second pytest worker.

The stand-ins keep a bound socket that does not listen, which reserves the kernel's choice of a port while they refuse connections.

--- a/Source/IntegrationTests/relay_deployment.py
+++ b/Source/IntegrationTests/relay_deployment.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
 
 import standin  # noqa: E402
-from ports import free_ports  # noqa: E402
+from ports import free_ports, release_ports  # noqa: E402
 
 PROGRAM = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "Build")) / "bin" / "laburnumchute"
 PORTS = 12
@@ -121,4 +121,5 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
+        release_ports(self.ports)
         self.platform.stop()
--- a/Source/IntegrationTests/soak_deployment.py
+++ b/Source/IntegrationTests/soak_deployment.py
@@ -16,7 +16,7 @@
 
 import standin  # noqa: E402
 from faulty_endpoint import POLL, FaultyEndpoint  # noqa: E402
-from ports import free_ports  # noqa: E402
+from ports import free_ports, release_ports  # noqa: E402
 
 PROGRAM = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "Build")) / "bin" / "laburnumchute"
 REGIONS = ("north", "central", "south")
@@ -376,3 +376,4 @@
                 if instance.process.poll() is None:
                     instance.process.kill()
                 instance.process.wait()
+        release_ports(self.ports)
--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -20,7 +20,7 @@
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
 
 import standin  # noqa: E402
-from ports import free_ports  # noqa: E402
+from ports import free_ports, release_ports  # noqa: E402
 from relay_deployment import PORTS, PROGRAM, RelayDeployment  # noqa: E402
 
 ZONES = {"north-a": "north", "south-a": "south"}
@@ -281,6 +281,7 @@
     finally:
         process.kill()
         process.wait()
+        release_ports(first_port)
     lines = [json.loads(line) for line in log.read_text().splitlines() if line.startswith("{")]
     lost = [line for line in lines if line["event"] == "store-lost"]
     assert lost, "the log does not say that the store is away"
--- a/Source/StandIns/HttpServer.cpp
+++ b/Source/StandIns/HttpServer.cpp
@@ -235,6 +235,15 @@
     socket_.close(ignored);
 }
 
+Tcp::acceptor bindAcceptor(asio::io_context &context, const Tcp::endpoint &endpoint)
+{
+    Tcp::acceptor acceptor(context);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    return acceptor;
+}
+
 HttpServer::HttpServer(asio::io_context &context, HttpHandler handler)
     : context_(context)
     , handler_(std::move(handler))
@@ -243,18 +252,15 @@
 
 void HttpServer::listen(const std::string &address)
 {
-    endpoint_ = parseEndpoint(address);
+    reservation_.emplace(bindAcceptor(context_, parseEndpoint(address)));
+    endpoint_ = reservation_->local_endpoint();
     listenAgain();
 }
 
 void HttpServer::listenAgain()
 {
-    acceptor_.emplace(context_);
-    acceptor_->open(endpoint_.protocol());
-    acceptor_->set_option(Tcp::acceptor::reuse_address(true));
-    acceptor_->bind(endpoint_);
+    acceptor_.emplace(bindAcceptor(context_, endpoint_));
     acceptor_->listen(asio::socket_base::max_listen_connections);
-    endpoint_ = acceptor_->local_endpoint();
     asio::co_spawn(context_, accept(), asio::detached);
 }
 
--- a/Source/StandIns/HttpServer.h
+++ b/Source/StandIns/HttpServer.h
@@ -37,6 +37,11 @@
 Tcp::endpoint parseEndpoint(const std::string &text);
 std::string toString(const Tcp::endpoint &endpoint);
 
+/// An acceptor that is bound and does not listen yet. One that never listens reserves its port for
+/// acceptors that are closed and opened again: callers are refused meanwhile, and no other process
+/// of the machine gets the port.
+Tcp::acceptor bindAcceptor(asio::io_context &context, const Tcp::endpoint &endpoint);
+
 asio::awaitable<void> sleepFor(asio::io_context &context, Common::Duration duration);
 
 /// Lets one coroutine wait until something has changed. All users run on one thread, so that
@@ -122,6 +127,7 @@
     asio::io_context &context_;
     HttpHandler handler_;
     Tcp::endpoint endpoint_;
+    std::optional<Tcp::acceptor> reservation_;
     std::optional<Tcp::acceptor> acceptor_;
     std::list<std::weak_ptr<HttpConnection>> connections_;
 };
--- a/Source/StandIns/TcpRelay.cpp
+++ b/Source/StandIns/TcpRelay.cpp
@@ -177,7 +177,8 @@
 TcpRelay::TcpRelay(asio::io_context &context, LinkEnd link, const nlohmann::json &settings)
     : context_(context)
     , link_(std::move(link))
-    , endpoint_(parseEndpoint(settings.value("listen", "127.0.0.1:0")))
+    , reservation_(bindAcceptor(context, parseEndpoint(settings.value("listen", "127.0.0.1:0"))))
+    , endpoint_(reservation_.local_endpoint())
     , target_(parseEndpoint(settings.at("target")))
 {
     listen();
@@ -185,12 +186,8 @@
 
 void TcpRelay::listen()
 {
-    acceptor_.emplace(context_);
-    acceptor_->open(endpoint_.protocol());
-    acceptor_->set_option(Tcp::acceptor::reuse_address(true));
-    acceptor_->bind(endpoint_);
+    acceptor_.emplace(bindAcceptor(context_, endpoint_));
     acceptor_->listen(asio::socket_base::max_listen_connections);
-    endpoint_ = acceptor_->local_endpoint();
     asio::co_spawn(
         context_, [this] { return accept(); }, asio::detached);
 }
--- a/Source/StandIns/TcpRelay.h
+++ b/Source/StandIns/TcpRelay.h
@@ -78,6 +78,7 @@
 
     asio::io_context &context_;
     LinkEnd link_;
+    Tcp::acceptor reservation_;
     Tcp::endpoint endpoint_;
     Tcp::endpoint target_;
     std::optional<Tcp::acceptor> acceptor_;
