--- a/Source/IntegrationTests/conftest.py
+++ b/Source/IntegrationTests/conftest.py
@@ -15,6 +15,10 @@
 BUILD = pathlib.Path(os.environ["BUILD_DIR"])
 
 
+def pytest_configure(config):
+    config.addinivalue_line("markers", "alone: Tools/test.sh runs no other test beside it")
+
+
 @pytest.fixture
 def stand_ins(tmp_path):
     """Starts processes of stand-ins from scenarios; all end with the test."""
--- a/Source/IntegrationTests/test_crashing_parts.py
+++ b/Source/IntegrationTests/test_crashing_parts.py
@@ -12,6 +12,8 @@
 CALM = 3.0
 #: The fifth crash comes within a few seconds, and both rules count from some time after it.
 PLAYED = 20.0
+#: Plays of many processes whose rules measure times.
+pytestmark = pytest.mark.alone
 
 
 def play(
--- a/Source/IntegrationTests/test_delivery_soak.py
+++ b/Source/IntegrationTests/test_delivery_soak.py
@@ -15,6 +15,8 @@
 
 SEED = int(os.environ.get("SOAK_SEED", "1"))
 SECONDS = 30
+#: Plays of many processes whose rules measure times.
+pytestmark = pytest.mark.alone
 FAMILIES = ("stops", "silences", "endless")
 ZONES = {"north-a-0": "north-a", "central-a-1": "central-a"}
 ENDPOINT = "model-north-a-0"
--- a/Source/IntegrationTests/test_retry_budget.py
+++ b/Source/IntegrationTests/test_retry_budget.py
@@ -9,6 +9,8 @@
 
 SEED = int(os.environ.get("SOAK_SEED", "1"))
 SECONDS = 60
+#: Plays of many processes whose rules measure times.
+pytestmark = pytest.mark.alone
 
 
 def fail_requests(deployment):
--- a/Source/IntegrationTests/test_shutdown_delivery.py
+++ b/Source/IntegrationTests/test_shutdown_delivery.py
@@ -22,6 +22,8 @@
 #: Seconds without progress after which an instance resets a connection.
 WRITE_STALL_TIMEOUT = 8
 BOUNDS = {"graceS": int(GRACE)}
+#: Answers must end within their times although their processes get a part of a core.
+pytestmark = pytest.mark.alone
 
 
 def long_route(name, prefix, service, kind):
