--- a/Source/UnitTests/Relay/PeerMessagesTest.cpp
+++ b/Source/UnitTests/Relay/PeerMessagesTest.cpp
@@ -51,7 +51,7 @@
 {
     Dispatch::PromptNotices notices;
     notices.sender = Common::InstanceId("edge-asahikawa-a-2");
-    notices.prompts = {{7, 4100, {{0xfedcba98U, 13000}}}};
+    notices.prompts = {{7, 4100, {{0xfedcba98U, 13000}}, 0xfedcba98U, 13000}};
     const auto bytes = Peers::encodeValue(GossipMessage(notices));
     constexpr std::size_t SmallDatagram = 100;
     EXPECT_LT(bytes.size(), SmallDatagram);
