Learn an engine's speed from answers with a short copy

No answer with a copy entered the prefill rate and the slowness, which with parts of 245 MB drops about a third of the samples of long prompts for a copy of 15 ms. Only copies that are expected to take more than a quarter of the time to the first event are left out now; shorter ones are subtracted. 64 tests of placement and transfers passed; the whole of Dispatch was not run again yet.

--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -24,6 +24,8 @@
     RunId sourceRun = 0;
     TransferPath path = TransferPath::WithinRegion;
     std::int64_t tokens = 0;
+    /// Expected wait for links.
+    Duration wait{0};
     /// Expected time to the first event without the transfer, and with a prefill instead of it.
     Duration others{0};
     Duration withoutCopy{0};
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -270,6 +270,7 @@
                                               runId(*holder.record),
                                               path,
                                               tokens,
+                                              wait,
                                               beforePrefill + wait + prefill,
                                               beforePrefill + again};
     }
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds BrittlePause{1000};
 /// An endpoint that crashes as it begins an answer does so within this time of the first event.
 constexpr milliseconds BeginTime{250};
+/// If more of the time to a first event is expected to be that of a copy, it does not show how fast
+/// the engine is, since the time of the copy is not known apart from that of the engine.
+constexpr double MaxCopyFraction = 0.25;
 
 } // namespace
 
@@ -69,14 +72,17 @@
         return;
     }
     if (call.copy) {
-        // The time of the copy is not known apart from that of the engine.
         recordCopy(call, took, now);
+    }
+    const auto copying =
+        call.copy ? call.expected - call.copy->others + call.copy->wait : Duration(0);
+    if (copying > scaled(call.expected, MaxCopyFraction)) {
         crashes_.answered(call.run, call.sentAt);
         return;
     }
     auto &engine = table_.engine(call.facts.service);
     if (call.idleAtSend) {
-        engine.samplePrefill(call.prefillTokens, took);
+        engine.samplePrefill(call.prefillTokens, took - copying);
     } else if (busy) {
         // An engine that is never idle never prefills a single prompt alone. If its speed were not
         // measured between consecutive prompts, an engine slower than expected would be assumed to
