Use the speed that endpoints state of their machines

At any moment some endpoints' machines are shared with other work and several times slower for some hundred milliseconds. Their fourth figure of Server-Load was read by nobody, so requests were sent there as if work took the usual time.

EndpointSpeed estimates the factor for each endpoint from its figures and from those that other instances report, SpeedModel learns for each service how long a figure holds and whether figures explain measured times. Expected waits, prefill, plain calls, pace and silence use the factor; measured times are divided by it before they are learned.

--- a/Source/Core/Dialect/Dialect.h
+++ b/Source/Core/Dialect/Dialect.h
@@ -64,6 +64,10 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// How long work currently takes on the endpoint's machine; 100 is usual. Empty if not stated.
+    std::optional<int> workPercent = {};
+    /// It was stated, but not as a number in the valid range.
+    bool invalidWorkPercent = false;
 };
 
 /// Metadata of an endpoint's response.
--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -31,6 +31,9 @@
     RegionName region;
     Time sentAt{};
     Duration expected{0};
+    /// EndpointState::workFactor() and statedWorkFactor() when the request was sent.
+    double workFactor = 1;
+    double statedWorkFactor = 1;
     std::int64_t prefillTokens = 0;
     bool answering = false;
     /// When the answer began.
--- a/Source/Core/Dispatch/EndpointHealth.cpp
+++ b/Source/Core/Dispatch/EndpointHealth.cpp
@@ -41,9 +41,12 @@
     crashes_->answered(call.run, call.sentAt);
     constexpr double RatioMin = 0.3;
     constexpr double RatioMax = 3;
-    const auto expected = std::max<Duration>(call.expected, options_->firstEventFloor);
+    const Duration floor = options_->firstEventFloor;
+    // Both at the usual speed: a machine that is slow for a while is no slow endpoint.
+    const auto expected = std::max(floor, atUsualSpeed(call.expected, call.workFactor, floor));
+    const auto usual = atUsualSpeed(took, endpoint.workFactor(call.sentAt + took), floor);
     const auto ratio =
-        std::clamp(inMilliseconds(took) / inMilliseconds(expected), RatioMin, RatioMax);
+        std::clamp(inMilliseconds(usual) / inMilliseconds(expected), RatioMin, RatioMax);
     endpoint.slowness =
         std::clamp(endpoint.slowness * (1 + AverageWeight * (ratio - 1)), SlownessMin, SlownessMax);
 }
@@ -152,7 +155,8 @@
         // how long a slot is held.
         const bool waited = !call.slotFreeAtSend || call.sentAt < endpoint.silentUntil;
         if (service != nullptr && !waited) {
-            endpoint.holdTime += scaled(now - call.sentAt - endpoint.holdTime, AverageWeight);
+            const auto held = scaled(now - call.sentAt, 1 / endpoint.workFactor(now));
+            endpoint.holdTime += scaled(held - endpoint.holdTime, AverageWeight);
         }
     }
     if (precedesEjection(endpoint, call)) {
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -28,6 +28,10 @@
 /// How long the end of a limit is reported, so that it reaches every instance of the region.
 constexpr milliseconds EndedLimitLifetime{3000};
 constexpr std::size_t MaxReportedLimits = 128;
+/// More machines than this are not slow within one interval of reports.
+constexpr std::size_t MaxReportedSpeeds = 64;
+/// The age has two bytes in a report. An older figure has lost its value.
+constexpr std::int64_t MaxSpeedAgeMs = 60000;
 
 } // namespace
 
@@ -95,6 +99,10 @@
         *state = EndpointState();
         state->own = own;
     }
+    if (!sameIncarnation) {
+        state->speed = EndpointSpeed(now);
+    }
+    state->speedModel = &speedModel(record.service);
     state->removed = false;
     state->coldUntil = std::max(state->coldUntil, endpoint.coldUntil);
     const bool wasEvacuated = state->evacuated;
@@ -229,6 +237,7 @@
     loadIsStale_ = true;
     learn(report.placements);
     brittleness_.learn(report.brittle, now);
+    learn(report.speeds, now);
     for (const auto &reported : report.limits) {
         const auto found = byShortId_.find(reported.endpoint);
         if (found != byShortId_.end()) {
@@ -301,6 +310,39 @@
     return reports;
 }
 
+std::vector<SpeedReport> EndpointTable::takeSpeeds(Time now)
+{
+    std::vector<std::pair<Duration, SpeedReport>> byAge;
+    for (const auto &[id, state] : endpoints_) {
+        if (const auto figure = state->speed.takeReport()) {
+            const auto age = now - figure->at;
+            const auto ageMs = std::chrono::duration_cast<milliseconds>(age).count();
+            byAge.emplace_back(age,
+                               SpeedReport{shortId(id), static_cast<std::uint16_t>(figure->percent),
+                                           static_cast<std::uint16_t>(
+                                               std::clamp<std::int64_t>(ageMs, 0, MaxSpeedAgeMs))});
+        }
+    }
+    std::sort(byAge.begin(), byAge.end(),
+              [](const auto &left, const auto &right) { return left.first < right.first; });
+    byAge.resize(std::min(byAge.size(), MaxReportedSpeeds));
+    std::vector<SpeedReport> reports;
+    for (const auto &[age, report] : byAge) {
+        reports.push_back(report);
+    }
+    return reports;
+}
+
+void EndpointTable::learn(const std::vector<SpeedReport> &speeds, Time now)
+{
+    for (const auto &report : speeds) {
+        const auto found = byShortId_.find(report.endpoint);
+        if (found != byShortId_.end() && report.percent > 0) {
+            found->second->speed.learn({report.percent, now - milliseconds(report.ageMs)});
+        }
+    }
+}
+
 void EndpointTable::learn(const std::vector<PartPlacement> &placements)
 {
     for (const auto &placement : placements) {
@@ -357,6 +399,7 @@
     for (auto &[id, state] : byShortId_) {
         state->others = 0;
         state->assumed = 0;
+        state->prefillQueue.setWorkFactor(state->workFactor(now), now);
     }
     for (const auto &[name, service] : services_) {
         estimateLoad(name, now);
@@ -454,6 +497,11 @@
     return engines_.try_emplace(name, *options_).first->second;
 }
 
+SpeedModel &EndpointTable::speedModel(const ServiceName &name)
+{
+    return speedModels_.try_emplace(name).first->second;
+}
+
 std::vector<const EndpointState *> EndpointTable::all() const
 {
     std::vector<const EndpointState *> states;
@@ -522,6 +570,7 @@
     report.placements = recentPlacements(PlacementLifetime, false, now);
     report.limits = limits(now);
     report.brittle = brittleness_.reports(now);
+    report.speeds = takeSpeeds(now);
     return report;
 }
 
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -14,6 +14,7 @@
 #include "Dispatch/ColdRateLimit.h"
 #include "Dispatch/CrashAttribution.h"
 #include "Dispatch/EndpointRest.h"
+#include "Dispatch/EndpointSpeed.h"
 #include "Dispatch/EngineModel.h"
 #include "Dispatch/EventPace.h"
 #include "Dispatch/LoadEstimate.h"
@@ -61,6 +62,9 @@
     ColdRateLimit coldRateLimit;
     RateLimit limit;
     EndpointRest rest;
+    EndpointSpeed speed;
+    /// Of its service.
+    const SpeedModel *speedModel = nullptr;
 
     /// When an answer of it was last received, or a part of one.
     Time heardAt{};
@@ -80,6 +84,18 @@
     Dialect::LoadSample sample;
     Time sampledAt{};
 
+    /// Time that work takes now relative to the endpoint's usual speed, as its figures state it; 1
+    /// without any.
+    double statedWorkFactor(Time now) const
+    {
+        return speedModel != nullptr ? speed.factor(*speedModel, now) : 1;
+    }
+    /// As above, for decisions: 1 while figures do not explain the measured times. Never 0.
+    double workFactor(Time now) const
+    {
+        const bool used = speedModel != nullptr && speedModel->explainsTimes();
+        return used ? speed.factor(*speedModel, now) : 1;
+    }
     double load() const
     {
         return own + others;
@@ -172,6 +188,7 @@
     EndpointState *find(const EndpointId &id);
     const EndpointState *find(const EndpointId &id) const;
     EngineModel &engine(const ServiceName &name);
+    SpeedModel &speedModel(const ServiceName &name);
     std::vector<const EndpointState *> all() const;
     /// Endpoints of all regions that are listed and not known to have been replaced.
     std::set<RunId> listedRuns() const;
@@ -240,6 +257,8 @@
     void rebuildRemote();
     void estimateLoad(const ServiceName &name, Time now);
     std::vector<LimitReport> limits(Time now) const;
+    std::vector<SpeedReport> takeSpeeds(Time now);
+    void learn(const std::vector<SpeedReport> &speeds, Time now);
     std::int64_t cacheCapacity(const ServiceName &name) const;
 
     const DispatchOptions *options_;
@@ -249,6 +268,8 @@
     std::map<ServiceName, std::vector<EndpointState *>> usable_;
     std::map<ServiceName, std::vector<EndpointState *>> running_;
     std::map<ServiceName, EngineModel> engines_;
+    /// Their addresses are in the endpoints' states.
+    std::map<ServiceName, SpeedModel> speedModels_;
     std::unordered_map<std::uint32_t, EndpointState *> byShortId_;
     std::map<EndpointId, RemoteEndpoint> remote_;
     std::map<ServiceName, std::vector<const RemoteEndpoint *>> remoteByService_;
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -135,6 +135,11 @@
     int own = 0;
     double others = 0;
     double assumed = 0;
+    /// Last figure of how long work takes on the endpoint's machine, with its age, and the expected
+    /// factor that follows from it.
+    std::optional<int> machinePercent;
+    Duration machineAge{0};
+    double statedWorkFactor = 1;
 };
 
 /// Forward the request to an instance of the region now.
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -162,6 +162,20 @@
     }
 };
 
+/// Figure by which an endpoint stated how long work takes on its machine, see WorkFigure.
+struct SpeedReport
+{
+    std::uint32_t endpoint = 0;
+    std::uint16_t percent = 0;
+    std::uint16_t ageMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(endpoint, percent, ageMs);
+    }
+};
+
 /// Work of one instance for a service.
 struct ServiceWork
 {
@@ -190,11 +204,13 @@
     /// Services of which the sender reaches no endpoint.
     std::vector<std::uint32_t> unreachableServices;
     std::vector<BrittleReport> brittle;
+    /// Figures that the sender itself received since its last report, newest first.
+    std::vector<SpeedReport> speeds;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(uses, services, placements, suspects, limits, unreachableServices, brittle);
+        archive(uses, services, placements, suspects, limits, unreachableServices, brittle, speeds);
     }
 };
 
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -74,8 +74,9 @@
     }
     // The endpoint's own queue is the only one that all instances share.
     const auto objective = call.facts.objectiveAt - call.facts.arrivedAt;
-    const auto perSlot = inMilliseconds(objective).count() * options_->plainQueueFraction
-                         / std::max(1.0, inMilliseconds(endpoint.holdTime).count());
+    const auto perSlot =
+        inMilliseconds(objective).count() * options_->plainQueueFraction
+        / std::max(1.0, inMilliseconds(endpoint.holdTime).count() * endpoint.workFactor(now));
     const int queue = static_cast<int>(slots * std::min(perSlot, options_->plainQueuePerSlot));
     const bool reportsFull = sampled && sample.waiting >= queue && sample.running >= sample.slots;
     return !reportsFull && std::lround(endpoint.load()) < slots + queue;
@@ -111,14 +112,14 @@
 {
     const auto prefill = endpoint.prefillQueue.wait(now);
     const auto running = scaled(options_->delayPerRunning, endpoint.load());
-    return scaled(prefill + running, endpoint.slowness);
+    return scaled(prefill + running, endpoint.slowness * endpoint.workFactor(now));
 }
 
-Duration Placement::plainWait(const EndpointState &endpoint) const
+Duration Placement::plainWait(const EndpointState &endpoint, Time now) const
 {
     const int slots = endpoint.listed.record.slots;
     const double excess = std::max(0.0, endpoint.load() + 1 - slots);
-    return scaled(endpoint.holdTime, 1 + excess / slots);
+    return scaled(endpoint.holdTime, (1 + excess / slots) * endpoint.workFactor(now));
 }
 
 Placement::CacheHolder Placement::cacheHolder(const Call &call, Time now) const
@@ -177,7 +178,8 @@
     const auto objective = inMilliseconds(facts.objectiveAt - facts.arrivedAt).count();
     const double objectiveRatio = std::min(1.0, objective / std::max(1.0, totalTime));
     const auto &engine = table_->engine(facts.service);
-    const auto pause = inMilliseconds(endpoint.pace.pause(engine.fastestPause(), now)).count();
+    const auto usualPause = endpoint.pace.pause(engine.fastestPause(), now);
+    const auto pause = inMilliseconds(usualPause).count() * endpoint.workFactor(now);
     const auto generating = engine.expectedEvents(facts.outputTokens) * pause;
     const auto delayed = inMilliseconds(prefill).count() * endpoint.load();
     return objectiveRatio
@@ -222,13 +224,14 @@
             extraMs += inMilliseconds(options_->copyCost).count();
         }
         candidate.prefillTokens = std::max<std::int64_t>(0, call.facts.promptTokens - cached);
-        const auto prefill = table_->engine(service.name).prefillTime(candidate.prefillTokens);
+        const auto usual = table_->engine(service.name).prefillTime(candidate.prefillTokens);
+        const auto prefill = scaled(usual, endpoint.workFactor(now));
         candidate.wait = engineWait(endpoint, now);
         candidate.expected = options_->firstEventFloor + copying + candidate.wait + prefill;
         extraMs += generationCost(endpoint, call, prefill, now);
     } else {
-        candidate.expected = plainWait(endpoint);
-        candidate.wait = candidate.expected - endpoint.holdTime;
+        candidate.expected = plainWait(endpoint, now);
+        candidate.wait = candidate.expected - scaled(endpoint.holdTime, endpoint.workFactor(now));
     }
     const auto objective = inMilliseconds(call.facts.objectiveAt - call.facts.arrivedAt).count();
     const double slots = endpoint.listed.record.slots;
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -47,7 +47,7 @@
     /// Delay of a request by the engine's other work.
     Duration engineWait(const EndpointState &endpoint, Time now) const;
     /// Duration of a call on a plain endpoint, including its wait.
-    Duration plainWait(const EndpointState &endpoint) const;
+    Duration plainWait(const EndpointState &endpoint, Time now) const;
 
 private:
     /// The endpoint that has most of a prompt in its prefix cache.
--- a/Source/Core/Dispatch/PrefillQueue.cpp
+++ b/Source/Core/Dispatch/PrefillQueue.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Dispatch/Util.h"
+
 namespace LaburnumChute::Dispatch {
 
 namespace {
@@ -16,7 +18,7 @@
 
 void PrefillQueue::drain(Time now)
 {
-    auto elapsed = std::max(Duration(0), now - drainedAt_);
+    auto elapsed = doneSince(now);
     drainedAt_ = std::max(drainedAt_, now);
     for (auto &prompt : prompts_) {
         const auto prefilled = std::min(elapsed, prompt.remaining);
@@ -75,8 +77,18 @@
 
 Duration PrefillQueue::wait(Time now) const
 {
-    const auto elapsed = std::max(Duration(0), now - drainedAt_);
-    return std::max(Duration(0), total_ - elapsed);
+    return std::max(Duration(0), total_ - doneSince(now));
+}
+
+void PrefillQueue::setWorkFactor(double factor, Time now)
+{
+    drain(now);
+    workFactor_ = factor;
+}
+
+Duration PrefillQueue::doneSince(Time now) const
+{
+    return scaled(std::max(Duration(0), now - drainedAt_), 1 / workFactor_);
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/PrefillQueue.h
+++ b/Source/Core/Dispatch/PrefillQueue.h
@@ -35,8 +35,10 @@
     /// Removes the prompt that was sent at sentAt, because it was cancelled or prefilled out of
     /// order.
     void remove(Time sentAt, Time now);
-    /// Time until all prompts are prefilled.
+    /// Time until all prompts are prefilled, at the engine's usual speed.
     Duration wait(Time now) const;
+    /// Sets how long work takes on the engine from now on, relative to its usual speed.
+    void setWorkFactor(double factor, Time now);
 
 private:
     struct Prompt
@@ -46,6 +48,8 @@
         Duration work{0};
     };
 
+    /// Work that the engine has done since the queue was last drained.
+    Duration doneSince(Time now) const;
     /// Accounts for the time that has passed.
     void drain(Time now);
 
@@ -57,6 +61,7 @@
     /// Work of the prompts that are not prefilled yet.
     Duration total_{0};
     Time drainedAt_{};
+    double workFactor_ = 1;
     /// When the last prompt is known to have been prefilled.
     std::optional<Time> lastPrefilledAt_;
 };
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -210,6 +210,8 @@
     call.sentAt = now;
     chargeRetry(call, now);
     call.expected = candidate.expected;
+    call.workFactor = endpoint.workFactor(now);
+    call.statedWorkFactor = endpoint.statedWorkFactor(now);
     call.prefillTokens = candidate.prefillTokens;
     call.answering = false;
     call.readmittedEndpoint = false;
@@ -249,6 +251,11 @@
     effect.own = endpoint.own - 1;
     effect.others = endpoint.others - endpoint.assumed;
     effect.assumed = endpoint.assumed;
+    effect.statedWorkFactor = call.statedWorkFactor;
+    if (const auto &figure = endpoint.speed.last()) {
+        effect.machinePercent = figure->percent;
+        effect.machineAge = now - figure->at;
+    }
     effects.push_back(std::move(effect));
     return true;
 }
@@ -276,6 +283,8 @@
     chargeRetry(call, now);
     budget(call.facts.service).requestForwarded(now);
     call.expected = expected;
+    call.workFactor = 1;
+    call.statedWorkFactor = 1;
     call.answering = false;
     call.readmittedEndpoint = false;
     call.answerGoesOn = false;
@@ -466,6 +475,8 @@
                              {"others", endpoint->others},
                              {"assumed", endpoint->assumed},
                              {"slowness", endpoint->slowness},
+                             {"stated_work_factor", endpoint->statedWorkFactor(now)},
+                             {"work_factor", endpoint->workFactor(now)},
                              {"limit", endpoint->limit.statement().perSecond.value_or(-1)},
                              {"error_share", endpoint->errorRate}});
     }
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -245,6 +245,9 @@
 
     // Evaluation of attempts.
     void leaveEndpoint(Call &call, AttemptOutcome outcome, Time now);
+    /// Records whether the endpoint's figures explain the time of an answer.
+    /// @param fixed the part of the expected time that does not depend on the machine
+    void recordSpeed(const EndpointState &endpoint, const Call &call, Duration fixed, Time now);
 
     DispatchOptions options_;
     InstanceId self_;
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -67,18 +67,32 @@
     if (service == nullptr || !service->engine) {
         return;
     }
+    recordSpeed(*endpoint, call, options_.firstEventFloor, now);
+    const double workFactor = endpoint->workFactor(now);
     auto &engine = table_.engine(call.facts.service);
     if (call.idleAtSend) {
-        engine.samplePrefill(call.prefillTokens, took);
+        engine.samplePrefill(call.prefillTokens,
+                             atUsualSpeed(took, workFactor, options_.firstEventFloor));
     } else if (busy) {
         // An engine that is never idle never prefills a single prompt alone. If its speed were not
         // measured between consecutive prompts, an engine slower than expected would be assumed to
         // have completed its prefills long ago and would be sent more and more.
-        engine.sampleBusyPrefill(busy->expected, busy->took);
+        engine.sampleBusyPrefill(busy->expected, scaled(busy->took, 1 / workFactor));
     }
     health_.recordFirstEvent(*endpoint, call, took);
 }
 
+void Scheduler::recordSpeed(const EndpointState &endpoint, const Call &call, Duration fixed,
+                            Time now)
+{
+    // The machine's speed may have changed in between.
+    const double factor = (call.statedWorkFactor + endpoint.statedWorkFactor(now)) / 2;
+    const auto expected = atUsualSpeed(call.expected, call.workFactor, fixed);
+    const auto dependent = std::max(Duration(0), expected - fixed);
+    table_.speedModel(call.facts.service)
+        .answerSeen(expected, expected + scaled(dependent, factor - 1), now - call.sentAt);
+}
+
 void Scheduler::progressed(CallId id, int events, Duration pause, Time now)
 {
     const auto found = calls_.find(id);
@@ -99,7 +113,7 @@
     hear(*endpoint, now);
     if (now - pause >= endpoint->silentUntil) {
         auto &engine = table_.engine(call.facts.service);
-        endpoint->pace.seen(events, pause, now);
+        endpoint->pace.seen(events, scaled(pause, 1 / endpoint->workFactor(now)), now);
         engine.paceSeen(endpoint->pace.pause(engine.fastestPause(), now));
     }
 }
@@ -123,6 +137,11 @@
     if (outcome == AttemptOutcome::NotRun && table_.brittleness().brittle(call.facts.service)) {
         endpoint->rest.begin(BrittlePause, now);
     }
+    const auto *service = table_.service(call.facts.service);
+    const bool plain = service != nullptr && !service->engine;
+    if (plain && isWhole(outcome) && call.sentAt >= endpoint->silentUntil) {
+        recordSpeed(*endpoint, call, Duration(0), now);
+    }
     if (!call.answering) {
         endpoint->prefillQueue.remove(call.sentAt, now);
     }
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -338,7 +338,7 @@
             const auto wait = service.engine
                                   ? placement_.engineWait(*endpoint, now) + options_.firstEventFloor
                                         + table_.engine(name).prefillTime(NominalTokens)
-                                  : placement_.plainWait(*endpoint);
+                                  : placement_.plainWait(*endpoint, now);
             const auto startDelay = std::max(wait, endpoint->limit.wait(now));
             best = best ? std::min(*best, startDelay) : startDelay;
         }
@@ -358,6 +358,10 @@
     if (auto *state = table_.find(endpoint)) {
         state->sample = sample;
         state->sampledAt = now;
+        if (sample.workPercent) {
+            state->speed.record({*sample.workPercent, now},
+                                table_.speedModel(state->listed.record.service));
+        }
     }
 }
 
--- a/Source/Core/Dispatch/SchedulerQueue.cpp
+++ b/Source/Core/Dispatch/SchedulerQueue.cpp
@@ -55,7 +55,7 @@
         const auto &limit = endpoint->limit;
         const double slots = endpoint->listed.record.slots;
         const auto delay =
-            engine ? placement_.engineWait(*endpoint, now) : placement_.plainWait(*endpoint);
+            engine ? placement_.engineWait(*endpoint, now) : placement_.plainWait(*endpoint, now);
         const auto rest = endpoint->rest.left(now);
         const auto wait = std::max({delay, limit.wait(now), rest});
         shortest = shortest ? std::min(*shortest, wait) : wait;
@@ -65,11 +65,12 @@
         // Slots are scaled by the ratio of the limited rate to the unlimited one.
         const double usualRate = slots / endpoint->holdSeconds();
         const double fraction = usualRate > 0 ? endpoint->cappedRate(usualRate) / usualRate : 1;
-        capacity.parallelism += (engine ? 1 : slots) * fraction;
+        const double speed = 1 / endpoint->workFactor(now);
+        capacity.parallelism += (engine ? 1 : slots) * fraction * speed;
         // The rate at which a rate-limited endpoint accepts requests does not depend on how many it
         // is running.
         const double busy = limit.limited() ? slots : std::min<double>(endpoint->load(), slots);
-        capacity.freedPerSecond += endpoint->cappedRate(busy / endpoint->holdSeconds());
+        capacity.freedPerSecond += endpoint->cappedRate(speed * busy / endpoint->holdSeconds());
     }
     capacity.shortestWait = shortest.value_or(Duration(0));
     capacity.others = table_.waitingAtOthers(service);
--- a/Source/Core/Dispatch/SchedulerSilence.cpp
+++ b/Source/Core/Dispatch/SchedulerSilence.cpp
@@ -56,7 +56,7 @@
     }
     const auto waitsSince = call.answering ? call.lastEventAt : call.sentAt;
     const auto quietSince = std::max(waitsSince, endpoint->heardAt);
-    if (now - quietSince > overdueAfter(call, options_)) {
+    if (now - quietSince > overdueAfter(call, options_, endpoint->workFactor(now))) {
         endpoint->silentSince = quietSince;
         silenceChanges_.push_back({endpoint->listed.record.id, true, endpoint->silence(now)});
     }
@@ -100,7 +100,9 @@
             continue;
         }
         markSilence(call, now);
-        if (call.facts.repeatable && now >= replacementTime(call, options_)) {
+        const auto *endpoint = table_.find(call.endpoint);
+        const double workFactor = endpoint != nullptr ? endpoint->workFactor(now) : 1;
+        if (call.facts.repeatable && now >= replacementTime(call, options_, workFactor)) {
             due.push_back(&call);
         }
     }
--- a/Source/Core/Dispatch/Silence.cpp
+++ b/Source/Core/Dispatch/Silence.cpp
@@ -15,15 +15,28 @@
     return std::max<Duration>(call.expected, objective / 2);
 }
 
+/// Silence that is too short to show anything on the endpoint's machine.
+Duration silenceFloor(const DispatchOptions &options, double workFactor)
+{
+    return scaled(options.silenceFloor, std::max(1.0, workFactor));
+}
+
+/// Expected time until the first event if the machine has become slower since the send.
+Duration expectedNow(const Call &call, double workFactor)
+{
+    return scaled(call.expected, std::max(1.0, workFactor / call.workFactor));
+}
+
 /// Silence below which an attempt counts as working, however little time is left.
-Duration shortestSilence(const Call &call, const DispatchOptions &options)
+Duration shortestSilence(const Call &call, const DispatchOptions &options, double workFactor)
 {
+    const auto floor = silenceFloor(options, workFactor);
     if (call.answering) {
-        return options.silenceFloor;
+        return floor;
     }
     const bool stream = call.facts.kind == RequestKind::Stream;
-    return stream ? std::max<Duration>(options.silenceFloor, call.expected)
-                  : overdueAfter(call, options);
+    return stream ? std::max(floor, expectedNow(call, workFactor))
+                  : overdueAfter(call, options, workFactor);
 }
 
 /// As replacementTime(), for an attempt that is silent.
@@ -45,15 +58,17 @@
 
 } // namespace
 
-Time replacementTime(const Call &call, const DispatchOptions &options)
+Time replacementTime(const Call &call, const DispatchOptions &options, double workFactor)
 {
     const auto waitsSince = call.answering ? call.lastEventAt : call.sentAt;
-    return std::max(latestReplacement(call), waitsSince + shortestSilence(call, options));
+    return std::max(latestReplacement(call),
+                    waitsSince + shortestSilence(call, options, workFactor));
 }
 
-Duration overdueAfter(const Call &call, const DispatchOptions &options)
+Duration overdueAfter(const Call &call, const DispatchOptions &options, double workFactor)
 {
-    return std::max<Duration>(options.silenceFloor, scaled(call.expected, options.silenceFactor));
+    return std::max(silenceFloor(options, workFactor),
+                    scaled(expectedNow(call, workFactor), options.silenceFactor));
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Silence.h
+++ b/Source/Core/Dispatch/Silence.h
@@ -13,9 +13,10 @@
 
 /// Time at which another attempt has to begin for the caller still to be served if this one stays
 /// silent. Before that, replacing the attempt gains nothing that waiting could not gain as well.
-Time replacementTime(const Call &call, const DispatchOptions &options);
+/// @param workFactor EndpointState::workFactor() of its endpoint: a slow machine is no fault
+Time replacementTime(const Call &call, const DispatchOptions &options, double workFactor);
 
 /// Time after which an attempt takes longer than expected.
-Duration overdueAfter(const Call &call, const DispatchOptions &options);
+Duration overdueAfter(const Call &call, const DispatchOptions &options, double workFactor);
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -112,6 +112,14 @@
     , forwardedIn(registry.counter("laburnumchute_relay_forwarded_in_total",
                                    "Requests that other instances forwarded here"))
     , sends(registry.counter("laburnumchute_relay_sends_total", "Tries sent to endpoints"))
+    , sendsToSlowMachines(registry.counter(
+          "laburnumchute_relay_sends_to_slow_machines_total",
+          "Tries sent to endpoints where work is stated to take over 1.5 times the usual time"))
+    , machineFigures(registry.counter("laburnumchute_relay_machine_figures_total",
+                                      "Answers that stated the speed of the endpoint's machine"))
+    , machineFiguresIgnored(registry.counter(
+          "laburnumchute_relay_machine_figures_ignored_total",
+          "Answers whose statement of the speed of the endpoint's machine was invalid"))
     , forwards(registry.counter("laburnumchute_relay_forwards_total",
                                 "Requests forwarded to other regions"))
     , handedOver(registry.counter("laburnumchute_relay_handed_over_total",
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -56,6 +56,9 @@
     Common::Counter &requests;
     Common::Counter &forwardedIn;
     Common::Counter &sends;
+    Common::Counter &sendsToSlowMachines;
+    Common::Counter &machineFigures;
+    Common::Counter &machineFiguresIgnored;
     Common::Counter &forwards;
     Common::Counter &handedOver;
     Common::Counter &completed;
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -35,6 +35,8 @@
 /// of low priority are placed behind requests without an urgency.
 constexpr int HighestPriorityUrgency = 3;
 constexpr int LowestUrgency = 9;
+/// Factor above which an endpoint's machine is counted as slow in the metrics.
+constexpr double SlowMachine = 1.5;
 
 AttemptOutcome outcomeOf(CallFailure failure)
 {
@@ -174,6 +176,9 @@
     }
     auto &metrics = gateway_.metrics();
     metrics.sends.add();
+    if (effect.statedWorkFactor > SlowMachine) {
+        metrics.sendsToSlowMachines.add();
+    }
     if (streamStarted_) {
         metrics.resumed.add();
     } else if (!everSent_) {
@@ -209,6 +214,10 @@
         .add("resumes", streamStarted_)
         .add("fingerprint", formatFingerprint(plan_.facts.fingerprint))
         .add("suspect_keys", formatSuspects(Dispatch::suspectKeys(plan_.facts)));
+    if (effect.machinePercent) {
+        line.add("machine_percent", static_cast<std::int64_t>(*effect.machinePercent))
+            .add("machine_age", effect.machineAge);
+    }
     gateway_.log().write(line, now);
     auto request =
         outboundRequest(effect.address, Platform::endpointHeaders(plan_.headers, order), now);
@@ -372,6 +381,11 @@
     const auto now = steadyNow();
     if (facts.load && !endpoint_.empty()) {
         gateway_.scheduler().loadSeen(endpoint_, *facts.load, now);
+        if (facts.load->workPercent) {
+            gateway_.metrics().machineFigures.add();
+        } else if (facts.load->invalidWorkPercent) {
+            gateway_.metrics().machineFiguresIgnored.add();
+        }
     }
     limitPerSecond_ = facts.limitPerSecond;
     recordLimit(facts, now);
