--- a/Source/Core/Dispatch/EndpointSpeed.cpp
+++ b/Source/Core/Dispatch/EndpointSpeed.cpp
@@ -31,9 +31,10 @@
 constexpr double MinChange = 0.02;
 /// A larger ratio of actual to expected time has other causes than the machine.
 constexpr double MaxRatio = 8;
-/// Reduction of the squared errors that answers must have shown before figures are used. With
-/// errors of a factor of two, false figures reach it by chance in less than one of a hundred cases.
-constexpr double RequiredEvidence = 4;
+/// Certainty that answers must have shown before figures are used, in standard deviations: false
+/// figures seem to explain some times by chance.
+constexpr double RequiredCertainty = 3;
+constexpr double MinAnswers = 30;
 
 /// The mean starts at the usual figure as if this many figures had stated it, and changes by at
 /// least this fraction with each further one.
@@ -92,6 +93,7 @@
     const double error = std::log(ratio);
     answers_ = answers_ * AnswerDecay + 1;
     errors_ = errors_ * AnswerDecay + error;
+    squaredErrors_ = squaredErrors_ * AnswerDecay + error * error;
     changes_ = changes_ * AnswerDecay + change;
     products_ = products_ * AnswerDecay + error * change;
     squaredChanges_ = squaredChanges_ * AnswerDecay + change * change;
@@ -100,7 +102,10 @@
     // subtracting the change is twice the covariance less the variance of the change.
     const double covariance = products_ - errors_ * changes_ / answers_;
     const double variance = squaredChanges_ - changes_ * changes_ / answers_;
-    explains_ = 2 * covariance - variance > (explains_ ? 0 : RequiredEvidence);
+    const double errorVariance = (squaredErrors_ - errors_ * errors_ / answers_) / answers_;
+    const double chance = std::sqrt(std::max(0.0, errorVariance * variance));
+    const bool certain = answers_ >= MinAnswers && covariance > RequiredCertainty * chance;
+    explains_ = 2 * covariance > variance && (explains_ || certain);
 }
 
 Duration SpeedModel::holdTime() const
--- a/Source/Core/Dispatch/EndpointSpeed.h
+++ b/Source/Core/Dispatch/EndpointSpeed.h
@@ -51,6 +51,7 @@
     // the logarithm by which the figure changes the expectation.
     double answers_ = 0;
     double errors_ = 0;
+    double squaredErrors_ = 0;
     double changes_ = 0;
     double products_ = 0;
     double squaredChanges_ = 0;
