--- a/Source/UnitTests/Dispatch/RegionSimulation.h
+++ b/Source/UnitTests/Dispatch/RegionSimulation.h
@@ -15,25 +15,30 @@
 
 namespace LaburnumChute::Dispatch::RegionLoad {
 
-constexpr const char *ModelName = "model";
-constexpr milliseconds Step{5};
-constexpr milliseconds ReportInterval{250};
+inline constexpr const char *ModelName = "model";
+inline constexpr milliseconds Step{5};
+inline constexpr milliseconds ReportInterval{250};
 /// Number of peers that receive a load report.
-constexpr std::size_t Fanout = 16;
-constexpr milliseconds Floor{25};
-constexpr milliseconds CopySetup{10};
-constexpr milliseconds WarmUp{2000};
-constexpr milliseconds Measured{4000};
-constexpr double TokensPerMillisecond = 40;
-constexpr std::int64_t SharedTokens = 13000;
-constexpr std::int64_t OwnTokens = 3700;
-constexpr std::int64_t ShortTokens = 380;
-constexpr std::int64_t CacheTokens = 300000;
-constexpr milliseconds LongObjective{1200};
-constexpr milliseconds ShortObjective{800};
-constexpr milliseconds PlainObjective{400};
-constexpr milliseconds LongHold{600};
-constexpr milliseconds ShortHold{300};
+inline constexpr std::size_t Fanout = 16;
+inline constexpr milliseconds Floor{25};
+inline constexpr milliseconds CopySetup{10};
+inline constexpr milliseconds WarmUp{2000};
+inline constexpr milliseconds Measured{4000};
+inline constexpr double TokensPerMillisecond = 40;
+inline constexpr std::int64_t SharedTokens = 13000;
+inline constexpr std::int64_t OwnTokens = 3700;
+inline constexpr std::int64_t ShortTokens = 380;
+inline constexpr std::int64_t CacheTokens = 300000;
+inline constexpr milliseconds LongObjective{1200};
+inline constexpr milliseconds ShortObjective{800};
+inline constexpr milliseconds PlainObjective{400};
+inline constexpr milliseconds LongHold{600};
+inline constexpr milliseconds ShortHold{300};
+inline constexpr milliseconds SlowTime{600};
+inline constexpr double SlowFactor = 2.5;
+
+/// Whether engines state the speed of their machines; false figures are drawn at random.
+enum class Figures { None, True, False };
 
 struct Load
 {
@@ -58,6 +63,14 @@
     double linkBitsPerSecond = 0;
     /// The configuration states the rate.
     bool statesLink = true;
+    double tokensPerMillisecond = TokensPerMillisecond;
+    milliseconds shortObjective = ShortObjective;
+    milliseconds warmUp = WarmUp;
+    milliseconds measured = Measured;
+    /// Fraction of the engines whose machine is slow at any moment, each for SlowTime at a time.
+    double slowFraction = 0;
+    Figures figures = Figures::None;
+    unsigned speedSeed = 11;
 };
 
 struct Job
@@ -71,6 +84,8 @@
     std::deque<Job> prompts;
     std::optional<Job> prefilling;
     Time prefillUntil{};
+    bool slow = false;
+    Time speedUntil{};
     std::map<CallId, std::pair<Job, Time>> answering;
     PrefixCache cache;
     int served = 0;
@@ -103,6 +118,7 @@
         double submitted = 0;
         double inTime = 0;
         double rejected = 0;
+        double shortLate = 0;
         double longPrefills = 0;
         double sharedPrefills = 0;
         double sharedCopied = 0;
@@ -116,6 +132,7 @@
 
     RegionSimulation(Load load, std::size_t instances)
         : load_(load)
+        , speeds_(load.speedSeed)
     {
         Catalog::Service model;
         model.name = ServiceName(ModelName);
@@ -159,11 +176,13 @@
     Outcome simulate()
     {
         const auto start = now_;
-        while (now_ - start < WarmUp + Measured + milliseconds(1500)) {
-            arrivals(now_ - start < WarmUp + Measured);
+        const auto warmUp = load_.warmUp;
+        while (now_ - start < warmUp + load_.measured + milliseconds(1500)) {
+            arrivals(now_ - start < warmUp + load_.measured);
             now_ += Step;
-            counting_ = now_ - start > WarmUp && now_ - start < WarmUp + Measured;
+            counting_ = now_ - start > warmUp && now_ - start < warmUp + load_.measured;
             for (auto &[id, engine] : engines_) {
+                changeSpeed(engine);
                 advance(engine);
             }
             report();
@@ -172,10 +191,30 @@
             }
             deliverNotices();
         }
-        return count(start + WarmUp, start + WarmUp + Measured);
+        return count(start + warmUp, start + warmUp + load_.measured);
     }
 
 private:
+    void changeSpeed(Engine &engine)
+    {
+        if (load_.slowFraction <= 0 || now_ < engine.speedUntil) {
+            return;
+        }
+        engine.slow = !engine.slow;
+        std::exponential_distribution<double> usual(load_.slowFraction / (1 - load_.slowFraction)
+                                                    / Common::toSeconds(SlowTime));
+        const std::chrono::duration<double> time(usual(speeds_));
+        engine.speedUntil =
+            now_ + (engine.slow ? Duration(SlowTime) : std::chrono::duration_cast<Duration>(time));
+    }
+
+    std::optional<int> figureOf(const Engine &engine)
+    {
+        std::bernoulli_distribution drawn(load_.slowFraction);
+        const bool slow = load_.figures == Figures::False ? drawn(figures_) : engine.slow;
+        return load_.figures == Figures::None ? std::nullopt : std::optional(slow ? 250 : 100);
+    }
+
     void arrivals(bool more)
     {
         if (!more) {
@@ -199,7 +238,7 @@
         call.service = ServiceName(ModelName);
         call.kind = RequestKind::Stream;
         call.arrivedAt = now_;
-        call.objectiveAt = now_ + (isLong ? load_.longObjective : ShortObjective);
+        call.objectiveAt = now_ + (isLong ? load_.longObjective : load_.shortObjective);
         if (load_.plainCall > milliseconds(0)) {
             call.kind = RequestKind::Idempotent;
             call.objectiveAt = now_ + PlainObjective;
@@ -286,8 +325,8 @@
             auto &caller = callers_.at(job.call);
             caller.firstEventAt = at;
             auto &scheduler = *schedulers_[job.instance];
-            scheduler.answering(job.call, now_);
             scheduler.loadSeen(caller.sentTo, loadOf(engine), now_);
+            scheduler.answering(job.call, now_);
             apply(job.instance, scheduler.ended(job.call, AttemptOutcome::Completed, false, now_));
         }
         while (!engine.waiting.empty()
@@ -302,14 +341,14 @@
         engine.waiting.pop_front();
         const double mean = Common::toSeconds(load_.plainCall);
         std::exponential_distribution<double> drawn(1 / mean);
-        const std::chrono::duration<double> time(drawn(random_));
+        const std::chrono::duration<double> time(drawn(random_) * (engine.slow ? SlowFactor : 1));
         engine.answering[job.call] = {job, at + std::chrono::duration_cast<Duration>(time)};
     }
 
-    Dialect::LoadSample loadOf(const Engine &engine) const
+    Dialect::LoadSample loadOf(const Engine &engine)
     {
         return {static_cast<int>(engine.running()), static_cast<int>(engine.waiting.size()),
-                load_.slots};
+                load_.slots, figureOf(engine)};
     }
 
     void advance(Engine &engine)
@@ -362,8 +401,8 @@
         engine.cache.use(caller.facts.parts);
         const auto tokens = static_cast<double>(caller.facts.promptTokens - cached);
         const double fraction = engine.answering.empty() ? 1 : load_.prefillFraction;
-        const std::chrono::duration<double, std::milli> time(tokens / TokensPerMillisecond
-                                                             / fraction);
+        const std::chrono::duration<double, std::milli> time(
+            tokens / load_.tokensPerMillisecond / fraction * (engine.slow ? SlowFactor : 1));
         engine.prefillUntil =
             std::max(engine.prefillUntil, now_ - Step) + std::chrono::duration_cast<Duration>(time);
     }
@@ -378,8 +417,8 @@
         caller.firstEventAt = engine.prefillUntil + Floor;
         const auto until = *caller.firstEventAt + (caller.isLong ? LongHold : ShortHold);
         engine.answering[job.call] = {job, until};
-        schedulers_[job.instance]->answering(job.call, std::max(now_, *caller.firstEventAt));
         schedulers_[job.instance]->loadSeen(caller.sentTo, loadOf(engine), now_);
+        schedulers_[job.instance]->answering(job.call, std::max(now_, *caller.firstEventAt));
     }
 
     void report()
@@ -430,6 +469,10 @@
             outcome.submittedLong += caller.isLong;
             outcome.lateLong += caller.isLong && !inTime && !caller.rejected;
             outcome.rejected += caller.rejected ? 1 : 0;
+            const bool late =
+                !caller.rejected
+                && !(caller.firstEventAt && *caller.firstEventAt <= facts.objectiveAt);
+            outcome.shortLate += late && !caller.isLong ? 1 : 0;
             outcome.sharedCopied += static_cast<double>(copied_.count(id));
         }
         outcome.longPrefills = longPrefills_;
@@ -449,6 +492,9 @@
     std::vector<Time> reportAt_;
     CallId nextId_ = 1;
     std::mt19937 random_{5};
+    /// Separate, so that simulations without slow machines do not depend on them.
+    std::mt19937 speeds_;
+    std::mt19937 figures_{13};
     std::discrete_distribution<std::size_t> chooseInstance_;
     std::vector<InstanceId> ids_;
     std::vector<std::unique_ptr<Scheduler>> schedulers_;
