Choose between the own region and others before the own one is full

Requests left a region only when no endpoint accepted them, and another region's spare rate was divided evenly among instances, so most of it was held by instances without demand.

RegionChoice compares the times to the first event at home and elsewhere, with a margin that is smaller while the other region is in use, and holds back large bodies. SpareCapacity divides by demand.

--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -66,6 +66,21 @@
            || outcome == AttemptOutcome::Replaced;
 }
 
+std::string_view toString(ForwardReason reason)
+{
+    switch (reason) {
+    case ForwardReason::Early:
+        return "early";
+    case ForwardReason::Full:
+        return "full";
+    case ForwardReason::NoEndpoint:
+        return "no endpoint";
+    case ForwardReason::Unreachable:
+        return "unreachable";
+    }
+    return "unknown";
+}
+
 std::string_view toString(RejectReason reason)
 {
     switch (reason) {
@@ -89,6 +104,7 @@
     , random_(seed)
     , table_(options_)
     , spareCapacity_(options_)
+    , regionChoice_(options_, spareCapacity_)
     , crashes_(Decisions::QuarantineOptions(), seed + 2)
     , reachability_(self_)
     , placement_(options_, table_, reachability_, self_, seed + 1, startedAt)
@@ -149,15 +165,14 @@
         return;
     }
     if (!usableAtHome(facts)) {
-        if (!forward(call, offerOfAnyRegion(call, now), now, effects)
+        if (!forward(call, offerOfAnyRegion(call, now), ForwardReason::NoEndpoint, now, effects)
             && !waitForRegions(call, now)) {
             rejectWithoutEndpoint(call, now, effects);
         }
         return;
     }
     const auto candidate = chooseEndpoint(call, now);
-    if (candidate && placement_.shouldSend(call, *candidate, now)
-        && send(call, *candidate, now, effects)) {
+    if (sendOrForward(call, candidate, now, effects)) {
         return;
     }
     if (table_.unreachable(facts.service)) {
@@ -171,7 +186,7 @@
         }
     }
     const auto wait = expectedWait(call, now);
-    if (forwardIfBetter(call, wait, now, effects)) {
+    if (forwardIfBetter(call, candidate, wait, now, effects)) {
         return;
     }
     const auto withMargin = scaled(wait, 1 / options_.admissionFraction);
@@ -253,21 +268,34 @@
     return true;
 }
 
-bool Scheduler::forward(Call &call, const std::optional<SpareCapacity::Offer> &offer, Time now,
-                        Effects &effects)
+bool Scheduler::forward(Call &call, const std::optional<SpareCapacity::Offer> &offer,
+                        ForwardReason reason, Time now, Effects &effects)
 {
     if (!offer) {
         return false;
     }
-    spareCapacity_.sent(offer->region, call.facts.service, now);
-    call.region = offer->region;
-    call.attemptedRegions.push_back(offer->region);
-    beginForward(call, offer->wait + options_.regionRoundTrip, now);
-    const int runsLeft = std::max(1, call.facts.maxRuns - call.runs);
-    effects.push_back(Forward{call.facts.id, offer->region, InstanceId(), runsLeft});
+    const auto expected = offer->wait + options_.regionRoundTrip;
+    forward(call, {offer->region, Duration(0), expected, reason}, std::nullopt, now, effects);
     return true;
 }
 
+void Scheduler::forward(Call &call, const RegionDecision &decision,
+                        std::optional<Duration> expectedAtHome, Time now, Effects &effects)
+{
+    spareCapacity_.sent(decision.region, call.facts.service, now);
+    call.region = decision.region;
+    call.attemptedRegions.push_back(decision.region);
+    beginForward(call, decision.expected, now);
+    Forward effect;
+    effect.call = call.facts.id;
+    effect.region = decision.region;
+    effect.maxRuns = std::max(1, call.facts.maxRuns - call.runs);
+    effect.reason = decision.reason;
+    effect.expectedAtHome = expectedAtHome;
+    effect.expected = decision.expected;
+    effects.push_back(std::move(effect));
+}
+
 void Scheduler::beginForward(Call &call, Duration expected, Time now)
 {
     dequeue(call);
@@ -294,7 +322,7 @@
     if (handOver(call, now, effects)) {
         return true;
     }
-    return forward(call, offerOfAnyRegion(call, now), now, effects);
+    return forward(call, offerOfAnyRegion(call, now), ForwardReason::Unreachable, now, effects);
 }
 
 bool Scheduler::handOver(Call &call, Time now, Effects &effects)
@@ -311,7 +339,13 @@
     call.attemptedInstances.push_back(*neighbor);
     beginForward(call, Duration(0), now);
     const int runsLeft = std::max(1, call.facts.maxRuns - call.runs);
-    effects.push_back(Forward{call.facts.id, home_, *neighbor, runsLeft});
+    Forward effect;
+    effect.call = call.facts.id;
+    effect.region = home_;
+    effect.instance = *neighbor;
+    effect.maxRuns = runsLeft;
+    effect.reason = ForwardReason::Unreachable;
+    effects.push_back(std::move(effect));
     return true;
 }
 
@@ -358,21 +392,6 @@
     }
 }
 
-bool Scheduler::forwardIfBetter(Call &call, Duration homeWait, Time now, Effects &effects)
-{
-    const auto &facts = call.facts;
-    if (facts.forwarded) {
-        return false;
-    }
-    const auto offer =
-        spareCapacity_.best(facts.service, facts.allowedRegions, call.attemptedRegions, now);
-    if (!offer) {
-        return false;
-    }
-    const bool better = offer->wait + options_.regionRoundTrip < homeWait;
-    return better && forward(call, offer, now, effects);
-}
-
 Duration Scheduler::restOfAll(const ServiceName &service, Time now) const
 {
     std::optional<Duration> shortest;
@@ -439,6 +458,7 @@
 {
     Effects effects;
     table_.divideLimits(self_, instances_, now);
+    divideSpareCapacity(now);
     placeWaitingForRegions(now, effects);
     dispatchQueue(now, effects);
     watchSilence(now, effects);
--- a/Source/Core/Dispatch/SchedulerQueue.cpp
+++ b/Source/Core/Dispatch/SchedulerQueue.cpp
@@ -184,14 +184,13 @@
         }
         const bool withinLookAhead = serviceQueue.notSent < options_.lookAhead;
         const auto candidate = withinLookAhead ? chooseEndpoint(call, now) : std::nullopt;
-        const bool sent = candidate && placement_.shouldSend(call, *candidate, now)
-                          && send(call, *candidate, now, effects);
-        if (sent || (table_.unreachable(service) && forwardUnreachable(call, now, effects))) {
+        if (sendOrForward(call, candidate, now, effects)
+            || (table_.unreachable(service) && forwardUnreachable(call, now, effects))) {
             continue;
         }
         const auto wait =
             waitBehind(serviceQueue.capacity, serviceQueue.ahead, candidate.has_value());
-        if (withinLookAhead && forwardIfBetter(call, wait, now, effects)) {
+        if (withinLookAhead && forwardIfBetter(call, candidate, wait, now, effects)) {
             continue;
         }
         if (cannotMeetObjective(call, candidate, wait, now)) {
