Ask other regions before a large request is rejected at home

Admission keeps a margin for estimation errors, but the choice between regions judged a rejection without it, so a large body that home rejected by the margin was not offered to other regions. Both use the same judgment now.

--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -186,12 +186,13 @@
         }
     }
     const auto wait = expectedWait(call, now);
-    if (forwardIfBetter(call, candidate, wait, now, effects)) {
+    const auto withMargin = scaled(wait, 1 / options_.admissionFraction);
+    const bool rejected = cannotMeetObjective(call, candidate, withMargin, now) || !mayWait
+                          || queue_.size() >= options_.queueLimit;
+    if (forwardIfBetter(call, candidate, wait, rejected, now, effects)) {
         return;
     }
-    const auto withMargin = scaled(wait, 1 / options_.admissionFraction);
-    if (cannotMeetObjective(call, candidate, withMargin, now) || !mayWait
-        || queue_.size() >= options_.queueLimit) {
+    if (rejected) {
         reject(call, RejectReason::Overloaded, wait, now, effects);
         return;
     }
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -180,13 +180,14 @@
     /// Forwards the request if another region is better than the own one.
     /// @param candidate at home; empty if no endpoint is acceptable
     /// @param wait expected if the request is queued here
+    /// @param rejected the request is rejected here if it is not forwarded
     bool forwardIfBetter(Call &call, const std::optional<Candidate> &candidate, Duration wait,
-                         Time now, Effects &effects);
+                         bool rejected, Time now, Effects &effects);
     /// Sends the request to the candidate if it is acceptable and no other region is better.
     bool sendOrForward(Call &call, const std::optional<Candidate> &candidate, Time now,
                        Effects &effects);
     HomeProspect homeProspect(const Call &call, const std::optional<Candidate> &candidate,
-                              Duration wait, Time now);
+                              Duration wait, bool rejected, Time now);
     /// Time to prefill the prompt in each region, beyond what its reported wait contains.
     std::map<RegionName, Duration> prefillElsewhere(const CallFacts &facts);
     /// Divides the spare capacity of other regions among the instances by their demand.
--- a/Source/Core/Dispatch/SchedulerQueue.cpp
+++ b/Source/Core/Dispatch/SchedulerQueue.cpp
@@ -190,10 +190,11 @@
         }
         const auto wait =
             waitBehind(serviceQueue.capacity, serviceQueue.ahead, candidate.has_value());
-        if (withinLookAhead && forwardIfBetter(call, candidate, wait, now, effects)) {
+        const bool rejected = cannotMeetObjective(call, candidate, wait, now);
+        if (withinLookAhead && forwardIfBetter(call, candidate, wait, rejected, now, effects)) {
             continue;
         }
-        if (cannotMeetObjective(call, candidate, wait, now)) {
+        if (rejected) {
             reject(call, RejectReason::Overloaded, wait, now, effects);
             continue;
         }
--- a/Source/Core/Dispatch/SchedulerRegions.cpp
+++ b/Source/Core/Dispatch/SchedulerRegions.cpp
@@ -75,7 +75,7 @@
 }
 
 HomeProspect Scheduler::homeProspect(const Call &call, const std::optional<Candidate> &candidate,
-                                     Duration wait, Time now)
+                                     Duration wait, bool rejected, Time now)
 {
     HomeProspect home;
     home.acceptable = candidate && placement_.shouldSend(call, *candidate, now);
@@ -87,7 +87,7 @@
     const bool engine = service != nullptr && service->engine.has_value();
     // The wait for a plain endpoint includes the call itself.
     home.expected = wait + (engine ? timeToFirstEvent(call, candidate) : Duration(0));
-    home.rejected = cannotMeetObjective(call, candidate, wait, now);
+    home.rejected = rejected;
     return home;
 }
 
@@ -97,14 +97,14 @@
     if (!candidate || !placement_.shouldSend(call, *candidate, now)) {
         return false;
     }
-    return forwardIfBetter(call, candidate, candidate->wait, now, effects)
+    return forwardIfBetter(call, candidate, candidate->wait, false, now, effects)
            || send(call, *candidate, now, effects);
 }
 
 bool Scheduler::forwardIfBetter(Call &call, const std::optional<Candidate> &candidate,
-                                Duration wait, Time now, Effects &effects)
+                                Duration wait, bool rejected, Time now, Effects &effects)
 {
-    const auto home = homeProspect(call, candidate, wait, now);
+    const auto home = homeProspect(call, candidate, wait, rejected, now);
     if (!regionChoice_.applies(call.facts, home)) {
         return false;
     }
--- a/Source/UnitTests/Dispatch/RegionChoiceTest.cpp
+++ b/Source/UnitTests/Dispatch/RegionChoiceTest.cpp
@@ -20,12 +20,13 @@
     }
 
     /// Load that instance "two" reports.
-    void setHomeLoad(std::uint16_t inFlight, std::uint16_t sentPerSecond)
+    void setHomeLoad(std::uint16_t inFlight, std::uint16_t sentPerSecond,
+                     std::uint32_t waitingMs = 0)
     {
         scheduler_.setFleet({InstanceId("one"), InstanceId("two")}, 3, {RegionName("away")});
         RegionLoadReport busy;
         busy.uses = {{shortId(EndpointId("a")), inFlight}};
-        busy.services = {{shortId(ServiceName(Plain)), 0, 0, sentPerSecond}};
+        busy.services = {{shortId(ServiceName(Plain)), 0, waitingMs, sentPerSecond}};
         scheduler_.setRegionLoadReport(InstanceId("two"), busy, now_);
     }
 
@@ -127,6 +128,19 @@
     }
 }
 
+// Guards against rejecting a large request at home, by the margin for estimation errors, without
+// asking the other regions.
+TEST_F(RegionChoiceTest, LargeRequestThatHomeRejectsIsForwarded)
+{
+    for (const bool large : {false, true}) {
+        overloadHome(1000);
+        setHomeLoad(FullWithQueue, 99, 2700);
+        auto call = facts(Plain);
+        call.bodyBytes = large ? 17000 : 500;
+        EXPECT_NE(only<Forward>(scheduler_.submit(call, now_)), nullptr) << large;
+    }
+}
+
 TEST_F(RegionChoiceTest, StaleReportsAreNotUsed)
 {
     overloadHome(1000);
