--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -86,8 +86,7 @@
     const double workFactor = endpoint->workFactor(now);
     auto &engine = table_.engine(call.facts.service);
     if (call.idleAtSend) {
-        engine.samplePrefill(call.prefillTokens,
-                             atUsualSpeed(took, workFactor, fixed) - copying);
+        engine.samplePrefill(call.prefillTokens, atUsualSpeed(took, workFactor, fixed) - copying);
     } else if (busy) {
         // An engine that is never idle never prefills a single prompt alone. If its speed were not
         // measured between consecutive prompts, an engine slower than expected would be assumed to
@@ -212,6 +211,9 @@
     call.unsentAttempts += unsent ? 1 : 0;
     if (unsent && !atEndpoint) {
         budget(call.facts.service).undoForwarded(now);
+        if (call.region != home_) {
+            spareCapacity_.unsent(call.region, call.facts.service, now);
+        }
     }
     if (unsent && call.retryCharge == RetryCharge::Sent) {
         call.retryCharge = RetryCharge::Reserved;
