--- a/Source/Core/Dispatch/RegionChoice.cpp
+++ b/Source/Core/Dispatch/RegionChoice.cpp
@@ -26,8 +26,8 @@
     return scaled(objective, inUse ? options_->regionKeepMargin : options_->regionStartMargin);
 }
 
-/// The links between regions carry 130 to 176 Mbit/s for all traffic together, which is about a
-/// thousand bodies of long prompts per second.
+/// A link between regions carries all traffic between them: about a thousand bodies of long prompts
+/// per second fill one of 150 Mbit/s.
 bool RegionChoice::bodyMayLeave(const CallFacts &facts, const HomeProspect &home, Time now) const
 {
     return facts.bodyBytes < options_->largeBodyBytes || home.rejected
