--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -480,15 +480,6 @@
     return found == sendRates_.end() ? 0 : found->second.at(now);
 }
 
-std::optional<double> EndpointTable::reportedPerSecond(const InstanceId &instance,
-                                                       const ServiceName &name) const
-{
-    if (!estimate_.hasReport(instance)) {
-        return std::nullopt;
-    }
-    return estimate_.sentPerSecond(instance, shortId(name));
-}
-
 double EndpointTable::SendRate::at(Time now) const
 {
     return perSecond
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -223,10 +223,6 @@
     /// Records that this instance sent a request to an endpoint of the service.
     void sent(const ServiceName &name, Time now);
     double sentPerSecond(const ServiceName &name, Time now) const;
-    /// Requests per second that another instance of the region sends to endpoints of the service,
-    /// as it last reported; empty without a report.
-    std::optional<double> reportedPerSecond(const InstanceId &instance,
-                                            const ServiceName &name) const;
     /// Records the rate limit that an answer of the endpoint stated, or that it stated none.
     /// @return the limit has changed
     bool limitSeen(const EndpointId &id, const LimitStatement &statement);
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -48,7 +48,6 @@
     std::vector<Dialect::PromptPart> parts;
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0;
-    std::int64_t bodyBytes = 0;
     /// Regions that may serve it; empty allows all regions.
     std::vector<RegionName> allowedRegions;
     /// Another instance forwarded it, so it must not be forwarded to another region.
@@ -157,20 +156,6 @@
     double statedWorkFactor = 1;
 };
 
-/// Why a request is forwarded.
-enum class ForwardReason {
-    /// The own region has an acceptable endpoint, but another region is sooner.
-    Early,
-    /// The own region has no acceptable endpoint, and another region is sooner.
-    Full,
-    /// The own region has no endpoint that may serve the request.
-    NoEndpoint,
-    /// This instance reaches no endpoint of the own region.
-    Unreachable,
-};
-
-std::string_view toString(ForwardReason reason);
-
 /// Forward the request to an instance of the region now.
 struct Forward
 {
@@ -180,11 +165,6 @@
     InstanceId instance;
     /// Number of endpoints that may run it there.
     int maxRuns = 1;
-    ForwardReason reason = ForwardReason::Full;
-    // Inputs of the decision, for the log: expected times until the first event at home, if there
-    // is an endpoint, and at the destination.
-    std::optional<Duration> expectedAtHome;
-    Duration expected{0};
 };
 
 /// The request has not run; tell its caller when to retry.
--- a/Source/Core/Dispatch/LoadEstimate.cpp
+++ b/Source/Core/Dispatch/LoadEstimate.cpp
@@ -146,12 +146,6 @@
     return work != nullptr ? work->sentPerSecond : 0;
 }
 
-bool LoadEstimate::hasReport(const InstanceId &instance) const
-{
-    const auto report = reports_.find(instance);
-    return report != reports_.end() && report->second.at != Time();
-}
-
 std::optional<Duration>
 LoadEstimate::residenceTime(std::uint32_t service, const std::vector<EndpointLoad> &endpoints) const
 {
--- a/Source/Core/Dispatch/LoadEstimate.h
+++ b/Source/Core/Dispatch/LoadEstimate.h
@@ -56,8 +56,6 @@
     /// last report; 0 without a report.
     /// @param service short id of the service
     double sentPerSecond(const InstanceId &instance, std::uint32_t service) const;
-    /// Whether a report of the instance was received.
-    bool hasReport(const InstanceId &instance) const;
 
     /// Sets the known and assumed load of the endpoints of one service.
     /// @param service short id of the service
--- a/Source/Core/Dispatch/OptionOverrides.cpp
+++ b/Source/Core/Dispatch/OptionOverrides.cpp
@@ -62,9 +62,6 @@
     {"spill-share", &DispatchOptions::spillFraction},
     {"spill-burst", &DispatchOptions::spillBurst},
     {"spill-memory", &DispatchOptions::spillAveragingTime},
-    {"region-start-margin", &DispatchOptions::regionStartMargin},
-    {"region-keep-margin", &DispatchOptions::regionKeepMargin},
-    {"large-body-bytes", &DispatchOptions::largeBodyBytes},
 };
 
 const Descriptor *find(std::string_view name)
--- a/Source/Core/Dispatch/Options.h
+++ b/Source/Core/Dispatch/Options.h
@@ -135,15 +135,6 @@
     /// reports. A shorter time would make the rate oscillate; with a longer one, a peak of a few
     /// seconds would be over before the rate has adapted.
     milliseconds spillAveragingTime{500};
-    /// Fractions of the objective by which another region has to be sooner than an acceptable
-    /// endpoint of the own region: to begin to forward there, and while it is in use. The
-    /// difference is within the error of reports that are half a second old.
-    double regionStartMargin = 0.1;
-    double regionKeepMargin = 0.05;
-    /// Requests with at least this many bytes are forwarded only if they would be late or rejected
-    /// in the own region. Bodies of long prompts have 17 to 34 KB, those of short ones less than 1
-    /// KB.
-    std::int64_t largeBodyBytes = 8192;
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -66,21 +66,6 @@
            || outcome == AttemptOutcome::Replaced;
 }
 
-std::string_view toString(ForwardReason reason)
-{
-    switch (reason) {
-    case ForwardReason::Early:
-        return "early";
-    case ForwardReason::Full:
-        return "full";
-    case ForwardReason::NoEndpoint:
-        return "no endpoint";
-    case ForwardReason::Unreachable:
-        return "unreachable";
-    }
-    return "unknown";
-}
-
 std::string_view toString(RejectReason reason)
 {
     switch (reason) {
@@ -104,7 +89,6 @@
     , random_(seed)
     , table_(options_)
     , spareCapacity_(options_)
-    , regionChoice_(options_, spareCapacity_)
     , crashes_(Decisions::QuarantineOptions(), seed + 2)
     , reachability_(self_)
     , placement_(options_, table_, reachability_, self_, seed + 1, startedAt)
@@ -165,14 +149,15 @@
         return;
     }
     if (!usableAtHome(facts)) {
-        if (!forward(call, offerOfAnyRegion(call, now), ForwardReason::NoEndpoint, now, effects)
+        if (!forward(call, offerOfAnyRegion(call, now), now, effects)
             && !waitForRegions(call, now)) {
             rejectWithoutEndpoint(call, now, effects);
         }
         return;
     }
     const auto candidate = chooseEndpoint(call, now);
-    if (sendOrForward(call, candidate, now, effects)) {
+    if (candidate && placement_.shouldSend(call, *candidate, now)
+        && send(call, *candidate, now, effects)) {
         return;
     }
     if (table_.unreachable(facts.service)) {
@@ -186,13 +171,12 @@
         }
     }
     const auto wait = expectedWait(call, now);
-    const auto withMargin = scaled(wait, 1 / options_.admissionFraction);
-    const bool rejected = cannotMeetObjective(call, candidate, withMargin, now) || !mayWait
-                          || queue_.size() >= options_.queueLimit;
-    if (forwardIfBetter(call, candidate, wait, rejected, now, effects)) {
+    if (forwardIfBetter(call, wait, now, effects)) {
         return;
     }
-    if (rejected) {
+    const auto withMargin = scaled(wait, 1 / options_.admissionFraction);
+    if (cannotMeetObjective(call, candidate, withMargin, now) || !mayWait
+        || queue_.size() >= options_.queueLimit) {
         reject(call, RejectReason::Overloaded, wait, now, effects);
         return;
     }
@@ -283,34 +267,21 @@
     return true;
 }
 
-bool Scheduler::forward(Call &call, const std::optional<SpareCapacity::Offer> &offer,
-                        ForwardReason reason, Time now, Effects &effects)
+bool Scheduler::forward(Call &call, const std::optional<SpareCapacity::Offer> &offer, Time now,
+                        Effects &effects)
 {
     if (!offer) {
         return false;
     }
-    const auto expected = offer->wait + options_.regionRoundTrip;
-    forward(call, {offer->region, Duration(0), expected, reason}, std::nullopt, now, effects);
+    spareCapacity_.sent(offer->region, call.facts.service, now);
+    call.region = offer->region;
+    call.attemptedRegions.push_back(offer->region);
+    beginForward(call, offer->wait + options_.regionRoundTrip, now);
+    const int runsLeft = std::max(1, call.facts.maxRuns - call.runs);
+    effects.push_back(Forward{call.facts.id, offer->region, InstanceId(), runsLeft});
     return true;
 }
 
-void Scheduler::forward(Call &call, const RegionDecision &decision,
-                        std::optional<Duration> expectedAtHome, Time now, Effects &effects)
-{
-    spareCapacity_.sent(decision.region, call.facts.service, now);
-    call.region = decision.region;
-    call.attemptedRegions.push_back(decision.region);
-    beginForward(call, decision.expected, now);
-    Forward effect;
-    effect.call = call.facts.id;
-    effect.region = decision.region;
-    effect.maxRuns = std::max(1, call.facts.maxRuns - call.runs);
-    effect.reason = decision.reason;
-    effect.expectedAtHome = expectedAtHome;
-    effect.expected = decision.expected;
-    effects.push_back(std::move(effect));
-}
-
 void Scheduler::beginForward(Call &call, Duration expected, Time now)
 {
     dequeue(call);
@@ -340,7 +311,7 @@
     if (handOver(call, now, effects)) {
         return true;
     }
-    return forward(call, offerOfAnyRegion(call, now), ForwardReason::Unreachable, now, effects);
+    return forward(call, offerOfAnyRegion(call, now), now, effects);
 }
 
 bool Scheduler::handOver(Call &call, Time now, Effects &effects)
@@ -357,13 +328,7 @@
     call.attemptedInstances.push_back(*neighbor);
     beginForward(call, Duration(0), now);
     const int runsLeft = std::max(1, call.facts.maxRuns - call.runs);
-    Forward effect;
-    effect.call = call.facts.id;
-    effect.region = home_;
-    effect.instance = *neighbor;
-    effect.maxRuns = runsLeft;
-    effect.reason = ForwardReason::Unreachable;
-    effects.push_back(std::move(effect));
+    effects.push_back(Forward{call.facts.id, home_, *neighbor, runsLeft});
     return true;
 }
 
@@ -410,6 +375,21 @@
     }
 }
 
+bool Scheduler::forwardIfBetter(Call &call, Duration homeWait, Time now, Effects &effects)
+{
+    const auto &facts = call.facts;
+    if (facts.forwarded) {
+        return false;
+    }
+    const auto offer =
+        spareCapacity_.best(facts.service, facts.allowedRegions, call.attemptedRegions, now);
+    if (!offer) {
+        return false;
+    }
+    const bool better = offer->wait + options_.regionRoundTrip < homeWait;
+    return better && forward(call, offer, now, effects);
+}
+
 Duration Scheduler::restOfAll(const ServiceName &service, Time now) const
 {
     std::optional<Duration> shortest;
@@ -476,7 +456,6 @@
 {
     Effects effects;
     table_.divideLimits(self_, instances_, now);
-    divideSpareCapacity(now);
     placeWaitingForRegions(now, effects);
     dispatchQueue(now, effects);
     watchSilence(now, effects);
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -17,7 +17,6 @@
 #include "Dispatch/Options.h"
 #include "Dispatch/Placement.h"
 #include "Dispatch/Reachability.h"
-#include "Dispatch/RegionChoice.h"
 #include "Dispatch/RetryBudget.h"
 #include "Dispatch/SpareCapacity.h"
 
@@ -52,8 +51,6 @@
     /// Endpoints of other regions, whose KV caches can be copied.
     void setRemoteEndpoints(const std::vector<Catalog::ListedEndpoint> &endpoints);
     void updateRemoteEndpoints(const EndpointChanges &changes);
-    /// Regions of the failure domains, which tell where endpoints of other regions are.
-    void setRegions(std::map<Common::FailureDomainName, RegionName> regions);
     /// Parts that an endpoint of the own region reports to have in its prefix cache.
     void setCache(const EndpointId &endpoint, const std::vector<Dialect::PromptPart> &parts,
                   Time now);
@@ -163,10 +160,8 @@
     void place(Call &call, bool mayWait, Time now, Effects &effects);
     bool send(Call &call, const Candidate &candidate, Time now, Effects &effects);
     void notice(const EndpointState &endpoint, const Call &call);
-    bool forward(Call &call, const std::optional<SpareCapacity::Offer> &offer, ForwardReason reason,
-                 Time now, Effects &effects);
-    void forward(Call &call, const RegionDecision &decision, std::optional<Duration> expectedAtHome,
-                 Time now, Effects &effects);
+    bool forward(Call &call, const std::optional<SpareCapacity::Offer> &offer, Time now,
+                 Effects &effects);
     /// Forwards a request whose endpoints this instance does not reach to a neighbor that does, or
     /// else to another region.
     bool forwardUnreachable(Call &call, Time now, Effects &effects);
@@ -177,21 +172,7 @@
     bool waitForRegions(Call &call, Time now);
     /// Places the requests that waited for other regions to become known.
     void placeWaitingForRegions(Time now, Effects &effects);
-    /// Forwards the request if another region is better than the own one.
-    /// @param candidate at home; empty if no endpoint is acceptable
-    /// @param wait expected if the request is queued here
-    /// @param rejected the request is rejected here if it is not forwarded
-    bool forwardIfBetter(Call &call, const std::optional<Candidate> &candidate, Duration wait,
-                         bool rejected, Time now, Effects &effects);
-    /// Sends the request to the candidate if it is acceptable and no other region is better.
-    bool sendOrForward(Call &call, const std::optional<Candidate> &candidate, Time now,
-                       Effects &effects);
-    HomeProspect homeProspect(const Call &call, const std::optional<Candidate> &candidate,
-                              Duration wait, bool rejected, Time now);
-    /// Time to prefill the prompt in each region, beyond what its reported wait contains.
-    std::map<RegionName, Duration> prefillElsewhere(const CallFacts &facts);
-    /// Divides the spare capacity of other regions among the instances by their demand.
-    void divideSpareCapacity(Time now);
+    bool forwardIfBetter(Call &call, Duration homeWait, Time now, Effects &effects);
     bool cannotMeetObjective(const Call &call, const std::optional<Candidate> &candidate,
                              Duration wait, Time now);
     /// Time from sending a request to its first event, apart from the wait for other requests.
@@ -278,11 +259,6 @@
     std::mt19937_64 random_;
     EndpointTable table_;
     SpareCapacity spareCapacity_;
-    RegionChoice regionChoice_;
-    Time spareCapacityDividedAt_{};
-    /// Requests per second of the own instance in its last load report.
-    std::map<ServiceName, double> reportedDemand_;
-    std::map<Common::FailureDomainName, RegionName> regions_;
     CrashAttribution crashes_;
     Time listCheckedAt_{};
     Reachability reachability_;
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -211,9 +211,6 @@
     call.unsentAttempts += unsent ? 1 : 0;
     if (unsent && !atEndpoint) {
         budget(call.facts.service).undoForwarded(now);
-        if (call.region != home_) {
-            spareCapacity_.unsent(call.region, call.facts.service, now);
-        }
     }
     if (unsent && call.retryCharge == RetryCharge::Sent) {
         call.retryCharge = RetryCharge::Reserved;
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -9,6 +9,13 @@
 
 namespace LaburnumChute::Dispatch {
 
+namespace {
+
+/// Prompt length for which the wait reported to other regions is computed.
+constexpr std::int64_t NominalTokens = 400;
+
+} // namespace
+
 // Information about endpoints, instances and regions.
 
 Effects Scheduler::setServices(const std::map<ServiceName, Catalog::Service> &services, Time now)
@@ -329,7 +336,6 @@
             std::chrono::duration_cast<milliseconds>(queued.work).count());
         work.sentPerSecond =
             static_cast<std::uint16_t>(std::lround(table_.sentPerSecond(name, now)));
-        reportedDemand_[name] = work.sentPerSecond;
         if (work.waiting > 0 || work.sentPerSecond > 0) {
             report.services.push_back(work);
         }
@@ -365,10 +371,10 @@
             const double free = std::max(0.0, endpoint->listed.record.slots - endpoint->load());
             const double freeRate = endpoint->cappedRate(free / endpoint->holdSeconds());
             freePerSecond += freeRate;
-            const auto wait =
-                service.engine ? placement_.engineWait(*endpoint, now) + options_.firstEventFloor
-                                     + table_.engine(name).prefillTime(SpareCapacity::NominalTokens)
-                               : placement_.plainWait(*endpoint, now);
+            const auto wait = service.engine
+                                  ? placement_.engineWait(*endpoint, now) + options_.firstEventFloor
+                                        + table_.engine(name).prefillTime(NominalTokens)
+                                  : placement_.plainWait(*endpoint, now);
             const auto startDelay = std::max(wait, endpoint->limit.wait(now));
             best = best ? std::min(*best, startDelay) : startDelay;
         }
--- a/Source/Core/Dispatch/SchedulerQueue.cpp
+++ b/Source/Core/Dispatch/SchedulerQueue.cpp
@@ -185,17 +185,17 @@
         }
         const bool withinLookAhead = serviceQueue.notSent < options_.lookAhead;
         const auto candidate = withinLookAhead ? chooseEndpoint(call, now) : std::nullopt;
-        if (sendOrForward(call, candidate, now, effects)
-            || (table_.unreachable(service) && forwardUnreachable(call, now, effects))) {
+        const bool sent = candidate && placement_.shouldSend(call, *candidate, now)
+                          && send(call, *candidate, now, effects);
+        if (sent || (table_.unreachable(service) && forwardUnreachable(call, now, effects))) {
             continue;
         }
         const auto wait =
             waitBehind(serviceQueue.capacity, serviceQueue.ahead, candidate.has_value());
-        const bool rejected = cannotMeetObjective(call, candidate, wait, now);
-        if (withinLookAhead && forwardIfBetter(call, candidate, wait, rejected, now, effects)) {
+        if (withinLookAhead && forwardIfBetter(call, wait, now, effects)) {
             continue;
         }
-        if (rejected) {
+        if (cannotMeetObjective(call, candidate, wait, now)) {
             reject(call, RejectReason::Overloaded, wait, now, effects);
             continue;
         }
--- a/Source/Core/Dispatch/SpareCapacity.cpp
+++ b/Source/Core/Dispatch/SpareCapacity.cpp
@@ -27,7 +27,7 @@
 {
     for (const auto &reported : report.spareCapacities) {
         auto &destination = destinations_[{region, reported.service}];
-        fill(reported.service, destination, now);
+        fill(destination, now);
         destination.reports[reporter] = {reported, now};
         std::erase_if(destination.reports, [&](const auto &entry) {
             return now - entry.second.at > options_->spareCapacityLifetime;
@@ -42,32 +42,7 @@
 
 void SpareCapacity::setOwnInstances(std::size_t count)
 {
-    const auto instances = std::max<std::size_t>(1, count);
-    if (instances != ownInstances_) {
-        ownInstances_ = instances;
-        fractions_.clear();
-    }
-}
-
-void SpareCapacity::setFraction(const ServiceName &service, double fraction, Time now)
-{
-    for (auto &[key, destination] : destinations_) {
-        if (key.second == shortId(service)) {
-            fill(key.second, destination, now);
-        }
-    }
-    fractions_[shortId(service)] = fraction;
-}
-
-/// The other regions may be overloaded together, and each of them would use its part of the same
-/// spare capacity.
-double SpareCapacity::fraction(std::uint32_t service) const
-{
-    const auto found = fractions_.find(service);
-    const double own =
-        found != fractions_.end() ? found->second : 1 / static_cast<double>(ownInstances_);
-    const auto senders = static_cast<double>(std::max<std::size_t>(1, reachable_.size()));
-    return own * std::min(options_->spillFraction, 1 / senders);
+    ownInstances_ = std::max<std::size_t>(1, count);
 }
 
 bool SpareCapacity::eligible(const RegionName &region, const std::vector<RegionName> &allowed,
@@ -104,49 +79,52 @@
     return summary;
 }
 
-void SpareCapacity::fill(std::uint32_t service, Destination &destination, Time now) const
+void SpareCapacity::fill(Destination &destination, Time now) const
 {
     const double elapsed =
         destination.filledAt == Time() ? 0 : Common::toSeconds(now - destination.filledAt);
     destination.sentPerSecond *=
         std::exp(-elapsed / Common::toSeconds(options_->spillAveragingTime));
-    const double rate =
-        destination.sentPerSecond + summarize(destination, now).freePerSecond * fraction(service);
+    const double rate = destination.sentPerSecond
+                        + summarize(destination, now).freePerSecond * options_->spillFraction
+                              / static_cast<double>(ownInstances_);
     const double most = std::max(1.0, rate * Common::toSeconds(options_->spillBurst));
     destination.allowance = std::min(most, destination.allowance + rate * elapsed);
     destination.filledAt = now;
 }
 
-std::vector<SpareCapacity::Reported>
-SpareCapacity::reported(const ServiceName &service, const std::vector<RegionName> &allowed,
-                        const std::vector<RegionName> &excluded, Time now)
+std::optional<SpareCapacity::Offer> SpareCapacity::choose(const ServiceName &service,
+                                                          const std::vector<RegionName> &allowed,
+                                                          const std::vector<RegionName> &excluded,
+                                                          bool includeExhausted, Time now)
 {
-    std::vector<Reported> regions;
+    std::optional<Offer> best;
     for (auto &[key, destination] : destinations_) {
         if (key.second != shortId(service) || !eligible(key.first, allowed, excluded)) {
             continue;
         }
-        fill(key.second, destination, now);
+        fill(destination, now);
         const auto summary = summarize(destination, now);
-        if (summary.hasEndpoint) {
-            regions.push_back({{key.first, summary.wait}, destination.allowance < 1});
+        const bool exhausted = destination.allowance < 1;
+        if (!summary.hasEndpoint || (exhausted && !includeExhausted)) {
+            continue;
+        }
+        // A region whose allowance is used up is avoided unless the others are slower by the
+        // penalty.
+        const auto wait = summary.wait + (exhausted ? ExhaustedRegionPenalty : Duration(0));
+        if (!best || wait < best->wait) {
+            best = Offer{key.first, wait};
         }
     }
-    return regions;
+    return best;
 }
 
-std::vector<SpareCapacity::Offer> SpareCapacity::offers(const ServiceName &service,
+std::optional<SpareCapacity::Offer> SpareCapacity::best(const ServiceName &service,
                                                         const std::vector<RegionName> &allowed,
                                                         const std::vector<RegionName> &excluded,
                                                         Time now)
 {
-    std::vector<Offer> offers;
-    for (const auto &region : reported(service, allowed, excluded, now)) {
-        if (!region.exhausted) {
-            offers.push_back(region.offer);
-        }
-    }
-    return offers;
+    return choose(service, allowed, excluded, false, now);
 }
 
 std::optional<SpareCapacity::Offer> SpareCapacity::any(const ServiceName &service,
@@ -154,17 +132,7 @@
                                                        const std::vector<RegionName> &excluded,
                                                        Time now)
 {
-    std::optional<Offer> best;
-    for (const auto &region : reported(service, allowed, excluded, now)) {
-        // A region whose allowance is used up is avoided unless the others are slower by the
-        // penalty.
-        const auto wait =
-            region.offer.wait + (region.exhausted ? ExhaustedRegionPenalty : Duration(0));
-        if (!best || wait < best->wait) {
-            best = Offer{region.offer.region, wait};
-        }
-    }
-    return best;
+    return choose(service, allowed, excluded, true, now);
 }
 
 bool SpareCapacity::awaitsRegion(const ServiceName &service, const std::vector<RegionName> &allowed,
@@ -189,25 +157,9 @@
 void SpareCapacity::sent(const RegionName &region, const ServiceName &service, Time now)
 {
     auto &destination = destinations_[{region, shortId(service)}];
-    fill(shortId(service), destination, now);
+    fill(destination, now);
     destination.allowance = std::max(0.0, destination.allowance - 1);
     destination.sentPerSecond += 1 / Common::toSeconds(options_->spillAveragingTime);
-    destination.sentAt = now;
-}
-
-void SpareCapacity::unsent(const RegionName &region, const ServiceName &service, Time now)
-{
-    auto &destination = destinations_[{region, shortId(service)}];
-    fill(shortId(service), destination, now);
-    const double counted = 1 / Common::toSeconds(options_->spillAveragingTime);
-    destination.sentPerSecond = std::max(0.0, destination.sentPerSecond - counted);
-}
-
-bool SpareCapacity::inUse(const RegionName &region, const ServiceName &service, Time now) const
-{
-    const auto found = destinations_.find({region, shortId(service)});
-    return found != destinations_.end() && found->second.sentAt != Time()
-           && now - found->second.sentAt <= options_->spareCapacityLifetime;
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/SpareCapacity.h
+++ b/Source/Core/Dispatch/SpareCapacity.h
@@ -17,26 +17,18 @@
 /// report would stop the traffic. Each instance therefore has a token bucket that fills at its
 /// fraction of the region's spare rate plus the rate at which it already sends there. Without the
 /// latter the rate would settle at a small fraction of the spare capacity while callers are
-/// rejected here. The fractions follow the demand of the instances: callers keep their connections,
-/// so some instances get several times as many requests as others.
+/// rejected here.
 class SpareCapacity
 {
 public:
-    /// Prompt length for which the wait reported to other regions is computed.
-    static constexpr std::int64_t NominalTokens = 400;
-
     explicit SpareCapacity(const DispatchOptions &options);
 
     void update(const RegionName &region, const InstanceId &reporter,
                 const CrossRegionLoadReport &report, Time now);
     /// Regions with at least one reachable instance.
     void setReachable(std::vector<RegionName> regions);
-    /// Number of instances of the own region among which spare capacity is divided evenly until
-    /// setFraction() is called.
+    /// Number of instances of the own region among which spare capacity is divided.
     void setOwnInstances(std::size_t count);
-    /// Sets the fraction of other regions' spare capacity for the service that this instance may
-    /// use. The fractions of the instances of the own region must not add up to more than 1.
-    void setFraction(const ServiceName &service, double fraction, Time now);
 
     struct Offer
     {
@@ -44,11 +36,10 @@
         Duration wait{0};
     };
 
-    /// Allowed regions to which this instance may send a request now.
-    std::vector<Offer> offers(const ServiceName &service, const std::vector<RegionName> &allowed,
+    /// The allowed region with the shortest wait; empty if none has spare capacity.
+    std::optional<Offer> best(const ServiceName &service, const std::vector<RegionName> &allowed,
                               const std::vector<RegionName> &excluded, Time now);
-    /// The allowed region with an endpoint for the service and the shortest wait. One whose spare
-    /// capacity is used up is included but avoided.
+    /// Like best(), but includes all regions with an endpoint for the service.
     std::optional<Offer> any(const ServiceName &service, const std::vector<RegionName> &allowed,
                              const std::vector<RegionName> &excluded, Time now);
     /// Returns true if an allowed region other than the own one has not reported on the service
@@ -56,10 +47,6 @@
     bool awaitsRegion(const ServiceName &service, const std::vector<RegionName> &allowed,
                       const RegionName &own, Time now) const;
     void sent(const RegionName &region, const ServiceName &service, Time now);
-    /// Takes back a request of which nothing was sent.
-    void unsent(const RegionName &region, const ServiceName &service, Time now);
-    /// Whether a request was sent there within the lifetime of a report.
-    bool inUse(const RegionName &region, const ServiceName &service, Time now) const;
 
 private:
     struct Report
@@ -75,7 +62,6 @@
         Time filledAt{};
         /// Moving average of the requests per second that this instance sends.
         double sentPerSecond = 0;
-        Time sentAt{};
     };
     using Key = std::pair<RegionName, std::uint32_t>;
 
@@ -86,18 +72,11 @@
         bool hasEndpoint = false;
     };
 
-    struct Reported
-    {
-        Offer offer;
-        bool exhausted = false;
-    };
-    /// Allowed regions with an endpoint for the service.
-    std::vector<Reported> reported(const ServiceName &service,
-                                   const std::vector<RegionName> &allowed,
-                                   const std::vector<RegionName> &excluded, Time now);
-    double fraction(std::uint32_t service) const;
+    std::optional<Offer> choose(const ServiceName &service, const std::vector<RegionName> &allowed,
+                                const std::vector<RegionName> &excluded, bool includeExhausted,
+                                Time now);
     Summary summarize(const Destination &destination, Time now) const;
-    void fill(std::uint32_t service, Destination &destination, Time now) const;
+    void fill(Destination &destination, Time now) const;
     bool eligible(const RegionName &region, const std::vector<RegionName> &allowed,
                   const std::vector<RegionName> &excluded) const;
 
@@ -105,8 +84,6 @@
     std::map<Key, Destination> destinations_;
     std::vector<RegionName> reachable_;
     std::size_t ownInstances_ = 1;
-    /// Of services whose demand is known, by short id.
-    std::map<std::uint32_t, double> fractions_;
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -122,7 +122,6 @@
           "Answers whose statement of the speed of the endpoint's machine was invalid"))
     , forwards(registry.counter("laburnumchute_relay_forwards_total",
                                 "Requests forwarded to other regions"))
-    , forwardsBy(registry)
     , handedOver(registry.counter("laburnumchute_relay_handed_over_total",
                                   "Requests forwarded to instances of the own region, since this "
                                   "one reached no endpoint"))
@@ -194,23 +193,6 @@
     }
 }
 
-ForwardCounters::ForwardCounters(Common::MetricsRegistry &registry)
-{
-    using Reason = Dispatch::ForwardReason;
-    for (const auto reason :
-         {Reason::Early, Reason::Full, Reason::NoEndpoint, Reason::Unreachable}) {
-        counters_[reason] =
-            &registry.counter("laburnumchute_relay_forwards_by_reason_total",
-                              "Requests forwarded to other regions, by reason",
-                              {{"reason", std::string(Dispatch::toString(reason))}});
-    }
-}
-
-void ForwardCounters::count(Dispatch::ForwardReason reason)
-{
-    counters_.at(reason)->add();
-}
-
 RelayGateway::RelayGateway(RelayOptions options, Catalog::InstanceSettings settings)
     : options_(std::move(options))
     , settings_(std::move(settings))
@@ -339,7 +321,6 @@
     store_.setAddress(settings_.storeAddress);
     store_.setOptions(watchOptions(settings_.bounds));
     scheduler_.setBounds(settings_.bounds);
-    scheduler_.setRegions(settings_.regions);
     applyLimits(now);
     fleetChanged(now);
 }
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -48,17 +48,6 @@
     std::map<Dispatch::SuspectKind, Common::Counter *> counters_;
 };
 
-/// A counter for each reason for which requests are forwarded to other regions.
-class ForwardCounters
-{
-public:
-    explicit ForwardCounters(Common::MetricsRegistry &registry);
-    void count(Dispatch::ForwardReason reason);
-
-private:
-    std::map<Dispatch::ForwardReason, Common::Counter *> counters_;
-};
-
 /// Counters and histograms of relayed requests.
 struct RelayMetrics
 {
@@ -71,7 +60,6 @@
     Common::Counter &machineFigures;
     Common::Counter &machineFiguresIgnored;
     Common::Counter &forwards;
-    ForwardCounters forwardsBy;
     Common::Counter &handedOver;
     Common::Counter &completed;
     Common::Counter &rejected;
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -199,7 +199,6 @@
     plan.method = std::move(request.method);
     plan.target = std::move(request.target);
     plan.body = std::move(request.body);
-    plan.facts.bodyBytes = plan.body ? static_cast<std::int64_t>(plan.body->size()) : 0;
     plan.resumable = route->resumable;
     plan.gap = route->gap;
     beginCall(std::move(plan), connection);
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -251,11 +251,7 @@
     line.add("request", plan_.head.requestId)
         .add("region", effect.region)
         .add("instance", peer ? std::string_view(peer->id.text()) : "none")
-        .add("waited", now - plan_.facts.arrivedAt)
-        .add("reason", Dispatch::toString(effect.reason))
-        .add("expected_home", effect.expectedAtHome)
-        .add("expected", effect.expected)
-        .add("body_bytes", plan_.facts.bodyBytes);
+        .add("waited", now - plan_.facts.arrivedAt);
     gateway_.log().write(line, now);
     if (!peer) {
         lastReason_ = handsOver ? effect.instance.text() + " cannot be reached"
@@ -263,12 +259,7 @@
         endAttempt(AttemptOutcome::NotConnected, true, now);
         return;
     }
-    if (handsOver) {
-        gateway_.metrics().handedOver.add();
-    } else {
-        gateway_.metrics().forwards.add();
-        gateway_.metrics().forwardsBy.count(effect.reason);
-    }
+    (handsOver ? gateway_.metrics().handedOver : gateway_.metrics().forwards).add();
     endpoint_ = Common::EndpointId();
     peer_ = peer->id;
     ForwardMetadata metadata;
