Learn transfer rates by path, jointly for a region

Transfers between failure domains have about half of the nominal rate and those between regions a tenth, but one ratio was learned for both kinds of transfers within a region, by each instance alone. Each instance now reports what it measured by path, and all use the latest few samples of the region. The setup is not multiplied by the learned factor, and a path that has not been measured is tried by one copy at a time.

--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -22,10 +22,11 @@
 {
     EndpointId source;
     RunId sourceRun = 0;
-    TransferPath path = TransferPath::WithinRegion;
+    TransferPath path = TransferPath::WithinDomain;
     std::int64_t tokens = 0;
-    /// Expected wait for links.
+    /// Expected wait for links, and time of the transfer.
     Duration wait{0};
+    Duration time{0};
     /// Expected time to the first event without the transfer, and with a prefill instead of it.
     Duration others{0};
     Duration withoutCopy{0};
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -43,6 +43,7 @@
 
 EndpointTable::EndpointTable(const DispatchOptions &options)
     : options_(&options)
+    , transferReports_(options)
 {
 }
 
@@ -381,10 +382,14 @@
         || !TransferModel::knows(*traits->engine)) {
         return;
     }
-    const auto path = byShortId_.count(notice.source) > 0 ? TransferPath::WithinRegion
-                                                          : TransferPath::BetweenRegions;
+    const auto source = byShortId_.find(notice.source);
+    const auto path = source == byShortId_.end()
+                          ? TransferPath::BetweenRegions
+                          : transferPath(source->second->listed.record, target.listed.record, true);
+    auto &model = transferReports_.model(name);
     transfers_.add(std::nullopt, notice.source, notice.endpoint,
-                   transferModel(name).time(*traits->engine, notice.copiedTokens, path, now), now);
+                   model.time(*traits->engine, notice.copiedTokens, path, now), now);
+    model.tried(path, now);
 }
 
 bool EndpointTable::couldCopyFrom(const EndpointId &source, RunId run, Time since) const
@@ -538,11 +543,6 @@
     return engines_.try_emplace(name, *options_).first->second;
 }
 
-TransferModel &EndpointTable::transferModel(const ServiceName &name)
-{
-    return transferModels_.try_emplace(name, *options_).first->second;
-}
-
 SpeedModel &EndpointTable::speedModel(const ServiceName &name)
 {
     return speedModels_.try_emplace(name).first->second;
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -23,7 +23,7 @@
 #include "Dispatch/PrefillQueue.h"
 #include "Dispatch/PrefixCache.h"
 #include "Dispatch/RateLimit.h"
-#include "Dispatch/TransferModel.h"
+#include "Dispatch/TransferReports.h"
 #include "Dispatch/TransferSchedule.h"
 #include "Dispatch/Util.h"
 
@@ -190,10 +190,13 @@
     EndpointState *find(const EndpointId &id);
     const EndpointState *find(const EndpointId &id) const;
     EngineModel &engine(const ServiceName &name);
-    TransferModel &transferModel(const ServiceName &name);
-    const std::map<ServiceName, TransferModel> &transferModels() const
+    TransferReports &transferReports()
     {
-        return transferModels_;
+        return transferReports_;
+    }
+    const TransferReports &transferReports() const
+    {
+        return transferReports_;
     }
     TransferSchedule &transfers()
     {
@@ -289,7 +292,7 @@
     std::map<ServiceName, std::vector<EndpointState *>> usable_;
     std::map<ServiceName, std::vector<EndpointState *>> running_;
     std::map<ServiceName, EngineModel> engines_;
-    std::map<ServiceName, TransferModel> transferModels_;
+    TransferReports transferReports_;
     TransferSchedule transfers_;
     /// Their addresses are in the endpoints' states.
     std::map<ServiceName, SpeedModel> speedModels_;
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -2,6 +2,7 @@
 
 // Inputs and outputs of the scheduler of relayed requests.
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -114,6 +115,19 @@
 
 std::string_view toString(RejectReason reason);
 
+/// Path of a transfer between endpoints, the shortest first. Their rates differ by factors of two
+/// to ten.
+enum class TransferPath : std::uint8_t {
+    WithinDomain,
+    BetweenDomains,
+    BetweenRegions,
+};
+
+inline constexpr std::array TransferPaths = {
+    TransferPath::WithinDomain, TransferPath::BetweenDomains, TransferPath::BetweenRegions};
+
+std::string_view toString(TransferPath path);
+
 /// Copy of cached parts of a prompt that an endpoint makes before it prefills the rest.
 struct CacheCopy
 {
@@ -123,6 +137,15 @@
     /// Expected time until the links of both endpoints are free, and of the transfer itself.
     Duration wait{0};
     Duration time{0};
+    TransferPath path = TransferPath::WithinDomain;
+};
+
+/// A copy whose answer has begun.
+struct MeasuredTransfer
+{
+    TransferPath path = TransferPath::WithinDomain;
+    /// Ratio of the measured to the expected time of the copy.
+    double ratio = 1;
 };
 
 /// Send the request to the endpoint now.
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -179,6 +179,23 @@
     }
 };
 
+/// Time of the sender's own latest transfers of a service on one path, see TransferSample.
+struct TransferReport
+{
+    std::uint32_t service = 0;
+    std::uint8_t path = 0;
+    std::uint16_t weightPercent = 0;
+    std::uint16_t factorPercent = 0;
+    std::uint16_t deviationPercent = 0;
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, path, weightPercent, factorPercent, deviationPercent, ageMs);
+    }
+};
+
 /// Work of one instance for a service.
 struct ServiceWork
 {
@@ -209,11 +226,13 @@
     std::vector<BrittleReport> brittle;
     /// Figures that the sender itself received since its last report, newest first.
     std::vector<SpeedReport> speeds;
+    std::vector<TransferReport> transfers;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(uses, services, placements, suspects, limits, unreachableServices, brittle, speeds);
+        archive(uses, services, placements, suspects, limits, unreachableServices, brittle, speeds,
+                transfers);
     }
 };
 
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -233,16 +233,18 @@
         return;
     }
     if (!TransferModel::knows(traits)) {
-        const auto time =
-            most.endpoint != nullptr ? options_->copyTime : options_->copyTimeBetweenRegions;
+        const bool sameRegion = most.endpoint != nullptr;
+        const auto time = sameRegion ? options_->copyTime : options_->copyTimeBetweenRegions;
         const auto bytes = static_cast<double>(most.tokens - cached) * traits.cacheBytesPerToken;
-        candidate.copy = CacheCopy{most.record->id, most.tokens - cached, bytes, Duration(0), time};
+        const auto path = transferPath(*most.record, target.listed.record, sameRegion);
+        candidate.copy =
+            CacheCopy{most.record->id, most.tokens - cached, bytes, Duration(0), time, path};
         candidate.copyFrom = most.record->address;
         candidate.prefillTokens = std::max<std::int64_t>(0, facts.promptTokens - most.tokens);
         return;
     }
     const auto &engine = table_->engine(service.name);
-    const auto &model = table_->transferModel(service.name);
+    const auto &model = table_->transferReports().model(service.name);
     const auto targetFreeAt = table_->transfers().freeAt(shortId(target.listed.record.id), now);
     const double workFactor = target.workFactor(now);
     const auto again = scaled(engine.prefillTime(candidate.prefillTokens), workFactor);
@@ -254,7 +256,7 @@
             continue;
         }
         const auto path =
-            holder.endpoint != nullptr ? TransferPath::WithinRegion : TransferPath::BetweenRegions;
+            transferPath(*holder.record, target.listed.record, holder.endpoint != nullptr);
         const auto time = model.time(traits, tokens, path, now);
         const auto wait = std::max(holder.freeAt, targetFreeAt) - now;
         const auto rest = std::max<std::int64_t>(0, facts.promptTokens - holder.tokens);
@@ -265,7 +267,7 @@
         }
         soonest = total;
         const auto bytes = static_cast<double>(tokens) * traits.cacheBytesPerToken;
-        candidate.copy = CacheCopy{holder.record->id, tokens, bytes, wait, time.expected};
+        candidate.copy = CacheCopy{holder.record->id, tokens, bytes, wait, time.expected, path};
         candidate.copyFrom = holder.record->address;
         candidate.copyTime = time;
         candidate.prefillTokens = rest;
@@ -274,6 +276,7 @@
                                               path,
                                               tokens,
                                               wait,
+                                              time.expected,
                                               beforePrefill + wait + prefill,
                                               beforePrefill + again};
     }
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -217,6 +217,7 @@
     if (call.copy) {
         table_.transfers().add(call.facts.id, shortId(call.copy->source), shortId(record.id),
                                candidate.copyTime, now);
+        table_.transferReports().model(call.facts.service).tried(call.copy->path, now);
     }
     call.answering = false;
     call.readmittedEndpoint = false;
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -136,6 +136,8 @@
     std::vector<SilenceChange> takeSilenceChanges();
     /// Decisions on retries since the last call, for the log.
     std::vector<RetryDecision> takeRetryDecisions();
+    /// Copies whose answers have begun since the last call, for the metrics.
+    std::vector<MeasuredTransfer> takeMeasuredTransfers();
 
     // Queries.
 
@@ -268,6 +270,7 @@
     std::optional<std::size_t> sharers_ = 1;
     std::map<ServiceName, RetryBudget> budgets_;
     std::vector<RetryDecision> retryDecisions_;
+    std::vector<MeasuredTransfer> measuredTransfers_;
     std::vector<SilenceChange> silenceChanges_;
     std::vector<PromptNotice> notices_;
     std::unordered_map<CallId, Call> calls_;
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -125,6 +125,7 @@
     reachability_.setInstances(instances_);
     sharers_ = sharers;
     table_.keepReports(instances_);
+    table_.transferReports().keep(instances_);
     spareCapacity_.setOwnInstances(instances_.size());
     spareCapacity_.setReachable(reachableRegions);
     updateRetryBudgets();
@@ -208,6 +209,11 @@
     return std::exchange(retryDecisions_, {});
 }
 
+std::vector<MeasuredTransfer> Scheduler::takeMeasuredTransfers()
+{
+    return std::exchange(measuredTransfers_, {});
+}
+
 nlohmann::json Scheduler::dumpRetryBudgets(Time now)
 {
     auto budgets = nlohmann::json::array();
@@ -240,16 +246,18 @@
                               {"starts_in", Common::toSeconds(transfer.startsAt - now)},
                               {"ends_in", Common::toSeconds(transfer.endsAt - now)}});
     }
-    auto ratios = nlohmann::json::array();
-    for (const auto &[name, model] : table_.transferModels()) {
-        for (const auto path : {TransferPath::WithinRegion, TransferPath::BetweenRegions}) {
-            ratios.push_back({{"service", name.text()},
-                              {"between_regions", path == TransferPath::BetweenRegions},
-                              {"ratio", model.ratio(path, now)},
-                              {"deviation", model.deviation(path)}});
+    auto paths = nlohmann::json::array();
+    for (const auto &[name, model] : table_.transferReports().models()) {
+        for (const auto path : TransferPaths) {
+            const auto known = model.factor(path, now);
+            paths.push_back({{"service", name.text()},
+                             {"path", toString(path)},
+                             {"factor", known.factor},
+                             {"deviation", known.deviation},
+                             {"weight", known.weight}});
         }
     }
-    return {{"in_progress", inProgress}, {"ratios", ratios}};
+    return {{"in_progress", inProgress}, {"paths", paths}};
 }
 
 std::vector<CrashEvent> Scheduler::takeCrashEvents()
@@ -261,6 +269,7 @@
                                        Time now)
 {
     table_.setLoadReport(instance, report, now);
+    table_.transferReports().learn(instance, report.transfers, table_.services(), now);
     reachability_.reported(instance, report.unreachableServices);
     crashes_.merge(report.suspects, now);
     Effects effects;
@@ -327,6 +336,7 @@
 RegionLoadReport Scheduler::regionLoadReport(Time now)
 {
     auto report = table_.loadReport(now);
+    report.transfers = table_.transferReports().reports(now);
     for (const auto &[name, service] : table_.services()) {
         const auto queued = backlog(name);
         ServiceWork work;
--- a/Source/Core/Dispatch/TransferModel.h
+++ b/Source/Core/Dispatch/TransferModel.h
@@ -1,16 +1,14 @@
 #pragma once
 
 #include <array>
+#include <optional>
+#include <vector>
 
 #include "Dispatch/Options.h"
+#include "Dispatch/TransferSamples.h"
 
 namespace LaburnumChute::Dispatch {
 
-enum class TransferPath {
-    WithinRegion,
-    BetweenRegions,
-};
-
 /// Expected duration of a transfer.
 struct TransferTime
 {
@@ -19,12 +17,18 @@
     Duration deviation{0};
 };
 
+/// Path between the endpoints of two records.
+/// @param sameRegion they are in the same region
+TransferPath transferPath(const Catalog::EndpointRecord &source,
+                          const Catalog::EndpointRecord &target, bool sameRegion);
+
 /// Time for which a service's endpoints copy parts of the KV cache from each other, learned from
 /// answers that carried a copy.
 ///
-/// Load pattern: a popular prompt part of gigabytes is needed at several engines. The nominal time
-/// follows from the size and the link rate that the configuration states; other traffic on the
-/// links makes it longer.
+/// Load pattern: a popular prompt part of gigabytes is needed at several engines, with so many
+/// instances that each sees few transfers. The nominal time follows from the size and the link rate
+/// that the configuration states; on longer paths it takes several times as long. The factor is
+/// learned for each path from the samples of all instances of the region.
 class TransferModel
 {
 public:
@@ -39,25 +43,33 @@
     /// @param others expected time of everything but the transfer
     void sample(const Catalog::EngineTraits &traits, std::int64_t tokens, TransferPath path,
                 Duration firstEvent, Duration others, Time now);
-    /// Mean ratio of measured to nominal times, and its mean deviation.
-    double ratio(TransferPath path, Time now) const;
-    double deviation(TransferPath path) const;
+    /// Records that an instance of the region has begun a copy. While its time is not known, other
+    /// copies do not try the same path.
+    void tried(TransferPath path, Time now);
+    /// Estimate for the time on the link relative to the nominal one, as of now.
+    TransferSample factor(TransferPath path, Time now) const;
+
+    TransferSamples &samples(TransferPath path)
+    {
+        return paths_.at(static_cast<std::size_t>(path)).samples;
+    }
+    const TransferSamples &samples(TransferPath path) const
+    {
+        return paths_.at(static_cast<std::size_t>(path)).samples;
+    }
 
 private:
-    struct Learned
+    struct Path
     {
-        double ratio = 1;
-        double deviation = 0;
-        Time sampledAt{};
+        TransferSamples samples;
+        std::optional<Time> triedAt;
     };
 
-    Duration nominal(const Catalog::EngineTraits &traits, std::int64_t tokens,
-                     TransferPath path) const;
-    const Learned &learned(TransferPath path) const;
+    Duration setup(TransferPath path) const;
+    static Duration nominal(const Catalog::EngineTraits &traits, std::int64_t tokens);
 
     Duration setupBetweenRegions_;
-    /// By path.
-    std::array<Learned, 2> learned_;
+    std::array<Path, TransferPaths.size()> paths_;
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -151,8 +151,6 @@
                                "Further attempts that the retry budget allowed"))
     , retriesDenied(registry.counter("laburnumchute_relay_retries_denied_total",
                                      "Further attempts that the retry budget did not allow"))
-    , copies(registry.counter("laburnumchute_relay_cache_copies_total",
-                              "Tries with a copy of cached prompt parts from another endpoint"))
     , copiedBytes(registry.counter("laburnumchute_relay_cache_copied_bytes_total",
                                    "Bytes of cached prompt parts that were to be copied"))
     , copiesNotChosen(registry.counter("laburnumchute_relay_cache_copies_not_chosen_total",
@@ -172,6 +170,17 @@
     , copyWait(registry.histogram("laburnumchute_relay_cache_copy_wait_seconds",
                                   "Expected wait of a copy of cached prompt parts for links"))
 {
+    for (const auto path : Dispatch::TransferPaths) {
+        const Common::Labels labels = {{"path", std::string(Dispatch::toString(path))}};
+        copies[path] = &registry.counter(
+            "laburnumchute_relay_cache_copies_total",
+            "Tries with a copy of cached prompt parts from another endpoint", labels);
+        copyTimeRatio[path] =
+            &registry.histogram("laburnumchute_relay_cache_copy_time_ratio",
+                                "Measured time of a copy of cached prompt parts relative to the "
+                                "expected one",
+                                labels);
+    }
 }
 
 SuspectCounters::SuspectCounters(Common::MetricsRegistry &registry, const std::string &name,
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -73,7 +73,7 @@
     Common::Counter &evidenceLost;
     Common::Counter &retries;
     Common::Counter &retriesDenied;
-    Common::Counter &copies;
+    std::map<Dispatch::TransferPath, Common::Counter *> copies;
     Common::Counter &copiedBytes;
     Common::Counter &copiesNotChosen;
     Common::Counter &answersGivenUp;
@@ -82,6 +82,7 @@
     Common::DurationHistogram &firstEvent;
     Common::DurationHistogram &queueTime;
     Common::DurationHistogram &copyWait;
+    std::map<Dispatch::TransferPath, Common::DurationHistogram *> copyTimeRatio;
 };
 
 /// One instance that relays requests by host and path to the endpoints of its region, or to an
@@ -195,6 +196,7 @@
     /// Logs crashes of endpoints and quarantines of requests that became known.
     void logCrashEvents(Common::Time now);
     void logSilenceChanges(Common::Time now);
+    void countTransfers();
     void logRetryDecisions(Common::Time now);
     /// Sends the pending prompt notices to the peers in the region.
     void sendPromptNotices();
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -336,6 +336,16 @@
     }
 }
 
+void RelayGateway::countTransfers()
+{
+    for (const auto &transfer : scheduler_.takeMeasuredTransfers()) {
+        // The bins of the histogram are in seconds: one second stands for the ratio 1.
+        relayMetrics_.copyTimeRatio.at(transfer.path)
+            ->record(std::chrono::duration_cast<Common::Duration>(
+                std::chrono::duration<double>(transfer.ratio)));
+    }
+}
+
 void RelayGateway::logRetryDecisions(Common::Time now)
 {
     for (const auto &decision : scheduler_.takeRetryDecisions()) {
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -353,6 +353,7 @@
             call->abandonSilentAttempt(now);
         }
     };
+    countTransfers();
     logRetryDecisions(now);
     for (const auto &effect : effects) {
         const auto id = std::visit([](const auto &each) { return each.call; }, effect);
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -200,7 +200,7 @@
         order.lastEventId = cutter_.lastId();
     }
     if (effect.copy) {
-        metrics.copies.add();
+        metrics.copies.at(effect.copy->path)->add();
         metrics.copiedBytes.add(static_cast<std::uint64_t>(effect.copy->bytes));
         metrics.copyWait.record(effect.copy->wait);
     } else if (effect.prefillsSooner) {
@@ -223,6 +223,7 @@
         .add("copy_wait", copy.wait)
         .add("copy_source", copy.source)
         .add("copied_tokens", copy.tokens)
+        .add("copy_path", effect.copy ? Dispatch::toString(copy.path) : "")
         .add("resumes", streamStarted_)
         .add("fingerprint", formatFingerprint(plan_.facts.fingerprint))
         .add("suspect_keys", formatSuspects(Dispatch::suspectKeys(plan_.facts)));
--- a/Source/UnitTests/Dispatch/TransferFailuresTest.cpp
+++ b/Source/UnitTests/Dispatch/TransferFailuresTest.cpp
@@ -39,7 +39,7 @@
 
     double ratio()
     {
-        return scheduler_.dump(now_)["transfers"]["ratios"][0]["ratio"];
+        return scheduler_.dump(now_)["transfers"]["paths"][0]["factor"];
     }
 
     std::size_t transfers()
--- a/Source/UnitTests/Dispatch/TransferModelTest.cpp
+++ b/Source/UnitTests/Dispatch/TransferModelTest.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr Time Start = Time(seconds(100));
-constexpr auto Within = TransferPath::WithinRegion;
-constexpr auto Between = TransferPath::BetweenRegions;
+constexpr auto Within = TransferPath::WithinDomain;
+constexpr auto Between = TransferPath::BetweenDomains;
+constexpr auto Regions = TransferPath::BetweenRegions;
 const Catalog::EngineTraits Large{16, 300000, true, 327680, 280e9};
 const Catalog::EngineTraits Small{64, 300000, true, 18432, 370e9};
 
@@ -19,14 +20,18 @@
     return inMilliseconds(model.time(traits, 13300, path, now).expected).count();
 }
 
-/// Records copies that took that many times their nominal time.
-void sample(TransferModel &model, const Catalog::EngineTraits &traits, double ratio, int count)
+/// Records copies whose time on the link was that many times the nominal one.
+void sample(TransferModel &model, const Catalog::EngineTraits &traits, TransferPath path,
+            double factor, int count, Time now = Start)
 {
-    const auto nominal = TransferModel(DispatchOptions()).time(traits, 13300, Within, Start);
+    const TransferModel unmeasured{DispatchOptions()};
+    const auto half = unmeasured.time(traits, 6650, path, now).expected;
+    const auto whole = unmeasured.time(traits, 13300, path, now).expected;
+    const auto onLink = 2 * (whole - half);
+    const auto others = milliseconds(120);
     for (int index = 0; index < count; ++index) {
-        const auto others = milliseconds(120);
-        model.sample(traits, 13300, Within, others + scaled(nominal.expected, ratio), others,
-                     Start);
+        model.sample(traits, 13300, path, others + (whole - onLink) + scaled(onLink, factor),
+                     others, now);
     }
 }
 
@@ -37,7 +42,8 @@
     const TransferModel model{DispatchOptions()};
     EXPECT_NEAR(expectedMs(model, Large, Within), 134.5, 0.1);
     EXPECT_NEAR(expectedMs(model, Small, Within), 15.3, 0.1);
-    EXPECT_NEAR(expectedMs(model, Large, Between), 254.5, 0.1);
+    EXPECT_NEAR(expectedMs(model, Large, Between), 134.5, 0.1);
+    EXPECT_NEAR(expectedMs(model, Large, Regions), 254.5, 0.1);
     EXPECT_FALSE(TransferModel::knows({16, 300000, true, 327680}));
     EXPECT_FALSE(TransferModel::knows({16, 300000, true, 0, 280e9}));
 }
@@ -47,14 +53,14 @@
 TEST(TransferModelTest, RatioIsLearnedForEachPathAndForgotten)
 {
     TransferModel model{DispatchOptions()};
-    sample(model, Large, 5, 200);
-    const auto slow = model.ratio(Within, Start);
+    sample(model, Large, Between, 5, 200);
+    const auto slow = model.factor(Between, Start).factor;
     EXPECT_GT(slow, 4);
-    EXPECT_EQ(model.ratio(Between, Start), 1);
-    EXPECT_NEAR(model.ratio(Within, Start + seconds(30)), 1 + (slow - 1) / 2, 0.01);
+    EXPECT_EQ(model.factor(Within, Start).factor, 1);
+    EXPECT_NEAR(model.factor(Between, Start + seconds(30)).factor, 1 + (slow - 1) / 2, 0.01);
     TransferModel ofSmall{DispatchOptions()};
-    sample(ofSmall, Small, 4, 200);
-    EXPECT_EQ(ofSmall.ratio(Within, Start), 1);
+    sample(ofSmall, Small, Within, 10, 200);
+    EXPECT_NEAR(ofSmall.factor(Within, Start).factor, 1, 1e-9);
 }
 
 } // namespace LaburnumChute::Dispatch
