--- a/Source/Core/Dispatch/TransferModel.cpp
+++ b/Source/Core/Dispatch/TransferModel.cpp
@@ -122,15 +122,27 @@
 void TransferModel::tried(TransferPath path, Time now)
 {
     paths_.at(static_cast<std::size_t>(path)).triedAt = now;
+    estimatedAt_.reset();
 }
 
 TransferSample TransferModel::factor(TransferPath path, Time now) const
 {
-    auto prior = priorOf(path);
-    if (path != TransferPath::WithinDomain) {
-        const auto shorter = static_cast<TransferPath>(static_cast<int>(path) - 1);
-        prior.factor = std::max(prior.factor, factor(shorter, now).factor);
+    if (estimatedAt_ != now) {
+        double factorOfShorter = 0;
+        for (const auto each : TransferPaths) {
+            auto &estimated = estimates_.at(static_cast<std::size_t>(each));
+            estimated = estimate(each, factorOfShorter, now);
+            factorOfShorter = estimated.factor;
+        }
+        estimatedAt_ = now;
     }
+    return estimates_.at(static_cast<std::size_t>(path));
+}
+
+TransferSample TransferModel::estimate(TransferPath path, double factorOfShorter, Time now) const
+{
+    auto prior = priorOf(path);
+    prior.factor = std::max(prior.factor, factorOfShorter);
     const auto &known = paths_.at(static_cast<std::size_t>(path));
     const auto latest = known.samples.latest();
     const bool trying =
--- a/Source/Core/Dispatch/TransferModel.h
+++ b/Source/Core/Dispatch/TransferModel.h
@@ -51,6 +51,7 @@
 
     TransferSamples &samples(TransferPath path)
     {
+        estimatedAt_.reset();
         return paths_.at(static_cast<std::size_t>(path)).samples;
     }
     const TransferSamples &samples(TransferPath path) const
@@ -65,11 +66,16 @@
         std::optional<Time> triedAt;
     };
 
+    TransferSample estimate(TransferPath path, double factorOfShorter, Time now) const;
     Duration setup(TransferPath path) const;
     static Duration nominal(const Catalog::EngineTraits &traits, std::int64_t tokens);
 
     Duration setupBetweenRegions_;
     std::array<Path, TransferPaths.size()> paths_;
+    /// Estimates by path, and for when they are. A decision compares all holders of a part with all
+    /// endpoints, at the same time.
+    mutable std::array<TransferSample, TransferPaths.size()> estimates_;
+    mutable std::optional<Time> estimatedAt_;
 };
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/TransferSamples.cpp
+++ b/Source/Core/Dispatch/TransferSamples.cpp
@@ -12,8 +12,8 @@
 /// Weight of the samples that an estimate uses. Half of them being new changes the median, so the
 /// estimate follows a change within about five transfers of the region.
 constexpr double MaxWeight = 8;
-/// A report has at most half of that, so that one instance does not determine the estimate.
-constexpr double MaxReportedWeight = MaxWeight / 2;
+/// A report has at most a quarter of that, so that one faulty instance changes the estimate little.
+constexpr double MaxReportedWeight = MaxWeight / 4;
 constexpr std::size_t MaxOwn = 8;
 /// A report covers samples of this time. Older ones would delay what it shows of a change.
 constexpr seconds ReportedTime{1};
--- a/Source/UnitTests/Dispatch/RegionSimulation.h
+++ b/Source/UnitTests/Dispatch/RegionSimulation.h
@@ -22,6 +22,7 @@
 inline constexpr std::size_t Fanout = 16;
 inline constexpr milliseconds Floor{25};
 inline constexpr milliseconds CopySetup{10};
+inline constexpr milliseconds CopySetupBetweenRegions{130};
 inline constexpr milliseconds WarmUp{2000};
 inline constexpr milliseconds Measured{4000};
 inline constexpr double TokensPerMillisecond = 40;
@@ -63,6 +64,12 @@
     double linkBitsPerSecond = 0;
     /// The configuration states the rate.
     bool statesLink = true;
+    /// Failure domains of the engines, and engines of another region that have all shared parts.
+    int domains = 1;
+    int remoteEngines = 0;
+    /// Time on the link relative to that within a domain.
+    double factorBetweenDomains = 1;
+    double factorBetweenRegions = 1;
     double tokensPerMillisecond = TokensPerMillisecond;
     milliseconds shortObjective = ShortObjective;
     milliseconds warmUp = WarmUp;
@@ -126,6 +133,7 @@
         double submittedLong = 0;
         double copies = 0;
         double mostCopiesFromOne = 0;
+        double copiesBetweenRegions = 0;
         double busiest = 0;
         double mean = 0;
     };
@@ -148,6 +156,9 @@
             engine.record.service = model.name;
             engine.record.address = engine.record.id.text() + ":80";
             engine.record.slots = load.slots;
+            engine.record.failureDomain =
+                Common::FailureDomainName("domain-" + std::to_string(index % load.domains));
+            domainOf_[engine.record.id] = engine.record.failureDomain;
             listed.push_back(engine);
             engines_[engine.record.id].cache.setCapacity(load.cacheTokens * 7 / 10);
         }
@@ -161,6 +172,7 @@
             schedulers_.back()->setServices({{model.name, model}}, now_);
             schedulers_.back()->setEndpoints(listed, {}, now_);
             schedulers_.back()->setFleet(ids_, instances, {});
+            addRemoteEngines(*schedulers_.back(), model.name);
         }
         // The load of the instances is uneven: the busiest gets four times as many requests as the
         // least busy one.
@@ -195,6 +207,24 @@
     }
 
 private:
+    void addRemoteEngines(Scheduler &scheduler, const ServiceName &service)
+    {
+        std::vector<Catalog::ListedEndpoint> listed(static_cast<std::size_t>(load_.remoteEngines));
+        CrossRegionLoadReport report;
+        for (std::size_t index = 0; index < listed.size(); ++index) {
+            auto &record = listed[index].record;
+            record.id = EndpointId("remote-" + std::to_string(index));
+            record.service = service;
+            record.address = record.id.text() + ":80";
+            for (auto part = index; part <= static_cast<std::size_t>(load_.sharedParts);
+                 part += listed.size()) {
+                report.placements.push_back({shortId(record.id), part, SharedTokens});
+            }
+        }
+        scheduler.setRemoteEndpoints(listed);
+        scheduler.setCrossRegionLoadReport(RegionName("away"), InstanceId("far"), report, now_);
+    }
+
     void changeSpeed(Engine &engine)
     {
         if (load_.slowFraction <= 0 || now_ < engine.speedUntil) {
@@ -289,10 +319,18 @@
             return;
         }
         const auto address = *send.copyCacheFrom;
-        auto &source = engines_.at(EndpointId(address.substr(0, address.find(':'))));
-        const std::chrono::duration<double> onLink(SharedTokens * load_.bytesPerToken * 8
+        const EndpointId id(address.substr(0, address.find(':')));
+        const bool remote = engines_.count(id) == 0;
+        auto &source = remote ? remoteEngines_[id] : engines_.at(id);
+        const bool sameDomain = !remote && domainOf_.at(id) == domainOf_.at(send.endpoint);
+        const double factor = remote       ? load_.factorBetweenRegions
+                              : sameDomain ? 1
+                                           : load_.factorBetweenDomains;
+        const std::chrono::duration<double> onLink(SharedTokens * load_.bytesPerToken * 8 * factor
                                                    / load_.linkBitsPerSecond);
-        const auto end = std::max({now_, source.linkFreeAt, target.linkFreeAt}) + CopySetup
+        const auto setup = remote ? CopySetupBetweenRegions : CopySetup;
+        copiesBetweenRegions_ += remote ? 1 : 0;
+        const auto end = std::max({now_, source.linkFreeAt, target.linkFreeAt}) + setup
                          + std::chrono::duration_cast<Duration>(onLink);
         source.linkFreeAt = end;
         target.linkFreeAt = end;
@@ -477,6 +515,7 @@
         }
         outcome.longPrefills = longPrefills_;
         outcome.sharedPrefills = sharedPrefills_;
+        outcome.copiesBetweenRegions = copiesBetweenRegions_;
         for (const auto &[id, engine] : engines_) {
             outcome.copies += engine.copiesFrom;
             outcome.mostCopiesFromOne =
@@ -499,6 +538,9 @@
     std::vector<InstanceId> ids_;
     std::vector<std::unique_ptr<Scheduler>> schedulers_;
     std::map<EndpointId, Engine> engines_;
+    std::map<EndpointId, Engine> remoteEngines_;
+    std::map<EndpointId, Common::FailureDomainName> domainOf_;
+    double copiesBetweenRegions_ = 0;
     std::map<CallId, Caller> callers_;
     std::set<CallId> copied_;
     std::set<std::uint64_t> prefilledBefore_;
--- a/Source/UnitTests/Dispatch/TransferLoadTest.cpp
+++ b/Source/UnitTests/Dispatch/TransferLoadTest.cpp
@@ -22,6 +22,18 @@
 
 constexpr std::size_t Instances[] = {1, 8};
 
+/// Engines in four failure domains, and a region far away that has all parts.
+Load partsOnAllPaths(double bytesPerToken, double linkBitsPerSecond)
+{
+    auto load = popularParts(bytesPerToken, linkBitsPerSecond, true);
+    load.domains = 4;
+    load.remoteEngines = 4;
+    load.partPopularFor = milliseconds(0);
+    load.factorBetweenDomains = 2.4;
+    load.factorBetweenRegions = 10;
+    return load;
+}
+
 } // namespace
 
 // A part has gigabytes, so that each transfer takes 130 ms. Guards against copies that wait for
@@ -57,4 +69,21 @@
     }
 }
 
+// A copy of a large part between regions takes 1.4 s, one between failure domains about as long as
+// prefilling. Guards against many instances that each learn it from copies of their own. A copy of
+// a small part between regions takes 183 ms, prefilling 325 ms. Guards against an uncertain time of
+// a path that ends copies which are worth it even when they take that much longer.
+TEST(TransferLoadTest, CopiesAreMadeOnPathsWhereTheyAreSooner)
+{
+    constexpr double MayBeLate = 0.08;
+    for (const std::size_t instances : {1, 20}) {
+        const auto large = RegionSimulation(partsOnAllPaths(327680, 280e9), instances).simulate();
+        EXPECT_LE(large.lateLong, MayBeLate * large.submittedLong) << instances;
+        EXPECT_LE(large.copiesBetweenRegions, 12) << instances;
+        const auto small = RegionSimulation(partsOnAllPaths(18432, 370e9), instances).simulate();
+        EXPECT_GE(small.copiesBetweenRegions, 20) << instances;
+        EXPECT_EQ(small.lateLong, 0) << instances;
+    }
+}
+
 } // namespace LaburnumChute::Dispatch::RegionLoad
