Scale the forwarding budget with the capacity that a region reports

The budget of a route to another region holds what one second of the reported free capacity brings. When the report grew, the level stayed: an engine that had just joined states 32 tokens a second until its first load report and 640 after it, and a request of 100 tokens that the smaller figure admitted was rejected as overloaded within the next second, although the region was idle.

--- a/Source/Core/Decisions/Spill.cpp
+++ b/Source/Core/Decisions/Spill.cpp
@@ -106,7 +106,15 @@
                       double freeCapacityFraction, Time now)
 {
     updateRate(route, now);
-    const double bound = freeCapacityFraction * route.summary.freeTokensPerSecond / instances_;
+    const double capacity = route.summary.freeTokensPerSecond / instances_;
+    // An endpoint that has just joined states a small capacity until its first load report. If only
+    // the size of the bucket followed, a full bucket would become nearly empty by the growth, and a
+    // request that the smaller capacity admits would be rejected.
+    if (route.capacity > 0 && route.work.level > 0) {
+        route.work.level *= capacity / route.capacity;
+    }
+    route.capacity = capacity;
+    const double bound = freeCapacityFraction * capacity;
     route.work.refill(route.rateFraction * bound, now);
     link.bytes.refill(options_.linkFraction * link.megabitsPerSecond * BytesPerMegabit / instances_,
                       now);
--- a/Source/Core/Decisions/Spill.h
+++ b/Source/Core/Decisions/Spill.h
@@ -73,6 +73,8 @@
         double rateFraction = 0;
         Time rateUpdatedAt{};
         Time lastUsedAt{};
+        /// This instance's part of the free capacity at the last use of the bucket.
+        double capacity = 0;
         TokenBucket work;
     };
     struct Link
--- a/Source/IntegrationTests/test_gateway_delivery.py
+++ b/Source/IntegrationTests/test_gateway_delivery.py
@@ -204,6 +204,7 @@
         otaru.platform.link("asahikawa-hakodate", megabits=0.3)
         body = {"model": "inscription", "prompt": "p", "max_tokens": 100, "stream": True}
         stream = Stream(entry.addresses["http"], "/v1/completions", body, SCHOOLS, timeout=40)
+        assert stream.status == 200, stream.answer.read()
         serving.process.terminate()
         text = "".join(part for _, part in stream.tokens())
         assert len(text) == 220_000
--- a/Source/UnitTests/Decisions/SpillTest.cpp
+++ b/Source/UnitTests/Decisions/SpillTest.cpp
@@ -145,6 +145,46 @@
     }
 }
 
+// The only engine of another region has just joined: it states a small capacity until its first
+// load report. The budget stayed at what the small capacity allowed, so that a caller of an idle
+// system was rejected for a second because more capacity had been reported.
+TEST(SpillTest, ReportedGrowthOfCapacityDoesNotCauseARejection)
+{
+    Harness harness;
+    auto joined = summary(Asahikawa);
+    joined.freeTokensPerSecond = 32;
+    harness.scheduler.updateRegions({joined}, harness.now);
+    auto small = requestForAnyRegion("r1");
+    small.promptTokens = 1;
+    small.expectedOutputTokens = 1;
+    ASSERT_TRUE(has<Forward>(harness.submit(small)));
+    harness.now += milliseconds(350);
+    joined.freeTokensPerSecond = 640;
+    harness.scheduler.updateRegions({joined}, harness.now);
+    auto large = requestForAnyRegion("r2");
+    large.promptTokens = 1;
+    EXPECT_TRUE(has<Forward>(harness.submit(large)));
+}
+
+// Capacity that is reported alternately small and large must not fill the budget of a route.
+TEST(SpillTest, AlternatingReportsOfCapacityDoNotRaiseTheForwardingRate)
+{
+    Harness harness;
+    auto other = summary(Asahikawa);
+    int forwards = 0;
+    for (int index = 0; index < 1000; ++index) {
+        other.freeTokensPerSecond = index % 2 == 0 ? 2000 : 100;
+        harness.scheduler.updateRegions({other}, harness.now);
+        const auto effects = harness.submit(requestForAnyRegion("r" + std::to_string(index)));
+        forwards += static_cast<int>(all<Forward>(effects).size());
+        harness.now += milliseconds(10);
+    }
+    const double work = 100 + 500 * AdmissionOptions().prefillTokenWeight;
+    const double perSecond = SpillOptions().freeCapacityFractionWithoutHome * 2000 / work;
+    EXPECT_LE(forwards, 11 * perSecond);
+    EXPECT_GT(forwards, 0);
+}
+
 // Long prompts are forwarded over a link that carries other traffic as well. Links between regions
 // have 140 Mbit/s; the test uses 1 Mbit/s.
 TEST(SpillTest, TheLinkBudgetIsKept)
