Judge each side of a cut from when the part first came to it

check_bad_parts allows three arrivals of a part, at all endpoints together, from five seconds after the fifth crash on. In test_a_crashing_part_is_found_while_regions_are_cut that moment is reached by the crashes of one or two sides. A side that no request with the part has come to yet cannot know of it; it lets three or four endpoints crash from then on (docs/design/quarantine.md, limits), and they were counted as late. Which side that is depends on the order in which callers draw their instances, and so on the speed of the machine.

A side is now judged from five seconds after the first arrival of the part at one of its instances, if that is later than the old moment. The limit of three stays one for all sides together, and with a single side, as in all other plays and in the soak, nothing changes. The message names the instances.

--- a/Source/IntegrationTests/soak.py
+++ b/Source/IntegrationTests/soak.py
@@ -138,6 +138,7 @@
         deployment.part_crashes,
         BOUNDS,
         in_touch,
+        deployment.side_of,
     )
     history = make_history(deployment, callers.requests) if deliveries_per_second else None
     if history:
--- a/Source/IntegrationTests/soak_deployment.py
+++ b/Source/IntegrationTests/soak_deployment.py
@@ -328,6 +328,21 @@
         for instance in (first, second):
             instance.disturbed()
 
+    def side_of(self, name):
+        """The instances that hear from each other now, the named one among them."""
+        side, added = set(), {name}
+        while added:
+            side |= added
+            added = {
+                one.name
+                for one in self.instances
+                if one.name not in side
+                and any(
+                    not {(one.name, other), (other, one.name)} & self.cuts for other in added
+                )
+            }
+        return frozenset(side)
+
     def heal(self, pairs):
         self.cuts.difference_update(pairs)
 
--- a/Source/IntegrationTests/soak_rules.py
+++ b/Source/IntegrationTests/soak_rules.py
@@ -160,24 +160,32 @@
     return [f"deadly: {len(late)} arrivals after {settled:.1f} s: {times}"]
 
 
-def check_bad_parts(requests, arrivals, crashes, bounds, in_touch):
-    """@param crashes: times at which endpoints crashed under a part of prompts, by part"""
+def check_bad_parts(requests, arrivals, crashes, bounds, in_touch, side_of):
+    """Instances that are cut off from the others cannot know of a part before a request with it has
+    come to one of them, so each side is judged no sooner than some time after that.
+
+    @param crashes: times at which endpoints crashed under a part of prompts, by part
+    @param side_of: gives the side of an instance, which hears only from those of its side
+    """
     broken = []
     for part, times in crashes.items():
         if len(times) < 5:
             continue
-        settled = sorted(times)[4] + bounds.stable
         entries = {one.identity: one.entry for one in requests if one.bad_part == part}
+        came = sorted((one.at, entries[one.identity]) for one in arrivals if one.identity in entries)
+        first = {}
+        for at, entry in came:
+            first.setdefault(side_of(entry), at)
+        settled = {side: max(sorted(times)[4], at) + bounds.stable for side, at in first.items()}
         late = [
-            arrival.at
-            for arrival in arrivals
-            if arrival.identity in entries
-            and arrival.at > settled
-            and in_touch(entries[arrival.identity], arrival.at)
+            (at, entry)
+            for at, entry in came
+            if at > settled[side_of(entry)] and in_touch(entry, at)
         ]
         if len(late) > TOLERATED_PART_ARRIVALS:
-            shown = ", ".join(f"{at:.1f}" for at in late[:10])
-            broken.append(f"part {part}: {len(late)} arrivals after {settled:.1f} s: {shown}")
+            after = ", ".join(f"{at:.1f}" for at in sorted(settled.values()))
+            shown = ", ".join(f"{at:.1f} by {entry}" for at, entry in late[:10])
+            broken.append(f"part {part}: {len(late)} arrivals after {after} s: {shown}")
     return broken
 
 
@@ -215,13 +223,13 @@
     return broken[:3]
 
 
-def check_all(requests, arrivals, crashes, part_crashes, bounds, in_touch):
+def check_all(requests, arrivals, crashes, part_crashes, bounds, in_touch, side_of):
     """The broken rules."""
     return (
         check_retry_budget(requests, arrivals, bounds)
         + check_endpoints_per_request(requests, arrivals)
         + check_deadlines(requests, arrivals, in_touch)
         + check_deadly_requests(requests, arrivals, crashes, bounds, in_touch)
-        + check_bad_parts(requests, arrivals, part_crashes, bounds, in_touch)
+        + check_bad_parts(requests, arrivals, part_crashes, bounds, in_touch, side_of)
         + check_rests(requests, arrivals, in_touch)
     )
--- a/Source/IntegrationTests/test_crashing_parts.py
+++ b/Source/IntegrationTests/test_crashing_parts.py
@@ -6,6 +6,8 @@
 import pytest
 
 import soak
+import soak_rules
+from faulty_endpoint import Arrival
 
 PART, OTHER_PART = soak.standin.Endpoint.CRASHING_PARTS
 PER_SECOND = 2.0
@@ -103,3 +105,46 @@
                 deployment.random.choice(running).crash()
 
     expect_stopped(play(tmp_path, crash_others))
+
+
+# The rule finds a fault in records that are made up: crashes under the part, and its arrivals by
+# the instance that their callers sent them to.
+
+CUT_SIDES = {"a": "north", "b": "north", "c": "south"}
+FOUND_IN_TIME = {"a": [0.1, 0.2, 0.4, 0.6], "b": [0.3, 0.5]}
+
+
+def judge(came, side_of=CUT_SIDES.get):
+    entries = {f"{name}{at}": (name, at) for name, times in came.items() for at in times}
+    requests = [
+        soak_rules.Request(identity, "model", name, at, 4.0, 2, bad_part=PART)
+        for identity, (name, at) in entries.items()
+    ]
+    arrivals = [Arrival(identity, "model", "m", at) for identity, (_, at) in entries.items()]
+    crashes = {PART: [at for _, at in entries.values()]}
+    broken = soak_rules.check_bad_parts(
+        requests, arrivals, crashes, soak.BOUNDS, lambda _name, _at: True, side_of
+    )
+    return [one.partition(":")[0] for one in broken]
+
+
+def test_a_part_that_reaches_a_side_late_is_judged_there_from_then_on():
+    """Guards against blaming an instance that hears from no other for what it could not know."""
+    assert judge({**FOUND_IN_TIME, "c": [8.0, 8.1, 9.0, 9.1]}) == []
+    assert judge({**FOUND_IN_TIME, "c": [8.0, 13.1, 14.0, 15.0]}) == []
+    assert judge({**FOUND_IN_TIME, "c": [8.0, 13.1, 14.0, 15.0, 16.0]}) == [f"part {PART}"]
+
+
+def test_late_arrivals_of_all_sides_add_up():
+    """Guards against a rule by which each side may be late as often as all of them."""
+    came = {"a": [*FOUND_IN_TIME["a"], 10.0, 11.0], "b": [0.3, 0.5], "c": [1.0, 10.0, 11.0]}
+    assert judge(came) == [f"part {PART}"]
+
+
+def test_an_instance_that_hears_from_others_knows_what_they_saw():
+    """Guards against judging each instance only by what came to itself."""
+    came = {"a": FOUND_IN_TIME["a"], "b": [8.0, 8.1, 9.0, 9.1], "c": [1.0]}
+    assert judge(came) == [f"part {PART}"]
+    assert judge({**FOUND_IN_TIME, "c": [8.0, 8.1, 9.0, 9.1]}, lambda _name: "all") == [
+        f"part {PART}"
+    ]
