Let endpoints of the soak state false speeds of their machines

The family figures adds a fourth figure to the load that endpoints state: far too high, far too low, another one with each answer, or no number.

Copies of cached prompt parts are not played: the stand-in of the platform's endpoints has none.

--- a/Source/IntegrationTests/soak.py
+++ b/Source/IntegrationTests/soak.py
@@ -6,6 +6,10 @@
 of long and large answers and judge what reaches them as well:
 
     ... soak.py --seeds 1-50 --seconds 40 --faults stops,silences,endless --keep /tmp/soak
+
+The family "figures" (endpoints that state false speeds of their machines) is played when it is named:
+
+    ... soak.py --seeds 1-50 --seconds 40 --faults figures,endpoints,kills,pauses,paths
 """
 
 import argparse
--- a/Source/IntegrationTests/soak_delivery_faults.py
+++ b/Source/IntegrationTests/soak_delivery_faults.py
@@ -4,7 +4,7 @@
 import signal
 
 from endless_endpoint import EndlessEndpoint
-from soak_faults import MEAN_GAPS, Faults
+from soak_faults import Faults
 
 #: Families of these faults, and the mean time between two faults of a family.
 DELIVERY_GAPS = {"stops": 1.5, "silences": 0.8, "endless": 2.0}
@@ -21,7 +21,7 @@
 class DeliveryFaults(Faults):
     """Adds families to the usual ones. Its deployment has delivery callers."""
 
-    mean_gaps = {**MEAN_GAPS, **DELIVERY_GAPS}
+    mean_gaps = {**Faults.mean_gaps, **DELIVERY_GAPS}
 
     def _faults(self):
         return {
--- a/Source/IntegrationTests/soak_faults.py
+++ b/Source/IntegrationTests/soak_faults.py
@@ -6,12 +6,16 @@
 
 #: Families of faults, and the mean time between two faults of a family.
 MEAN_GAPS = {"endpoints": 1.5, "kills": 2.0, "pauses": 4.0, "paths": 4.0}
+#: Families that are played only when named, so that the seeds of the others keep their faults.
+FURTHER_GAPS = {"figures": 3.0}
+#: Texts that are no figure, or none that is possible.
+INVALID_FIGURES = ("", "0", "-100", "fast", "1e9", "9" * 40, "100,100")
 
 
 class Faults:
     """Disturbs a deployment; what a fault changed is restored when it ends."""
 
-    mean_gaps = MEAN_GAPS
+    mean_gaps = {**MEAN_GAPS, **FURTHER_GAPS}
 
     def __init__(self, deployment, seed, log, families=tuple(MEAN_GAPS)):
         self.deployment = deployment
@@ -36,6 +40,7 @@
             "kills": self._kills(),
             "pauses": self._pauses(),
             "paths": self._path_faults(),
+            "figures": self._false_figures(),
         }
 
     async def _series(self, end, faults, mean_gap):
@@ -89,6 +94,30 @@
             endpoint.crash()
         return f"{service}: {len(chosen)} endpoints"
 
+    # Figures of endpoints.
+
+    def _false_figures(self):
+        """False statements of how long work takes now, compared with the usual time."""
+        # Drawn with each answer, as the shares of failing requests are.
+        draw = self.deployment.random
+        return {
+            "far too high": lambda: self._state(lambda: draw.randint(1000, 10000)),
+            "far too low": lambda: self._state(lambda: draw.randint(1, 10)),
+            "ever changing": lambda: self._state(lambda: draw.choice([5, 25, 100, 400, 9999])),
+            "invalid": lambda: self._state(lambda: draw.choice(INVALID_FIGURES)),
+        }
+
+    async def _state(self, figure):
+        service = self.random.choice(["model", "desk"])
+        chosen = self._some(self._endpoints_of(service), self.random.choice([0.4, 1.0]))
+        for endpoint in chosen:
+            endpoint.work_figure = figure
+        await asyncio.sleep(self.random.uniform(2, 8))
+        for endpoint in chosen:
+            if endpoint.work_figure is figure:
+                endpoint.work_figure = None
+        return f"{service}: {len(chosen)} endpoints"
+
     # Instances.
 
     def _kills(self):
