Make room for requests that are restricted to some regions

While requests that may be served only in some regions wait or are rejected for lack of capacity, requests that another region can serve in time are forwarded there on arrival.

--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -156,6 +156,20 @@
     double statedWorkFactor = 1;
 };
 
+/// Why a request is forwarded.
+enum class ForwardReason {
+    /// It leaves the endpoints of this region to requests that are restricted to some regions.
+    Yield,
+    /// It would wait here for longer than in the other region.
+    NoCapacity,
+    /// This instance reaches no endpoint that accepts it.
+    Unreachable,
+    /// It must not be served in this region.
+    NotAllowedHere,
+};
+
+std::string_view toString(ForwardReason reason);
+
 /// Forward the request to an instance of the region now.
 struct Forward
 {
@@ -165,6 +179,14 @@
     InstanceId instance;
     /// Number of endpoints that may run it there.
     int maxRuns = 1;
+    ForwardReason reason = ForwardReason::NoCapacity;
+};
+
+/// Whole seconds in which the region yielded for a service, see RegionYield.
+struct YieldTime
+{
+    ServiceName service;
+    std::uint64_t seconds = 0;
 };
 
 /// The request has not run; tell its caller when to retry.
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -188,11 +188,15 @@
     std::uint16_t waiting = 0;
     std::uint32_t waitingMs = 0;
     std::uint16_t sentPerSecond = 0;
+    /// Requests restricted to some regions that wait for capacity, and those that were rejected for
+    /// lack of it within the last second, see RegionYield.
+    std::uint16_t restrictedWaiting = 0;
+    std::uint16_t restrictedRejected = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(service, waiting, waitingMs, sentPerSecond);
+        archive(service, waiting, waitingMs, sentPerSecond, restrictedWaiting, restrictedRejected);
     }
 };
 
@@ -226,11 +230,13 @@
     std::uint32_t freePerSecond = 0;
     /// Expected time until the first event of a short request.
     std::uint16_t waitMs = 0;
+    /// The region itself yields, see RegionYield.
+    bool yields = false;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(service, endpoints, freePerSecond, waitMs);
+        archive(service, endpoints, freePerSecond, waitMs, yields);
     }
 };
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -81,6 +81,21 @@
     return "unknown";
 }
 
+std::string_view toString(ForwardReason reason)
+{
+    switch (reason) {
+    case ForwardReason::Yield:
+        return "yield";
+    case ForwardReason::NoCapacity:
+        return "no capacity";
+    case ForwardReason::Unreachable:
+        return "unreachable";
+    case ForwardReason::NotAllowedHere:
+        return "not allowed here";
+    }
+    return "unknown";
+}
+
 Scheduler::Scheduler(DispatchOptions options, InstanceId self, RegionName home, std::uint64_t seed,
                      Time startedAt)
     : options_(options)
@@ -149,12 +164,17 @@
         return;
     }
     if (!usableAtHome(facts)) {
-        if (!forward(call, offerOfAnyRegion(call, now), now, effects)
+        const auto reason =
+            homeAllowed(facts) ? ForwardReason::Unreachable : ForwardReason::NotAllowedHere;
+        if (!forward(call, offerOfAnyRegion(call, now), reason, now, effects)
             && !waitForRegions(call, now)) {
             rejectWithoutEndpoint(call, now, effects);
         }
         return;
     }
+    if (yieldToRestricted(call, now, effects)) {
+        return;
+    }
     const auto candidate = chooseEndpoint(call, now);
     if (candidate && placement_.shouldSend(call, *candidate, now)
         && send(call, *candidate, now, effects)) {
@@ -267,8 +287,8 @@
     return true;
 }
 
-bool Scheduler::forward(Call &call, const std::optional<SpareCapacity::Offer> &offer, Time now,
-                        Effects &effects)
+bool Scheduler::forward(Call &call, const std::optional<SpareCapacity::Offer> &offer,
+                        ForwardReason reason, Time now, Effects &effects)
 {
     if (!offer) {
         return false;
@@ -278,7 +298,7 @@
     call.attemptedRegions.push_back(offer->region);
     beginForward(call, offer->wait + options_.regionRoundTrip, now);
     const int runsLeft = std::max(1, call.facts.maxRuns - call.runs);
-    effects.push_back(Forward{call.facts.id, offer->region, InstanceId(), runsLeft});
+    effects.push_back(Forward{call.facts.id, offer->region, InstanceId(), runsLeft, reason});
     return true;
 }
 
@@ -311,7 +331,7 @@
     if (handOver(call, now, effects)) {
         return true;
     }
-    return forward(call, offerOfAnyRegion(call, now), now, effects);
+    return forward(call, offerOfAnyRegion(call, now), ForwardReason::Unreachable, now, effects);
 }
 
 bool Scheduler::handOver(Call &call, Time now, Effects &effects)
@@ -328,7 +348,8 @@
     call.attemptedInstances.push_back(*neighbor);
     beginForward(call, Duration(0), now);
     const int runsLeft = std::max(1, call.facts.maxRuns - call.runs);
-    effects.push_back(Forward{call.facts.id, home_, *neighbor, runsLeft});
+    effects.push_back(
+        Forward{call.facts.id, home_, *neighbor, runsLeft, ForwardReason::Unreachable});
     return true;
 }
 
@@ -387,7 +408,7 @@
         return false;
     }
     const bool better = offer->wait + options_.regionRoundTrip < homeWait;
-    return better && forward(call, offer, now, effects);
+    return better && forward(call, offer, ForwardReason::NoCapacity, now, effects);
 }
 
 Duration Scheduler::restOfAll(const ServiceName &service, Time now) const
@@ -418,6 +439,9 @@
         return;
     }
     const auto id = call.facts.id;
+    if (reason == RejectReason::Overloaded && isRestricted(call.facts)) {
+        regionYield_.rejected(shortId(call.facts.service), now);
+    }
     auto retryAfter = reason == RejectReason::Quarantined ? wait : withJitter(wait);
     // Before the end of the rest, the caller would be rejected again.
     const auto rest = restOfAll(call.facts.service, now);
@@ -458,6 +482,7 @@
     table_.divideLimits(self_, instances_, now);
     placeWaitingForRegions(now, effects);
     dispatchQueue(now, effects);
+    updateYield(now);
     watchSilence(now, effects);
     crashes_.expire(now);
     if (now - listCheckedAt_ >= ListCheckInterval) {
@@ -492,7 +517,7 @@
             {"instances", instances_.size()},  {"requests", calls_.size()},
             {"waiting", queue_.size()},        {"endpoints", endpoints},
             {"transfers", dumpTransfers(now)}, {"retry_budgets", dumpRetryBudgets(now)},
-            {"suspects", crashes_.dump(now)}};
+            {"yield", dumpYield(now)},         {"suspects", crashes_.dump(now)}};
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -17,6 +17,7 @@
 #include "Dispatch/Options.h"
 #include "Dispatch/Placement.h"
 #include "Dispatch/Reachability.h"
+#include "Dispatch/RegionYield.h"
 #include "Dispatch/RetryBudget.h"
 #include "Dispatch/SpareCapacity.h"
 
@@ -136,6 +137,8 @@
     std::vector<SilenceChange> takeSilenceChanges();
     /// Decisions on retries since the last call, for the log.
     std::vector<RetryDecision> takeRetryDecisions();
+    /// Seconds of yielding since the last call, for the metrics.
+    std::vector<YieldTime> takeYieldTimes();
 
     // Queries.
 
@@ -160,8 +163,8 @@
     void place(Call &call, bool mayWait, Time now, Effects &effects);
     bool send(Call &call, const Candidate &candidate, Time now, Effects &effects);
     void notice(const EndpointState &endpoint, const Call &call);
-    bool forward(Call &call, const std::optional<SpareCapacity::Offer> &offer, Time now,
-                 Effects &effects);
+    bool forward(Call &call, const std::optional<SpareCapacity::Offer> &offer, ForwardReason reason,
+                 Time now, Effects &effects);
     /// Forwards a request whose endpoints this instance does not reach to a neighbor that does, or
     /// else to another region.
     bool forwardUnreachable(Call &call, Time now, Effects &effects);
@@ -173,6 +176,13 @@
     /// Places the requests that waited for other regions to become known.
     void placeWaitingForRegions(Time now, Effects &effects);
     bool forwardIfBetter(Call &call, Duration homeWait, Time now, Effects &effects);
+    /// Forwards a request that has just arrived, if the region yields for its service.
+    bool yieldToRestricted(Call &call, Time now, Effects &effects);
+    /// Whether a reachable region that has endpoints for the service must not serve the request.
+    bool isRestricted(const CallFacts &facts) const;
+    /// Counts the restricted requests that wait, and decides for which services the region yields.
+    void updateYield(Time now);
+    nlohmann::json dumpYield(Time now);
     bool cannotMeetObjective(const Call &call, const std::optional<Candidate> &candidate,
                              Duration wait, Time now);
     /// Time from sending a request to its first event, apart from the wait for other requests.
@@ -259,6 +269,7 @@
     std::mt19937_64 random_;
     EndpointTable table_;
     SpareCapacity spareCapacity_;
+    RegionYield regionYield_;
     CrashAttribution crashes_;
     Time listCheckedAt_{};
     Reachability reachability_;
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -125,6 +125,7 @@
     reachability_.setInstances(instances_);
     sharers_ = sharers;
     table_.keepReports(instances_);
+    regionYield_.keep(instances_);
     spareCapacity_.setOwnInstances(instances_.size());
     spareCapacity_.setReachable(reachableRegions);
     updateRetryBudgets();
@@ -261,6 +262,7 @@
                                        Time now)
 {
     table_.setLoadReport(instance, report, now);
+    regionYield_.reported(instance, report.services, now);
     reachability_.reported(instance, report.unreachableServices);
     crashes_.merge(report.suspects, now);
     Effects effects;
@@ -336,7 +338,8 @@
             std::chrono::duration_cast<milliseconds>(queued.work).count());
         work.sentPerSecond =
             static_cast<std::uint16_t>(std::lround(table_.sentPerSecond(name, now)));
-        if (work.waiting > 0 || work.sentPerSecond > 0) {
+        regionYield_.fill(work, now);
+        if (work.waiting > 0 || work.sentPerSecond > 0 || work.restrictedRejected > 0) {
             report.services.push_back(work);
         }
     }
@@ -379,6 +382,7 @@
             best = best ? std::min(*best, startDelay) : startDelay;
         }
         spare.freePerSecond = static_cast<std::uint32_t>(freePerSecond);
+        spare.yields = regionYield_.yields(spare.service, now);
         const auto wait =
             best.value_or(Duration(0)) + backlogWait(capacity(name, now), backlog(name));
         constexpr std::int64_t MaxWaitMs = 60000;
--- a/Source/Core/Dispatch/SpareCapacity.cpp
+++ b/Source/Core/Dispatch/SpareCapacity.cpp
@@ -154,6 +154,39 @@
     });
 }
 
+bool SpareCapacity::excludesRegion(const ServiceName &service,
+                                   const std::vector<RegionName> &allowed) const
+{
+    if (allowed.empty()) {
+        return false;
+    }
+    return std::any_of(reachable_.begin(), reachable_.end(), [&](const RegionName &region) {
+        const auto found = destinations_.find({region, shortId(service)});
+        if (contains(allowed, region) || found == destinations_.end()) {
+            return false;
+        }
+        const auto &reports = found->second.reports;
+        return std::any_of(reports.begin(), reports.end(),
+                           [](const auto &entry) { return entry.second.capacity.endpoints > 0; });
+    });
+}
+
+std::vector<RegionName> SpareCapacity::yielding(const ServiceName &service, Time now) const
+{
+    std::vector<RegionName> regions;
+    for (const auto &[key, destination] : destinations_) {
+        const auto &reports = destination.reports;
+        const bool yields = std::any_of(reports.begin(), reports.end(), [&](const auto &entry) {
+            return entry.second.capacity.yields
+                   && now - entry.second.at <= options_->spareCapacityLifetime;
+        });
+        if (key.second == shortId(service) && yields) {
+            regions.push_back(key.first);
+        }
+    }
+    return regions;
+}
+
 void SpareCapacity::sent(const RegionName &region, const ServiceName &service, Time now)
 {
     auto &destination = destinations_[{region, shortId(service)}];
--- a/Source/Core/Dispatch/SpareCapacity.h
+++ b/Source/Core/Dispatch/SpareCapacity.h
@@ -46,6 +46,10 @@
     /// yet, or has an endpoint for it but no instance that is known to be reachable.
     bool awaitsRegion(const ServiceName &service, const std::vector<RegionName> &allowed,
                       const RegionName &own, Time now) const;
+    /// Returns true if a reachable region that has endpoints for the service is not allowed.
+    bool excludesRegion(const ServiceName &service, const std::vector<RegionName> &allowed) const;
+    /// Regions that yield for the service themselves, see RegionYield.
+    std::vector<RegionName> yielding(const ServiceName &service, Time now) const;
     void sent(const RegionName &region, const ServiceName &service, Time now);
 
 private:
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -122,6 +122,9 @@
           "Answers whose statement of the speed of the endpoint's machine was invalid"))
     , forwards(registry.counter("laburnumchute_relay_forwards_total",
                                 "Requests forwarded to other regions"))
+    , yieldForwards(registry.counter("laburnumchute_relay_yield_forwards_total",
+                                     "Requests forwarded to other regions to leave the endpoints "
+                                     "of this one to requests that are restricted to regions"))
     , handedOver(registry.counter("laburnumchute_relay_handed_over_total",
                                   "Requests forwarded to instances of the own region, since this "
                                   "one reached no endpoint"))
@@ -394,6 +397,7 @@
     rejectExpiredEarlyRequests(now);
     endpointsChanged(catalog_.expire(now), now);
     applyEffects(scheduler_.tick(now), now);
+    countYieldTimes();
     sendSuspectNotices(now);
     for (const auto &call : runningCalls()) {
         call->tick(now);
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -60,6 +60,7 @@
     Common::Counter &machineFigures;
     Common::Counter &machineFiguresIgnored;
     Common::Counter &forwards;
+    Common::Counter &yieldForwards;
     Common::Counter &handedOver;
     Common::Counter &completed;
     Common::Counter &rejected;
@@ -196,6 +197,7 @@
     void logCrashEvents(Common::Time now);
     void logSilenceChanges(Common::Time now);
     void logRetryDecisions(Common::Time now);
+    void countYieldTimes();
     /// Sends the pending prompt notices to the peers in the region.
     void sendPromptNotices();
     /// Sends the pending notices of suspected requests to the peers in the region and to one
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -353,6 +353,18 @@
     }
 }
 
+void RelayGateway::countYieldTimes()
+{
+    for (const auto &time : scheduler_.takeYieldTimes()) {
+        registry_
+            .counter("laburnumchute_relay_yield_seconds_total",
+                     "Seconds in which requests of the service that other regions may serve were "
+                     "forwarded to leave the endpoints to those restricted to regions",
+                     {{"service", time.service.text()}})
+            .add(time.seconds);
+    }
+}
+
 void RelayGateway::sendPromptNotices()
 {
     const auto notices = scheduler_.takeNotices();
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -251,7 +251,8 @@
     line.add("request", plan_.head.requestId)
         .add("region", effect.region)
         .add("instance", peer ? std::string_view(peer->id.text()) : "none")
-        .add("waited", now - plan_.facts.arrivedAt);
+        .add("waited", now - plan_.facts.arrivedAt)
+        .add("reason", Dispatch::toString(effect.reason));
     gateway_.log().write(line, now);
     if (!peer) {
         lastReason_ = handsOver ? effect.instance.text() + " cannot be reached"
@@ -260,6 +261,9 @@
         return;
     }
     (handsOver ? gateway_.metrics().handedOver : gateway_.metrics().forwards).add();
+    if (effect.reason == Dispatch::ForwardReason::Yield) {
+        gateway_.metrics().yieldForwards.add();
+    }
     endpoint_ = Common::EndpointId();
     peer_ = peer->id;
     ForwardMetadata metadata;
