--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -2,6 +2,7 @@
 
 // Inputs and outputs of the scheduler of relayed requests.
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -114,6 +115,19 @@
 
 std::string_view toString(RejectReason reason);
 
+/// Path of a transfer between endpoints, the shortest first. Their rates differ by factors of two
+/// to ten.
+enum class TransferPath : std::uint8_t {
+    WithinDomain,
+    BetweenDomains,
+    BetweenRegions,
+};
+
+inline constexpr std::array TransferPaths = {
+    TransferPath::WithinDomain, TransferPath::BetweenDomains, TransferPath::BetweenRegions};
+
+std::string_view toString(TransferPath path);
+
 /// Copy of cached parts of a prompt that an endpoint makes before it prefills the rest.
 struct CacheCopy
 {
@@ -123,6 +137,15 @@
     /// Expected time until the links of both endpoints are free, and of the transfer itself.
     Duration wait{0};
     Duration time{0};
+    TransferPath path = TransferPath::WithinDomain;
+};
+
+/// A copy whose answer has begun.
+struct MeasuredTransfer
+{
+    TransferPath path = TransferPath::WithinDomain;
+    /// Ratio of the measured to the expected time of the copy.
+    double ratio = 1;
 };
 
 /// Send the request to the endpoint now.
@@ -156,6 +179,20 @@
     double statedWorkFactor = 1;
 };
 
+/// Why a request is forwarded.
+enum class ForwardReason {
+    /// It leaves the endpoints of this region to requests that are restricted to some regions.
+    Yield,
+    /// It would wait here for longer than in the other region.
+    NoCapacity,
+    /// This instance reaches no endpoint that accepts it.
+    Unreachable,
+    /// It must not be served in this region.
+    NotAllowedHere,
+};
+
+std::string_view toString(ForwardReason reason);
+
 /// Forward the request to an instance of the region now.
 struct Forward
 {
@@ -165,6 +202,14 @@
     InstanceId instance;
     /// Number of endpoints that may run it there.
     int maxRuns = 1;
+    ForwardReason reason = ForwardReason::NoCapacity;
+};
+
+/// Whole seconds in which the region yielded for a service, see RegionYield.
+struct YieldTime
+{
+    ServiceName service;
+    std::uint64_t seconds = 0;
 };
 
 /// The request has not run; tell its caller when to retry.
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -179,6 +179,23 @@
     }
 };
 
+/// Time of the sender's own latest transfers of a service on one path, see TransferSample.
+struct TransferReport
+{
+    std::uint32_t service = 0;
+    std::uint8_t path = 0;
+    std::uint16_t weightPercent = 0;
+    std::uint16_t factorPercent = 0;
+    std::uint16_t deviationPercent = 0;
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, path, weightPercent, factorPercent, deviationPercent, ageMs);
+    }
+};
+
 /// Work of one instance for a service.
 struct ServiceWork
 {
@@ -188,11 +205,15 @@
     std::uint16_t waiting = 0;
     std::uint32_t waitingMs = 0;
     std::uint16_t sentPerSecond = 0;
+    /// Requests restricted to some regions that wait for capacity, and those that were rejected for
+    /// lack of it within the last second, see RegionYield.
+    std::uint16_t restrictedWaiting = 0;
+    std::uint16_t restrictedRejected = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(service, waiting, waitingMs, sentPerSecond);
+        archive(service, waiting, waitingMs, sentPerSecond, restrictedWaiting, restrictedRejected);
     }
 };
 
@@ -209,11 +230,13 @@
     std::vector<BrittleReport> brittle;
     /// Figures that the sender itself received since its last report, newest first.
     std::vector<SpeedReport> speeds;
+    std::vector<TransferReport> transfers;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(uses, services, placements, suspects, limits, unreachableServices, brittle, speeds);
+        archive(uses, services, placements, suspects, limits, unreachableServices, brittle, speeds,
+                transfers);
     }
 };
 
@@ -226,11 +249,13 @@
     std::uint32_t freePerSecond = 0;
     /// Expected time until the first event of a short request.
     std::uint16_t waitMs = 0;
+    /// The region itself yields, see RegionYield.
+    bool yields = false;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(service, endpoints, freePerSecond, waitMs);
+        archive(service, endpoints, freePerSecond, waitMs, yields);
     }
 };
 
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -122,6 +122,9 @@
           "Answers whose statement of the speed of the endpoint's machine was invalid"))
     , forwards(registry.counter("laburnumchute_relay_forwards_total",
                                 "Requests forwarded to other regions"))
+    , yieldForwards(registry.counter("laburnumchute_relay_yield_forwards_total",
+                                     "Requests forwarded to other regions to leave the endpoints "
+                                     "of this one to requests that are restricted to regions"))
     , handedOver(registry.counter("laburnumchute_relay_handed_over_total",
                                   "Requests forwarded to instances of the own region, since this "
                                   "one reached no endpoint"))
@@ -151,8 +154,6 @@
                                "Further attempts that the retry budget allowed"))
     , retriesDenied(registry.counter("laburnumchute_relay_retries_denied_total",
                                      "Further attempts that the retry budget did not allow"))
-    , copies(registry.counter("laburnumchute_relay_cache_copies_total",
-                              "Tries with a copy of cached prompt parts from another endpoint"))
     , copiedBytes(registry.counter("laburnumchute_relay_cache_copied_bytes_total",
                                    "Bytes of cached prompt parts that were to be copied"))
     , copiesNotChosen(registry.counter("laburnumchute_relay_cache_copies_not_chosen_total",
@@ -172,6 +173,17 @@
     , copyWait(registry.histogram("laburnumchute_relay_cache_copy_wait_seconds",
                                   "Expected wait of a copy of cached prompt parts for links"))
 {
+    for (const auto path : Dispatch::TransferPaths) {
+        const Common::Labels labels = {{"path", std::string(Dispatch::toString(path))}};
+        copies[path] = &registry.counter(
+            "laburnumchute_relay_cache_copies_total",
+            "Tries with a copy of cached prompt parts from another endpoint", labels);
+        copyTimeRatio[path] =
+            &registry.histogram("laburnumchute_relay_cache_copy_time_ratio",
+                                "Measured time of a copy of cached prompt parts relative to the "
+                                "expected one",
+                                labels);
+    }
 }
 
 SuspectCounters::SuspectCounters(Common::MetricsRegistry &registry, const std::string &name,
@@ -394,6 +406,7 @@
     rejectExpiredEarlyRequests(now);
     endpointsChanged(catalog_.expire(now), now);
     applyEffects(scheduler_.tick(now), now);
+    countYieldTimes();
     sendSuspectNotices(now);
     for (const auto &call : runningCalls()) {
         call->tick(now);
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -60,6 +60,7 @@
     Common::Counter &machineFigures;
     Common::Counter &machineFiguresIgnored;
     Common::Counter &forwards;
+    Common::Counter &yieldForwards;
     Common::Counter &handedOver;
     Common::Counter &completed;
     Common::Counter &rejected;
@@ -73,7 +74,7 @@
     Common::Counter &evidenceLost;
     Common::Counter &retries;
     Common::Counter &retriesDenied;
-    Common::Counter &copies;
+    std::map<Dispatch::TransferPath, Common::Counter *> copies;
     Common::Counter &copiedBytes;
     Common::Counter &copiesNotChosen;
     Common::Counter &answersGivenUp;
@@ -82,6 +83,7 @@
     Common::DurationHistogram &firstEvent;
     Common::DurationHistogram &queueTime;
     Common::DurationHistogram &copyWait;
+    std::map<Dispatch::TransferPath, Common::DurationHistogram *> copyTimeRatio;
 };
 
 /// One instance that relays requests by host and path to the endpoints of its region, or to an
@@ -195,7 +197,9 @@
     /// Logs crashes of endpoints and quarantines of requests that became known.
     void logCrashEvents(Common::Time now);
     void logSilenceChanges(Common::Time now);
+    void countTransfers();
     void logRetryDecisions(Common::Time now);
+    void countYieldTimes();
     /// Sends the pending prompt notices to the peers in the region.
     void sendPromptNotices();
     /// Sends the pending notices of suspected requests to the peers in the region and to one
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -336,6 +336,16 @@
     }
 }
 
+void RelayGateway::countTransfers()
+{
+    for (const auto &transfer : scheduler_.takeMeasuredTransfers()) {
+        // The bins of the histogram are in seconds: one second stands for the ratio 1.
+        relayMetrics_.copyTimeRatio.at(transfer.path)
+            ->record(std::chrono::duration_cast<Common::Duration>(
+                std::chrono::duration<double>(transfer.ratio)));
+    }
+}
+
 void RelayGateway::logRetryDecisions(Common::Time now)
 {
     for (const auto &decision : scheduler_.takeRetryDecisions()) {
@@ -353,6 +363,18 @@
     }
 }
 
+void RelayGateway::countYieldTimes()
+{
+    for (const auto &time : scheduler_.takeYieldTimes()) {
+        registry_
+            .counter("laburnumchute_relay_yield_seconds_total",
+                     "Seconds in which requests of the service that other regions may serve were "
+                     "forwarded to leave the endpoints to those restricted to regions",
+                     {{"service", time.service.text()}})
+            .add(time.seconds);
+    }
+}
+
 void RelayGateway::sendPromptNotices()
 {
     const auto notices = scheduler_.takeNotices();
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -200,7 +200,7 @@
         order.lastEventId = cutter_.lastId();
     }
     if (effect.copy) {
-        metrics.copies.add();
+        metrics.copies.at(effect.copy->path)->add();
         metrics.copiedBytes.add(static_cast<std::uint64_t>(effect.copy->bytes));
         metrics.copyWait.record(effect.copy->wait);
     } else if (effect.prefillsSooner) {
@@ -223,6 +223,7 @@
         .add("copy_wait", copy.wait)
         .add("copy_source", copy.source)
         .add("copied_tokens", copy.tokens)
+        .add("copy_path", effect.copy ? Dispatch::toString(copy.path) : "")
         .add("resumes", streamStarted_)
         .add("fingerprint", formatFingerprint(plan_.facts.fingerprint))
         .add("suspect_keys", formatSuspects(Dispatch::suspectKeys(plan_.facts)));
@@ -251,7 +252,8 @@
     line.add("request", plan_.head.requestId)
         .add("region", effect.region)
         .add("instance", peer ? std::string_view(peer->id.text()) : "none")
-        .add("waited", now - plan_.facts.arrivedAt);
+        .add("waited", now - plan_.facts.arrivedAt)
+        .add("reason", Dispatch::toString(effect.reason));
     gateway_.log().write(line, now);
     if (!peer) {
         lastReason_ = handsOver ? effect.instance.text() + " cannot be reached"
@@ -260,6 +262,9 @@
         return;
     }
     (handsOver ? gateway_.metrics().handedOver : gateway_.metrics().forwards).add();
+    if (effect.reason == Dispatch::ForwardReason::Yield) {
+        gateway_.metrics().yieldForwards.add();
+    }
     endpoint_ = Common::EndpointId();
     peer_ = peer->id;
     ForwardMetadata metadata;
