Bound what a single wrong report does to transfer rates and yielding

Found in review. An instance that reports the age 0 each time kept the rate that it stated from being forgotten; a single report that a region yields excluded the region; ids of unknown services were kept without bound; a request that names its regions could yield while the others were not reached; an older report replaced a newer one.

--- a/Source/Core/Dispatch/RegionYield.cpp
+++ b/Source/Core/Dispatch/RegionYield.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 /// Time for which a load report of another instance counts, and for which the region goes on to
-/// yield. With 65 instances, of which 16 receive each report, a report arrives about once a second.
+/// yield. Each report reaches only some of the instances, so that one of a given instance arrives
+/// about once a second where there are several dozen.
 constexpr milliseconds HoldTime{1000};
 /// Time for which a rejection counts.
 constexpr milliseconds RejectionTime{1000};
@@ -50,7 +51,6 @@
     for (const auto &work : services) {
         if (work.restrictedWaiting > 0 || work.restrictedRejected > 0) {
             report.lacks.push_back({work.service, work.restrictedWaiting, work.restrictedRejected});
-            services_.try_emplace(work.service);
         }
     }
 }
@@ -97,11 +97,7 @@
 
 void RegionYield::update(std::uint32_t service, double sentPerSecond, Time now)
 {
-    const auto found = services_.find(service);
-    if (found == services_.end()) {
-        return;
-    }
-    auto &state = found->second;
+    auto &state = services_[service];
     if (state.updatedAt < state.yieldsUntil) {
         state.yielded += std::min(now, state.yieldsUntil) - state.updatedAt;
     }
@@ -139,6 +135,9 @@
     }
     auto &state = found->second;
     const auto known = region(service, state, now);
+    if (known.lacking <= 0 && state.yieldsUntil == Time()) {
+        return nullptr;
+    }
     return {{"yields", yields(service, now)},
             {"waiting", state.waiting},
             {"rejected", state.rejections.size()},
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -106,7 +106,10 @@
     table_.transferReports().model(name).sample(*table_.service(name)->engine, copy.tokens,
                                                 copy.path, took, copy.others, now);
     const auto measured = std::max(Duration(0), took - copy.others);
-    measuredTransfers_.push_back({copy.path, inMilliseconds(measured) / inMilliseconds(copy.time)});
+    if (copy.time > Duration(0)) {
+        measuredTransfers_.push_back(
+            {copy.path, inMilliseconds(measured) / inMilliseconds(copy.time)});
+    }
     if (took >= copy.withoutCopy) {
         // The source may not have had the parts, so that the engine prefilled them.
         table_.forgetParts(copy.source, call.facts.parts);
--- a/Source/Core/Dispatch/SchedulerYield.cpp
+++ b/Source/Core/Dispatch/SchedulerYield.cpp
@@ -11,8 +11,9 @@
 bool Scheduler::yieldToRestricted(Call &call, Time now, Effects &effects)
 {
     const auto &facts = call.facts;
+    // A request that names regions is taken for restricted here, whichever regions are reached now.
     const bool mayYield = regionYield_.yields(shortId(facts.service), now) && !facts.forwarded
-                          && call.attempts == 0 && !isRestricted(facts)
+                          && call.attempts == 0 && facts.allowedRegions.empty()
                           && crashes_.mayStart(call.keys, now);
     if (!mayYield) {
         return false;
--- a/Source/Core/Dispatch/SpareCapacity.cpp
+++ b/Source/Core/Dispatch/SpareCapacity.cpp
@@ -175,12 +175,15 @@
 {
     std::vector<RegionName> regions;
     for (const auto &[key, destination] : destinations_) {
-        const auto &reports = destination.reports;
-        const bool yields = std::any_of(reports.begin(), reports.end(), [&](const auto &entry) {
-            return entry.second.capacity.yields
-                   && now - entry.second.at <= options_->spareCapacityLifetime;
-        });
-        if (key.second == shortId(service) && yields) {
+        std::size_t fresh = 0;
+        std::size_t yield = 0;
+        for (const auto &[reporter, report] : destination.reports) {
+            const bool valid = now - report.at <= options_->spareCapacityLifetime;
+            fresh += valid ? 1 : 0;
+            yield += valid && report.capacity.yields ? 1 : 0;
+        }
+        // A single wrong report does not exclude a region.
+        if (key.second == shortId(service) && yield > 0 && 2 * yield >= fresh) {
             regions.push_back(key.first);
         }
     }
--- a/Source/Core/Dispatch/TransferModel.cpp
+++ b/Source/Core/Dispatch/TransferModel.cpp
@@ -31,12 +31,12 @@
         // The configuration states the rate of this path. Two samples outweigh it.
         return {1, 1, 0.25};
     case TransferPath::BetweenDomains:
-        // Half of the rate has been measured, so that a copy has to be worth it at that rate.
+        // The rate may be half of the stated one; a copy has to be worth it at that rate too.
         return {0.5, 1, 1};
     case TransferPath::BetweenRegions:
         break;
     }
-    // A tenth of the rate has been measured. The deviation covers half of that: a first copy of
+    // The rate may be a tenth of the stated one. The deviation covers half of that: a first copy of
     // gigabytes is made where prefilling again is several times slower than at the nominal rate.
     return {0.5, 1, 4};
 }
--- a/Source/Core/Dispatch/TransferSamples.h
+++ b/Source/Core/Dispatch/TransferSamples.h
@@ -10,8 +10,8 @@
 
 namespace LaburnumChute::Dispatch {
 
-/// Bounds of the factor by which transfers take longer than their nominal time. Ten times the
-/// nominal time has been measured between regions.
+/// Bounds of the factor by which transfers take longer than their nominal time. Transfers between
+/// regions may take ten times as long.
 inline constexpr double MinTransferFactor = 0.25;
 inline constexpr double MaxTransferFactor = 16;
 
@@ -35,7 +35,8 @@
 {
 public:
     void add(const TransferSample &sample);
-    /// Replaces what the instance reported before. Invalid values are ignored or bounded.
+    /// Replaces what the instance reported before, unless that is newer. Invalid values are ignored
+    /// or bounded.
     void learn(const InstanceId &instance, TransferSample sample);
     /// Removes the reports of instances that are not in the list.
     void keep(const std::vector<InstanceId> &instances);
@@ -45,7 +46,8 @@
     /// Estimate from the samples of the region.
     /// @param prior has the weight of this part of a sample
     TransferSample estimate(const TransferSample &prior) const;
-    /// When the latest sample of the region was measured.
+    /// When the latest sample of the region was measured, without the newest report if there are
+    /// several.
     std::optional<Time> latest() const;
 
 private:
