--- a/Source/UnitTests/Dispatch/TransferReportsTest.cpp
+++ b/Source/UnitTests/Dispatch/TransferReportsTest.cpp
@@ -40,7 +40,7 @@
 
     const ServiceName Model{"model"};
     const Catalog::EngineTraits Traits{16, 300000, true, 1250, 100e6};
-    const DispatchOptions options_;
+    const DispatchOptions options_{};
     const std::map<ServiceName, Catalog::Service> services_{{Model, {}}};
     std::vector<TransferReports> instances_{20, TransferReports(options_)};
     std::size_t next_ = 0;
