--- a/Source/UnitTests/Dispatch/RegionYieldTest.cpp
+++ b/Source/UnitTests/Dispatch/RegionYieldTest.cpp
@@ -244,6 +244,16 @@
     EXPECT_FALSE(yields());
 }
 
+// Guards against a restricted request that is taken for an unrestricted one while the regions that
+// it may not use are not reached.
+TEST_F(RegionYieldTest, ARequestThatNamesItsRegionsStays)
+{
+    neighborRejected(1);
+    auto call = facts(Plain);
+    call.allowedRegions = {Home, Away};
+    EXPECT_NE(only<Send>(scheduler_.submit(call, now_)), nullptr);
+}
+
 // Guards against a region that waits for reports of neighbors it does not hear.
 TEST_F(RegionYieldTest, WithoutReportsTheOwnRejectionsCount)
 {
--- a/Source/UnitTests/Dispatch/TransferReportsTest.cpp
+++ b/Source/UnitTests/Dispatch/TransferReportsTest.cpp
@@ -98,6 +98,18 @@
     EXPECT_NEAR(factor(Domains), 2, 0.3);
 }
 
+// Guards against a faulty instance that keeps a path from being tried again.
+TEST_F(TransferReportsTest, WhatOneInstanceRepeatsIsForgotten)
+{
+    copy(Domains, 2, 6);
+    for (int second = 0; second < 120; ++second) {
+        now_ += seconds(1);
+        instances_[0].learn(InstanceId("faulty"), {{shortId(Model), 1, 100, 1600, 0, 0}}, services_,
+                            now_);
+    }
+    EXPECT_LT(factor(Domains), 2);
+}
+
 // Guards against all instances of a region that try an unmeasured path at the same time, after all
 // have been restarted or when what they learned has decayed.
 TEST_F(TransferReportsTest, UnmeasuredPathIsTriedByOneCopyAtATime)
