--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -46,6 +46,8 @@
     RegionName region;
     Time sentAt{};
     Duration expected{0};
+    /// See Candidate::slowdown.
+    Duration slowdown{0};
     /// EndpointState::workFactor() and statedWorkFactor() when the request was sent.
     double workFactor = 1;
     double statedWorkFactor = 1;
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -459,10 +459,12 @@
         states.push_back(state);
     }
     // Engines are divided by slot quotas, so reports about them are used at full weight.
-    const bool decayWithAge = !services_.at(name).engine;
+    const bool decayWithAge = !services_.at(name).engine || engine(name).reportsLoad();
     estimate_.estimate(shortId(name), loads, decayWithAge, now);
     for (std::size_t index = 0; index < loads.size(); ++index) {
-        states[index]->others = loads[index].known + loads[index].assumed;
+        auto &state = *states[index];
+        const double estimated = loads[index].known + loads[index].assumed;
+        state.others = state.reportedLoad.others(estimated, engine(name).holdTime(), now);
         states[index]->assumed = loads[index].assumed;
     }
 }
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -15,6 +15,7 @@
 #include "Dispatch/CrashAttribution.h"
 #include "Dispatch/EndpointRest.h"
 #include "Dispatch/EndpointSpeed.h"
+#include "Dispatch/EngineAdmission.h"
 #include "Dispatch/EngineModel.h"
 #include "Dispatch/EventPace.h"
 #include "Dispatch/LoadEstimate.h"
@@ -85,6 +86,7 @@
     /// Latest load that the endpoint stated.
     Dialect::LoadSample sample;
     Time sampledAt{};
+    ReportedLoad reportedLoad;
 
     /// Time that work takes now relative to the endpoint's usual speed, as its figures state it; 1
     /// without any.
@@ -102,6 +104,10 @@
     {
         return own + others;
     }
+    EngineLoad engineLoad(const EngineModel &engine, Time now) const
+    {
+        return {load(), listed.record.slots, scaled(engine.holdTime(), workFactor(now))};
+    }
     bool idle() const
     {
         constexpr double IdleBelow = 0.5;
--- a/Source/Core/Dispatch/EngineModel.cpp
+++ b/Source/Core/Dispatch/EngineModel.cpp
@@ -73,6 +73,12 @@
     return scaled(prefillTime(tokens), 1 / prefillFraction_);
 }
 
+void EngineModel::holdSeen(Duration held)
+{
+    ++holdSamples_;
+    holdTime_ += scaled(held - holdTime_, std::max(SampleWeight, 1.0 / holdSamples_));
+}
+
 void EngineModel::answerSeen(std::int64_t expectedTokens, int events)
 {
     if (expectedTokens <= 0 || events <= 0) {
--- a/Source/Core/Dispatch/EngineModel.h
+++ b/Source/Core/Dispatch/EngineModel.h
@@ -38,7 +38,28 @@
         return fastestPause_;
     }
 
+    /// An engine of the service has reported its load.
+    void loadReported()
+    {
+        reportsLoad_ = true;
+    }
+    bool reportsLoad() const
+    {
+        return reportsLoad_;
+    }
+
+    /// Records the time for which a request has held a slot, without its wait for it.
+    void holdSeen(Duration held);
+    /// Mean time that a request holds a slot; 0 until some have ended.
+    Duration holdTime() const
+    {
+        return holdTime_;
+    }
+
 private:
+    Duration holdTime_{0};
+    int holdSamples_ = 0;
+    bool reportsLoad_ = false;
     Duration floor_;
     double rate_;
     double prefillFraction_;
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -26,6 +26,7 @@
     : options_(&options)
     , table_(&table)
     , reachability_(&reachability)
+    , admission_(options)
     , self_(std::move(self))
     , random_(seed)
     , startedAt_(startedAt)
@@ -62,6 +63,12 @@
         const auto &all = reachability_->all();
         return endpoint.own < slotQuota(position, slots, all.rank, all.count);
     }
+    const auto &engine = table_->engine(service.name);
+    const bool unheard = endpoint.heardAt == Time() && engine.reportsLoad();
+    if (service.engine && (endpoint.reportedLoad.known() || unheard)) {
+        return admission_.admits(endpoint.engineLoad(engine, now),
+                                 call.facts.objectiveAt - call.facts.arrivedAt);
+    }
     if (service.engine) {
         const bool reportsFull = sampled && sample.waiting > 0 && sample.running >= sample.slots;
         const auto sharers = reachability_->sharers(service.name);
@@ -112,7 +119,12 @@
 {
     const auto prefill = endpoint.prefillQueue.wait(now);
     const auto running = scaled(options_->delayPerRunning, endpoint.load());
-    return scaled(prefill + running, endpoint.slowness * endpoint.workFactor(now));
+    const auto busy = scaled(prefill + running, endpoint.slowness * endpoint.workFactor(now));
+    // Prompts ahead are prefilled while the request waits for a slot.
+    const auto &engine = table_->engine(endpoint.listed.record.service);
+    const bool reported = endpoint.reportedLoad.known();
+    return reported ? std::max(busy, EngineAdmission::slotWait(endpoint.engineLoad(engine, now)))
+                    : busy;
 }
 
 Duration Placement::plainWait(const EndpointState &endpoint, Time now) const
@@ -293,6 +305,10 @@
         planCopy(candidate, service, call, holders, now);
         const auto usual = table_->engine(service.name).prefillTime(candidate.prefillTokens);
         const auto prefill = scaled(usual, endpoint.workFactor(now));
+        if (!endpoint.idle()) {
+            const auto busy = table_->engine(service.name).busyPrefillTime(candidate.prefillTokens);
+            candidate.slowdown = scaled(busy - usual, endpoint.workFactor(now));
+        }
         candidate.expected = options_->firstEventFloor + candidate.wait + prefill
                              + (candidate.copy ? candidate.copy->time : Duration(0));
         // To prefill a part again evicts another one as well.
@@ -362,8 +378,9 @@
     const auto soon = scaled(objective, options_->objectiveFraction);
     // A prompt that would miss the objective even on an idle engine is judged by its wait for other
     // requests; otherwise the largest requests would never be sent.
-    return candidate.expected <= std::min<Duration>(soon, left)
-           || candidate.wait <= scaled(objective, options_->waitFraction);
+    const bool inTime =
+        candidate.expected <= soon && candidate.expected + candidate.slowdown <= left;
+    return inTime || candidate.wait <= scaled(objective, options_->waitFraction);
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -18,6 +18,8 @@
     /// Time until the first event, and the part of it that is caused by other work of the endpoint.
     Duration expected{0};
     Duration wait{0};
+    /// Time by which its prefill takes longer because the engine generates answers meanwhile.
+    Duration slowdown{0};
     double cost = 0;
     std::int64_t prefillTokens = 0;
     std::optional<std::string> copyFrom;
@@ -95,6 +97,7 @@
     const DispatchOptions *options_;
     EndpointTable *table_;
     const Reachability *reachability_;
+    EngineAdmission admission_;
     InstanceId self_;
     std::mt19937_64 random_;
     Time startedAt_;
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -210,6 +210,7 @@
     call.sentAt = now;
     chargeRetry(call, now);
     call.expected = candidate.expected;
+    call.slowdown = candidate.slowdown;
     call.workFactor = endpoint.workFactor(now);
     call.statedWorkFactor = endpoint.statedWorkFactor(now);
     call.prefillTokens = candidate.prefillTokens;
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -92,6 +92,12 @@
         // measured between consecutive prompts, an engine slower than expected would be assumed to
         // have completed its prefills long ago and would be sent more and more.
         engine.sampleBusyPrefill(busy->expected, scaled(busy->took, 1 / workFactor));
+    } else if (call.prefillTokens >= options_.noticeTokens) {
+        // With many instances, none sends an engine two prompts in a row, so the engine's speed
+        // shows only in the time of single prompts behind those of others.
+        engine.sampleBusyPrefill(atUsualSpeed(call.expected, call.workFactor, fixed) - fixed
+                                     + call.slowdown,
+                                 atUsualSpeed(took, workFactor, fixed) - fixed);
     }
     health_.recordFirstEvent(*endpoint, call, took);
 }
@@ -172,6 +178,13 @@
     if (plain && isWhole(outcome) && call.sentAt >= endpoint->silentUntil) {
         recordSpeed(*endpoint, call, Duration(0), now);
     }
+    if (service != nullptr && service->engine && isWhole(outcome) && call.answering) {
+        // Without the wait before the prefill, which may have been a wait for a slot.
+        auto &engine = table_.engine(service->name);
+        const auto held = options_.firstEventFloor + engine.prefillTime(call.prefillTokens) + now
+                          - call.answeringSince;
+        engine.holdSeen(scaled(held, 1 / endpoint->workFactor(now)));
+    }
     if (!call.answering) {
         endpoint->prefillQueue.remove(call.sentAt, now);
     }
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -394,6 +394,13 @@
     if (auto *state = table_.find(endpoint)) {
         state->sample = sample;
         state->sampledAt = now;
+        const auto *service = table_.service(state->listed.record.service);
+        if (service != nullptr && service->engine) {
+            state->reportedLoad.record(sample, state->own, now);
+            if (state->reportedLoad.known()) {
+                table_.engine(service->name).loadReported();
+            }
+        }
         if (sample.workPercent) {
             state->speed.record({*sample.workPercent, now},
                                 table_.speedModel(state->listed.record.service));
--- a/Source/Core/Dispatch/SchedulerQueue.cpp
+++ b/Source/Core/Dispatch/SchedulerQueue.cpp
@@ -63,14 +63,18 @@
             continue;
         }
         // Slots are scaled by the ratio of the limited rate to the unlimited one.
-        const double usualRate = slots / endpoint->holdSeconds();
+        const auto modelled = engine && endpoint->reportedLoad.known()
+                                  ? Common::toSeconds(table_.engine(service).holdTime())
+                                  : 0;
+        const double hold = modelled > 0 ? modelled : endpoint->holdSeconds();
+        const double usualRate = slots / hold;
         const double fraction = usualRate > 0 ? endpoint->cappedRate(usualRate) / usualRate : 1;
         const double speed = 1 / endpoint->workFactor(now);
         capacity.parallelism += (engine ? 1 : slots) * fraction * speed;
         // The rate at which a rate-limited endpoint accepts requests does not depend on how many it
         // is running.
         const double busy = limit.limited() ? slots : std::min<double>(endpoint->load(), slots);
-        capacity.freedPerSecond += endpoint->cappedRate(speed * busy / endpoint->holdSeconds());
+        capacity.freedPerSecond += endpoint->cappedRate(speed * busy / hold);
     }
     capacity.shortestWait = shortest.value_or(Duration(0));
     capacity.others = table_.waitingAtOthers(service);
@@ -121,7 +125,7 @@
 Duration Scheduler::timeToFirstEvent(const Call &call, const std::optional<Candidate> &candidate)
 {
     if (candidate) {
-        return candidate->expected - candidate->wait;
+        return candidate->expected - candidate->wait + candidate->slowdown;
     }
     const auto &facts = call.facts;
     const auto *service = table_.service(facts.service);
@@ -130,7 +134,7 @@
     }
     // Shared parts may be cached on the endpoint that the request is sent to.
     const auto tokens = facts.parts.empty() ? facts.promptTokens : facts.parts.back().tokens;
-    return options_.firstEventFloor + table_.engine(facts.service).prefillTime(tokens);
+    return options_.firstEventFloor + table_.engine(facts.service).busyPrefillTime(tokens);
 }
 
 /// A request that would be late is rejected at once: it can be retried when there is spare
