Learn the speed of busy engines from single prompts

Only prompts of which nothing was cached or copied count, since the time of a copy would be taken for that of the prefill.

--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -92,7 +92,9 @@
         // measured between consecutive prompts, an engine slower than expected would be assumed to
         // have completed its prefills long ago and would be sent more and more.
         engine.sampleBusyPrefill(busy->expected, scaled(busy->took, 1 / workFactor));
-    } else if (call.prefillTokens >= options_.noticeTokens) {
+    } else if (endpoint->others >= 1
+               && call.prefillTokens >= std::max(options_.noticeTokens, call.facts.promptTokens)) {
+        // The time of a prompt of which a part was copied may be that of the copy.
         // With many instances, none sends an engine two prompts in a row, so the engine's speed
         // shows only in the time of single prompts behind those of others.
         engine.sampleBusyPrefill(atUsualSpeed(call.expected, call.workFactor, fixed) - fixed
