Consider pauses of streams in placement, and concentrate short streams

Engines that prefill in large chunks pause all their streams when a long prompt starts. The share of streams paused beyond what the route allows is counted by the size of the prompt beside them. Where it is significant, a prompt costs more at engines with many requests, and short streams prefer a part of the region's engines. Without such evidence no cost changes.

--- a/Source/Core/Dispatch/Call.h
+++ b/Source/Core/Dispatch/Call.h
@@ -56,6 +56,12 @@
     Time answeringSince{};
     /// When a part of its answer was last received.
     Time lastEventAt{};
+    /// Longest pause between events of the current attempt, at the usual speed of the machine.
+    Duration longestPause{0};
+    /// When reading from the endpoint was last resumed.
+    Time readingResumedAt{};
+    /// It counts in StreamGrouping.
+    bool shortStream = false;
     /// Nothing is read from the endpoint while the caller does not take what there is.
     bool readingPaused = false;
     /// When a replacement for the attempt was last looked for.
--- a/Source/Core/Dispatch/EndpointTable.cpp
+++ b/Source/Core/Dispatch/EndpointTable.cpp
@@ -363,6 +363,7 @@
     auto &state = *found->second;
     const auto &model = engine(state.listed.record.service);
     state.prefillQueue.add(now, model.busyPrefillTime(notice.prefillTokens));
+    state.prompts.began(notice.prefillTokens, now, now + state.prefillQueue.wait(now));
     noticeTransfer(state, notice, now);
     estimate_.noticed(sender, notice.endpoint, now);
     loadIsStale_ = true;
--- a/Source/Core/Dispatch/EndpointTable.h
+++ b/Source/Core/Dispatch/EndpointTable.h
@@ -20,6 +20,7 @@
 #include "Dispatch/LoadEstimate.h"
 #include "Dispatch/LoadReports.h"
 #include "Dispatch/Options.h"
+#include "Dispatch/PauseModel.h"
 #include "Dispatch/PrefillQueue.h"
 #include "Dispatch/PrefixCache.h"
 #include "Dispatch/RateLimit.h"
@@ -54,6 +55,7 @@
     double assumed = 0;
     PrefillQueue prefillQueue;
     EventPace pace;
+    RecentPrompts prompts;
     /// Mean ratio of the actual to the expected time to the first event.
     double slowness = 1;
     /// Moving average of the fraction of answers that are errors of the endpoint.
@@ -218,6 +220,10 @@
     }
     /// Queued work of the service at the region's other instances.
     WaitingWork waitingAtOthers(const ServiceName &name) const;
+    const LoadEstimate &loadEstimate() const
+    {
+        return estimate_;
+    }
     /// Recomputes the expected load of the endpoints according to the age of the load reports.
     void refreshLoad(Time now);
     /// Records that this instance sent a request to an endpoint of the service.
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -45,6 +45,8 @@
     Time deadline{};
     /// Pause after which the caller of a stream leaves.
     Duration patience = seconds(2);
+    /// Longest pause between events with which a stream is on time; zero if none is stated.
+    Duration longestPause{0};
     std::vector<Dialect::PromptPart> parts;
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0;
@@ -154,6 +156,13 @@
     std::optional<int> machinePercent;
     Duration machineAge{0};
     double statedWorkFactor = 1;
+    /// Whether prompts are known to cause pauses; expected fraction of the streams there that this
+    /// one causes to be paused too long.
+    bool pausesKnown = false;
+    double pauseRisk = 0;
+    /// Whether the endpoint is one of those that short streams prefer; empty if the request is not
+    /// short or no endpoint is preferred.
+    std::optional<bool> grouped;
 };
 
 /// Forward the request to an instance of the region now.
--- a/Source/Core/Dispatch/LoadEstimate.cpp
+++ b/Source/Core/Dispatch/LoadEstimate.cpp
@@ -14,6 +14,8 @@
 /// Equal to the report interval. Not every report reaches every instance, so a notice that counted
 /// until the next report received from its sender would outlive the request.
 constexpr milliseconds NoticeLifetime{250};
+/// Short streams that one instance may report even if others report none.
+constexpr double UncheckedStreams = 8;
 
 /// Endpoints of unknown size count as having one slot.
 double slotsOf(const EndpointLoad &endpoint)
@@ -136,6 +138,23 @@
     return sum;
 }
 
+double LoadEstimate::shortStreams(std::uint32_t service, double own) const
+{
+    std::vector<double> reported;
+    double sum = own;
+    for (const auto &[instance, report] : reports_) {
+        const auto *work = find(report.services, service);
+        reported.push_back(work != nullptr ? work->shortStreams : 0);
+        sum += reported.back();
+    }
+    // A wrong report counts at most as much as all other instances together.
+    double bounded = own;
+    for (const double streams : reported) {
+        bounded += std::min(streams, std::max(UncheckedStreams, sum - streams));
+    }
+    return bounded;
+}
+
 double LoadEstimate::sentPerSecond(const InstanceId &instance, std::uint32_t service) const
 {
     const auto report = reports_.find(instance);
--- a/Source/Core/Dispatch/LoadEstimate.h
+++ b/Source/Core/Dispatch/LoadEstimate.h
@@ -52,6 +52,10 @@
     /// Queued work at the other instances.
     /// @param service short id of the service
     WaitingWork waitingAtOthers(std::uint32_t service) const;
+    /// Short streams in progress at all instances of the region.
+    /// @param service short id of the service
+    /// @param own those of this instance
+    double shortStreams(std::uint32_t service, double own) const;
     /// Requests per second that the instance sends to endpoints of the service, according to its
     /// last report; 0 without a report.
     /// @param service short id of the service
--- a/Source/Core/Dispatch/LoadReports.h
+++ b/Source/Core/Dispatch/LoadReports.h
@@ -188,11 +188,39 @@
     std::uint16_t waiting = 0;
     std::uint32_t waitingMs = 0;
     std::uint16_t sentPerSecond = 0;
+    /// Short streams in progress, see StreamGrouping.
+    std::uint16_t shortStreams = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(service, waiting, waitingMs, sentPerSecond);
+        archive(service, waiting, waitingMs, sentPerSecond, shortStreams);
+    }
+};
+
+/// Ended streams of one class, see PauseModel.
+struct PauseClassReport
+{
+    std::uint16_t streams = 0;
+    std::uint16_t paused = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(streams, paused);
+    }
+};
+
+/// Streams of a service that the sender itself has seen end, by the largest prompt beside them.
+struct PauseReport
+{
+    std::uint32_t service = 0;
+    std::vector<PauseClassReport> classes;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, classes);
     }
 };
 
@@ -209,11 +237,13 @@
     std::vector<BrittleReport> brittle;
     /// Figures that the sender itself received since its last report, newest first.
     std::vector<SpeedReport> speeds;
+    std::vector<PauseReport> pauses;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(uses, services, placements, suspects, limits, unreachableServices, brittle, speeds);
+        archive(uses, services, placements, suspects, limits, unreachableServices, brittle, speeds,
+                pauses);
     }
 };
 
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -21,11 +21,13 @@
 } // namespace
 
 Placement::Placement(const DispatchOptions &options, EndpointTable &table,
-                     const Reachability &reachability, InstanceId self, std::uint64_t seed,
-                     Time startedAt)
+                     const Reachability &reachability, PauseModels &pauses,
+                     StreamGrouping &grouping, InstanceId self, std::uint64_t seed, Time startedAt)
     : options_(&options)
     , table_(&table)
     , reachability_(&reachability)
+    , pauses_(&pauses)
+    , grouping_(&grouping)
     , self_(std::move(self))
     , random_(seed)
     , startedAt_(startedAt)
@@ -179,9 +181,10 @@
 /// Cost of generating the answer on the endpoint and of delaying the answers generated there during
 /// prefill. In milliseconds of waiting for the first event: delays of the rest of an answer are
 /// relative to the deadline, delays of the first event to the objective, so the former are scaled
-/// by the ratio of the objective to the deadline.
+/// by the ratio of the objective to the deadline. Where answers are paused too long by the delays,
+/// the cost of that replaces the cost of the delays.
 double Placement::generationCost(const EndpointState &endpoint, const Call &call, Duration prefill,
-                                 Time now) const
+                                 double pauses, Time now) const
 {
     const auto &facts = call.facts;
     const auto totalTime = inMilliseconds(facts.deadline - facts.arrivedAt).count();
@@ -192,8 +195,54 @@
     const auto pause = inMilliseconds(usualPause).count() * endpoint.workFactor(now);
     const auto generating = engine.expectedEvents(facts.outputTokens) * pause;
     const auto delayed = inMilliseconds(prefill).count() * endpoint.load();
+    const double disturbance = objectiveRatio * options_->disturbanceWeight * delayed;
     return objectiveRatio
-           * (options_->generationWeight * generating + options_->disturbanceWeight * delayed);
+               * (options_->generationWeight * generating + options_->disturbanceWeight * delayed)
+           + std::max(0.0, pauses - disturbance);
+}
+
+Placement::PauseFacts Placement::pauseFacts(const Call &call, Time now)
+{
+    const auto &facts = call.facts;
+    const auto &engines = table_->usable(facts.service);
+    auto &model = pauses_->of(facts.service);
+    model.refresh(now);
+    if (!model.active() || engines.empty()) {
+        return {};
+    }
+    PauseFacts pauses;
+    pauses.model = &model;
+    if (isShortStream(facts, *options_)) {
+        const auto streams = table_->loadEstimate().shortStreams(
+            shortId(facts.service), grouping_->inProgress(facts.service));
+        grouping_->resize(facts.service, streams, engines.front()->listed.record.slots, now);
+        auto group = grouping_->group(facts.service, engines, now);
+        if (group.size() < engines.size()) {
+            pauses.group = std::move(group);
+        }
+    }
+    return pauses;
+}
+
+/// Load pattern: engines that prefill in large chunks. A stream that is paused too long counts as
+/// much as a first event that is late.
+double Placement::pauseCost(const Candidate &candidate, const Call &call)
+{
+    const auto objective = inMilliseconds(call.facts.objectiveAt - call.facts.arrivedAt).count();
+    return candidate.endpoint->load() * candidate.pauseRisk * objective;
+}
+
+/// More than the load of a full group costs, so that engines of the group are preferred until they
+/// are full, and the cost of the pauses that the stream is exposed to elsewhere.
+double Placement::groupCost(const Candidate &candidate, const Call &call,
+                            const PauseFacts &pauses) const
+{
+    if (candidate.grouped.value_or(true)) {
+        return 0;
+    }
+    const int slots = candidate.endpoint->listed.record.slots;
+    const auto objective = inMilliseconds(call.facts.objectiveAt - call.facts.arrivedAt).count();
+    return slots * costOfRequest(*options_, slots).count() + pauses.model->meanShare() * objective;
 }
 
 /// Random cost that decides between endpoints with similar load. While no load is assumed,
@@ -283,7 +332,8 @@
 }
 
 Candidate Placement::evaluate(EndpointState &endpoint, const Catalog::Service &service,
-                              const Call &call, const CacheHolders &holders, Time now)
+                              const Call &call, const CacheHolders &holders,
+                              const PauseFacts &pauses, Time now)
 {
     Candidate candidate;
     candidate.endpoint = &endpoint;
@@ -299,7 +349,16 @@
         if (candidate.copy || candidate.prefillsSooner) {
             extraMs += inMilliseconds(options_->copyCost).count();
         }
-        extraMs += generationCost(endpoint, call, prefill, now);
+        if (pauses.model != nullptr) {
+            const auto tokens = static_cast<double>(candidate.prefillTokens);
+            candidate.pausesKnown = true;
+            candidate.pauseRisk = pauses.model->share(tokens * endpoint.workFactor(now));
+        }
+        if (pauses.group) {
+            candidate.grouped = contains<const EndpointState *>(*pauses.group, &endpoint);
+        }
+        extraMs += generationCost(endpoint, call, prefill, pauseCost(candidate, call), now)
+                   + groupCost(candidate, call, pauses);
     } else {
         candidate.expected = plainWait(endpoint, now);
         candidate.wait = candidate.expected - scaled(endpoint.holdTime, endpoint.workFactor(now));
@@ -327,10 +386,12 @@
         return std::nullopt;
     }
     const auto holders = service->engine ? cacheHolders(call, *service, now) : CacheHolders();
+    const auto pauses = service->engine ? pauseFacts(call, now) : PauseFacts();
     const bool cachedHere =
         holders.most.endpoint != nullptr && holders.most.tokens >= options_->copyMinimumTokens;
     const auto *preferred = service->engine && !cachedHere ? preferredEndpoint(call) : nullptr;
     std::optional<Candidate> best;
+    std::optional<Candidate> bestNow;
     std::optional<Candidate> atPreferred;
     const auto &usable = table_->usable(call.facts.service);
     for (std::size_t position = 0; position < usable.size(); ++position) {
@@ -338,13 +399,21 @@
         if (!available(*endpoint, position, *service, call, now)) {
             continue;
         }
-        const auto candidate = evaluate(*endpoint, *service, call, holders, now);
+        const auto candidate = evaluate(*endpoint, *service, call, holders, pauses, now);
         if (endpoint == preferred) {
             atPreferred = candidate;
         }
         if (!best || candidate.cost < best->cost) {
             best = candidate;
         }
+        if (candidate.pausesKnown && (!bestNow || candidate.cost < bestNow->cost)
+            && shouldSend(call, candidate, now)) {
+            bestNow = candidate;
+        }
+    }
+    // To avoid pauses of others is no reason to let the request wait.
+    if (bestNow && !shouldSend(call, *best, now)) {
+        return bestNow;
     }
     const auto tolerance = inMilliseconds(options_->preferredTolerance).count();
     return atPreferred && atPreferred->cost <= best->cost + tolerance ? atPreferred : best;
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -8,6 +8,7 @@
 #include "Dispatch/Call.h"
 #include "Dispatch/EndpointTable.h"
 #include "Dispatch/Reachability.h"
+#include "Dispatch/StreamGrouping.h"
 
 namespace LaburnumChute::Dispatch {
 
@@ -28,6 +29,10 @@
     TransferTime copyTime;
     /// Another endpoint has more of the prompt, but prefilling it again is sooner than a copy.
     bool prefillsSooner = false;
+    /// See Send.
+    bool pausesKnown = false;
+    double pauseRisk = 0;
+    std::optional<bool> grouped;
 };
 
 /// Chooses an endpoint of the own region for a request.
@@ -41,8 +46,8 @@
 public:
     /// @param startedAt start time of this process
     Placement(const DispatchOptions &options, EndpointTable &table,
-              const Reachability &reachability, InstanceId self, std::uint64_t seed,
-              Time startedAt);
+              const Reachability &reachability, PauseModels &pauses, StreamGrouping &grouping,
+              InstanceId self, std::uint64_t seed, Time startedAt);
 
     void setBounds(const Catalog::Bounds &bounds);
     /// Instances of the own region that may send to its cold endpoints, see ColdRateLimit::quota().
@@ -75,6 +80,15 @@
         std::vector<CacheHolder> all;
     };
 
+    /// What is known of pauses in streams of a request's service.
+    struct PauseFacts
+    {
+        /// Null while prompts are not known to cause pauses.
+        const PauseModel *model = nullptr;
+        /// The engines that a short stream prefers; empty if it prefers none.
+        std::optional<std::vector<const EndpointState *>> group;
+    };
+
     /// @param position of the endpoint among those of its service
     bool available(const EndpointState &endpoint, std::size_t position,
                    const Catalog::Service &service, const Call &call, Time now) const;
@@ -82,12 +96,18 @@
                           const Catalog::Service &service, const Call &call, Time now) const;
     double tieBreak(const EndpointState &endpoint);
     Candidate evaluate(EndpointState &endpoint, const Catalog::Service &service, const Call &call,
-                       const CacheHolders &holders, Time now);
+                       const CacheHolders &holders, const PauseFacts &pauses, Time now);
+    PauseFacts pauseFacts(const Call &call, Time now);
+    /// Cost of the pauses that the prefill of the request causes in other streams of the engine.
+    static double pauseCost(const Candidate &candidate, const Call &call);
+    /// Cost of an engine outside the group of a short stream.
+    double groupCost(const Candidate &candidate, const Call &call, const PauseFacts &pauses) const;
     /// Sets the copy that is expected to be completed first, if it is sooner than to prefill again.
     void planCopy(Candidate &candidate, const Catalog::Service &service, const Call &call,
                   const CacheHolders &holders, Time now);
+    /// @param pauses cost of the pauses of other answers
     double generationCost(const EndpointState &endpoint, const Call &call, Duration prefill,
-                          Time now) const;
+                          double pauses, Time now) const;
     CacheHolders cacheHolders(const Call &call, const Catalog::Service &service, Time now) const;
     const EndpointState *preferredEndpoint(const Call &call) const;
     int coldQuota(const EndpointState &endpoint, const Catalog::Service &service) const;
@@ -95,6 +115,8 @@
     const DispatchOptions *options_;
     EndpointTable *table_;
     const Reachability *reachability_;
+    PauseModels *pauses_;
+    StreamGrouping *grouping_;
     InstanceId self_;
     std::mt19937_64 random_;
     Time startedAt_;
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -91,7 +91,7 @@
     , spareCapacity_(options_)
     , crashes_(Decisions::QuarantineOptions(), seed + 2)
     , reachability_(self_)
-    , placement_(options_, table_, reachability_, self_, seed + 1, startedAt)
+    , placement_(options_, table_, reachability_, pauses_, grouping_, self_, seed + 1, startedAt)
     , health_(options_, table_, crashes_)
     , instances_({self_})
     , startedAt_(startedAt)
@@ -223,6 +223,11 @@
     call.answerGoesOn = false;
     call.attemptCancelled = false;
     call.readingPaused = false;
+    call.longestPause = Duration(0);
+    call.shortStream = isShortStream(call.facts, options_);
+    if (call.shortStream) {
+        grouping_.began(call.facts.service);
+    }
     call.idleAtSend = endpoint.idle();
     call.slotFreeAtSend = endpoint.load() < record.slots;
     call.suspectedKeys = crashes_.started(call.keys, now);
@@ -232,6 +237,7 @@
     table_.sent(call.facts.service, now);
     endpoint.prefillQueue.add(
         now, table_.engine(call.facts.service).busyPrefillTime(candidate.prefillTokens));
+    endpoint.prompts.began(candidate.prefillTokens, now, now + endpoint.prefillQueue.wait(now));
     notice(endpoint, call);
     endpoint.cache.use(call.facts.parts);
     // The last part belongs to this request only.
@@ -259,6 +265,9 @@
     effect.others = endpoint.others - endpoint.assumed;
     effect.assumed = endpoint.assumed;
     effect.statedWorkFactor = call.statedWorkFactor;
+    effect.pausesKnown = candidate.pausesKnown;
+    effect.pauseRisk = candidate.pauseRisk;
+    effect.grouped = candidate.grouped;
     if (const auto &figure = endpoint.speed.last()) {
         effect.machinePercent = figure->percent;
         effect.machineAge = now - figure->at;
@@ -492,7 +501,7 @@
             {"instances", instances_.size()},  {"requests", calls_.size()},
             {"waiting", queue_.size()},        {"endpoints", endpoints},
             {"transfers", dumpTransfers(now)}, {"retry_budgets", dumpRetryBudgets(now)},
-            {"suspects", crashes_.dump(now)}};
+            {"pauses", dumpPauses()},          {"suspects", crashes_.dump(now)}};
 }
 
 } // namespace LaburnumChute::Dispatch
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -15,10 +15,12 @@
 #include "Dispatch/EndpointTable.h"
 #include "Dispatch/Facts.h"
 #include "Dispatch/Options.h"
+#include "Dispatch/PauseModel.h"
 #include "Dispatch/Placement.h"
 #include "Dispatch/Reachability.h"
 #include "Dispatch/RetryBudget.h"
 #include "Dispatch/SpareCapacity.h"
+#include "Dispatch/StreamGrouping.h"
 
 namespace LaburnumChute::Dispatch {
 
@@ -247,6 +249,9 @@
     /// Learns from the first event of an answer that carried a copy.
     void recordCopy(const Call &call, Duration took, Time now);
     nlohmann::json dumpTransfers(Time now) const;
+    /// Records that a stream was or was not paused too long, and that it is no longer in progress.
+    void recordPauses(Call &call, AttemptOutcome outcome, Time now);
+    nlohmann::json dumpPauses();
     void leaveEndpoint(Call &call, AttemptOutcome outcome, Time now);
     /// Records whether the endpoint's figures explain the time of an answer.
     /// @param fixed the part of the expected time that does not depend on the machine
@@ -262,6 +267,8 @@
     CrashAttribution crashes_;
     Time listCheckedAt_{};
     Reachability reachability_;
+    PauseModels pauses_;
+    StreamGrouping grouping_;
     Placement placement_;
     EndpointHealth health_;
     std::vector<InstanceId> instances_;
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -142,13 +142,35 @@
     hear(*endpoint, now);
     if (now - pause >= endpoint->silentUntil) {
         auto &engine = table_.engine(call.facts.service);
+        if (now - pause >= call.readingResumedAt) {
+            const auto usual = scaled(pause, 1 / endpoint->workFactor(now));
+            call.longestPause = std::max(call.longestPause, usual);
+        }
         endpoint->pace.seen(events, scaled(pause, 1 / endpoint->workFactor(now)), now);
         engine.paceSeen(endpoint->pace.pause(engine.fastestPause(), now));
     }
 }
 
+void Scheduler::recordPauses(Call &call, AttemptOutcome outcome, Time now)
+{
+    const auto &facts = call.facts;
+    if (std::exchange(call.shortStream, false)) {
+        grouping_.ended(facts.service);
+    }
+    // A caller may leave because of a pause.
+    const bool ended = isWhole(outcome) || outcome == AttemptOutcome::Cancelled;
+    const auto *endpoint = table_.find(call.endpoint);
+    if (!ended || !call.answering || facts.kind != RequestKind::Stream
+        || facts.longestPause <= Duration(0) || endpoint == nullptr) {
+        return;
+    }
+    const auto largest = endpoint->prompts.largest(call.answeringSince, call.sentAt);
+    pauses_.of(facts.service).ended(largest, call.longestPause > facts.longestPause, now);
+}
+
 void Scheduler::leaveEndpoint(Call &call, AttemptOutcome outcome, Time now)
 {
+    recordPauses(call, outcome, now);
     crashes_.stopped(std::exchange(call.suspectedKeys, {}));
     table_.transfers().remove(call.facts.id, now);
     auto *endpoint = table_.find(call.endpoint);
--- a/Source/Core/Dispatch/SchedulerKnowledge.cpp
+++ b/Source/Core/Dispatch/SchedulerKnowledge.cpp
@@ -125,6 +125,7 @@
     reachability_.setInstances(instances_);
     sharers_ = sharers;
     table_.keepReports(instances_);
+    pauses_.keep(instances_);
     spareCapacity_.setOwnInstances(instances_.size());
     spareCapacity_.setReachable(reachableRegions);
     updateRetryBudgets();
@@ -252,6 +253,21 @@
     return {{"in_progress", inProgress}, {"ratios", ratios}};
 }
 
+nlohmann::json Scheduler::dumpPauses()
+{
+    auto services = nlohmann::json::array();
+    for (const auto &[name, service] : table_.services()) {
+        if (service.engine) {
+            auto model = pauses_.of(name).dump();
+            model["service"] = name.text();
+            model["group_size"] = grouping_.size(name);
+            model["own_short_streams"] = grouping_.inProgress(name);
+            services.push_back(std::move(model));
+        }
+    }
+    return services;
+}
+
 std::vector<CrashEvent> Scheduler::takeCrashEvents()
 {
     return crashes_.takeEvents();
@@ -261,6 +277,7 @@
                                        Time now)
 {
     table_.setLoadReport(instance, report, now);
+    pauses_.learn(instance, report.pauses, now);
     reachability_.reported(instance, report.unreachableServices);
     crashes_.merge(report.suspects, now);
     Effects effects;
@@ -336,11 +353,13 @@
             std::chrono::duration_cast<milliseconds>(queued.work).count());
         work.sentPerSecond =
             static_cast<std::uint16_t>(std::lround(table_.sentPerSecond(name, now)));
-        if (work.waiting > 0 || work.sentPerSecond > 0) {
+        work.shortStreams = static_cast<std::uint16_t>(grouping_.inProgress(name));
+        if (work.waiting > 0 || work.sentPerSecond > 0 || work.shortStreams > 0) {
             report.services.push_back(work);
         }
     }
     report.suspects = crashes_.reports(CrashAttribution::Audience::OwnRegion, now);
+    report.pauses = pauses_.reports(now);
     for (const auto &name : unreachableServices()) {
         report.unreachableServices.push_back(shortId(name));
     }
--- a/Source/Core/Dispatch/SchedulerSilence.cpp
+++ b/Source/Core/Dispatch/SchedulerSilence.cpp
@@ -32,6 +32,7 @@
     if (found != calls_.end()) {
         found->second.readingPaused = paused;
         found->second.lastEventAt = now;
+        found->second.readingResumedAt = now;
     }
 }
 
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -158,6 +158,14 @@
     , copiesNotChosen(registry.counter("laburnumchute_relay_cache_copies_not_chosen_total",
                                        "Tries that prefill parts which another endpoint has, since "
                                        "that is sooner than a copy"))
+    , streamsPaused(registry.counter("laburnumchute_relay_streams_paused_total",
+                                     "Streams with a pause longer than their route allows"))
+    , promptsBesideStreams(registry.counter(
+          "laburnumchute_relay_prompts_beside_streams_total",
+          "Tries whose prompt is known to pause streams, at endpoints that had other requests"))
+    , sendsOutsideGroup(registry.counter(
+          "laburnumchute_relay_sends_outside_group_total",
+          "Tries of short streams at other endpoints than those that such streams prefer"))
     , answersGivenUp(registry.counter("laburnumchute_relay_answers_given_up_total",
                                       "Incomplete answers that were discarded, since all of them "
                                       "together occupied too much memory"))
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -76,6 +76,9 @@
     Common::Counter &copies;
     Common::Counter &copiedBytes;
     Common::Counter &copiesNotChosen;
+    Common::Counter &streamsPaused;
+    Common::Counter &promptsBesideStreams;
+    Common::Counter &sendsOutsideGroup;
     Common::Counter &answersGivenUp;
     Common::Gauge &heldAnswerBytes;
     Common::Gauge &unsentBytes;
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -187,6 +187,7 @@
     const auto callerTimeout = head->deadline.value_or(route->timeout);
     facts.deadline = receivedAt + std::min(callerTimeout, route->timeout);
     facts.patience = Platform::callerPatience(route->objective, route->gap);
+    facts.longestPause = route->gap.value_or(milliseconds(0));
     facts.parts = head->promptParts;
     facts.promptTokens = head->promptTokens;
     facts.outputTokens = head->expectedOutputTokens.value_or(head->maxOutputTokens);
@@ -245,6 +246,7 @@
         plan.gap = milliseconds(metadata->gapMs);
     }
     facts.patience = Platform::callerPatience(milliseconds(metadata->objectiveMs), plan.gap);
+    facts.longestPause = plan.gap.value_or(milliseconds(0));
     plan.fromPeer = true;
     return plan;
 }
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -37,6 +37,7 @@
 constexpr int LowestUrgency = 9;
 /// Factor above which an endpoint's machine is counted as slow in the metrics.
 constexpr double SlowMachine = 1.5;
+constexpr double Percent = 100;
 
 AttemptOutcome outcomeOf(CallFailure failure)
 {
@@ -230,6 +231,16 @@
         line.add("machine_percent", static_cast<std::int64_t>(*effect.machinePercent))
             .add("machine_age", effect.machineAge);
     }
+    if (effect.pausesKnown) {
+        line.add("pause_risk_percent",
+                 static_cast<std::int64_t>(std::lround(effect.pauseRisk * Percent)));
+        const bool besideStreams = effect.own + effect.others + effect.assumed >= 1;
+        metrics.promptsBesideStreams.add(effect.pauseRisk > 0 && besideStreams ? 1 : 0);
+    }
+    if (effect.grouped) {
+        line.add("grouped", *effect.grouped);
+        metrics.sendsOutsideGroup.add(*effect.grouped ? 0 : 1);
+    }
     gateway_.log().write(line, now);
     auto request =
         outboundRequest(effect.address, Platform::endpointHeaders(plan_.headers, order), now);
@@ -496,6 +507,8 @@
         gateway_.scheduler().progressed(plan_.facts.id, newEvents, now - lastEventAt_, now);
     }
     if (firstEventAfter_) {
+        const bool pausedTooLong = plan_.gap && now - lastEventAt_ > *plan_.gap;
+        gateway_.metrics().streamsPaused.add(pausedTooLong && longestPause_ <= *plan_.gap ? 1 : 0);
         longestPause_ = std::max(longestPause_, now - lastEventAt_);
     } else {
         firstEventAfter_ = now - plan_.facts.arrivedAt;
