Bound the group of short streams and test pauses under load

The group takes more than half of the engines only once half would be filled to three quarters: with a group of nearly all engines, no engine has few streams. Simulated engines now prefill in chunks between events.

--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -215,7 +215,8 @@
     if (isShortStream(facts, *options_)) {
         const auto streams = table_->loadEstimate().shortStreams(
             shortId(facts.service), grouping_->inProgress(facts.service));
-        grouping_->resize(facts.service, streams, engines.front()->listed.record.slots, now);
+        grouping_->resize(facts.service, streams, engines.size(),
+                          engines.front()->listed.record.slots, now);
         auto group = grouping_->group(facts.service, engines, now);
         if (group.size() < engines.size()) {
             pauses.group = std::move(group);
--- a/Source/Core/Dispatch/SchedulerAttempts.cpp
+++ b/Source/Core/Dispatch/SchedulerAttempts.cpp
@@ -164,6 +164,10 @@
         || facts.longestPause <= Duration(0) || endpoint == nullptr) {
         return;
     }
+    if (outcome == AttemptOutcome::Cancelled && !call.readingPaused) {
+        const auto open = scaled(now - call.lastEventAt, 1 / endpoint->workFactor(now));
+        call.longestPause = std::max(call.longestPause, open);
+    }
     const auto largest = endpoint->prompts.largest(call.answeringSince, call.sentAt);
     pauses_.of(facts.service).ended(largest, call.longestPause > facts.longestPause, now);
 }
--- a/Source/Core/Dispatch/StreamGrouping.cpp
+++ b/Source/Core/Dispatch/StreamGrouping.cpp
@@ -12,6 +12,9 @@
 /// Fraction of the slots of a group that its streams occupy on average. The rest is for fluctuation
 /// and for long prompts whose parts are cached there.
 constexpr double Fill = 0.5;
+/// The same once the group would be more than half of the engines: with a group of nearly all
+/// engines, no engine has few streams.
+constexpr double DenseFill = 0.75;
 /// Time within which the size follows a decrease to 1/e. Each engine that joins or leaves the group
 /// makes parts that it has cached less useful, so short decreases are ignored.
 constexpr seconds ShrinkTime{5};
@@ -40,14 +43,18 @@
     return found == groups_.end() ? 0 : found->second.inProgress;
 }
 
-void StreamGrouping::resize(const ServiceName &service, double streams, int slots, Time now)
+void StreamGrouping::resize(const ServiceName &service, double streams, std::size_t engines,
+                            int slots, Time now)
 {
     auto &group = groups_[service];
     const double age = Common::toSeconds(now - group.at) / Common::toSeconds(ShrinkTime);
     const double left = std::exp(-std::max(0.0, age));
     group.streams = std::max(streams, streams + (group.streams - streams) * left);
     group.at = now;
-    group.size = static_cast<std::size_t>(std::ceil(group.streams / (std::max(1, slots) * Fill)));
+    const auto enginesAt = [&](double fill) {
+        return static_cast<std::size_t>(std::ceil(group.streams / (std::max(1, slots) * fill)));
+    };
+    group.size = std::min(enginesAt(Fill), std::max((engines + 1) / 2, enginesAt(DenseFill)));
 }
 
 std::vector<const EndpointState *>
--- a/Source/Core/Dispatch/StreamGrouping.h
+++ b/Source/Core/Dispatch/StreamGrouping.h
@@ -28,7 +28,8 @@
 
     /// Recomputes the size of the service's group.
     /// @param streams short streams in progress in the region
-    void resize(const ServiceName &service, double streams, int slots, Time now);
+    void resize(const ServiceName &service, double streams, std::size_t engines, int slots,
+                Time now);
     /// The engines of the group.
     /// @param engines those of the service that accept requests
     std::vector<const EndpointState *>
--- a/Source/UnitTests/Dispatch/RegionSimulation.h
+++ b/Source/UnitTests/Dispatch/RegionSimulation.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Dispatch/Dispatch.h"
+#include "Dispatch/Util.h"
 
 namespace LaburnumChute::Dispatch::RegionLoad {
 
@@ -71,6 +72,13 @@
     double slowFraction = 0;
     Figures figures = Figures::None;
     unsigned speedSeed = 11;
+    /// Time between the events of a stream, usually and while its engine prefills; 0 for streams
+    /// without events.
+    milliseconds eventTime{0};
+    milliseconds eventTimeBesidePrefill{0};
+    /// Longest pause with which a stream is on time, and whether its route states it.
+    milliseconds longestPause{0};
+    bool statesPause = true;
 };
 
 struct Job
@@ -106,6 +114,10 @@
     bool rejected = false;
     /// When the parts that its engine copies are there.
     Time copiedAt{};
+    Time lastEventAt{};
+    /// Fraction of the next event that is generated.
+    double progress = 0;
+    bool paused = false;
 };
 
 /// Simulates the load of one region on any number of instances that use the same engines. As over
@@ -122,6 +134,8 @@
         double longPrefills = 0;
         double sharedPrefills = 0;
         double sharedCopied = 0;
+        /// Streams with a timely first event and a pause that was too long.
+        double paused = 0;
         double lateLong = 0;
         double submittedLong = 0;
         double copies = 0;
@@ -184,6 +198,7 @@
             for (auto &[id, engine] : engines_) {
                 changeSpeed(engine);
                 advance(engine);
+                generate(engine);
             }
             report();
             for (std::size_t index = 0; index < schedulers_.size(); ++index) {
@@ -244,6 +259,7 @@
             call.objectiveAt = now_ + PlainObjective;
         }
         call.deadline = now_ + seconds(8);
+        call.longestPause = load_.statesPause ? load_.longestPause : milliseconds(0);
         call.priority = isLong ? 1 : 0;
         call.promptTokens = isLong ? SharedTokens + OwnTokens : ShortTokens;
         if (isLong && load_.sharedParts == 0) {
@@ -382,6 +398,32 @@
         }
     }
 
+    /// An engine prefills in chunks between the events of its streams.
+    void generate(Engine &engine)
+    {
+        if (load_.eventTime == milliseconds(0)) {
+            return;
+        }
+        const auto time = engine.prefilling ? load_.eventTimeBesidePrefill : load_.eventTime;
+        const double speed =
+            load_.eventTime / inMilliseconds(time) / (engine.slow ? SlowFactor : 1);
+        for (auto &[id, entry] : engine.answering) {
+            auto &caller = callers_.at(id);
+            if (now_ < *caller.firstEventAt) {
+                continue;
+            }
+            caller.progress += speed * Step / inMilliseconds(load_.eventTime);
+            entry.second += scaled(Step, 1 - speed);
+            const auto pause = now_ - std::max(caller.lastEventAt, *caller.firstEventAt);
+            caller.paused = caller.paused || pause > load_.longestPause;
+            if (caller.progress >= 1) {
+                caller.progress = 0;
+                caller.lastEventAt = now_;
+                schedulers_[entry.first.instance]->progressed(id, 1, pause, now_);
+            }
+        }
+    }
+
     void beginPrefill(Engine &engine)
     {
         const auto next = nextPrompt(engine);
@@ -469,6 +511,7 @@
             outcome.submittedLong += caller.isLong;
             outcome.lateLong += caller.isLong && !inTime && !caller.rejected;
             outcome.rejected += caller.rejected ? 1 : 0;
+            outcome.paused += inTime && caller.paused ? 1 : 0;
             const bool late =
                 !caller.rejected
                 && !(caller.firstEventAt && *caller.firstEventAt <= facts.objectiveAt);
