--- a/Source/Core/Dispatch/SpareCapacity.cpp
+++ b/Source/Core/Dispatch/SpareCapacity.cpp
@@ -175,15 +175,14 @@
 {
     std::vector<RegionName> regions;
     for (const auto &[key, destination] : destinations_) {
-        std::size_t fresh = 0;
-        std::size_t yield = 0;
-        for (const auto &[reporter, report] : destination.reports) {
-            const bool valid = now - report.at <= options_->spareCapacityLifetime;
-            fresh += valid ? 1 : 0;
-            yield += valid && report.capacity.yields ? 1 : 0;
-        }
-        // A single wrong report does not exclude a region.
-        if (key.second == shortId(service) && yield > 0 && 2 * yield >= fresh) {
+        const auto &reports = destination.reports;
+        // The region's instances begin to yield at different times; long prompts that arrive in
+        // between would take the slots that the others leave free.
+        const bool yields = std::any_of(reports.begin(), reports.end(), [&](const auto &entry) {
+            return entry.second.capacity.yields
+                   && now - entry.second.at <= options_->spareCapacityLifetime;
+        });
+        if (key.second == shortId(service) && yields) {
             regions.push_back(key.first);
         }
     }
