--- a/Source/Core/Dispatch/TransferSamples.cpp
+++ b/Source/Core/Dispatch/TransferSamples.cpp
@@ -72,11 +72,7 @@
     sample.weight = std::min(sample.weight, MaxReportedWeight);
     sample.factor = std::clamp(sample.factor, MinTransferFactor, MaxTransferFactor);
     sample.deviation = std::clamp(sample.deviation, 0.0, MaxTransferFactor);
-    const auto [known, isNew] = reported_.try_emplace(instance, sample);
-    // Datagrams may overtake each other.
-    if (!isNew && known->second.at < sample.at) {
-        known->second = sample;
-    }
+    reported_[instance] = sample;
 }
 
 void TransferSamples::keep(const std::vector<InstanceId> &instances)
@@ -108,18 +104,12 @@
 
 std::optional<Time> TransferSamples::latest() const
 {
-    std::vector<Time> reported;
-    for (const auto &[instance, sample] : reported_) {
-        reported.push_back(sample.at);
-    }
-    std::sort(reported.rbegin(), reported.rend());
     std::optional<Time> latest;
-    if (!reported.empty()) {
-        // One instance alone must not keep what it reports from being forgotten.
-        latest = reported.size() > 1 ? reported[1] : reported[0];
-    }
     if (!own_.empty()) {
-        latest = std::max(latest.value_or(own_.back().at), own_.back().at);
+        latest = own_.back().at;
+    }
+    for (const auto &[instance, sample] : reported_) {
+        latest = std::max(latest.value_or(sample.at), sample.at);
     }
     return latest;
 }
@@ -140,10 +130,9 @@
     }
     std::sort(sources.begin(), sources.end(),
               [](const auto &left, const auto &right) { return left.sample.at > right.sample.at; });
-    const auto newest = latest().value_or(Time());
     double sum = 0;
     for (auto &[sample, reported] : sources) {
-        const double age = std::max(0.0, Common::toSeconds(newest - sample.at));
+        const double age = Common::toSeconds(sources.front().sample.at - sample.at);
         sample.weight *= std::exp2(-age / Common::toSeconds(WeightHalfLife));
         sample.weight = std::min(sample.weight, MaxWeight - sum);
         sum += sample.weight;
--- a/Source/Core/Dispatch/TransferSamples.h
+++ b/Source/Core/Dispatch/TransferSamples.h
@@ -35,8 +35,7 @@
 {
 public:
     void add(const TransferSample &sample);
-    /// Replaces what the instance reported before, unless that is newer. Invalid values are ignored
-    /// or bounded.
+    /// Replaces what the instance reported before. Invalid values are ignored or bounded.
     void learn(const InstanceId &instance, TransferSample sample);
     /// Removes the reports of instances that are not in the list.
     void keep(const std::vector<InstanceId> &instances);
@@ -46,8 +45,7 @@
     /// Estimate from the samples of the region.
     /// @param prior has the weight of this part of a sample
     TransferSample estimate(const TransferSample &prior) const;
-    /// When the latest sample of the region was measured, without the newest report if there are
-    /// several.
+    /// When the latest sample of the region was measured.
     std::optional<Time> latest() const;
 
 private:
