--- a/review/common/harness.py
+++ b/review/harness.py
@@ -12,7 +12,7 @@
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
 sys.path.insert(0, str(ROOT / "Source" / "IntegrationTests"))
 
