Log what shows that an endpoint has not run a request

The lines of a try that has not run did not tell whether the answer belongs to the request: neither the id that it states nor whether its connection was used before. Both are logged now, and answers without an id are counted.

--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -162,6 +162,12 @@
     , answersGivenUp(registry.counter("laburnumchute_relay_answers_given_up_total",
                                       "Incomplete answers that were discarded, since all of them "
                                       "together occupied too much memory"))
+    , unnamedAnswers(registry.counter("laburnumchute_relay_unnamed_answers_total",
+                                      "Answers that do not state the id of their request",
+                                      {{"connection", "new"}}))
+    , unnamedAnswersOnUsedConnections(registry.counter(
+          "laburnumchute_relay_unnamed_answers_total",
+          "Answers that do not state the id of their request", {{"connection", "used"}}))
     , heldAnswerBytes(registry.gauge("laburnumchute_relay_held_answer_bytes",
                                      "Memory of answers that are incomplete"))
     , unsentBytes(registry.gauge("laburnumchute_relay_unsent_bytes",
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -78,6 +78,8 @@
     Common::Counter &copiedBytes;
     Common::Counter &copiesNotChosen;
     Common::Counter &answersGivenUp;
+    Common::Counter &unnamedAnswers;
+    Common::Counter &unnamedAnswersOnUsedConnections;
     Common::Gauge &heldAnswerBytes;
     Common::Gauge &unsentBytes;
     Common::DurationHistogram &firstEvent;
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -313,12 +313,14 @@
     }
 }
 
-void RelayedCall::logNotRun(Common::Time now)
+void RelayedCall::logNotRun(const Dialect::EndpointResponseMetadata &facts, Common::Time now)
 {
     EventLine line("try-not-run");
     line.add("request", plan_.head.requestId)
         .add("endpoint", endpoint_)
         .add("reason", lastReason_)
+        .add("answers", facts.requestId)
+        .add("used_connection", call_->usedIdleConnection())
         .add("after", now - sentAt_);
     gateway_.log().write(line, now);
 }
@@ -396,6 +398,11 @@
         return false;
     }
     const auto now = steadyNow();
+    if (facts.requestId.empty()) {
+        (call_->usedIdleConnection() ? gateway_.metrics().unnamedAnswersOnUsedConnections
+                                     : gateway_.metrics().unnamedAnswers)
+            .add();
+    }
     if (facts.load && !endpoint_.empty()) {
         gateway_.scheduler().loadSeen(endpoint_, *facts.load, now);
         if (facts.load->workPercent) {
@@ -418,7 +425,7 @@
         responseMode_ = facts.wrongEndpoint ? ResponseMode::Replaced : ResponseMode::NotRun;
         lastReason_ = facts.wrongEndpoint ? "another endpoint has the address"
                                           : fmt::format("refused with {}", head.status);
-        logNotRun(now);
+        logNotRun(facts, now);
         return true;
     }
     if (isSuccess() && (!facts.sealed || facts.requestId.empty())) {
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -108,7 +108,8 @@
     void startCall(OutboundRequest request, Common::Time now);
     bool handleHead(const ResponseHead &head);
     void readPeerState(const ResponseHead &head);
-    void logNotRun(Common::Time now);
+    /// Logs what shows that the endpoint has not run the request.
+    void logNotRun(const Dialect::EndpointResponseMetadata &facts, Common::Time now);
     /// Records what the endpoint says about itself in its answer.
     void recordEndpointState(const Dialect::EndpointResponseMetadata &facts, Common::Time now);
     void recordLimit(const Dialect::EndpointResponseMetadata &facts, Common::Time now);
