Show orders and streams that run twice

Callers got 503 for orders that had run, orders ran at two endpoints, and the first endpoint of a resumed stream worked on for a second. Real processes, judged by what ran at the endpoints:

- an answer without an id that says "not run" comes on a connection that was used before, while an order runs there: 4 tests, the order runs at a second endpoint
- a refusal comes a second time when the order is sent to the successor of an endpoint on the same connection: the order runs there and its caller is told that it has not
- the path to the first endpoint of a stream loses packets as the stream goes on elsewhere

--- /dev/null
+++ b/Source/IntegrationTests/test_run_once.py
@@ -0,0 +1,136 @@
+"""Requests that may run at one endpoint at a time, where it is open whether an earlier attempt is
+over; judged by what ran at the endpoints and what callers were told."""
+
+import concurrent.futures
+import pathlib
+import sys
+import time
+
+import pytest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "platform" / "tests"))
+
+import standin  # noqa: E402
+from relay_deployment import RelayDeployment  # noqa: E402
+from stray_endpoint import HangingEndpoint, StrayEndpoint  # noqa: E402
+from test_relay import attempt, runs_of, whole  # noqa: E402
+
+INSTANCES = {"north-1": ("127.0.0.21", "north-a"), "north-2": ("127.0.0.22", "north-a")}
+#: Single requests may be retried once a window of a second is over.
+BOUNDS = standin.retry_bounds(1.0, 50)
+ENDPOINTS = [("d-1", "desk", "north-a"), ("d-2", "desk", "north-a")]
+#: Statuses by which a caller is told that its request has not run and will not run.
+NOT_RUN = (408, 421, 429, 503)
+
+
+def order_route():
+    return {**standin.route("order", "/order/", "desk", "once"), "latencySloMs": 3000}
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    StrayEndpoint.strays = 0
+    routes, services = [order_route()], [standin.service("desk")]
+    one = RelayDeployment(tmp_path, INSTANCES, ENDPOINTS, routes, services, BOUNDS, StrayEndpoint)
+    try:
+        one.wait_ready()
+        time.sleep(1.5)
+        yield one
+    finally:
+        one.stop()
+
+
+def order(deployment):
+    """Id and status of an order."""
+    return attempt(deployment.address("north-1"), "POST", "/order/x", b"x")[:2]
+
+
+def orders(deployment, count):
+    """As above, of orders of which three are under way at a time."""
+    with concurrent.futures.ThreadPoolExecutor(3) as callers:
+        return list(callers.map(lambda _: order(deployment), range(count)))
+
+
+def change(deployment, name, **values):
+    for key, value in values.items():
+        deployment.platform.call(setattr, deployment.platform.endpoints[name], key, value)
+
+
+def check_orders(deployment, told):
+    time.sleep(0.3)
+    runs = runs_of(deployment.platform)
+    assert StrayEndpoint.strays > 0, "no connection carried an answer that was not due"
+    for identity, status in told:
+        assert runs.get(identity, 0) <= 1, f"order {identity} ran {runs[identity]} times"
+        assert status not in NOT_RUN or identity not in runs, f"{identity} ran and got {status}"
+
+
+# Guards against TWICE: a late refusal without an id is taken for that of the order under way.
+@pytest.mark.parametrize("status", [503, 429, 421])
+def test_a_refusal_without_an_id_on_a_used_connection_lets_no_order_run_twice(deployment, status):
+    change(deployment, "d-1", unnamed_status=status)
+    check_orders(deployment, orders(deployment, 30))
+
+
+# Guards against a refusal of what has run: as above, at all endpoints.
+def test_no_order_that_ran_is_refused_after_refusals_without_an_id(deployment):
+    for name, _, _ in ENDPOINTS:
+        change(deployment, name, unnamed_status=503)
+    check_orders(deployment, orders(deployment, 12))
+
+
+# Guards against TWICE: an endpoint that has succeeded another one at its address refuses an order
+# for that one twice, and the second refusal comes when the order is sent to the successor.
+def test_a_refusal_that_comes_twice_lets_no_order_run_twice(deployment):
+    platform = deployment.platform
+    platform.call(platform.store.delete, "servers/d-1")
+    change(deployment, "d-1", identity="d-1-next")
+    change(deployment, "d-2", slots=1, work=1.5, refuses_after=0.25)
+    platform.call(platform.endpoints["d-2"].register)
+    time.sleep(1)
+    with concurrent.futures.ThreadPoolExecutor() as callers:
+        first = callers.submit(order, deployment)
+        time.sleep(0.1)
+        put_former_record(platform)
+        time.sleep(0.1)
+        second = callers.submit(order, deployment)
+        time.sleep(0.1)
+        platform.call(platform.endpoints["d-1"].register)
+        check_orders(deployment, [first.result(), second.result()])
+
+
+def put_former_record(platform):
+    """The record of the endpoint that was at the address before has not expired yet."""
+    successor = platform.endpoints["d-1"]
+    platform.call(setattr, successor, "identity", "d-1")
+    platform.call(successor.register)
+    platform.call(setattr, successor, "identity", "d-1-next")
+    platform.call(setattr, successor, "restarts", 1)
+
+
+#: Time in which an endpoint must have stopped work on a stream that another one goes on with.
+STOP_TIME = 0.4
+
+
+# Guards against TWICE: the segment that ends the first attempt is lost, and its endpoint works on.
+def test_an_endpoint_stops_when_another_goes_on_with_its_stream_over_a_lossy_path(tmp_path):
+    stream = standin.route("draft", "/stream/", "model", "stream", resumable=True, gap=200)
+    endpoints = [("m-1", "model", "north-a"), ("m-2", "model", "north-a")]
+    services = [standin.service("model", model=True)]
+    deployment = RelayDeployment(
+        tmp_path, INSTANCES, endpoints, [{**stream, "latencySloMs": 400}], services, BOUNDS,
+        HangingEndpoint,
+    )
+    try:
+        deployment.wait_ready()
+        time.sleep(1.5)
+        identity, status, headers, body = attempt(
+            deployment.address("north-1"), "POST", "/stream/x", b"x"
+        )
+        time.sleep(1)
+        assert status == 200 and whole("draft", identity, headers, body), (status, body)
+        late = HangingEndpoint.ended.get(identity, time.monotonic()) - HangingEndpoint.resumed[identity]
+        assert late <= STOP_TIME, f"the first endpoint worked on for {late:.2f} s"
+    finally:
+        deployment.stop()
