End a withdrawn attempt by a close that survives the loss of a segment

What endpoints saw: a stream went on at another endpoint while the first one worked on for 1.00 s (the end of the test), over a path that loses packets.

Cause: the connection of a silent attempt was ended by a reset. A reset is a single segment and is not sent again; if it is lost, an endpoint that sends nothing never learns of the end.

Fix: if the endpoint has acknowledged the request, the connection is closed instead; the kernel sends the end again until it is acknowledged. What is not acknowledged is still discarded by a reset, so that no request is delivered after its end. Calls whose callers leave keep the reset.

--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <boost/asio/write.hpp>
 
 #include "Async/Async.h"
@@ -16,6 +19,13 @@
 constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
 constexpr unsigned FirstFinalStatus = 200;
 
+/// Whether the remote side has acknowledged all bytes.
+bool isDelivered(asio::ip::tcp::socket &socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes == 0;
+}
+
 } // namespace
 
 std::string_view toString(ResponseEnd end)
@@ -285,6 +295,18 @@
     }
 }
 
+void OutboundCall::withdraw()
+{
+    if (finished_ || !connected_ || !isDelivered(connection_->socket)) {
+        cancel();
+        return;
+    }
+    // A reset is not sent again if it is lost, the end of the connection is.
+    finished_ = true;
+    boost::system::error_code ignored;
+    connection_->socket.close(ignored);
+}
+
 void OutboundCall::pause(bool paused)
 {
     paused_ = paused;
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -618,6 +618,7 @@
         .add("events_passed", streamStarted_)
         .add("silent", now - lastEventAt_);
     gateway_.log().write(line, now);
+    call_->withdraw();
     endAttempt(AttemptOutcome::Silent, true, now);
 }
 
