Tell an engine to stop before another one gets its request

What engines saw (verb gateway): a stream went on at another engine and the first one generated on, since it was never told to stop: its connections had fallen silent and it detects a closed one late. As well after a late refusal on a used connection, which was taken for that of the request under way.

The request was given to another engine before its last attempt was known to be over, by inference from silence or by a refusal without an id.

Fix: after an attempt that may still run, the engine gets the cancellation and is awaited for up to the cancel timeout before the next attempt; the log says whether it confirmed. "not-started" is proof only with the request's id, or as the first response of its connection. Orders always use connections of their own, and the ledger already owns their right to run.

--- a/Source/Core/Endpoints/EndpointStream.cpp
+++ b/Source/Core/Endpoints/EndpointStream.cpp
@@ -21,6 +21,7 @@
 constexpr int InterimResponseLimit = 16;
 constexpr std::string_view RunStateHeader = "Engine-Run-State";
 constexpr std::string_view NotStarted = "not-started";
+constexpr std::string_view RequestIdHeader = "X-Request-Id";
 constexpr std::string_view EventStreamType = "text/event-stream";
 
 using StringRequest = http::request<http::string_body>;
@@ -30,7 +31,7 @@
 {
     StringRequest message(verb, target, HttpVersion);
     message.set(http::field::host, address);
-    message.set("X-Request-Id", id.text());
+    message.set(beast::string_view(RequestIdHeader.data(), RequestIdHeader.size()), id.text());
     return message;
 }
 
@@ -154,7 +155,12 @@
     }
     auto response = head();
     if (response.status == 503 && response.header(RunStateHeader) == NotStarted) {
-        auto rejected = failure(Common::RunState::NotRun, "the endpoint did not start the request");
+        // The first response on a connection is that to its first request. On a connection that has
+        // had others, only the id shows which request has not been started.
+        const bool proven =
+            !connection_->reused || response.header(RequestIdHeader) == request_.request.text();
+        auto rejected = failure(proven ? Common::RunState::NotRun : Common::RunState::Unknown,
+                                "the endpoint did not start the request");
         rejected.code = Common::ErrorCode::Overloaded;
         co_return tl::unexpected(std::move(rejected));
     }
--- a/Source/Core/Gateway/CallRunner.cpp
+++ b/Source/Core/Gateway/CallRunner.cpp
@@ -25,7 +25,10 @@
 
 D::Outcome outcomeOf(const Endpoints::EndpointFailure &failure)
 {
-    if (failure.runState == Common::RunState::NotRun) {
+    // An endpoint that states that it is full does not count as failing, whichever request it
+    // means.
+    const bool rejected = failure.code == Common::ErrorCode::Overloaded;
+    if (failure.runState == Common::RunState::NotRun || rejected) {
         return D::Outcome::NotStarted;
     }
     return failure.endpointGone ? D::Outcome::EndpointDied : D::Outcome::Failed;
@@ -443,6 +446,7 @@
     context_.metrics.resumptions.add(static_cast<std::uint64_t>(stream_->resumptions()));
     const bool notRun = failure.runState == Common::RunState::NotRun;
     co_await recordFailure(notRun);
+    co_await endGeneration(failure);
     if (stream_->aborted()) {
         registration_->finished(endpoint, D::Outcome::Cancelled);
         co_return co_await sendWithdrawnProblem();
@@ -535,6 +539,24 @@
     cancelGeneration();
 }
 
+/// Another endpoint may continue the request next. Engines detect a closed connection late, and one
+/// whose responses are lost or late still generates.
+asio::awaitable<void> CallRunner::endGeneration(const Endpoints::EndpointFailure &failure)
+{
+    const bool mayGenerate = plan_.model && failure.runState == Common::RunState::Unknown
+                             && !failure.endpointGone && !stream_->aborted();
+    if (!mayGenerate) {
+        co_return;
+    }
+    const auto request = stream_->request();
+    const bool confirmed = co_await Endpoints::cancelAtEndpoint(
+        pool_, request.address, request.request, context_.cancelTimeout);
+    (confirmed ? context_.metrics.cancelsConfirmed : context_.metrics.cancelsUnconfirmed).add();
+    logRequest(Common::LogLevel::Info, plan_.callerId,
+               fmt::format("generation at {} {}", request.endpoint,
+                           confirmed ? "has ended" : "may continue: it did not confirm its end"));
+}
+
 void CallRunner::cancelGeneration()
 {
     if (!plan_.model) {
--- a/Source/Core/Gateway/CallRunner.h
+++ b/Source/Core/Gateway/CallRunner.h
@@ -118,6 +118,8 @@
     /// Reports to a caller that is still connected that its request was withdrawn.
     asio::awaitable<Step> sendWithdrawnProblem();
     void cancelGeneration();
+    /// Waits until an endpoint whose attempt failed confirms that it generates no more, if it may.
+    asio::awaitable<void> endGeneration(const Endpoints::EndpointFailure &failure);
     Endpoints::EndpointRequest endpointRequest(const EndpointEntry &endpoint) const;
     bool mayAbort() const
     {
--- a/Source/IntegrationTests/test_gateway_delivery.py
+++ b/Source/IntegrationTests/test_gateway_delivery.py
@@ -7,6 +7,7 @@
 import pathlib
 import re
 import socket
+import struct
 import threading
 import time
 
@@ -382,3 +383,106 @@
                          r"[1-9]\d* bytes not delivered", text)
         assert re.search(r"stopped: .* 0 requests, 0 forwarded requests and 0 connections", text)
         unread.close()
+
+
+# Answers that end inside their heads
+
+WHOLE_HEAD = (b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\nContent-Type: text/event-stream\r\n"
+              b"Connection: close\r\n\r\n")
+CUT_HEADS = [b"", WHOLE_HEAD[:9], WHOLE_HEAD[:17], WHOLE_HEAD[:35], WHOLE_HEAD[:38],
+             WHOLE_HEAD[:-2], WHOLE_HEAD[:-1], b"HTTP/1.1 102 Processing\r\n\r\n",
+             b"HTTP/1.1 102 Processing\r\n\r\n" + WHOLE_HEAD[:-2]]
+
+
+def end_inside_head(sent, resets):
+    def answer(connection, _, __):
+        connection.sendall(sent)
+        if resets:
+            time.sleep(0.02)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    return answer
+
+
+@pytest.mark.parametrize("resets", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("kind", ["service", "engine"])
+def test_answer_that_ends_inside_its_head_is_no_success(otaru, kind, resets):
+    """Guards against a 200 with an empty or short body that is framed as whole."""
+    gateway = otaru.gateways[0]
+    with RawEndpoint(None) as endpoint:
+        use_only(otaru, endpoint, kind, "sapporo", gateway)
+        for sent in CUT_HEADS:
+            endpoint.answer = end_inside_head(sent, resets)
+            status, body = probe(gateway, kind)
+            assert status >= 500, (sent, status, body)
+
+
+# Streams that go on at another engine
+
+
+def test_engine_is_told_to_stop_before_another_one_continues_its_stream(otaru):
+    """Guards against TWICE: an engine whose connections fall silent generates on while another one
+    has the request."""
+    gateway = otaru.gateways[0]
+    begun = threading.Event()
+    stopped = []
+
+    def hang(connection, method, path):
+        if method == "DELETE":
+            stopped.append(time.monotonic())
+            connection.sendall(whole(b"{}"))
+        elif method == "POST" and not begun.is_set():
+            begun.set()
+            connection.sendall(EVENT_STREAM + event(1, "a"))
+            connection.recv(1)
+        else:
+            connection.recv(1)
+
+    with RawEndpoint(hang) as first, RawEndpoint(engine_answer(3, 1)) as second:
+        use_only(otaru, first, "engine", "sapporo", gateway)
+        caller = open_call(gateway, stream=True)
+        assert begun.wait(10)
+        otaru.endpoints.append({**otaru.endpoints[0], "id": "second", "http": second.address})
+        otaru.publish_list()
+        deadline = time.monotonic() + 40
+        while not any(method == "POST" for _, method, _ in second.requests):
+            assert time.monotonic() < deadline
+            time.sleep(0.05)
+        time.sleep(1)
+        continued = next(at for at, method, _ in second.requests if method == "POST")
+        assert stopped and stopped[0] <= continued + 0.4
+        caller.close()
+
+
+NOT_STARTED = (b"HTTP/1.1 503 Service Unavailable\r\nEngine-Run-State: not-started\r\n"
+               b"Content-Length: 0\r\n\r\n")
+
+
+def test_late_refusal_on_a_used_connection_lets_no_engine_generate_on(otaru):
+    """Guards against TWICE: a refusal of an earlier request is taken for that of the one under way,
+    and another engine gets it."""
+    gateway = otaru.gateways[0]
+    served, stray, stopped = [], threading.Event(), []
+
+    def answer(connection, method, path):
+        if method == "DELETE":
+            stopped.append(time.monotonic())
+            connection.sendall(whole(b"{}"))
+        elif method != "POST":
+            connection.sendall(whole(b"{}"))
+        elif connection not in served or stray.is_set():
+            served.append(connection)
+            connection.sendall(whole(b'{"choices": []}'))
+            return KEEP
+        else:
+            stray.set()
+            connection.sendall(NOT_STARTED)
+            connection.recv(1)
+
+    with RawEndpoint(answer) as engine:
+        use_only(otaru, engine, "engine", "sapporo", gateway)
+        for _ in range(20):
+            if not stray.is_set():
+                probe(gateway, "engine")
+        assert stray.is_set()
+        time.sleep(0.4)
+        assert stopped
