Let an odd entry of the store cost only itself

What would happen: after one entry that cannot be decoded, every instance followed the store no more, and a process that started beside it never got ready. Entries with numbers out of range, ports 0 and 65536, or no port were taken for endpoints: requests were tried there, numbers overflowed, and a sequence of 1e300 made all later entries of its endpoint look outdated.

Cause: an error in one item failed the whole answer of the store, at the watch again and again.

Fix: items that cannot be read are left out and logged, each for itself.

--- a/Source/Core/Catalog/ItemStore.h
+++ b/Source/Core/Catalog/ItemStore.h
@@ -34,6 +34,8 @@
     std::vector<Item> items;
     Revision upTo = 0;
     bool complete = false;
+    /// Why other items could not be read. Not passed on to peers.
+    std::vector<std::string> unreadable;
 
     /// For cereal.
     template <typename Archive>
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -26,6 +26,11 @@
     const auto grace =
         Catalog::remainingGrace(storeSettled(now), age, settings_.bounds.endpointDrain);
     const auto update = catalog_.apply(changes, grace, now);
+    for (const auto &reason : changes.unreadable) {
+        EventLine line("item-unreadable");
+        line.add("key", "").add("reason", reason).add("source", source);
+        log_.write(line, now);
+    }
     for (const auto &[key, reason] : update.undecodable) {
         EventLine line("item-unreadable");
         line.add("key", key).add("reason", reason).add("source", source);
--- a/Source/Core/Relay/StoreWatcher.cpp
+++ b/Source/Core/Relay/StoreWatcher.cpp
@@ -179,6 +179,8 @@
         listing_.upTo = page->revision;
     }
     std::move(page->items.begin(), page->items.end(), std::back_inserter(listing_.items));
+    std::move(page->unreadable.begin(), page->unreadable.end(),
+              std::back_inserter(listing_.unreadable));
     listAfter_ = page->nextAfter;
     nextCallAt_ = now;
     if (!listAfter_.empty()) {
