Let an odd endpoint of the instance list cost only itself

What would happen (verb gateway): after one odd entry, the instances followed the list no more.

Cause: as in the verb relay, an error in one entry failed the whole list.

Fix: the entries of endpoints are parsed one by one; an odd one is left out, counted (laburnumchute_instance_list_invalid_endpoints) and logged at each change. Of entries with one id the first counts. Entries of instances, which only the platform writes, still fail the list. What endpoints, engines and the weight store state is bounded in range and nesting, too.

--- a/Source/Core/Entry/CompletionAssembler.cpp
+++ b/Source/Core/Entry/CompletionAssembler.cpp
@@ -1,5 +1,7 @@
 #include "Entry/CompletionAssembler.h"
 
+#include "Common/Json.h"
+
 namespace LaburnumChute::Entry {
 
 namespace {
@@ -32,7 +34,7 @@
         if (data == DoneMarker) {
             continue;
         }
-        const auto chunk = json::parse(data, nullptr, false);
+        const auto chunk = Common::parseJson(data);
         if (!chunk.is_object()) {
             return Common::makeError(Common::ErrorCode::ProtocolViolation,
                                      "the engine sent an event that is no JSON object");
--- a/Source/Core/Gateway/ClusterRunner.cpp
+++ b/Source/Core/Gateway/ClusterRunner.cpp
@@ -108,6 +108,8 @@
                                               "Number of the configuration in force"))
     , aliveMembers_(
           metrics.gauge("laburnumchute_members_alive", "Members of the region that are alive"))
+    , invalidEndpoints_(metrics.gauge("laburnumchute_instance_list_invalid_endpoints",
+                                      "Endpoints of the instance list that are left out"))
     , conflicts_(metrics.counter("laburnumchute_configuration_conflicts_total",
                                  "Second contents seen under a known number"))
 {
@@ -168,6 +170,9 @@
 
 void ClusterRunner::applyInstanceList(const Readers::InstanceList &list)
 {
+    if (list.invalidEndpoints != instanceList_.invalidEndpoints) {
+        logInvalidEndpoints(list);
+    }
     instanceList_ = list;
     std::vector<Cluster::Seed> seeds;
     for (const auto &listed : list.instances) {
@@ -198,6 +203,19 @@
     publishTable();
 }
 
+void ClusterRunner::logInvalidEndpoints(const Readers::InstanceList &list)
+{
+    invalidEndpoints_.set(static_cast<std::int64_t>(list.invalidEndpoints.size()));
+    for (const auto &error : list.invalidEndpoints) {
+        Common::log(Common::LogType::Platform, Common::LogLevel::Warning,
+                    "an endpoint is left out: {}", error);
+    }
+    if (list.invalidEndpoints.empty()) {
+        Common::log(Common::LogType::Platform, Common::LogLevel::Info,
+                    "the instance list has no invalid endpoints any more");
+    }
+}
+
 void ClusterRunner::updateEndpoints()
 {
     std::vector<D::EndpointFacts> facts;
--- a/Source/Core/Gateway/ClusterRunner.h
+++ b/Source/Core/Gateway/ClusterRunner.h
@@ -90,6 +90,7 @@
     void execute(const Cluster::RegionChanged &effect);
 
     void applyInstanceList(const Readers::InstanceList &list);
+    void logInvalidEndpoints(const Readers::InstanceList &list);
     void updateEndpoints();
     void publishLoadReport();
     void publishSuspects();
@@ -123,6 +124,7 @@
     std::string lastRejection_;
     Common::Gauge &configurationNumberGauge_;
     Common::Gauge &aliveMembers_;
+    Common::Gauge &invalidEndpoints_;
     Common::Counter &conflicts_;
 };
 
--- a/Source/Core/Gateway/EndpointMonitor.cpp
+++ b/Source/Core/Gateway/EndpointMonitor.cpp
@@ -1,11 +1,13 @@
 #include "Gateway/EndpointMonitor.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <nlohmann/json.hpp>
+
+#include "Common/Json.h"
 
 namespace LaburnumChute::Gateway {
 
@@ -19,11 +21,14 @@
 constexpr int FailedReadsLimit = 3;
 constexpr std::size_t ReportLimitBytes = 256 * 1024;
 
+/// A number that an endpoint states; sums and products of such numbers must not overflow.
 template <typename Number>
 Number numberOf(const json &document, const char *member)
 {
+    constexpr double Highest = 1e9;
     const auto found = document.find(member);
-    return found != document.end() && found->is_number() ? found->get<Number>() : Number();
+    const double value = found != document.end() && found->is_number() ? found->get<double>() : 0.0;
+    return static_cast<Number>(std::clamp(value, 0.0, Highest));
 }
 
 Common::Duration millisecondsOf(const json &document, const char *member)
@@ -32,6 +37,13 @@
         std::chrono::duration<double, std::milli>(numberOf<double>(document, member)));
 }
 
+std::uint64_t eventNumberOf(const json &document, const char *member)
+{
+    const auto found = document.find(member);
+    const bool valid = found != document.end() && found->is_number_unsigned();
+    return valid ? found->get<std::uint64_t>() : 0;
+}
+
 D::LoadReport reportOf(const json &document)
 {
     D::LoadReport report;
@@ -165,7 +177,7 @@
                     "cannot read the load report: {}", body.error().message);
         co_return;
     }
-    const auto document = json::parse(*body, nullptr, false);
+    const auto document = Common::parseJson(*body);
     if (!document.is_object()) {
         co_return;
     }
@@ -195,7 +207,7 @@
 {
     const auto body =
         co_await get(*watched, fmt::format("/v1/cache-events?after={}", watched->lastCacheEvent));
-    const auto document = body ? json::parse(*body, nullptr, false) : json();
+    const auto document = body ? Common::parseJson(*body) : json();
     if (!document.is_object() || !document.contains("events") || !document["events"].is_array()) {
         co_return;
     }
@@ -205,7 +217,7 @@
             events.push_back(*event);
         }
     }
-    watched->lastCacheEvent = numberOf<std::uint64_t>(document, "latest");
+    watched->lastCacheEvent = eventNumberOf(document, "latest");
     dispatcher_.command([id = watched->endpoint.id,
                          events = std::move(events)](D::Scheduler &scheduler, Common::Time now) {
         D::Effects effects;
--- a/Source/Core/Readers/ConfigurationReader.cpp
+++ b/Source/Core/Readers/ConfigurationReader.cpp
@@ -1,6 +1,6 @@
 #include "Readers/ConfigurationReader.h"
 
-#include <nlohmann/json.hpp>
+#include "Common/Json.h"
 
 namespace LaburnumChute::Readers {
 
@@ -28,7 +28,7 @@
     if (response->status == 304) {
         co_return std::optional<PublishedVersion>();
     }
-    const auto document = json::parse(response->body, nullptr, false);
+    const auto document = Common::parseJson(response->body);
     const bool isVersion = response->status == 200 && document.is_object()
                            && document.contains("number") && document["number"].is_number_unsigned()
                            && document.contains("content");
--- a/Source/Core/Readers/InstanceList.cpp
+++ b/Source/Core/Readers/InstanceList.cpp
@@ -3,7 +3,8 @@
 #include <optional>
 #include <unordered_set>
 
-#include <nlohmann/json.hpp>
+#include "Async/Async.h"
+#include "Common/Json.h"
 
 namespace LaburnumChute::Readers {
 
@@ -51,6 +52,16 @@
         return value == first;
     }
 
+    std::string readAddress(const char *member)
+    {
+        auto address = readString(member);
+        const auto parsed = Async::parseTcpAddress(address);
+        if (!parsed || parsed->port() == 0) {
+            reportInvalid(member, "ip:port");
+        }
+        return address;
+    }
+
     bool readBool(const char *member)
     {
         const auto found = entry_.find(member);
@@ -113,42 +124,74 @@
     endpoint.name = reader.readString("name");
     endpoint.region = Common::RegionName(reader.readString("region"));
     endpoint.failureDomain = Common::FailureDomainName(reader.readString("failure_domain"));
-    endpoint.http = reader.readString("http");
+    endpoint.http = reader.readAddress("http");
     endpoint.leaving = reader.equalsFirst("state", "leaving", "live");
     endpoint.checksFences = reader.readBool("checks_fences");
     return endpoint;
 }
 
-/// Parses one of the two arrays. Ids must be unique within an array.
+/// Reads one entry and records the id. Ids must be unique within an array; of several entries with
+/// the same id, the first one counts.
 template <typename Entry>
-Common::Result<std::vector<Entry>> readEntries(const json &document, const char *member,
-                                               Entry (*read)(EntryReader &))
+Common::Result<Entry> readEntry(const json &value, std::string path, Entry (*read)(EntryReader &),
+                                std::unordered_set<std::string> &ids)
+{
+    EntryReader reader(value, std::move(path));
+    auto entry = read(reader);
+    if (ids.count(entry.id.text()) > 0) {
+        reader.reportInvalid("id", "a unique id");
+    }
+    if (const auto result = reader.result(); !result) {
+        return tl::unexpected(result.error());
+    }
+    ids.insert(entry.id.text());
+    return entry;
+}
+
+Common::Result<std::vector<ListedInstance>> readInstances(const json &document)
 {
-    const auto array = document.find(member);
+    const auto array = document.find("instances");
     if (array == document.end() || !array->is_array()) {
-        return invalid(std::string("/") + member, "an array");
+        return invalid("/instances", "an array");
     }
-    std::vector<Entry> entries;
-    entries.reserve(array->size());
+    std::vector<ListedInstance> instances;
     std::unordered_set<std::string> ids;
     for (const auto &value : *array) {
-        EntryReader reader(value, fmt::format("/{}/{}", member, entries.size()));
-        entries.push_back(read(reader));
-        if (!ids.insert(entries.back().id.text()).second) {
-            reader.reportInvalid("id", "a unique id");
+        const auto path = fmt::format("/instances/{}", instances.size());
+        auto instance = readEntry(value, path, readInstance, ids);
+        if (!instance) {
+            return tl::unexpected(instance.error());
         }
-        if (const auto result = reader.result(); !result) {
-            return tl::unexpected(result.error());
+        instances.push_back(std::move(*instance));
+    }
+    return instances;
+}
+
+void readEndpoints(const std::vector<std::string_view> &elements, InstanceList &list)
+{
+    std::unordered_set<std::string> ids;
+    for (std::size_t index = 0; index < elements.size(); ++index) {
+        const auto path = fmt::format("/endpoints/{}", index);
+        auto endpoint = readEntry(Common::parseJson(elements[index]), path, readEndpoint, ids);
+        if (endpoint) {
+            list.endpoints.push_back(std::move(*endpoint));
+        } else {
+            list.invalidEndpoints.push_back(endpoint.error().message);
         }
     }
-    return entries;
 }
 
 } // namespace
 
 Common::Result<InstanceList> parseInstanceList(std::string_view body)
 {
-    const auto document = json::parse(body, nullptr, false);
+    const auto endpoints = Common::findJsonArray(body, "endpoints");
+    if (!endpoints) {
+        return invalid("/endpoints", "an array");
+    }
+    const auto rest =
+        fmt::format("{}[]{}", body.substr(0, endpoints->begin), body.substr(endpoints->end));
+    const auto document = Common::parseJson(rest);
     if (!document.is_object()) {
         return invalid("the document", "a JSON object");
     }
@@ -156,15 +199,15 @@
     if (asOf == document.end() || !asOf->is_number_unsigned()) {
         return invalid("/as_of_ms", "a whole number of milliseconds");
     }
-    auto instances = readEntries(document, "instances", readInstance);
+    auto instances = readInstances(document);
     if (!instances) {
         return tl::unexpected(instances.error());
     }
-    auto endpoints = readEntries(document, "endpoints", readEndpoint);
-    if (!endpoints) {
-        return tl::unexpected(endpoints.error());
-    }
-    return InstanceList{asOf->get<std::uint64_t>(), std::move(*instances), std::move(*endpoints)};
+    InstanceList list;
+    list.asOf = asOf->get<std::uint64_t>();
+    list.instances = std::move(*instances);
+    readEndpoints(endpoints->elements, list);
+    return list;
 }
 
 } // namespace LaburnumChute::Readers
--- a/Source/Core/Readers/InstanceList.h
+++ b/Source/Core/Readers/InstanceList.h
@@ -43,11 +43,15 @@
     std::uint64_t asOf = 0;
     std::vector<ListedInstance> instances;
     std::vector<ListedEndpoint> endpoints;
+    /// For each endpoint entry that was left out, the first invalid member and what was expected.
+    std::vector<std::string> invalidEndpoints;
 };
 
-/// Parses the document described in docs/PROTOCOLS.md. Parsing is strict: accepting part of a list
-/// could drop healthy endpoints or send new requests to one that is leaving. The error names the
-/// first invalid member.
+/// Parses the document described in docs/PROTOCOLS.md. The error names the first invalid member.
+///
+/// Entries of instances come from the platform itself, so one invalid entry makes the list invalid.
+/// Endpoints are entered by others as well: an invalid entry names no endpoint to use, and is left
+/// out so that the instances can follow the changes of the others.
 Common::Result<InstanceList> parseInstanceList(std::string_view body);
 
 } // namespace LaburnumChute::Readers
--- a/Source/Core/Readers/WeightStoreReader.cpp
+++ b/Source/Core/Readers/WeightStoreReader.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
+#include "Common/Json.h"
 
 namespace LaburnumChute::Readers {
 
@@ -31,7 +31,7 @@
     if (!response) {
         co_return tl::unexpected(response.error());
     }
-    const auto document = json::parse(response->body, nullptr, false);
+    const auto document = Common::parseJson(response->body);
     const WeightStoreLimits limits{positiveOrZero(document, "loads_per_minute"),
                                    positiveOrZero(document, "megabits_per_second")};
     if (response->status != 200 || limits.loadsPerMinute == 0 || limits.megabitsPerSecond == 0) {
