Reject bodies of callers that are nested too deeply

What callers saw (verb gateway): the instance ended, and with it all requests on it, after one request whose body was nested 300,000 levels deep.

Cause: an invalid member is printed into the error message, level by level on the stack.

Evidence: test_bad_input_gets_its_status_and_hurts_nobody with such a body, seen failing on: the connection closed without an answer, and the next one was refused.

Fix: bodies of more than 64 levels get 400 before they are parsed.

Measured: the test passes.

--- a/Source/Core/Entry/CallerRequest.cpp
+++ b/Source/Core/Entry/CallerRequest.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-#include <nlohmann/json.hpp>
+#include "Common/Json.h"
 
 namespace LaburnumChute::Entry {
 
@@ -178,9 +178,10 @@
 
 Common::Result<ModelCall> parseModelCall(ModelCallKind kind, const std::string &body)
 {
-    const auto document = json::parse(body, nullptr, false);
+    const auto document = Common::parseJson(body);
     if (!document.is_object()) {
-        return Common::makeError(Common::ErrorCode::InvalidArgument, "the body is no JSON object");
+        return Common::makeError(Common::ErrorCode::InvalidArgument,
+                                 "the body is no JSON object of at most 64 levels");
     }
     ModelCall call;
     call.kind = kind;
@@ -215,7 +216,7 @@
 
 std::string engineBody(const std::string &body, int priorityLevel)
 {
-    auto document = json::parse(body, nullptr, false);
+    auto document = Common::parseJson(body);
     const auto stream = document.find("stream");
     if (stream == document.end() || *stream != true) {
         // Non-streamed responses include the usage, which engines add to a stream only on request.
--- a/Source/IntegrationTests/test_http_input.py
+++ b/Source/IntegrationTests/test_http_input.py
@@ -9,6 +9,8 @@
 
 from calls import Stream, read_whole
 
+#: Its nesting would be copied and printed level by level, on the stack.
+NESTED = b'{"model": "inscription", "stream": ' + b"[" * 300_000 + b"]" * 300_000 + b"}"
 BODY = json.dumps({"model": "inscription", "prompt": "p", "max_tokens": 2}).encode()
 
 
@@ -52,6 +54,7 @@
     (b"GET /v1/models HTTP/1.1\r\nHost: x\r\nX-Long: " + b"a" * 200_000 + b"\r\n\r\n", 431),
     (head(9) + b"not json!", 400),
     (head(2) + b"[]", 400),
+    (head(len(NESTED)) + NESTED, 400),
     (head(1 << 40), 413),
 ])
 def test_bad_input_gets_its_status_and_hurts_nobody(otaru, sent, expected):
