--- a/Source/IntegrationTests/test_run_once.py
+++ b/Source/IntegrationTests/test_run_once.py
@@ -1,8 +1,11 @@
 """Requests that may run at one endpoint at a time, where it is open whether an earlier attempt is
 over; judged by what ran at the endpoints and what callers were told."""
 
+import asyncio
 import concurrent.futures
+import contextlib
 import pathlib
+import socket
 import sys
 import time
 
@@ -12,6 +15,7 @@
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
 
 import standin  # noqa: E402
+from raw_caller import RawCaller  # noqa: E402
 from relay_deployment import RelayDeployment  # noqa: E402
 from stray_endpoint import HangingEndpoint, StrayEndpoint  # noqa: E402
 from test_relay import attempt, runs_of, whole  # noqa: E402
@@ -135,3 +139,49 @@
         assert late <= STOP_TIME, f"the first endpoint worked on for {late:.2f} s"
     finally:
         deployment.stop()
+
+
+class QueueingEndpoint(standin.Endpoint):
+    """Runs one request at a time; the others wait. Records when each reached it."""
+
+    def __init__(self, store, identity, service, zone):
+        super().__init__(store, identity, service, zone, slots=1, work=0.2)
+        self.free = asyncio.Semaphore(1)
+        self.reached = []
+
+    async def _handle(self, method, target, headers, body, writer):
+        self.reached.append(time.monotonic())
+        async with self.free:
+            await super()._handle(method, target, headers, body, writer)
+
+
+# Guards against GONE: orders that wait at another instance run after their callers have left.
+def test_orders_that_wait_at_another_instance_are_withdrawn_with_their_callers(tmp_path):
+    instances = {"north-1": ("127.0.0.21", "north-a"), "south-1": ("127.0.0.22", "south-a")}
+    endpoints = [("d-1", "desk", "south-a")]
+    deployment = RelayDeployment(
+        tmp_path, instances, endpoints, [order_route()], [standin.service("desk")], BOUNDS,
+        QueueingEndpoint,
+    )
+    try:
+        deployment.wait_ready()
+        time.sleep(1.5)
+        for _ in range(4):
+            order(deployment)
+        callers = [
+            RawCaller(deployment.address("north-1"), "/order/x", b"x", deadline=8)
+            for _ in range(40)
+        ]
+        time.sleep(0.6)
+        for caller in callers:
+            # Those that have been answered are closed.
+            with contextlib.suppress(OSError):
+                caller.socket.shutdown(socket.SHUT_RDWR)
+        left = time.monotonic()
+        time.sleep(3.5)
+        late = [at - left for at in deployment.platform.endpoints["d-1"].reached if at > left + 0.5]
+        forwards = [one for one in deployment.log_lines("north-1") if one["event"] == "forward"]
+        assert len(forwards) > 20
+        assert len(late) <= 3, f"{len(late)} orders arrived {late[-1]:.2f} s after their callers left"
+    finally:
+        deployment.stop()
