State the request's id in refusals of the stand-ins

A "not-started" counts on a used connection only with the request's id. The stand-ins of engines and plain services state it now, as docs/PROTOCOLS.md asks; without it their refusals on used connections are retried within the retry budget and told as unknown.

--- a/Source/StandIns/EngineCalls.cpp
+++ b/Source/StandIns/EngineCalls.cpp
@@ -104,6 +104,7 @@
 {
     std::map<std::string, std::string> headers;
     headers["Engine-Run-State"] = "not-started";
+    headers["X-Request-Id"] = connection->header("X-Request-Id");
     headers["Retry-After"] = "1";
     co_await connection->respond(http::status::service_unavailable,
                                  openAiError("server_error", reason).dump(), headers);
--- a/Source/StandIns/PlainService.cpp
+++ b/Source/StandIns/PlainService.cpp
@@ -57,6 +57,7 @@
     if (faults_.refuseNotStarted) {
         std::map<std::string, std::string> headers;
         headers["Engine-Run-State"] = "not-started";
+        headers["X-Request-Id"] = connection->header("X-Request-Id");
         co_await connection->respond(http::status::service_unavailable, "{}", headers);
         co_return;
     }
