Model the right to run a request

Models/RunPermit.pml: one sender, two addresses, requests that may run once; endpoints refuse, refuse twice and refuse without an id, connections break and what was sent may run later. Whoever decides where a request goes is left out: any decision at any time keeps both properties.

--- a/Models/check.sh
+++ b/Models/check.sh
@@ -17,10 +17,12 @@
 at-most-once-3-submissions Idempotency -DKEYS=1,-DSUBMISSIONS=3 -DCOLLAPSE
 configuration-never-reverts Configuration -DRESTARTS=2 -DCOLLAPSE
 at-most-once-2-keys Idempotency -DKEYS=2,-DSUBMISSIONS=2 -DCOLLAPSE
+right-to-run RunPermit -DREQUESTS=2,-DATTEMPTS=3 -DCOLLAPSE
 "
 
 # Each line: guard, model, property that fails without it, macros.
 # Properties of Idempotency: 1 at most once, 2 truthful refusal, 3 no dispatch after the deadline.
+# Properties of RunPermit: 1 at most once, 2 truthful refusal.
 # Properties of Configuration: 1 configuration never reverts, 2 the first content stays, 3 the last
 # good one stays, 4 in force everywhere.
 mutants="
@@ -47,6 +49,11 @@
 WITHOUT_FIRST_CONTENT Configuration 2 -DRESTARTS=1
 WITHOUT_VALIDATION Configuration 3 -DRESTARTS=1
 WITHOUT_EXCHANGE Configuration 4 -DRESTARTS=1
+WITHOUT_PERMIT RunPermit 1 -DREQUESTS=2
+WITHOUT_PERMIT_BEFORE_REFUSAL RunPermit 2 -DREQUESTS=2
+WITHOUT_UNKNOWN_AFTER_BREAK RunPermit 1 -DREQUESTS=2
+WITHOUT_ID_ON_USED_CONNECTION RunPermit 1 -DREQUESTS=2
+WITHOUT_NEW_CONNECTION RunPermit 1 -DREQUESTS=2
 "
 
 # build DIRECTORY MODEL MACROS COMPILER-OPTIONS: makes DIRECTORY/pan.
