--- a/Source/Core/Relay/RelayedCallEnd.cpp
+++ b/Source/Core/Relay/RelayedCallEnd.cpp
@@ -194,8 +194,8 @@
     callerDisconnected_ = true;
     gateway_.metrics().abandoned.add();
     gateway_.scheduler().withdraw(plan_.facts.id, now);
-    // An at-most-once request at an endpoint runs to completion: its caller may ask for the outcome.
-    // The instance that a request was forwarded to knows whether it is at an endpoint or waits.
+    // An at-most-once request at an endpoint runs to completion: its caller may ask for the
+    // outcome. The instance that a request was forwarded to knows whether it is at an endpoint.
     const bool atEndpoint = call_ && peer_.empty();
     if (atEndpoint && plan_.facts.kind == Dispatch::RequestKind::AtMostOnce) {
         return;
--- a/Source/IntegrationTests/soak.py
+++ b/Source/IntegrationTests/soak.py
@@ -7,9 +7,12 @@
 
     ... soak.py --seeds 1-50 --seconds 40 --faults stops,silences,endless --keep /tmp/soak
 
-The family "figures" (endpoints that state false speeds of their machines) is played when it is named:
+The families "figures" (endpoints that state false speeds of their machines) and "strays" (answers
+that belong to no request under way, heads that end early, odd entries of the store) are played when
+they are named:
 
     ... soak.py --seeds 1-50 --seconds 40 --faults figures,endpoints,kills,pauses,paths
+    ... soak.py --seeds 1-50 --seconds 40 --faults strays,endpoints,kills,pauses
 """
 
 import argparse
@@ -119,18 +122,18 @@
             instance.start()
             await deployment.wait_ready(instance)
         callers.start()
+        watching = asyncio.create_task(deployment.watch())
         if deliveries_per_second:
-            watching = asyncio.create_task(deployment.watch())
             deliveries.start()
         await disturb(deployment, faults_log)
         if deliveries_per_second:
             running = [one for one in deployment.instances if one.process.poll() is None]
             await asyncio.gather(*(one.terminate() for one in running))
-            watching.cancel()
             await deliveries.stop()
         else:
             await asyncio.sleep(SETTLE)
         await callers.stop()
+        watching.cancel()
     finally:
         deployment.stop()
         await end_tasks()
@@ -144,6 +147,7 @@
         in_touch,
         deployment.side_of,
     )
+    broken += soak_rules.check_processes([] if deliveries_per_second else deployment.crashes)
     history = make_history(deployment, callers.requests) if deliveries_per_second else None
     if history:
         broken = soak_delivery_rules.check_all(history) + broken
--- a/Source/IntegrationTests/soak_callers.py
+++ b/Source/IntegrationTests/soak_callers.py
@@ -91,6 +91,7 @@
             DEADLINE,
             endpoints_allowed,
             deadly=deadly,
+            once=kind == "order",
             bad_part=bad_part,
         )
         if deadly and self.deadly_query_varies:
--- a/Source/IntegrationTests/soak_faults.py
+++ b/Source/IntegrationTests/soak_faults.py
@@ -1,13 +1,17 @@
 """Faults of a soak: drawn from a seed, in series, overlapping."""
 
 import asyncio
+import base64
 import random
 import signal
 
+from soak_deployment import standin  # noqa: F401, for the path of the stand-ins
+from odd_entries import ODD
+
 #: Families of faults, and the mean time between two faults of a family.
 MEAN_GAPS = {"endpoints": 1.5, "kills": 2.0, "pauses": 4.0, "paths": 4.0}
 #: Families that are played only when named, so that the seeds of the others keep their faults.
-FURTHER_GAPS = {"figures": 3.0}
+FURTHER_GAPS = {"figures": 3.0, "strays": 2.0}
 #: Texts that are no figure, or none that is possible.
 INVALID_FIGURES = ("", "0", "-100", "fast", "1e9", "9" * 40, "100,100")
 
@@ -41,6 +45,7 @@
             "pauses": self._pauses(),
             "paths": self._path_faults(),
             "figures": self._false_figures(),
+            "strays": self._strays(),
         }
 
     async def _series(self, end, faults, mean_gap):
@@ -118,6 +123,26 @@
                 endpoint.work_figure = None
         return f"{service}: {len(chosen)} endpoints"
 
+    # What belongs to no request, and entries that name no endpoint.
+
+    def _strays(self):
+        return {
+            "late refusals": lambda: self._fail("late refusals"),
+            "second answers": lambda: self._fail("second answers"),
+            "cut heads": lambda: self._fail("cut heads"),
+            "lost segments": lambda: self._fail("lost segments"),
+            "odd entries": self._odd_entries,
+        }
+
+    async def _odd_entries(self):
+        odd = self.random.choice(list(ODD))
+        key = f"servers/odd {odd}"
+        store = self.deployment.store
+        store.put_text(key, base64.b64encode(ODD[odd]).decode())
+        await asyncio.sleep(self.random.uniform(1, 6))
+        store.delete(key)
+        return odd
+
     # Instances.
 
     def _kills(self):
--- a/Source/IntegrationTests/soak_rules.py
+++ b/Source/IntegrationTests/soak_rules.py
@@ -18,6 +18,8 @@
     status: int = None
     """None if no answer came."""
     deadly: bool = False
+    once: bool = False
+    """It may run once at most."""
     bad_part: str = None
     """The part of its prompt that crashes endpoints, if it has one."""
 
@@ -115,6 +117,50 @@
     return [f"attempts: {len(exceeded)} requests ran on too many endpoints: {exceeded[:5]}"]
 
 
+#: Statuses by which a caller is told that its request has not run and will not run.
+NOT_RUN = (408, 421, 429, 503)
+
+
+def check_run_once(requests, arrivals):
+    """Each order runs once at most, and none that is said not to have run."""
+    runs = {}
+    for arrival in arrivals:
+        runs[arrival.identity] = runs.get(arrival.identity, 0) + arrival.ran
+    orders = [one for one in requests if one.once]
+    twice = [one.identity for one in orders if runs.get(one.identity, 0) > 1]
+    refused = [
+        one.identity for one in orders if one.status in NOT_RUN and runs.get(one.identity, 0) > 0
+    ]
+    broken = [f"once: {len(twice)} orders ran more than once: {twice[:5]}"] if twice else []
+    if refused:
+        broken.append(f"refused: {len(refused)} orders ran and were refused: {refused[:5]}")
+    return broken
+
+
+#: Time in which an endpoint must have stopped work on a stream that another one goes on with.
+STOP_TIME = 0.4
+
+
+def check_overlaps(requests, arrivals, in_touch):
+    """An endpoint stops work on a stream when another one goes on with it."""
+    entries = {one.identity: one.entry for one in requests}
+    found = []
+    for first in arrivals:
+        if not first.hangs:
+            continue
+        later = [one.at for one in arrivals if one.identity == first.identity and one.at > first.at]
+        if not later or not in_touch(entries[first.identity], min(later) + STOP_TIME):
+            continue
+        if first.ended is None or first.ended > min(later) + STOP_TIME:
+            found.append(first.identity)
+    return [f"overlap: {len(found)} streams ran at two endpoints: {found[:5]}"] if found else []
+
+
+def check_processes(crashes):
+    """@param crashes: instance, time and status of processes that ended by themselves"""
+    return [f"process: {name} ended with {status} at {at:.1f} s" for name, at, status in crashes]
+
+
 def check_deadlines(requests, arrivals, in_touch):
     by_identity = {one.identity: one for one in requests}
     first_ends = {}
@@ -226,7 +272,9 @@
 def check_all(requests, arrivals, crashes, part_crashes, bounds, in_touch, side_of):
     """The broken rules."""
     return (
-        check_retry_budget(requests, arrivals, bounds)
+        check_run_once(requests, arrivals)
+        + check_overlaps(requests, arrivals, in_touch)
+        + check_retry_budget(requests, arrivals, bounds)
         + check_endpoints_per_request(requests, arrivals)
         + check_deadlines(requests, arrivals, in_touch)
         + check_deadly_requests(requests, arrivals, crashes, bounds, in_touch)
--- a/Source/IntegrationTests/test_cut_heads.py
+++ b/Source/IntegrationTests/test_cut_heads.py
@@ -44,7 +44,7 @@
 
 @pytest.fixture(scope="module")
 def deployment(tmp_path_factory):
-    bounds = {"retryRatio": 1.0, "retryWindowS": 1.0, "retrySlack": 500}
+    bounds = standin.retry_bounds(1.0, 500, ratio=1.0)
     one = RelayDeployment(
         tmp_path_factory.mktemp("cut"), INSTANCES, ENDPOINTS, ROUTES, SERVICES, bounds, CutHeadEndpoint
     )
--- a/Source/IntegrationTests/test_odd_entries.py
+++ b/Source/IntegrationTests/test_odd_entries.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from odd_entries import ODD
 from relay_deployment import METRICS_PORT, RelayDeployment, standin
 from test_relay import attempt
 
@@ -17,47 +18,8 @@
     standin.route("new", "/new/", "new", "idempotent"),
 ]
 SERVICES = [standin.service("desk"), standin.service("new")]
-DEEP = 300_000
 MEMORY_BYTES = 100 * 1024 * 1024
 
-SOUND = {
-    "service": "desk",
-    "address": "127.0.0.1:9",
-    "zone": "north-a",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "coldLeftMs": 0,
-    "born": 1,
-    "sequence": 1,
-}
-
-
-def with_field(name, text):
-    """An entry that is sound but for one field, which is given as JSON text."""
-    fields = [f'"{key}": {text if key == name else json.dumps(value)}' for key, value in SOUND.items()]
-    if name not in SOUND:
-        fields.append(f'"{name}": {text}')
-    return ("{" + ", ".join(fields) + "}").encode()
-
-
-ODD = {
-    "nested": b"[" * DEEP + b"]" * DEEP,
-    "nested and open": b'{"slots":' * DEEP,
-    "nested field": with_field("note", "[" * DEEP + "]" * DEEP),
-    "no JSON": b"ready",
-    "a text": b'"ready"',
-    "invalid UTF-8": with_field("zone", "1").replace(b"1", b'"\xff\xfe"', 1),
-    "port 0": with_field("address", '"127.0.0.1:0"'),
-    "port 65536": with_field("address", '"127.0.0.1:65536"'),
-    "no port": with_field("address", '"127.0.0.1"'),
-    "no address": with_field("address", '["127.0.0.1:9"]'),
-    "unknown state": with_field("state", '"resting"'),
-}
-for _field in ("slots", "born", "sequence", "coldLeftMs", "remainingMs"):
-    for _number in ("1e400", "1e300", "-1", "99999999999999999999", '"8"'):
-        ODD[f"{_field} {_number}"] = with_field(_field, _number)
-
 
 class OddDeployment(RelayDeployment):
     def __init__(self, folder):
--- a/Source/IntegrationTests/test_run_once.py
+++ b/Source/IntegrationTests/test_run_once.py
@@ -29,7 +29,7 @@
 
 
 def order_route():
-    return {**standin.route("order", "/order/", "desk", "once"), "latencySloMs": 3000}
+    return standin.route("order", "/order/", "desk", "once", objective_ms=3000)
 
 
 @pytest.fixture
@@ -120,12 +120,13 @@
 
 # Guards against TWICE: the segment that ends the first attempt is lost, and its endpoint works on.
 def test_an_endpoint_stops_when_another_goes_on_with_its_stream_over_a_lossy_path(tmp_path):
-    stream = standin.route("draft", "/stream/", "model", "stream", resumable=True, gap=200)
+    stream = standin.route(
+        "draft", "/stream/", "model", "stream", resumable=True, gap=200, objective_ms=400
+    )
     endpoints = [("m-1", "model", "north-a"), ("m-2", "model", "north-a")]
     services = [standin.service("model", model=True)]
     deployment = RelayDeployment(
-        tmp_path, INSTANCES, endpoints, [{**stream, "latencySloMs": 400}], services, BOUNDS,
-        HangingEndpoint,
+        tmp_path, INSTANCES, endpoints, [stream], services, BOUNDS, HangingEndpoint
     )
     try:
         deployment.wait_ready()
