--- a/Source/Core/Gateway/ClusterRunner.cpp
+++ b/Source/Core/Gateway/ClusterRunner.cpp
@@ -205,7 +205,7 @@
 
 void ClusterRunner::logInvalidEndpoints(const Readers::InstanceList &list)
 {
-    invalidEndpoints_.set(static_cast<std::int64_t>(list.invalidEndpoints.size()));
+    invalidEndpoints_.set(static_cast<double>(list.invalidEndpoints.size()));
     for (const auto &error : list.invalidEndpoints) {
         Common::log(Common::LogType::Platform, Common::LogLevel::Warning,
                     "an endpoint is left out: {}", error);
