--- a/Source/IntegrationTests/soak_rules.py
+++ b/Source/IntegrationTests/soak_rules.py
@@ -142,11 +142,12 @@
 
 
 def check_overlaps(requests, arrivals, in_touch):
-    """An endpoint stops work on a stream when another one goes on with it."""
+    """An endpoint stops work on a stream when another one goes on with it, unless it has ended or
+    its path was cut."""
     entries = {one.identity: one.entry for one in requests}
     found = []
     for first in arrivals:
-        if not first.hangs:
+        if not first.hangs or first.interrupted:
             continue
         later = [one.at for one in arrivals if one.identity == first.identity and one.at > first.at]
         if not later or not in_touch(entries[first.identity], min(later) + STOP_TIME):
--- a/Source/IntegrationTests/test_stray_soak.py
+++ b/Source/IntegrationTests/test_stray_soak.py
@@ -73,6 +73,8 @@
 
     assert broken(11.5) and broken(None)
     assert not broken(11.3) and not broken(11.5, in_touch=False)
+    first.interrupted = True
+    assert not broken(None)
 
 
 @pytest.mark.parametrize("status", soak_rules.NOT_RUN)
