--- a/Source/UnitTests/Readers/InstanceListTest.cpp
+++ b/Source/UnitTests/Readers/InstanceListTest.cpp
@@ -103,9 +103,8 @@
 // Guards against one entry whose text is no JSON that this program can hold.
 TEST(InstanceListTest, EndpointThatCannotBeParsedIsLeftOut)
 {
-    const std::string brackets(100000, '[');
-    const std::string closing(100000, ']');
-    for (const auto &odd : {brackets + closing, R"({"id":"odd","note":)" + brackets + closing + "}",
+    const auto nested = std::string(100000, '[') + std::string(100000, ']');
+    for (const auto &odd : {nested, fmt::format(R"({{"id":"odd","note":{}}})", nested),
                             std::string(R"({"id":"odd","slots":1e400})"), std::string("ready"),
                             std::string("{\"id\":\"\xff\xfe\"}")}) {
         auto text = validList().dump();
