Check addresses of entries without the sockets' library

The fuzzers of InstanceList and Records did not build any more: the check of addresses had made both depend on Async, whose coroutines clang 14 does not compile here. Common::isSocketAddress() takes the place.

--- a/Source/Core/Readers/InstanceList.cpp
+++ b/Source/Core/Readers/InstanceList.cpp
@@ -3,8 +3,8 @@
 #include <optional>
 #include <unordered_set>
 
-#include "Async/Async.h"
 #include "Common/Json.h"
+#include "Common/SocketAddress.h"
 
 namespace LaburnumChute::Readers {
 
@@ -55,8 +55,7 @@
     std::string readAddress(const char *member)
     {
         auto address = readString(member);
-        const auto parsed = Async::parseTcpAddress(address);
-        if (!parsed || parsed->port() == 0) {
+        if (!Common::isSocketAddress(address)) {
             reportInvalid(member, "ip:port");
         }
         return address;
