--- a/Source/Core/Dispatch/RunPermit.h
+++ b/Source/Core/Dispatch/RunPermit.h
@@ -4,9 +4,9 @@
 
 namespace LaburnumChute::Dispatch {
 
-/// The right to run a request. It is given to one attempt at a time, and the only record of whether
-/// the request may have run: whoever sends it, at the instance that accepted the request and at the
-/// one that it was forwarded to, takes the permit immediately before the first byte is written.
+/// The right to run a request. It is given to one attempt at a time and decides whether anything
+/// may be sent: whoever sends the request, at the instance that accepted it and at the one that it
+/// was forwarded to, takes the permit immediately before the first byte is written.
 ///
 /// A request that is not repeatable gets the permit back only after an attempt that provably has
 /// not run. An attempt that ended in any other way keeps it.
