--- a/Source/IntegrationTests/test_run_once.py
+++ b/Source/IntegrationTests/test_run_once.py
@@ -5,6 +5,7 @@
 import concurrent.futures
 import contextlib
 import pathlib
+import signal
 import socket
 import sys
 import time
@@ -17,7 +18,7 @@
 import standin  # noqa: E402
 from raw_caller import RawCaller  # noqa: E402
 from relay_deployment import RelayDeployment  # noqa: E402
-from stray_endpoint import HangingEndpoint, StrayEndpoint  # noqa: E402
+from stray_endpoint import HangingEndpoint, SlowEndpoint, StrayEndpoint  # noqa: E402
 from test_relay import attempt, runs_of, whole  # noqa: E402
 
 INSTANCES = {"north-1": ("127.0.0.21", "north-a"), "north-2": ("127.0.0.22", "north-a")}
@@ -142,6 +143,54 @@
         deployment.stop()
 
 
+def overlaps(platform):
+    """By how much each later run of a stream began before an earlier one had ended."""
+    now = time.monotonic()
+    spans = sorted(
+        (begin, now if end is None else end, identity)
+        for endpoint in platform.endpoints.values()
+        for identity, begin, end in endpoint.spans
+    )
+    return [
+        end - later
+        for number, (_, end, identity) in enumerate(spans)
+        for later, _, other in spans[number + 1 :]
+        if other == identity and end > later
+    ]
+
+
+# Guards against TWICE: an instance runs a stream for another one, which hears no more of it.
+@pytest.mark.parametrize("pause", [1.5, 8])
+def test_a_stream_of_an_instance_that_stands_still_goes_on_at_one_endpoint(tmp_path, pause):
+    stream = standin.route(
+        "draft", "/stream/", "model", "stream", resumable=True, gap=200, objective_ms=400
+    )
+    instances = {"north-1": ("127.0.0.21", "north-a"), "south-1": ("127.0.0.22", "south-a")}
+    endpoints = [("m-1", "model", "south-a"), ("m-2", "model", "north-a")]
+    services = [standin.service("model", model=True)]
+    deployment = RelayDeployment(
+        tmp_path, instances, endpoints, [stream], services, BOUNDS, SlowEndpoint
+    )
+    platform = deployment.platform
+    try:
+        deployment.wait_ready()
+        platform.drain("m-2")
+        time.sleep(1.5)
+        with concurrent.futures.ThreadPoolExecutor() as callers:
+            address = deployment.address("north-1")
+            told = [callers.submit(attempt, address, "POST", "/stream/x", b"x") for _ in range(4)]
+            time.sleep(0.5)
+            assert len(platform.endpoints["m-1"].spans) == 4
+            platform.call(platform.endpoints["m-2"].register)
+            deployment.processes["south-1"].send_signal(signal.SIGSTOP)
+            time.sleep(pause)
+            deployment.processes["south-1"].send_signal(signal.SIGCONT)
+            ends = [one.result()[1] for one in told]
+        assert max(overlaps(platform), default=0) <= STOP_TIME, (overlaps(platform), ends)
+    finally:
+        deployment.stop()
+
+
 class QueueingEndpoint(standin.Endpoint):
     """Runs one request at a time; the others wait. Records when each reached it."""
 
