--- a/Source/Core/Decisions/Options.h
+++ b/Source/Core/Decisions/Options.h
@@ -141,8 +141,7 @@
 {
     /// Maximum number of attempts of one request.
     int maxAttempts = 3;
-    /// Retries and hedges as a fraction of first attempts (Google SRE book, "Handling Overload":
-    /// 10%).
+    /// Retries and hedges as a fraction of first attempts.
     double budgetRatio = 0.1;
     /// Maximum and initial balance of the retry budget. The loss of an endpoint fails a whole batch
     /// at once, and two such losses should not cause rejections.
