--- a/Source/Core/Common/Json.cpp
+++ b/Source/Core/Common/Json.cpp
@@ -28,25 +28,30 @@
     return std::min(text.find_first_not_of(" \t\r\n", position), text.size());
 }
 
+/// Returns by how much a character outside of strings changes the depth of nesting.
+int depthChange(char letter)
+{
+    if (letter == '[' || letter == '{') {
+        return 1;
+    }
+    return letter == ']' || letter == '}' ? -1 : 0;
+}
+
 /// Returns the position of the comma or closing bracket after the value that begins at a position.
 std::size_t skipValue(std::string_view text, std::size_t position)
 {
-    std::size_t depth = 0;
+    int depth = 0;
     while (position < text.size()) {
         const char letter = text[position];
         if (letter == '"') {
             position = skipString(text, position);
             continue;
         }
-        const bool closes = letter == ']' || letter == '}';
-        if (depth == 0 && (closes || letter == ',')) {
+        const int change = depthChange(letter);
+        if (depth == 0 && (change < 0 || letter == ',')) {
             return position;
         }
-        if (letter == '[' || letter == '{') {
-            ++depth;
-        } else if (closes) {
-            --depth;
-        }
+        depth += change;
         ++position;
     }
     return text.size();
@@ -83,11 +88,7 @@
             position = skipString(text, position);
             continue;
         }
-        if (letter == '[' || letter == '{') {
-            ++depth;
-        } else if (letter == ']' || letter == '}') {
-            --depth;
-        }
+        depth += depthChange(letter);
         if (depth > MaxJsonDepth) {
             return true;
         }
