Show that a stream is taken back in time by an instance short of processor time

The instance runs for a fifth of the time while it withdraws a stream over a path that loses segments and sends it elsewhere. Passes without a change of logic.

--- a/Source/IntegrationTests/test_run_once.py
+++ b/Source/IntegrationTests/test_run_once.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+import threading
 import time
 
 import pytest
@@ -119,8 +120,32 @@
 STOP_TIME = 0.4
 
 
+@contextlib.contextmanager
+def short_of_processor_time(process):
+    """The process runs for a fifth of the time."""
+    ended = threading.Event()
+
+    def take_turns():
+        while not ended.is_set():
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(0.08)
+            process.send_signal(signal.SIGCONT)
+            time.sleep(0.02)
+
+    turns = threading.Thread(target=take_turns)
+    turns.start()
+    try:
+        yield
+    finally:
+        ended.set()
+        turns.join()
+
+
 # Guards against TWICE: the segment that ends the first attempt is lost, and its endpoint works on.
-def test_an_endpoint_stops_when_another_goes_on_with_its_stream_over_a_lossy_path(tmp_path):
+@pytest.mark.parametrize("environment", [contextlib.nullcontext, short_of_processor_time])
+def test_an_endpoint_stops_when_another_goes_on_with_its_stream_over_a_lossy_path(
+    tmp_path, environment
+):
     stream = standin.route(
         "draft", "/stream/", "model", "stream", resumable=True, gap=200, objective_ms=400
     )
@@ -132,9 +157,10 @@
     try:
         deployment.wait_ready()
         time.sleep(1.5)
-        identity, status, headers, body = attempt(
-            deployment.address("north-1"), "POST", "/stream/x", b"x"
-        )
+        with environment(deployment.processes["north-1"]):
+            identity, status, headers, body = attempt(
+                deployment.address("north-1"), "POST", "/stream/x", b"x"
+            )
         time.sleep(1)
         assert status == 200 and whole("draft", identity, headers, body), (status, body)
         late = HangingEndpoint.ended.get(identity, time.monotonic()) - HangingEndpoint.resumed[identity]
