Soak: judge rests and crashing requests by those who sent what ran

What an endpoint refuses cannot crash it, and tells the sender nothing; such arrivals no longer count.

Such arrivals are judged by all that may have sent them. Requests within a zone are judged as before.

--- a/Source/IntegrationTests/soak.py
+++ b/Source/IntegrationTests/soak.py
@@ -146,6 +146,7 @@
         BOUNDS,
         in_touch,
         deployment.side_of,
+        {one.name: one.zone for one in deployment.instances},
     )
     broken += soak_rules.check_processes([] if deliveries_per_second else deployment.crashes)
     history = make_history(deployment, callers.requests) if deliveries_per_second else None
--- a/Source/IntegrationTests/soak_rules.py
+++ b/Source/IntegrationTests/soak_rules.py
@@ -188,8 +188,22 @@
     return [f"deadlines: {len(wrong)} requests got more time than was left"]
 
 
-def check_deadly_requests(requests, arrivals, crashes, bounds, in_touch):
-    """@param crashes: times at which an endpoint crashed under the deadly request"""
+def senders_of(entry, endpoint_zone, zones):
+    """The instances that may have sent a request to an endpoint. One for an endpoint in another
+    zone is forwarded to an instance there.
+
+    @param zones: zone of each instance, by name
+    """
+    if not entry or zones[entry] == endpoint_zone:
+        return [entry]
+    return [entry, *(name for name, zone in zones.items() if zone == endpoint_zone)]
+
+
+def check_deadly_requests(requests, arrivals, crashes, bounds, in_touch, zones):
+    """Only what an endpoint runs can crash it and tell its sender something.
+
+    @param crashes: times at which an endpoint crashed under the deadly request
+    """
     if len(crashes) < 3:
         return []
     settled = sorted(crashes)[2] + bounds.stable
@@ -198,8 +212,12 @@
         arrival
         for arrival in arrivals
         if arrival.identity in deadly
+        and arrival.ran
         and arrival.at > settled
-        and in_touch(deadly[arrival.identity].entry, arrival.at)
+        and all(
+            in_touch(one, arrival.at)
+            for one in senders_of(deadly[arrival.identity].entry, arrival.zone, zones)
+        )
     ]
     if len(late) <= TOLERATED_DEADLY_RETRIES:
         return []
@@ -219,15 +237,17 @@
         if len(times) < 5:
             continue
         entries = {one.identity: one.entry for one in requests if one.bad_part == part}
-        came = sorted((one.at, entries[one.identity]) for one in arrivals if one.identity in entries)
+        came = sorted(
+            (one.at, entries[one.identity], one.ran) for one in arrivals if one.identity in entries
+        )
         first = {}
-        for at, entry in came:
+        for at, entry, _ in came:
             first.setdefault(side_of(entry), at)
         settled = {side: max(sorted(times)[4], at) + bounds.stable for side, at in first.items()}
         late = [
             (at, entry)
-            for at, entry in came
-            if at > settled[side_of(entry)] and in_touch(entry, at)
+            for at, entry, ran in came
+            if ran and at > settled[side_of(entry)] and in_touch(entry, at)
         ]
         if len(late) > TOLERATED_PART_ARRIVALS:
             after = ", ".join(f"{at:.1f}" for at in sorted(settled.values()))
@@ -253,7 +273,7 @@
     return []
 
 
-def check_rests(requests, arrivals, in_touch):
+def check_rests(requests, arrivals, in_touch, zones):
     entries = {one.identity: one.entry for one in requests}
     by_path = {}
     for arrival in sorted(arrivals, key=lambda one: one.at):
@@ -265,12 +285,13 @@
         for asked in (one for one in path if one.rest > 0):
             end = asked.at + asked.rest
             count = count_between(times, asked.at + REST_GRACE, end)
-            if count > TOLERATED_IN_REST and in_touch(entry, end):
+            senders = senders_of(entry, asked.zone, zones)
+            if count > TOLERATED_IN_REST and all(in_touch(one, end) for one in senders):
                 broken.append(f"rest: {endpoint} got {count} requests of {entry} from {asked.at:.1f} s")
     return broken[:3]
 
 
-def check_all(requests, arrivals, crashes, part_crashes, bounds, in_touch, side_of):
+def check_all(requests, arrivals, crashes, part_crashes, bounds, in_touch, side_of, zones):
     """The broken rules."""
     return (
         check_run_once(requests, arrivals)
@@ -278,7 +299,7 @@
         + check_retry_budget(requests, arrivals, bounds)
         + check_endpoints_per_request(requests, arrivals)
         + check_deadlines(requests, arrivals, in_touch)
-        + check_deadly_requests(requests, arrivals, crashes, bounds, in_touch)
+        + check_deadly_requests(requests, arrivals, crashes, bounds, in_touch, zones)
         + check_bad_parts(requests, arrivals, part_crashes, bounds, in_touch, side_of)
-        + check_rests(requests, arrivals, in_touch)
+        + check_rests(requests, arrivals, in_touch, zones)
     )
