Ask the permit before each send in the verb gateway too

The verb relay had it; the verb gateway kept a flag that was set by a send and asked by nothing before the next one: whether a request whose key another instance holds may be sent again was left to the scheduler, which is told "not started" also of a refusal that may be to another request. No path was found on which that sends an order twice, since orders have connections of their own; nothing would have stopped one.

RunPermit moves to Common, speaks of the state of the run instead of the outcome of an attempt, and takes the place of the flag: asked before the ledger and before a forward, given back by proof only, and asked before a refusal says "not run". A send that is withheld ends with 502 and is counted.

RunPermitTest covers the permit, AttemptOutcomeTest what counts as proof in the verb relay.

--- a/Models/RunPermit.pml
+++ b/Models/RunPermit.pml
@@ -1,6 +1,6 @@
 /*
- * The right to run a request, as Source/Core/Dispatch/RunPermit and Source/Core/Relay/RelayedCall
- * keep it.
+ * The right to run a request, as Source/Core/Common/RunPermit keeps it for the senders:
+ * Source/Core/Relay/RelayedCall and Source/Core/Gateway/CallRunner.
  *
  * A sender has requests that may run once, one after the other, and endpoints at some addresses, to
  * each of which it keeps a connection. Whoever decides where a request goes is left out: any address
--- a/Source/Core/Dispatch/RunPermit.cpp
+++ b/Source/Core/Common/RunPermit.cpp
@@ -1,8 +1,8 @@
-#include "Dispatch/RunPermit.h"
+#include "Common/RunPermit.h"
 
 #include <utility>
 
-namespace LaburnumChute::Dispatch {
+namespace LaburnumChute::Common {
 
 bool RunPermit::take()
 {
@@ -13,10 +13,10 @@
     return true;
 }
 
-void RunPermit::end(AttemptOutcome outcome)
+void RunPermit::end(RunState state)
 {
     const bool held = std::exchange(held_, false);
-    mayHaveRun_ = mayHaveRun_ || (held && !isNotRun(outcome));
+    mayHaveRun_ = mayHaveRun_ || (held && state != RunState::NotRun);
 }
 
-} // namespace LaburnumChute::Dispatch
+} // namespace LaburnumChute::Common
--- a/Source/Core/Dispatch/RunPermit.h
+++ b/Source/Core/Common/RunPermit.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "Dispatch/Facts.h"
+#include "Common/Error.h"
 
-namespace LaburnumChute::Dispatch {
+namespace LaburnumChute::Common {
 
 /// The right to run a request. It is given to one attempt at a time and decides whether anything
 /// may be sent: whoever sends the request, at the instance that accepted it and at the one that it
-/// was forwarded to, takes the permit immediately before the first byte is written.
+/// was forwarded to, takes the permit before the first byte is written.
 ///
 /// A request that is not repeatable gets the permit back only after an attempt that provably has
 /// not run. An attempt that ended in any other way keeps it.
@@ -22,7 +22,7 @@
     [[nodiscard]] bool take();
     /// The attempt that holds the permit has ended. Without effect if none holds it, as after an
     /// attempt by which nothing was sent.
-    void end(AttemptOutcome outcome);
+    void end(RunState state);
     /// Some attempt may have run the request, or may run it now.
     bool mayHaveRun() const
     {
@@ -36,4 +36,4 @@
     bool mayHaveRun_ = false;
 };
 
-} // namespace LaburnumChute::Dispatch
+} // namespace LaburnumChute::Common
--- a/Source/Core/Dispatch/Dispatch.h
+++ b/Source/Core/Dispatch/Dispatch.h
@@ -8,5 +8,4 @@
 #include "Dispatch/LoadReports.h"
 #include "Dispatch/OptionOverrides.h"
 #include "Dispatch/Options.h"
-#include "Dispatch/RunPermit.h"
 #include "Dispatch/Scheduler.h"
--- a/Source/Core/Dispatch/Facts.h
+++ b/Source/Core/Dispatch/Facts.h
@@ -101,6 +101,7 @@
 bool isUnsent(AttemptOutcome outcome);
 /// Whether the request is known not to have run.
 bool isNotRun(AttemptOutcome outcome);
+Common::RunState runStateAfter(AttemptOutcome outcome);
 
 enum class RejectReason {
     /// It could not be answered in the time that its caller allows.
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -66,6 +66,14 @@
            || outcome == AttemptOutcome::Replaced;
 }
 
+Common::RunState runStateAfter(AttemptOutcome outcome)
+{
+    if (isWhole(outcome)) {
+        return Common::RunState::Ran;
+    }
+    return isNotRun(outcome) ? Common::RunState::NotRun : Common::RunState::Unknown;
+}
+
 std::string_view toString(RejectReason reason)
 {
     switch (reason) {
--- a/Source/Core/Gateway/CallRunner.cpp
+++ b/Source/Core/Gateway/CallRunner.cpp
@@ -52,6 +52,8 @@
                                           {{"confirmed", "false"}}))
     , resumptions(registry.counter("laburnumchute_stream_resumptions_total",
                                    "Streams continued on a fresh connection"))
+    , sendsWithheld(registry.counter("laburnumchute_sends_withheld_total",
+                                     "Sends of requests that an earlier attempt may have run"))
     , forwardedToRegion(registry.counter("laburnumchute_requests_away_total",
                                          "Requests sent away from their home region"))
     , firstToken(registry.histogram("laburnumchute_first_token_seconds",
@@ -68,6 +70,7 @@
     , plan_(std::move(plan))
     , responder_(std::move(responder))
     , table_(context.table.share())
+    , permit_(plan_.facts.repeatable)
     , reservation_(context.budget)
     , startedAt_(std::chrono::steady_clock::now())
 {
@@ -207,7 +210,11 @@
 asio::awaitable<void> CallRunner::reject(const D::Reject &rejection)
 {
     context_.metrics.rejected.add();
-    co_await sendProblem(rejectionProblem(rejection));
+    auto problem = rejectionProblem(rejection);
+    if (permit_.mayHaveRun() && problem.run == Common::RunState::NotRun) {
+        problem.run = Common::RunState::Unknown;
+    }
+    co_await sendProblem(std::move(problem));
 }
 
 Endpoints::EndpointRequest CallRunner::endpointRequest(const EndpointEntry &endpoint) const
@@ -235,6 +242,10 @@
 
 asio::awaitable<bool> CallRunner::permitDispatch(const Common::EndpointId &endpoint)
 {
+    if (!permit_.take()) {
+        co_await withhold(endpoint);
+        co_return false;
+    }
     Common::Result<void> permitted;
     if (ledgerReservation_) {
         const auto attempt = co_await context_.ledger.dispatched(*ledgerReservation_);
@@ -251,17 +262,29 @@
                                       "the deadline passed before the request began");
     }
     if (!permitted) {
+        permit_.end(Common::RunState::NotRun);
         registration_->finished(endpoint, D::Outcome::Cancelled);
         co_await sendProblem(Entry::problemOf(permitted.error(), Common::RunState::NotRun));
         co_return false;
     }
-    atMostOnceDispatched_ = plan_.atMostOnce.has_value();
     co_return true;
 }
 
+asio::awaitable<void> CallRunner::withhold(const Common::EndpointId &endpoint)
+{
+    context_.metrics.sendsWithheld.add();
+    registration_->finished(endpoint, D::Outcome::Cancelled);
+    Entry::Problem problem;
+    problem.status = 502;
+    problem.code = Common::ErrorCode::Unavailable;
+    problem.detail = "an earlier attempt may have run";
+    problem.run = Common::RunState::Unknown;
+    co_await sendProblem(std::move(problem));
+}
+
 asio::awaitable<void> CallRunner::recordFailure(bool notRun)
 {
-    atMostOnceDispatched_ = atMostOnceDispatched_ && !notRun;
+    permit_.end(notRun ? Common::RunState::NotRun : Common::RunState::Unknown);
     if (!ledgerAttempt_) {
         co_return;
     }
--- a/Source/Core/Gateway/CallRunner.h
+++ b/Source/Core/Gateway/CallRunner.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "Common/Common.h"
+#include "Common/RunPermit.h"
 #include "Decisions/Decisions.h"
 #include "Endpoints/Endpoints.h"
 #include "Entry/Entry.h"
@@ -30,6 +31,7 @@
     Common::Counter &cancelsConfirmed;
     Common::Counter &cancelsUnconfirmed;
     Common::Counter &resumptions;
+    Common::Counter &sendsWithheld;
     Common::Counter &forwardedToRegion;
     Common::DurationHistogram &firstToken;
 };
@@ -68,10 +70,13 @@
     /// Another instance issued the request's idempotency key and holds it while the request runs
     /// here.
     bool keyHeldBySender() const;
-    /// Checks whether an at-most-once request may be sent now; answers the caller if not.
+    /// Takes the permit, and asks the ledger about an at-most-once request, immediately before the
+    /// request is sent; answers the caller if it may not be sent.
     asio::awaitable<bool> permitDispatch(const Common::EndpointId &endpoint);
     /// Records in the ledger that an attempt failed.
     asio::awaitable<void> recordFailure(bool notRun);
+    /// Ends a request that was to be sent although an earlier attempt may have run it.
+    asio::awaitable<void> withhold(const Common::EndpointId &endpoint);
     asio::awaitable<Step> handle(const Decisions::Effect &effect);
     asio::awaitable<Step> runAtEndpoint(const Decisions::Dispatch &dispatch);
     asio::awaitable<Step> relayResponse(Endpoints::ResponseHead head,
@@ -121,9 +126,10 @@
     /// Waits until an endpoint whose attempt failed confirms that it generates no more, if it may.
     asio::awaitable<void> endGeneration(const Endpoints::EndpointFailure &failure);
     Endpoints::EndpointRequest endpointRequest(const EndpointEntry &endpoint) const;
+    /// An at-most-once request that was sent must run to completion.
     bool mayAbort() const
     {
-        return !atMostOnceDispatched_;
+        return !plan_.atMostOnce || !permit_.mayHaveRun();
     }
 
     const RunnerContext &context_;
@@ -135,6 +141,7 @@
     std::unique_ptr<Dispatcher::Registration> registration_;
     std::unique_ptr<Endpoints::EndpointStream> stream_;
     std::unique_ptr<Peers::OutgoingCall> outgoingCall_;
+    Common::RunPermit permit_;
     std::optional<Ledger::Reservation> ledgerReservation_;
     std::optional<Ledger::Attempt> ledgerAttempt_;
     std::optional<Entry::CompletionAssembler> wholeAnswer_;
@@ -147,8 +154,6 @@
     bool firstTokenSeen_ = false;
     bool callerDisconnected_ = false;
     bool withdrawn_ = false;
-    /// An at-most-once request was sent and must run to completion.
-    bool atMostOnceDispatched_ = false;
     /// The last forwarded request never left this instance.
     bool forwardNotSent_ = false;
 };
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -341,7 +341,7 @@
 {
     const auto self = shared_from_this();
     cancelCall();
-    permit_.end(outcome);
+    permit_.end(Dispatch::runStateAfter(outcome));
     responding_ = false;
     const auto effects = gateway_.scheduler().ended(plan_.facts.id, outcome, mayRetry, now);
     gateway_.applyEffects(effects, now);
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "Catalog/Catalog.h"
+#include "Common/RunPermit.h"
 #include "Dialect/Dialect.h"
 #include "Dispatch/Dispatch.h"
 #include "Relay/ConnectionCheck.h"
@@ -156,7 +157,7 @@
     RelayPlan plan_;
     std::shared_ptr<InboundConnection> connection_;
     std::shared_ptr<OutboundCall> call_;
-    Dispatch::RunPermit permit_;
+    Common::RunPermit permit_;
     /// Addresses of the current and of earlier calls.
     std::vector<std::string> addresses_;
     std::shared_ptr<ConnectionCheck> endCheck_;
--- a/Source/UnitTests/Dispatch/RunPermitTest.cpp
+++ b/Source/UnitTests/Common/RunPermitTest.cpp
@@ -1,29 +1,19 @@
 #include <gtest/gtest.h>
 
-#include "Dispatch/RunPermit.h"
+#include "Common/RunPermit.h"
 
-namespace LaburnumChute::Dispatch {
-
-namespace {
-
-constexpr AttemptOutcome AllOutcomes[] = {
-    AttemptOutcome::Completed,    AttemptOutcome::Answered, AttemptOutcome::Cancelled,
-    AttemptOutcome::NotConnected, AttemptOutcome::Refused,  AttemptOutcome::Withheld,
-    AttemptOutcome::NotRun,       AttemptOutcome::Replaced, AttemptOutcome::Error,
-    AttemptOutcome::Broken,       AttemptOutcome::Invalid,  AttemptOutcome::Silent};
-
-} // namespace
+namespace LaburnumChute::Common {
 
 // Guards against an order that is sent again after any end that does not prove that it has not run.
 TEST(RunPermitTest, OnlyProofReturnsThePermitOfARequestThatIsNotRepeatable)
 {
-    for (const auto outcome : AllOutcomes) {
+    for (const auto state : {RunState::NotRun, RunState::Ran, RunState::Unknown}) {
         RunPermit permit(false);
         ASSERT_TRUE(permit.take());
-        EXPECT_TRUE(permit.mayHaveRun()) << toString(outcome);
-        permit.end(outcome);
-        EXPECT_EQ(permit.mayHaveRun(), !isNotRun(outcome)) << toString(outcome);
-        EXPECT_EQ(permit.take(), isNotRun(outcome)) << toString(outcome);
+        EXPECT_TRUE(permit.mayHaveRun()) << toString(state);
+        permit.end(state);
+        EXPECT_EQ(permit.mayHaveRun(), state != RunState::NotRun) << toString(state);
+        EXPECT_EQ(permit.take(), state == RunState::NotRun) << toString(state);
     }
 }
 
@@ -34,7 +24,7 @@
         RunPermit permit(repeatable);
         ASSERT_TRUE(permit.take());
         EXPECT_FALSE(permit.take());
-        permit.end(AttemptOutcome::NotRun);
+        permit.end(RunState::NotRun);
         EXPECT_TRUE(permit.take());
     }
 }
@@ -44,9 +34,9 @@
 {
     RunPermit permit(true);
     ASSERT_TRUE(permit.take());
-    permit.end(AttemptOutcome::Broken);
+    permit.end(RunState::Unknown);
     ASSERT_TRUE(permit.take());
-    permit.end(AttemptOutcome::NotRun);
+    permit.end(RunState::NotRun);
     EXPECT_TRUE(permit.mayHaveRun());
 }
 
@@ -54,9 +44,9 @@
 TEST(RunPermitTest, AnAttemptWithoutThePermitLeavesItAsItIs)
 {
     RunPermit permit(false);
-    permit.end(AttemptOutcome::Cancelled);
+    permit.end(RunState::Unknown);
     EXPECT_FALSE(permit.mayHaveRun());
     EXPECT_TRUE(permit.take());
 }
 
-} // namespace LaburnumChute::Dispatch
+} // namespace LaburnumChute::Common
--- a/Source/UnitTests/Dispatch/RetryTest.cpp
+++ b/Source/UnitTests/Dispatch/RetryTest.cpp
@@ -2,6 +2,24 @@
 
 namespace LaburnumChute::Dispatch {
 
+// Guards against an outcome that is taken for proof that the request has not run.
+TEST(AttemptOutcomeTest, OnlyWhatWasNotSentOrNotStartedHasNotRun)
+{
+    for (const auto outcome :
+         {AttemptOutcome::NotConnected, AttemptOutcome::Refused, AttemptOutcome::Withheld,
+          AttemptOutcome::NotRun, AttemptOutcome::Replaced}) {
+        EXPECT_EQ(runStateAfter(outcome), Common::RunState::NotRun) << toString(outcome);
+    }
+    for (const auto outcome :
+         {AttemptOutcome::Cancelled, AttemptOutcome::Error, AttemptOutcome::Broken,
+          AttemptOutcome::Invalid, AttemptOutcome::Silent}) {
+        EXPECT_EQ(runStateAfter(outcome), Common::RunState::Unknown) << toString(outcome);
+    }
+    for (const auto outcome : {AttemptOutcome::Completed, AttemptOutcome::Answered}) {
+        EXPECT_EQ(runStateAfter(outcome), Common::RunState::Ran) << toString(outcome);
+    }
+}
+
 // The other region's endpoints failed the request, and its instance used up the runs that the route
 // allows. Guards against another run at home: the request would run on more endpoints than its
 // operator permits, and each run costs money.
