Soak: judge what crashes endpoints by what a process was left to know

They now count crashes since the last moment at which no process was left, as in what the instances can tell each other. Processes that are replaced one by one are judged as before.

--- a/Source/IntegrationTests/soak.py
+++ b/Source/IntegrationTests/soak.py
@@ -147,6 +147,7 @@
         in_touch,
         deployment.side_of,
         {one.name: one.zone for one in deployment.instances},
+        deployment.forgotten,
     )
     broken += soak_rules.check_processes([] if deliveries_per_second else deployment.crashes)
     history = make_history(deployment, callers.requests) if deliveries_per_second else None
--- a/Source/IntegrationTests/soak_deployment.py
+++ b/Source/IntegrationTests/soak_deployment.py
@@ -165,6 +165,7 @@
     def kill(self):
         self.signal(signal.SIGKILL)
         self.process.wait()
+        self.deployment.note_end()
 
     async def terminate(self):
         """Asks the process to end, and waits until it has."""
@@ -214,6 +215,8 @@
         self.part_crashes = {}
         #: Pairs of instances, sender first, whose datagrams are lost.
         self.cuts = set()
+        #: Times at which no instance was left that knew anything.
+        self.forgotten = []
         self.stops = []
         #: Time and text of other planned work.
         self.planned = []
@@ -328,6 +331,12 @@
         for instance in (first, second):
             instance.disturbed()
 
+    def note_end(self):
+        """The process of an instance has ended."""
+        processes = [one.process for one in self.instances if one.process]
+        if all(one.poll() is not None for one in processes):
+            self.forgotten.append(self.now())
+
     def side_of(self, name):
         """The instances that hear from each other now, the named one among them."""
         side, added = set(), {name}
--- a/Source/IntegrationTests/soak_rules.py
+++ b/Source/IntegrationTests/soak_rules.py
@@ -38,6 +38,9 @@
 DEADLINE_SHARE = 0.2
 DEADLINE_TOLERANCE = 0.5
 TOLERATED_DEADLY_RETRIES = 3
+#: Crashes by which the instances are to be sure of a request, and of a part of prompts.
+DEADLY_CRASHES = 3
+PART_CRASHES = 5
 TOLERATED_PART_ARRIVALS = 3
 #: Sound requests that share the first part of their prompts with those that crash endpoints: the
 #: least share that is answered, compared with before, and how many there must be of each.
@@ -199,21 +202,38 @@
     return [entry, *(name for name, zone in zones.items() if zone == endpoint_zone)]
 
 
-def check_deadly_requests(requests, arrivals, crashes, bounds, in_touch, zones):
+def known_from(at, forgotten):
+    """Since when the instances may know what they know at a time.
+
+    @param forgotten: times at which no process was left, and with it nothing that was known
+    """
+    return max((one for one in forgotten if one <= at), default=0.0)
+
+
+def last_needed(crashes, count, at, forgotten):
+    """The crash by which the instances could be sure at a time; None if there were fewer."""
+    start = known_from(at, forgotten)
+    known = [one for one in sorted(crashes) if start <= one <= at]
+    return known[count - 1] if len(known) >= count else None
+
+
+def check_deadly_requests(requests, arrivals, crashes, bounds, in_touch, zones, forgotten=()):
     """Only what an endpoint runs can crash it and tell its sender something.
 
     @param crashes: times at which an endpoint crashed under the deadly request
     """
-    if len(crashes) < 3:
-        return []
-    settled = sorted(crashes)[2] + bounds.stable
     deadly = {one.identity: one for one in requests if one.deadly}
+
+    def is_late(arrival):
+        last = last_needed(crashes, DEADLY_CRASHES, arrival.at, forgotten)
+        return last is not None and arrival.at > last + bounds.stable
+
     late = [
         arrival
         for arrival in arrivals
         if arrival.identity in deadly
         and arrival.ran
-        and arrival.at > settled
+        and is_late(arrival)
         and all(
             in_touch(one, arrival.at)
             for one in senders_of(deadly[arrival.identity].entry, arrival.zone, zones)
@@ -222,10 +242,10 @@
     if len(late) <= TOLERATED_DEADLY_RETRIES:
         return []
     times = ", ".join(f"{arrival.at:.1f}" for arrival in late)
-    return [f"deadly: {len(late)} arrivals after {settled:.1f} s: {times}"]
+    return [f"deadly: {len(late)} arrivals late: {times}"]
 
 
-def check_bad_parts(requests, arrivals, crashes, bounds, in_touch, side_of):
+def check_bad_parts(requests, arrivals, crashes, bounds, in_touch, side_of, forgotten=()):
     """Instances that are cut off from the others cannot know of a part before a request with it has
     come to one of them, so each side is judged no sooner than some time after that.
 
@@ -234,25 +254,27 @@
     """
     broken = []
     for part, times in crashes.items():
-        if len(times) < 5:
-            continue
         entries = {one.identity: one.entry for one in requests if one.bad_part == part}
         came = sorted(
             (one.at, entries[one.identity], one.ran) for one in arrivals if one.identity in entries
         )
         first = {}
         for at, entry, _ in came:
-            first.setdefault(side_of(entry), at)
-        settled = {side: max(sorted(times)[4], at) + bounds.stable for side, at in first.items()}
+            first.setdefault((side_of(entry), known_from(at, forgotten)), at)
+
+        def is_late(at, entry):
+            last = last_needed(times, PART_CRASHES, at, forgotten)
+            came_first = first[(side_of(entry), known_from(at, forgotten))]
+            return last is not None and at > max(last, came_first) + bounds.stable
+
         late = [
             (at, entry)
             for at, entry, ran in came
-            if ran and at > settled[side_of(entry)] and in_touch(entry, at)
+            if ran and is_late(at, entry) and in_touch(entry, at)
         ]
         if len(late) > TOLERATED_PART_ARRIVALS:
-            after = ", ".join(f"{at:.1f}" for at in sorted(settled.values()))
             shown = ", ".join(f"{at:.1f} by {entry}" for at, entry in late[:10])
-            broken.append(f"part {part}: {len(late)} arrivals after {after} s: {shown}")
+            broken.append(f"part {part}: {len(late)} arrivals late: {shown}")
     return broken
 
 
@@ -291,7 +313,9 @@
     return broken[:3]
 
 
-def check_all(requests, arrivals, crashes, part_crashes, bounds, in_touch, side_of, zones):
+def check_all(
+    requests, arrivals, crashes, part_crashes, bounds, in_touch, side_of, zones, forgotten
+):
     """The broken rules."""
     return (
         check_run_once(requests, arrivals)
@@ -299,7 +323,7 @@
         + check_retry_budget(requests, arrivals, bounds)
         + check_endpoints_per_request(requests, arrivals)
         + check_deadlines(requests, arrivals, in_touch)
-        + check_deadly_requests(requests, arrivals, crashes, bounds, in_touch, zones)
-        + check_bad_parts(requests, arrivals, part_crashes, bounds, in_touch, side_of)
+        + check_deadly_requests(requests, arrivals, crashes, bounds, in_touch, zones, forgotten)
+        + check_bad_parts(requests, arrivals, part_crashes, bounds, in_touch, side_of, forgotten)
         + check_rests(requests, arrivals, in_touch, zones)
     )
