Move the right to run and the key of a request out of CallRunner.cpp

The wait for the owner of a key goes to the other calls to instances, and two equal problem documents become one function. No change of behavior.

--- a/Source/Core/Gateway/CallProblems.cpp
+++ b/Source/Core/Gateway/CallProblems.cpp
@@ -65,6 +65,16 @@
 
 } // namespace
 
+Entry::Problem unknownOutcomeProblem(std::string detail)
+{
+    Entry::Problem problem;
+    problem.status = 502;
+    problem.code = Common::ErrorCode::Unavailable;
+    problem.detail = std::move(detail);
+    problem.run = Common::RunState::Unknown;
+    return problem;
+}
+
 Entry::Problem problemOf(const Peers::AnswerFailure &failure)
 {
     Entry::Problem problem;
--- a/Source/Core/Gateway/CallRunner.cpp
+++ b/Source/Core/Gateway/CallRunner.cpp
@@ -10,13 +10,11 @@
 namespace {
 
 namespace D = LaburnumChute::Decisions;
-namespace L = LaburnumChute::Ledger;
 
 constexpr unsigned FirstServerError = 500;
 /// Limit of an answer that is kept in memory as a whole.
 constexpr std::size_t AnswerLimitBytes = 4 * 1024 * 1024;
 constexpr const char *AnswerTooLarge = "the engine's answer needs too much memory";
-constexpr std::string_view KeysPath = "/v1/idempotency-keys";
 
 void logRequest(Common::LogLevel level, const Common::RequestId &request, const std::string &text)
 {
@@ -109,16 +107,6 @@
     co_await releaseKey();
 }
 
-/// Runs before the caller is told "not run". Otherwise an immediate resubmission by the caller
-/// would find the key still held by its first attempt and be answered "unknown".
-asio::awaitable<void> CallRunner::releaseKey()
-{
-    if (ledgerReservation_ && !ledgerAttempt_) {
-        co_await context_.ledger.abandonedBeforeDispatch(*ledgerReservation_);
-        ledgerReservation_.reset();
-    }
-}
-
 asio::awaitable<CallRunner::Step> CallRunner::handle(const D::Effect &effect)
 {
     if (const auto *dispatch = std::get_if<D::Dispatch>(&effect)) {
@@ -145,60 +133,6 @@
     co_return Step::Ended;
 }
 
-asio::awaitable<bool> CallRunner::claimKey()
-{
-    const auto key = L::IdempotencyKey::parse(plan_.atMostOnce->key);
-    if (!key) {
-        co_await sendKeyRequired(
-            "the request is not repeatable and needs a key that this system issued");
-        co_return false;
-    }
-    L::Submission submission;
-    submission.key = *key;
-    submission.customer = plan_.customer;
-    submission.bodyFingerprint = plan_.atMostOnce->bodyFingerprint;
-    submission.orderFingerprint = plan_.atMostOnce->orderFingerprint;
-    submission.duplicateIntended = plan_.atMostOnce->duplicateIntended;
-    submission.deadline = plan_.deadline;
-    const auto outcome = co_await context_.ledger.begin(submission);
-    if (const auto *proceed = std::get_if<L::Proceed>(&outcome)) {
-        ledgerReservation_ = proceed->reservation;
-        co_return true;
-    }
-    if (const auto *replay = std::get_if<L::ReplayAnswer>(&outcome)) {
-        Common::Headers headers = {{"Content-Type", replay->answer->contentType},
-                                   {"Laburnumchute-Replayed", "true"}};
-        co_await responder_.sendWhole(static_cast<unsigned>(replay->answer->status),
-                                      std::move(headers), replay->answer->body);
-    } else if (std::holds_alternative<L::StillRunning>(outcome)) {
-        Entry::Problem problem;
-        problem.status = 409;
-        problem.code = Common::ErrorCode::Conflict;
-        problem.detail = "a request with this key is still running";
-        problem.run = Common::RunState::Unknown;
-        problem.retryAfter = Common::seconds(1);
-        co_await sendProblem(std::move(problem));
-    } else if (const auto *ledgerRejection = std::get_if<L::Rejected>(&outcome)) {
-        co_await sendProblem(ledgerProblem(*ledgerRejection));
-    } else {
-        co_await forwardToOwner(std::get<L::OwnedElsewhere>(outcome));
-    }
-    co_return false;
-}
-
-asio::awaitable<void> CallRunner::sendKeyRequired(std::string detail)
-{
-    const auto minted = co_await context_.ledger.mint(plan_.customer);
-    Entry::Problem problem;
-    problem.status = 428;
-    problem.code = Common::ErrorCode::InvalidArgument;
-    problem.detail = "Idempotency-Key: " + std::move(detail) + "; see " + std::string(KeysPath);
-    if (minted.key) {
-        problem.extra["idempotency_key"] = minted.key->text();
-    }
-    co_await sendProblem(std::move(problem));
-}
-
 asio::awaitable<void> CallRunner::sendProblem(Entry::Problem problem)
 {
     logRequest(Common::LogLevel::Info, plan_.callerId,
@@ -235,67 +169,6 @@
     return request;
 }
 
-bool CallRunner::keyHeldBySender() const
-{
-    return incoming_.forwarded && incoming_.forwarded->once == Peers::OnceRole::HeldBySender;
-}
-
-asio::awaitable<bool> CallRunner::permitDispatch(const Common::EndpointId &endpoint)
-{
-    if (!permit_.take()) {
-        co_await withhold(endpoint);
-        co_return false;
-    }
-    Common::Result<void> permitted;
-    if (ledgerReservation_) {
-        const auto attempt = co_await context_.ledger.dispatched(*ledgerReservation_);
-        if (attempt) {
-            ledgerAttempt_ = *attempt;
-        } else {
-            ledgerReservation_.reset();
-            permitted = tl::unexpected(attempt.error());
-        }
-    } else if (keyHeldBySender() && std::chrono::steady_clock::now() > plan_.deadline) {
-        // This process was paused while the request waited; the sender has already told the caller
-        // that the outcome is unknown.
-        permitted = Common::makeError(Common::ErrorCode::DeadlineExceeded,
-                                      "the deadline passed before the request began");
-    }
-    if (!permitted) {
-        permit_.end(Common::RunState::NotRun);
-        registration_->finished(endpoint, D::Outcome::Cancelled);
-        co_await sendProblem(Entry::problemOf(permitted.error(), Common::RunState::NotRun));
-        co_return false;
-    }
-    co_return true;
-}
-
-asio::awaitable<void> CallRunner::withhold(const Common::EndpointId &endpoint)
-{
-    context_.metrics.sendsWithheld.add();
-    registration_->finished(endpoint, D::Outcome::Cancelled);
-    Entry::Problem problem;
-    problem.status = 502;
-    problem.code = Common::ErrorCode::Unavailable;
-    problem.detail = "an earlier attempt may have run";
-    problem.run = Common::RunState::Unknown;
-    co_await sendProblem(std::move(problem));
-}
-
-asio::awaitable<void> CallRunner::recordFailure(bool notRun)
-{
-    permit_.end(notRun ? Common::RunState::NotRun : Common::RunState::Unknown);
-    if (!ledgerAttempt_) {
-        co_return;
-    }
-    auto recording = notRun ? context_.ledger.notStarted(*ledgerAttempt_)
-                            : context_.ledger.lost(*ledgerAttempt_);
-    co_await std::move(recording);
-    if (notRun) {
-        ledgerAttempt_.reset();
-    }
-}
-
 asio::awaitable<CallRunner::Step> CallRunner::runAtEndpoint(const D::Dispatch &dispatch)
 {
     const auto &endpoint = dispatch.endpoint;
@@ -493,29 +366,10 @@
 {
     registration_->finished(endpoint, D::Outcome::Failed);
     context_.metrics.failed.add();
-    Entry::Problem problem;
-    problem.status = 502;
-    problem.code = Common::ErrorCode::Unavailable;
-    problem.detail = detail;
-    problem.run = Common::RunState::Unknown;
-    co_await sendProblem(std::move(problem));
+    co_await sendProblem(unknownOutcomeProblem(detail));
     co_return Step::Ended;
 }
 
-/// Ends the wait for the owner of a key. Such a request is in no queue of this instance, so nothing
-/// else times it out when the owner is dead, frozen or unreachable, and the caller would never get
-/// a response.
-Peers::AnswerFailure CallRunner::ownerTimeoutFailure()
-{
-    Peers::AnswerFailure failure;
-    failure.status = 504;
-    failure.code = Common::ErrorCode::DeadlineExceeded;
-    failure.run = L::OwnerUnreachableRunState;
-    failure.detail =
-        "Idempotency-Key: " + std::string(L::toString(L::RejectionReason::OwnerUnreachable));
-    return failure;
-}
-
 asio::awaitable<CallRunner::Step> CallRunner::sendWithdrawnProblem()
 {
     context_.metrics.cancelled.add();
--- a/Source/Core/Gateway/CallRunnerForward.cpp
+++ b/Source/Core/Gateway/CallRunnerForward.cpp
@@ -56,6 +56,20 @@
     return request;
 }
 
+/// Ends the wait for the owner of a key. Such a request is in no queue of this instance, so nothing
+/// else times it out when the owner is dead, frozen or unreachable, and the caller would never get
+/// a response.
+Peers::AnswerFailure CallRunner::ownerTimeoutFailure()
+{
+    Peers::AnswerFailure failure;
+    failure.status = 504;
+    failure.code = Common::ErrorCode::DeadlineExceeded;
+    failure.run = L::OwnerUnreachableRunState;
+    failure.detail =
+        "Idempotency-Key: " + std::string(L::toString(L::RejectionReason::OwnerUnreachable));
+    return failure;
+}
+
 asio::awaitable<std::optional<Peers::AnswerFailure>>
 CallRunner::relayFromPeer(const PeerEntry &peer, Peers::OnceRole onceRole)
 {
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -28,8 +28,7 @@
 constexpr Common::milliseconds HousekeepingInterval{1000};
 constexpr Common::milliseconds IdlePollInterval{50};
 constexpr Common::milliseconds InternalRequestTimeout{2000};
-/// Memory for parts of answers that cannot be relayed as they come, of all calls together. The
-/// smallest machines have 260 MB.
+/// Memory for parts of answers that cannot be relayed as they come, of all calls together.
 constexpr std::size_t AnswerMemoryBytes = 32 * 1024 * 1024;
 constexpr const char *HandoverSubject = "ledger-handover";
 constexpr const char *OrderHintsSubject = "order-hints";
