--- a/Source/Core/Cluster/ConfigurationStore.cpp
+++ b/Source/Core/Cluster/ConfigurationStore.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-/// Numbers whose hashes are kept to detect conflicts; at 8,300 changes a day they cover about the
-/// last three hours.
+/// Numbers whose hashes are kept to detect conflicts.
 constexpr std::size_t MaxTrackedNumbers = 1024;
 constexpr std::size_t MaxTrackedConflicts = 256;
 
--- a/Source/Core/Cluster/ConfigurationWatch.cpp
+++ b/Source/Core/Cluster/ConfigurationWatch.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Expected rate: 8,300 changes a day.
+/// Expected rate of changes.
 constexpr double ChangesPerSecond = 8300.0 / 86400.0;
 /// Minimum interval between two reads. Without it, a service that ignores the wait would be polled
 /// in a tight loop.
--- a/Source/Core/Cluster/Options.h
+++ b/Source/Core/Cluster/Options.h
@@ -6,8 +6,8 @@
 
 namespace LaburnumChute::Cluster {
 
-/// Timing and limits of membership and configuration distribution. The defaults are meant for 94
-/// instances per region, 31 regions and 5% packet loss; docs/design/membership.md explains them.
+/// Timing and limits of membership and configuration distribution; docs/design/membership.md
+/// explains the defaults.
 struct ClusterOptions
 {
     /// Interval at which tick() is called. A gap of several intervals means that this process was
--- a/Source/Core/Cluster/OrderCoordinator.h
+++ b/Source/Core/Cluster/OrderCoordinator.h
@@ -14,8 +14,8 @@
 struct OrderOptions
 {
     /// Time without orders after this instance became the orderer. Meanwhile the former orderer
-    /// learns of the change (in a region of 94, a death reaches all within 5 s, a leave within 2
-    /// s), and its last orders become visible in the engines' states.
+    /// learns of the change (a death reaches all within 5 s, a leave within 2 s), and its last
+    /// orders become visible in the engines' states.
     Common::milliseconds quietPeriod{8000};
     /// Delay between an order and the reading of its effect, and interval between readings during a
     /// load.
--- a/Source/Core/Cluster/RegionDirectory.cpp
+++ b/Source/Core/Cluster/RegionDirectory.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Maximum number of tracked incarnations and leaves; a table that exceeds it is cleared. It is
-/// several times the fleet of 2,900 instances, each of which is replaced more than once a day.
+/// Maximum number of tracked incarnations and leaves; a table that exceeds it is cleared. Instances
+/// may be replaced several times a day, so it is larger than a fleet.
 constexpr std::size_t MaxTrackedInstances = 16384;
 
 template <typename Map>
--- a/Source/Core/Cluster/RegionDirectory.h
+++ b/Source/Core/Cluster/RegionDirectory.h
@@ -15,8 +15,8 @@
 /// What this instance knows beyond the members of its region: the platform's instance list and the
 /// summaries of all regions.
 ///
-/// With 2,900 instances, a global member table would cost each instance 29 times the messages of
-/// its own region; a summary has about 400 bytes regardless of the region's size.
+/// The messages of a global member table would grow with the number of regions; a summary has about
+/// 400 bytes regardless of the region's size.
 class RegionDirectory
 {
 public:
--- a/Source/Core/Decisions/EndpointTable.h
+++ b/Source/Core/Decisions/EndpointTable.h
@@ -42,7 +42,7 @@
 
 /// The endpoints of the home region and, for each target, the subset that this instance uses.
 ///
-/// Load pattern: 2,900 instances and 10,000 engines. If each instance used every endpoint, every
+/// Load pattern: thousands of instances and engines. If each instance used every endpoint, every
 /// endpoint would answer thousands of load polls and every decision would compare thousands of
 /// candidates. The subset is chosen by rendezvous hashing of (instance, endpoint), which needs no
 /// coordination, and the loss of an endpoint changes only one entry.
--- a/Source/Core/Decisions/Options.h
+++ b/Source/Core/Decisions/Options.h
@@ -16,8 +16,7 @@
 struct ExpectedCostPolicy
 {
     /// Number of random candidates to compare, besides those known to hold the prompt's prefix. Two
-    /// random choices remove most of the imbalance (Mitzenmacher, 2001), and few choices avoid
-    /// herding.
+    /// random choices remove most of the imbalance, and few choices avoid herding.
     int choices = 3;
     /// All candidates are compared if there are at most this many.
     int compareAllUpTo = 16;
@@ -49,8 +48,8 @@
 struct RoutingOptions
 {
     RoutingPolicy policy = ExpectedCostPolicy{};
-    /// Endpoints of one target that an instance uses. With 94 instances and 323 endpoints in a
-    /// region each endpoint then has 19 instances.
+    /// Endpoints of one target that an instance uses; bounds its load polls and the candidates of a
+    /// decision.
     std::size_t subsetSize = 64;
     /// Each peer is assumed to have sent this fraction of what this instance sent since the last
     /// load report.
--- a/Source/Core/Decisions/Quarantine.h
+++ b/Source/Core/Decisions/Quarantine.h
@@ -28,7 +28,7 @@
 /// Prevents a request that crashes endpoints from taking down one endpoint after another.
 ///
 /// Load pattern: one request crashes whatever runs it and its caller sends it again. Without a
-/// limit a few minutes of retries empty a region of 12 endpoints.
+/// limit a few minutes of retries empty a small region.
 /// When an endpoint dies, every fingerprint on it becomes a suspect. Suspects never share an
 /// endpoint, so that a second death identifies one of them. A death with a suspect on the endpoint
 /// is recorded only for the fingerprint with the most deaths; other requests there are not marked.
--- a/Source/Core/Fleet/Roster.cpp
+++ b/Source/Core/Fleet/Roster.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Maximum entries per heartbeat: with 16 receivers per round, each instance of a region of 200
-/// receives the age of every other one several times per second.
+/// Maximum entries per heartbeat: with 16 receivers per round, each instance of a large
+/// region receives the age of every other one several times per second.
 constexpr std::size_t MaxHeard = 48;
 /// A gap between two ticks of more than this many intervals means that the process was suspended.
 constexpr int SuspensionIntervals = 3;
