--- a/Source/IntegrationTests/raw_caller.py
+++ b/Source/IntegrationTests/raw_caller.py
@@ -43,7 +43,10 @@
         size, line_end, rest = rest.partition(b"\r\n")
         if not line_end:
             return status, headers, body, False
-        length = int(size, 16)
+        try:
+            length = int(size, 16)
+        except ValueError:
+            return status, headers, body, False
         if length == 0:
             return status, headers, body, rest.startswith(b"\r\n")
         body += rest[:length]
@@ -68,6 +71,8 @@
     ):
         """@param bytes_per_second: how fast it reads; 0 reads nothing, None reads at once"""
         self.outcome = Outcome(f"{next(NUMBERS):016x}")
+        #: All bytes that came, once the request has ended.
+        self.received = b""
         self.bytes_per_second = bytes_per_second
         self.deadline = time.monotonic() + deadline
         self.socket = socket.socket()
@@ -107,6 +112,7 @@
         except OSError as error:
             outcome.error = str(error)
         outcome.ended_at = time.monotonic()
+        self.received = bytes(received)
         outcome.status, outcome.headers, outcome.body, outcome.whole = parse(
             bytes(received), closed_cleanly
         )
