Ask the process that sent an answer without a length before passing it on as whole

Callers got half of an answer as a whole one: an answer without a length ends with its connection, and the kernel closes the connections of a killed process as it closes those of one that has finished.

Cause: an end that was inferred. After the close, the instance only connected to the address. A successor there, a listening socket that outlives its process, and no result at all (no socket, nothing within 200 ms) each passed for the endpoint that had sent the answer.

EndCheck sends a health call on a connection of its own when the answer begins, and again on the same connection after the close: only the process that sent the answer can answer on it, whatever its id. If the answer ends before the first health call is answered, the id in the answer decides, but not for an instance that has just stood still. Whatever is not shown counts as broken off.

--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -3,7 +3,10 @@
 #include <algorithm>
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
 
@@ -58,6 +61,28 @@
     connect(now);
 }
 
+void OutboundCall::start(OutboundConnectionPtr connection, Common::Time now)
+{
+    if (!connection) {
+        start(now);
+        return;
+    }
+    connection_ = std::move(connection);
+    usedIdleConnection_ = true;
+    send();
+}
+
+bool OutboundCall::remoteClosed() const
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    const bool known = connection_ && connection_->socket.is_open()
+                       && ::getsockopt(connection_->socket.native_handle(), IPPROTO_TCP, TCP_INFO,
+                                       &info, &size)
+                              == 0;
+    return !known || info.tcpi_state != TCP_ESTABLISHED;
+}
+
 void OutboundCall::connect(Common::Time now)
 {
     const auto target = Async::parseTcpAddress(request_.address);
@@ -260,9 +285,12 @@
     finished_ = true;
     const bool reusable = requestWritten_ && input_.empty() && parser_->is_done()
                           && parser_->get().keep_alive() && !parser_->need_eof();
-    if (reusable) {
-        pool_->release(request_.address, std::move(connection_), idleTimeout_,
-                       std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    if (reusable && events_.released) {
+        OutboundPool::markIdle(*connection_, idleTimeout_, now);
+        events_.released(std::move(connection_));
+    } else if (reusable) {
+        pool_->release(request_.address, std::move(connection_), idleTimeout_, now);
     } else {
         boost::system::error_code ignored;
         connection_->socket.close(ignored);
--- a/Source/Core/Relay/OutboundCall.h
+++ b/Source/Core/Relay/OutboundCall.h
@@ -79,6 +79,9 @@
     /// Returns false if the response belongs to another request; it is then skipped.
     std::function<bool(const ResponseHead &)> head;
     std::function<void(const std::string &)> body;
+    /// Gets the connection after a response, before `end`, if it may be used again. Optional; the
+    /// connection otherwise goes to the pool.
+    std::function<void(OutboundConnectionPtr)> released;
     /// The response is complete, as far as the connection shows.
     std::function<void(ResponseEnd)> end;
     std::function<void(CallFailure, const std::string &reason)> failed;
@@ -96,6 +99,8 @@
     OutboundCall(std::shared_ptr<OutboundPool> pool, OutboundRequest request, CallEvents events);
 
     void start(Common::Time now);
+    /// As above, on the given connection unless it is null.
+    void start(OutboundConnectionPtr connection, Common::Time now);
     void tick(Common::Time now);
     /// Ends the call. No callback is called afterwards.
     void cancel();
@@ -113,6 +118,13 @@
     {
         return usedIdleConnection_;
     }
+    /// The response has no length. Valid from its head on.
+    bool endsWithConnection() const
+    {
+        return headerDone_ && parser_->need_eof();
+    }
+    /// The remote side has closed the connection, even if bytes before that have not been read.
+    bool remoteClosed() const;
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
--- a/Source/Core/Relay/OutboundPool.cpp
+++ b/Source/Core/Relay/OutboundPool.cpp
@@ -100,12 +100,18 @@
     if (connections.size() >= MaxIdlePerAddress) {
         return;
     }
+    markIdle(*connection, idleTimeout, now);
+    connections.push_back(std::move(connection));
+}
+
+void OutboundPool::markIdle(OutboundConnection &connection,
+                            std::optional<Common::Duration> idleTimeout, Common::Time now)
+{
     const auto reuseTime =
         idleTimeout ? *idleTimeout - IdleTimeoutMargin : Common::Duration(DefaultReuseTime);
-    connection->reused = true;
-    connection->idleSince = now;
-    connection->reusableUntil = now + std::min<Common::Duration>(reuseTime, MaxReuseTime);
-    connections.push_back(std::move(connection));
+    connection.reused = true;
+    connection.idleSince = now;
+    connection.reusableUntil = now + std::min<Common::Duration>(reuseTime, MaxReuseTime);
 }
 
 void OutboundPool::closeExpired(Common::Time now)
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -181,6 +181,13 @@
     , copyWait(registry.histogram("laburnumchute_relay_cache_copy_wait_seconds",
                                   "Expected wait of a copy of cached prompt parts for links"))
 {
+    using End = EndCheckResult;
+    for (const auto result : {End::Running, End::Ended, End::Replaced, End::Unanswered}) {
+        endChecks[result] = &registry.counter(
+            "laburnumchute_relay_answers_without_length_total",
+            "Answers that ended with their connections, by what was known of the endpoint then",
+            {{"endpoint", std::string(toString(result))}});
+    }
     for (const auto path : Dispatch::TransferPaths) {
         const Common::Labels labels = {{"path", std::string(Dispatch::toString(path))}};
         copies[path] = &registry.counter(
@@ -392,6 +399,7 @@
     // What arrived while the process stood still is read before anything is taken for silent.
     const bool stoodStill = now - std::exchange(tickedAt_, now) > OwnPause;
     if (stoodStill) {
+        stoodStillAt_ = now;
         scheduleTick();
         return;
     }
@@ -440,6 +448,11 @@
     }
 }
 
+bool RelayGateway::stoodStillRecently(Common::Time now) const
+{
+    return now - tickedAt_ > OwnPause || now - stoodStillAt_ < OwnPause;
+}
+
 void RelayGateway::limitMemory(Common::Time now)
 {
     InboundServer::limitUnsent({&callers_, &peers_}, memoryShare(settings_, UnsentMemoryFraction),
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -81,6 +81,8 @@
     Common::Counter &unnamedAnswers;
     Common::Counter &unnamedAnswersOnUsedConnections;
     Common::Counter &sendsWithheld;
+    /// Answers without a length, by what showed or did not show their end.
+    std::map<EndCheckResult, Common::Counter *> endChecks;
     Common::Gauge &heldAnswerBytes;
     Common::Gauge &unsentBytes;
     Common::DurationHistogram &firstEvent;
@@ -135,6 +137,12 @@
     /// Records how many bytes of answers the request holds. Ends the one that holds the most if all
     /// of them together hold too many.
     void holdAnswer(Dispatch::CallId call, std::size_t bytes);
+    /// A health call to the endpoint, or nothing if its service has none or is unknown.
+    std::optional<OutboundRequest> healthCall(const Common::ServiceName &service,
+                                              const Common::EndpointId &endpoint,
+                                              const std::string &address) const;
+    /// This process did not run for a while just before, so that what it reads may be old.
+    bool stoodStillRecently(Common::Time now) const;
     /// Returns the usage of a request that was admitted here and has not run.
     void refundUsage(const RelayPlan &plan, Common::Time now);
 
@@ -279,6 +287,7 @@
     Common::Time looksUntil_{};
     Common::Time startedAt_{};
     Common::Time tickedAt_{};
+    Common::Time stoodStillAt_{};
     std::map<Common::InstanceId, bool> peerAlive_;
     std::vector<Common::ServiceName> unreachableServices_;
     /// Updated once per tick rather than on each response, so that it predates the changes being
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -305,6 +305,27 @@
     call->start(steadyNow());
 }
 
+std::optional<OutboundRequest> RelayGateway::healthCall(const Common::ServiceName &service,
+                                                        const Common::EndpointId &endpoint,
+                                                        const std::string &address) const
+{
+    const auto routes = catalog_.routes();
+    if (!routes || endpoint.empty()) {
+        return std::nullopt;
+    }
+    const auto &services = routes->configuration().services;
+    const auto found = services.find(service);
+    if (found == services.end() || found->second.healthPath.empty()) {
+        return std::nullopt;
+    }
+    OutboundRequest call;
+    call.address = address;
+    call.head =
+        requestHead("GET", found->second.healthPath, Platform::healthCallHeaders(endpoint, address));
+    call.body = std::make_shared<const std::string>();
+    return call;
+}
+
 void RelayGateway::removeCall(Dispatch::CallId call)
 {
     calls_.erase(call);
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -130,7 +130,7 @@
     responseMode_ = ResponseMode::None;
     discardResponse();
     responseEnd_.reset();
-    endShown_ = true;
+    endCheckResult_.reset();
     incompleteEventBytes_ = 0;
     cutter_.restart();
     gateway_.holdAnswer(plan_.facts.id, heldBytes());
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -9,7 +9,7 @@
 #include "Common/RunPermit.h"
 #include "Dialect/Dialect.h"
 #include "Dispatch/Dispatch.h"
-#include "Relay/ConnectionCheck.h"
+#include "Relay/EndCheck.h"
 #include "Relay/EventCutter.h"
 #include "Relay/ForwardMetadata.h"
 #include "Relay/InboundConnection.h"
@@ -128,10 +128,9 @@
     void failTooLarge(const std::string &reason);
     void pauseReading(bool paused);
     void handleEnd(ResponseEnd end);
-    /// Asks for a connection to the endpoint before a response is passed on as complete that only a
-    /// close ended.
-    void checkEnd(Common::Time now);
-    void handleEndCheck(ConnectionState state);
+    /// Begins to check the process that sends a response without a length.
+    void beginEndCheck(Common::Time now);
+    void handleEndCheck(EndCheckResult result);
     void completeResponse(Common::Time now);
     /// What a whole answer shows.
     Dispatch::AttemptOutcome wholeOutcome() const;
@@ -160,7 +159,7 @@
     Common::RunPermit permit_;
     /// Addresses of the current and of earlier calls.
     std::vector<std::string> addresses_;
-    std::shared_ptr<ConnectionCheck> endCheck_;
+    std::shared_ptr<EndCheck> endCheck_;
     ResponseMode responseMode_ = ResponseMode::None;
     KeptResponse response_;
     /// Last error response of an endpoint. Passed on if no later attempt succeeds.
@@ -177,8 +176,7 @@
     int eventsPassedOn_ = 0;
     /// What showed the end of the last response.
     std::optional<ResponseEnd> responseEnd_;
-    /// False if it is not known whether the endpoint still ran after the close of the connection.
-    bool endShown_ = true;
+    std::optional<EndCheckResult> endCheckResult_;
     std::size_t incompleteEventBytes_ = 0;
     /// Rate limit stated in the last response of an endpoint.
     std::optional<double> limitPerSecond_;
--- a/Source/Core/Relay/RelayedCallAnswer.cpp
+++ b/Source/Core/Relay/RelayedCallAnswer.cpp
@@ -171,6 +171,9 @@
     }
     const bool stream = plan_.facts.kind == Dispatch::RequestKind::Stream && isSuccess();
     responseMode_ = stream ? ResponseMode::Streamed : ResponseMode::Buffered;
+    if (call_->endsWithConnection()) {
+        beginEndCheck(now);
+    }
     if (!stream) {
         responding_ = true;
         gateway_.scheduler().answering(plan_.facts.id, now);
--- a/Source/Core/Relay/RelayedCallEnd.cpp
+++ b/Source/Core/Relay/RelayedCallEnd.cpp
@@ -13,9 +13,20 @@
 
 constexpr milliseconds TimeoutRetryAfter{700};
 constexpr unsigned FirstServerError = 500;
-/// An endpoint that has not crashed accepts a connection within a few milliseconds. A complete
-/// response must not wait long for one that cannot be reached.
-constexpr milliseconds EndCheckTimeout{200};
+
+std::string reasonOf(EndCheckResult result)
+{
+    switch (result) {
+    case EndCheckResult::Ended:
+        return "the endpoint ended together with its answer";
+    case EndCheckResult::Replaced:
+        return "another endpoint has the address, and the answer has no length";
+    case EndCheckResult::Running:
+    case EndCheckResult::Unanswered:
+        break;
+    }
+    return "nothing shows that an answer without a length is whole";
+}
 
 } // namespace
 
@@ -50,36 +61,46 @@
     case ResponseMode::Buffered:
         break;
     }
-    if (end == ResponseEnd::ConnectionClose) {
-        checkEnd(now);
-        return;
+    if (end == ResponseEnd::Framing) {
+        completeResponse(now);
+    } else if (endCheck_) {
+        endCheck_->answerEnded(gateway_.stoodStillRecently(now), now);
+    } else {
+        handleEndCheck(EndCheckResult::Unanswered);
     }
-    completeResponse(now);
 }
 
-void RelayedCall::checkEnd(Common::Time now)
+void RelayedCall::beginEndCheck(Common::Time now)
 {
+    const auto call = gateway_.healthCall(plan_.facts.service, endpoint_, addresses_.back());
+    if (!call) {
+        return;
+    }
+    const auto isSender = [endpoint = endpoint_](const ResponseHead &head) {
+        return Platform::isHealthAnswerOf(endpoint, head.status, head.headers);
+    };
     endCheck_ =
-        std::make_shared<ConnectionCheck>(gateway_.pool(), addresses_.back(), EndCheckTimeout,
-                                          [this](ConnectionState state) { handleEndCheck(state); });
+        std::make_shared<EndCheck>(gateway_.pool(), *call, isSender, call_,
+                                   [this](EndCheckResult result) { handleEndCheck(result); });
     endCheck_->start(now);
 }
 
-void RelayedCall::handleEndCheck(ConnectionState state)
+void RelayedCall::handleEndCheck(EndCheckResult result)
 {
     const auto self = shared_from_this();
     endCheck_.reset();
-    if (state == ConnectionState::Refused) {
-        handleFailure(CallFailure::Broken, "the endpoint ended together with its answer");
+    endCheckResult_ = result;
+    gateway_.metrics().endChecks.at(result)->add();
+    if (result != EndCheckResult::Running) {
+        handleFailure(CallFailure::Broken, reasonOf(result));
         return;
     }
-    endShown_ = state == ConnectionState::Established;
     completeResponse(steadyNow());
 }
 
 AttemptOutcome RelayedCall::wholeOutcome() const
 {
-    return endShown_ && isSuccess() ? AttemptOutcome::Completed : AttemptOutcome::Answered;
+    return isSuccess() ? AttemptOutcome::Completed : AttemptOutcome::Answered;
 }
 
 void RelayedCall::completeResponse(Common::Time now)
@@ -280,6 +301,9 @@
         line.add("response_end", toString(*responseEnd_))
             .add("incomplete_event_bytes", static_cast<std::int64_t>(incompleteEventBytes_));
     }
+    if (endCheckResult_) {
+        line.add("end_check", toString(*endCheckResult_));
+    }
     if (limitPerSecond_) {
         line.add("limit_per_second", fmt::format("{:g}", *limitPerSecond_));
     }
