Write no second head into a stream that has begun

Callers of a resumed stream got "HTTP/1.1 404 Not Found" where the next chunk was due.

Cause: a whole answer of the next endpoint below 500 was passed on without a look at whether the stream had begun; only errors from 500 on counted as a failed attempt.

Evidence: test_an_error_of_the_next_endpoint_is_not_written_into_a_stream failed on for 400, 404 and 410, where the first endpoint broke off behind two events, and passed for 500. Such an answer now ends its attempt as an error does: the stream goes on at another endpoint or is broken off. All four pass.

--- a/Source/Core/Relay/RelayedCallEnd.cpp
+++ b/Source/Core/Relay/RelayedCallEnd.cpp
@@ -117,7 +117,9 @@
         finish("completed");
         return;
     }
-    if (response_.status < FirstServerError && !meansNotRun(response_.status)) {
+    // After the first part of a stream, no other head may follow.
+    const bool mayPassOn = !streamStarted_ && !meansNotRun(response_.status);
+    if (response_.status < FirstServerError && mayPassOn) {
         gateway_.metrics().completed.add();
         sendKeptResponse();
         endAttempt(wholeOutcome(), false, now);
