Find a second answer inside the body of the first one

Callers got the head and body of an endpoint's second answer as a part of the first one.

Cause: endpoints may answer twice. If the first answer has no length, or has broken off on a connection that stays open, the framing takes the second one for bytes of the body, and nothing else was asked.

The body is now searched for a status line followed by the id of the request. It counts as no valid answer, since where the first answer ended is not known.

--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -61,6 +61,7 @@
     , plan_(std::move(plan))
     , connection_(std::move(connection))
     , permit_(plan_.facts.repeatable)
+    , secondAnswer_(plan_.head.requestId)
 {
 }
 
@@ -133,6 +134,7 @@
     endCheckResult_.reset();
     incompleteEventBytes_ = 0;
     cutter_.restart();
+    secondAnswer_.restart();
     gateway_.holdAnswer(plan_.facts.id, heldBytes());
     sentAt_ = now;
     lastEventAt_ = now;
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -14,6 +14,7 @@
 #include "Relay/ForwardMetadata.h"
 #include "Relay/InboundConnection.h"
 #include "Relay/OutboundCall.h"
+#include "Relay/SecondAnswer.h"
 
 namespace LaburnumChute::Relay {
 
@@ -125,7 +126,8 @@
     void passOnEvents(const std::string &events);
     std::size_t heldBytes() const;
     void discardResponse();
-    void failTooLarge(const std::string &reason);
+    /// Ends the attempt, whose response cannot be used.
+    void failInvalid(const std::string &reason);
     void pauseReading(bool paused);
     void handleEnd(ResponseEnd end);
     /// Begins to check the process that sends a response without a length.
@@ -165,6 +167,7 @@
     /// Last error response of an endpoint. Passed on if no later attempt succeeds.
     std::optional<KeptResponse> lastErrorResponse_;
     EventCutter cutter_;
+    SecondAnswer secondAnswer_;
     Common::EndpointId endpoint_;
     Common::InstanceId peer_;
     Common::Time sentAt_{};
--- a/Source/Core/Relay/RelayedCallAnswer.cpp
+++ b/Source/Core/Relay/RelayedCallAnswer.cpp
@@ -184,13 +184,17 @@
 void RelayedCall::handleBody(const std::string &bytes)
 {
     const auto self = shared_from_this();
+    if (secondAnswer_.feed(bytes)) {
+        failInvalid("a second answer begins inside the first one");
+        return;
+    }
     if (responseMode_ == ResponseMode::Streamed) {
         const auto events = cutter_.feed(bytes);
         if (!events.empty()) {
             passOnEvents(events);
         }
         if (cutter_.pendingBytes() > MaxBufferedResponseBytes) {
-            failTooLarge("an event is too large");
+            failInvalid("an event is too large");
             return;
         }
     } else {
@@ -198,7 +202,7 @@
         gateway_.scheduler().received(plan_.facts.id, lastEventAt_);
         response_.body += bytes;
         if (response_.body.size() > MaxBufferedResponseBytes) {
-            failTooLarge("the answer is too large");
+            failInvalid("the answer is too large");
             return;
         }
     }
@@ -219,7 +223,7 @@
     std::exchange(response_, {});
 }
 
-void RelayedCall::failTooLarge(const std::string &reason)
+void RelayedCall::failInvalid(const std::string &reason)
 {
     call_->cancel();
     discardResponse();
@@ -230,7 +234,7 @@
 {
     const auto self = shared_from_this();
     if (call_) {
-        failTooLarge("the answers in memory are too large");
+        failInvalid("the answers in memory are too large");
     } else {
         lastErrorResponse_.reset();
         discardResponse();
