Keep calls without an id off the connections of requests

Found by reading, not seen with callers: after its start an instance asks engines for their cache lists on the pool of the callers' requests. Answers to these calls have no id, so a second answer to a request passed for the list, and the list arrived where the answer to the next request was due, whose attempt then failed.

Each such call has a connection of its own now, and does not leave it to others. SimpleFetchTest failed before: the second call used the connection of the first.

--- a/Source/Core/Relay/SimpleFetch.cpp
+++ b/Source/Core/Relay/SimpleFetch.cpp
@@ -4,12 +4,6 @@
 
 namespace LaburnumChute::Relay {
 
-namespace {
-
-constexpr Common::milliseconds MaxIdleTime{5000};
-
-} // namespace
-
 SimpleFetch::SimpleFetch(std::shared_ptr<OutboundPool> pool)
     : pool_(std::move(pool))
 {
@@ -31,13 +25,15 @@
     request.address = address;
     request.head = requestHead("GET", target, {{"Host", address}});
     request.body = std::make_shared<const std::string>();
-    request.maxIdle = MaxIdleTime;
     request.maxBodyBytes = maxBodyBytes;
     CallEvents events;
     events.head = [this, id](const ResponseHead &head) {
         calls_.at(id).status = head.status;
         return true;
     };
+    // Answers to these calls have no id. The connection carries nothing else, so that neither a second
+    // answer to a request is taken for that to a call, nor the reverse.
+    events.released = [](OutboundConnectionPtr) {};
     events.body = [this, id](const std::string &bytes) { calls_.at(id).body += bytes; };
     events.end = [this, id](ResponseEnd) {
         auto &pending = calls_.at(id);
