Send a request only on connections that have not carried it before

Found by reading, not seen with callers: an answer states the id of its request, and a second answer to an earlier attempt has the same one. An instance avoided the addresses that a call had used, but an instance to which a request is forwarded twice has two calls, with one pool of connections.

Each connection remembers the requests that it has carried, for all calls of the process.

--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -52,7 +52,7 @@
 
 void OutboundCall::start(Common::Time now)
 {
-    connection_ = pool_->acquire(request_.address, request_.maxIdle, now);
+    connection_ = pool_->acquire(request_.address, request_.maxIdle, now, request_.requestKey);
     if (connection_) {
         usedIdleConnection_ = true;
         send();
@@ -119,6 +119,7 @@
         return;
     }
     connected_ = true;
+    connection_->recordRequest(request_.requestKey);
     newParser();
     const std::array<asio::const_buffer, 2> buffers = {asio::buffer(request_.head),
                                                        asio::buffer(*request_.body)};
--- a/Source/Core/Relay/OutboundPool.cpp
+++ b/Source/Core/Relay/OutboundPool.cpp
@@ -74,8 +74,19 @@
     return connection;
 }
 
+void OutboundConnection::recordRequest(std::uint64_t key)
+{
+    carried_[next_] = key;
+    next_ = (next_ + 1) % carried_.size();
+}
+
+bool OutboundConnection::hasCarried(std::uint64_t key) const
+{
+    return key != 0 && std::find(carried_.begin(), carried_.end(), key) != carried_.end();
+}
+
 OutboundConnectionPtr OutboundPool::acquire(const std::string &address, Common::Duration maxIdle,
-                                            Common::Time now)
+                                            Common::Time now, std::uint64_t requestKey)
 {
     const auto found = idle_.find(address);
     if (found == idle_.end() || maxIdle <= Common::Duration(0)) {
@@ -83,9 +94,14 @@
     }
     auto &connections = found->second;
     // The most recently used connection is the least likely to have been closed.
-    while (!connections.empty() && now - connections.back()->idleSince <= maxIdle) {
-        auto connection = std::move(connections.back());
-        connections.pop_back();
+    auto index = connections.size();
+    while (index > 0 && now - connections[index - 1]->idleSince <= maxIdle) {
+        --index;
+        if (connections[index]->hasCarried(requestKey)) {
+            continue;
+        }
+        auto connection = std::move(connections[index]);
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index));
         if (now < connection->reusableUntil && !isUnusable(*connection)) {
             return connection;
         }
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -123,11 +123,8 @@
 {
     const auto self = shared_from_this();
     cancelCall();
-    if (std::find(addresses_.begin(), addresses_.end(), request.address) != addresses_.end()) {
-        // An earlier answer to this request may arrive on the connection once more, and has its id.
-        request.maxIdle = Common::Duration(0);
-    }
-    addresses_.push_back(request.address);
+    request.requestKey = Common::stableHash(plan_.head.requestId);
+    address_ = request.address;
     responseMode_ = ResponseMode::None;
     discardResponse();
     responseEnd_.reset();
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -159,8 +159,8 @@
     std::shared_ptr<InboundConnection> connection_;
     std::shared_ptr<OutboundCall> call_;
     Common::RunPermit permit_;
-    /// Addresses of the current and of earlier calls.
-    std::vector<std::string> addresses_;
+    /// Address of the current call.
+    std::string address_;
     std::shared_ptr<EndCheck> endCheck_;
     ResponseMode responseMode_ = ResponseMode::None;
     KeptResponse response_;
--- a/Source/Core/Relay/RelayedCallEnd.cpp
+++ b/Source/Core/Relay/RelayedCallEnd.cpp
@@ -72,7 +72,7 @@
 
 void RelayedCall::beginEndCheck(Common::Time now)
 {
-    const auto call = gateway_.healthCall(plan_.facts.service, endpoint_, addresses_.back());
+    const auto call = gateway_.healthCall(plan_.facts.service, endpoint_, address_);
     if (!call) {
         return;
     }
--- a/Source/UnitTests/Relay/OutboundCallTest.cpp
+++ b/Source/UnitTests/Relay/OutboundCallTest.cpp
@@ -124,6 +124,31 @@
 }
 
 // Guards against taking a closed port, which proves that the endpoint has ended, for a slow path.
+// Guards against MIXED and TWICE: a second answer to an earlier attempt of a request has the id of the
+// request and passes for that to the next attempt, which may be another call of this process.
+TEST_F(OutboundCallTest, AConnectionIsNotUsedForARequestThatItHasCarried)
+{
+    constexpr std::string_view Answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const auto answerTwice = [Answer](tcp::socket &socket) {
+        ScriptedServer::readHead(socket);
+        ScriptedServer::write(socket, std::string(Answer));
+        ScriptedServer::readHead(socket);
+        ScriptedServer::write(socket, std::string(Answer));
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    };
+    ScriptedServer server({answerTwice, respondWith(std::string(Answer))});
+    const auto callWithKey = [&](std::uint64_t key) {
+        auto one = request(server.address());
+        one.requestKey = key;
+        return call(std::move(one));
+    };
+    EXPECT_TRUE(callWithKey(1).ended);
+    EXPECT_TRUE(callWithKey(2).ended);
+    EXPECT_EQ(server.acceptedCount(), 1);
+    EXPECT_TRUE(callWithKey(1).ended);
+    EXPECT_EQ(server.acceptedCount(), 2);
+}
+
 TEST_F(OutboundCallTest, ClosedPortIsRefused)
 {
     std::string address;
