Verb gateway: pass on only answers that name the request

Callers got the answer to another caller's request: an endpoint answers twice, and the second answer comes where the next answer of its connection is due.

Cause: EndpointStream took whatever head came next on a used connection for the answer to its request; ids were compared for "not started" only. Confirmations of a cancel were read from used connections, too.

Evidence: test_late_second_answer_is_not_taken_for_the_next_one failed for services and for engines: the third call got "answer to call-service-0".

An answer that names another request counts as none. A connection is used again only if its last answer named its request, so that the first answer of a connection is the one to its first request, and an answer without an id on a used connection counts as none. Cancels have connections of their own. Load queries keep theirs, in a pool of their own.

In test_late_refusal_on_a_used_connection_lets_no_engine_generate_on the engine names its first requests, or the connection would not be used again; it checks the same as before.

--- a/Source/Core/Endpoints/EndpointStream.cpp
+++ b/Source/Core/Endpoints/EndpointStream.cpp
@@ -17,7 +17,7 @@
 
 constexpr int HttpVersion = 11;
 constexpr unsigned InterimClass = 1;
-constexpr std::uint64_t CancelResponseLimitBytes = 16 * 1024;
+constexpr std::uint64_t CallResponseLimitBytes = 16 * 1024;
 constexpr int InterimResponseLimit = 16;
 constexpr std::string_view RunStateHeader = "Engine-Run-State";
 constexpr std::string_view NotStarted = "not-started";
@@ -35,6 +35,38 @@
     return message;
 }
 
+/// Sends a call that is not a request of a caller, on a connection of its own: the responses to such
+/// calls have no id. Returns nothing without a response in time.
+asio::awaitable<std::optional<http::response<http::string_body>>>
+callOnce(std::shared_ptr<ConnectionPool> pool, std::string address, StringRequest message,
+         Common::Duration timeout)
+{
+    auto connection = co_await pool->connect(address);
+    if (!connection) {
+        co_return std::nullopt;
+    }
+    auto &stream = (*connection)->stream;
+    stream.expires_after(timeout);
+    boost::system::error_code error;
+    co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(CallResponseLimitBytes);
+    if (!error) {
+        // Read separately: when Beast 1.74 reads the whole response in one operation, a body with a
+        // Content-Length can exceed body_limit().
+        co_await http::async_read_header(stream, (*connection)->buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (!error) {
+        co_await http::async_read(stream, (*connection)->buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error) {
+        co_return std::nullopt;
+    }
+    co_return parser.release();
+}
+
 std::string streamTarget(const Common::RequestId &request)
 {
     return "/v1/streams/" + request.text();
@@ -143,12 +175,12 @@
     const Common::Duration timeout =
         request_.eventStream ? options_.silenceTimeout : options_.serviceTimeout;
     const auto error = co_await readHead(timeout);
-    if (error && (aborted_ || !request_.eventStream)) {
-        co_return tl::unexpected(
-            failure(Common::RunState::Unknown, "no answer: " + error.message()));
+    const auto reason = error ? "no answer: " + error.message() : foreignReason(head());
+    if (!reason.empty() && (aborted_ || !request_.eventStream)) {
+        co_return tl::unexpected(failure(Common::RunState::Unknown, reason));
     }
-    if (error) {
-        const auto resumed = co_await resume("no answer: " + error.message());
+    if (!reason.empty()) {
+        const auto resumed = co_await resume(reason);
         if (!resumed) {
             co_return tl::unexpected(resumed.error());
         }
@@ -168,6 +200,19 @@
     co_return response;
 }
 
+std::string EndpointStream::foreignReason(const ResponseHead &response) const
+{
+    const auto id = response.header(RequestIdHeader);
+    if (!request_.answersStateId || id == request_.request.text()) {
+        return {};
+    }
+    if (!id.empty()) {
+        return "an answer to another request: " + id;
+    }
+    const bool refusal = response.status == 503 && response.header(RunStateHeader) == NotStarted;
+    return connection_->reused && !refusal ? "an answer without an id on a used connection" : "";
+}
+
 asio::awaitable<EndpointResult<std::string>> EndpointStream::readChunk()
 {
     auto &body = parser_->get().body();
@@ -203,8 +248,11 @@
 
 BodyChunk EndpointStream::finishBody(std::string bytes)
 {
+    const bool statesId =
+        !request_.answersStateId || head().header(RequestIdHeader) == request_.request.text();
     // Bytes after the end of a response belong to no request.
-    if (parser_->is_done() && parser_->get().keep_alive() && connection_->buffer.size() == 0) {
+    if (statesId && parser_->is_done() && parser_->get().keep_alive()
+        && connection_->buffer.size() == 0) {
         pool_->release(request_.address, std::move(connection_));
     }
     connection_.reset();
@@ -312,35 +360,12 @@
 asio::awaitable<bool> cancelAtEndpoint(std::shared_ptr<ConnectionPool> pool, std::string address,
                                        Common::RequestId request, Common::Duration timeout)
 {
-    auto connection = co_await pool->acquire(address);
-    if (!connection) {
-        co_return false;
-    }
-    const auto message = makeRequest(http::verb::delete_, streamTarget(request), address, request);
-    auto &stream = (*connection)->stream;
-    stream.expires_after(timeout);
-    boost::system::error_code error;
-    co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(CancelResponseLimitBytes);
-    if (!error) {
-        // Read separately: when Beast 1.74 reads the whole response in one operation, a body with a
-        // Content-Length can exceed body_limit().
-        co_await http::async_read_header(stream, (*connection)->buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
-    }
-    if (!error) {
-        co_await http::async_read(stream, (*connection)->buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
-    }
-    if (error) {
-        co_return false;
-    }
-    const auto &response = parser.get();
-    if (response.keep_alive() && (*connection)->buffer.size() == 0) {
-        pool->release(address, std::move(*connection));
-    }
-    co_return response.result() == http::status::ok || response.result() == http::status::not_found;
+    auto message = makeRequest(http::verb::delete_, streamTarget(request), address, request);
+    const auto response =
+        co_await callOnce(std::move(pool), std::move(address), std::move(message), timeout);
+    co_return response
+        && (response->result() == http::status::ok
+            || response->result() == http::status::not_found);
 }
 
 } // namespace LaburnumChute::Endpoints
--- a/Source/Core/Endpoints/EndpointStream.h
+++ b/Source/Core/Endpoints/EndpointStream.h
@@ -35,6 +35,10 @@
     /// False if the call must not be sent on an idle connection: if the endpoint closes it during
     /// the write, it is unknown whether the endpoint has run the call.
     bool mayReuseConnection = true;
+    /// True if answers state the id of their request. Only then is the connection used again, since a
+    /// second answer to an earlier request may come where the next answer is due. False for queries on
+    /// a pool of their own.
+    bool answersStateId = true;
 };
 
 struct ResponseHead
@@ -126,6 +130,8 @@
     /// A single resume attempt. Returns nullopt on success.
     asio::awaitable<std::optional<EndpointFailure>> resumeOnce();
     asio::awaitable<EndpointResult<std::string>> readChunk();
+    /// Why the response that was read is not the one to this request; empty if it may be.
+    std::string foreignReason(const ResponseHead &response) const;
     /// Returns the whole events that the bytes complete.
     EndpointResult<std::string> feed(std::string_view bytes);
     BodyChunk finishBody(std::string bytes);
--- a/Source/Core/Gateway/EndpointMonitor.cpp
+++ b/Source/Core/Gateway/EndpointMonitor.cpp
@@ -143,6 +143,7 @@
     request.request = Common::RequestId("load-report");
     request.method = "GET";
     request.target = std::move(target);
+    request.answersStateId = false;
     Endpoints::EndpointStreamOptions streamOptions;
     streamOptions.serviceTimeout = options_.timeout;
     Endpoints::EndpointStream stream(std::move(request), pool_, streamOptions, budget_);
--- a/Source/IntegrationTests/raw_endpoint.py
+++ b/Source/IntegrationTests/raw_endpoint.py
@@ -1,11 +1,12 @@
 """An endpoint whose answers are written byte by byte, for faults that the stand-ins lack."""
 
+import contextlib
 import json
 import socket
 import threading
 import time
 
-LOAD = {"running": 0, "waiting": 0, "batch_limit": 16, "workers": 16, "kv_used_tokens": 0,
+LOAD = {"id": "raw", "running": 0, "waiting": 0, "batch_limit": 16, "workers": 16, "kv_used_tokens": 0,
         "kv_limit_tokens": 1000000, "step_ms": 1, "prefill_tokens_per_second": 100000, "age_ms": 0}
 #: Returned by `answer` to keep the connection.
 KEEP = "keep"
@@ -41,6 +42,10 @@
         self.answer = answer
         self.load = load
         self.requests = []
+        #: X-Request-Id of the last request of each connection.
+        self.request_ids = {}
+        #: What the endpoint calls itself.
+        self.identity = "raw"
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         self.connections = []
@@ -50,11 +55,19 @@
         return self
 
     def __exit__(self, *_):
-        self.listener.shutdown(socket.SHUT_RDWR)
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         for connection in self.connections:
             connection.close()
 
+    def end(self):
+        """Ends as a killed process does: nothing listens, and the kernel closes the connections."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        for connection in self.connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_WR)
+
     def _accept(self):
         while True:
             try:
@@ -80,13 +93,15 @@
         while (header := reader.readline().decode().strip()):
             name, _, value = header.partition(":")
             length = int(value) if name.lower() == "content-length" else length
+            if name.lower() == "x-request-id":
+                self.request_ids[connection] = value.strip()
         reader.read(length)
         method, path, _ = line.split()
         if path in ("/load", "/v1/load"):
             if self.load:
                 self.load(connection)
                 return False
-            connection.sendall(whole(json.dumps(LOAD).encode()))
+            connection.sendall(whole(json.dumps({**LOAD, "id": self.identity}).encode()))
             return True
         if path.startswith("/v1/cache-events"):
             connection.sendall(whole(b'{"events": [], "latest": 0}'))
--- a/Source/IntegrationTests/test_gateway_delivery.py
+++ b/Source/IntegrationTests/test_gateway_delivery.py
@@ -231,6 +231,40 @@
                 read_answer(connection)
 
 
+@pytest.mark.parametrize("kind", ["service", "engine"])
+def test_late_second_answer_is_not_taken_for_the_next_one(otaru, kind):
+    """Guards against an answer to an earlier request that comes where the next one is due."""
+    gateway = otaru.gateways[0]
+    left = {}
+
+    def reply(connection):
+        identity = service.request_ids[connection]
+        body = f"answer to {identity}".encode()
+        if kind == "service":
+            return whole(body).replace(b"\r\n\r\n", f"\r\nX-Request-Id: {identity}\r\n\r\n".encode(), 1)
+        events = event(1, body.decode()) + b"data: [DONE]\n\n"
+        head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {identity}\r\n"
+        return f"{head}Content-Length: {len(events)}\r\n\r\n".encode() + events
+
+    def answer(connection, method, _):
+        if method == "DELETE":
+            connection.sendall(whole(b'{"cancelled": true, "generated": 0}'))
+            return KEEP
+        connection.sendall(left.get(connection, b"") + reply(connection))
+        left[connection] = reply(connection)
+        return KEEP
+
+    with RawEndpoint(answer) as service:
+        use_only(otaru, service, kind, "sapporo", gateway)
+        for number in range(8):
+            target = "/services/order-desk/orders/7" if kind == "service" else None
+            name = f"call-{kind}-{number}"
+            connection = open_call(gateway, headers=f"X-Request-Id: {name}\r\n", target=target)
+            status, body = read_answer(connection)
+            assert status != 200 or f"answer to {name}".encode() in body, body
+        assert len(left) > 1
+
+
 # Endpoints that send bytes without end
 
 
@@ -471,7 +505,9 @@
             connection.sendall(whole(b"{}"))
         elif connection not in served or stray.is_set():
             served.append(connection)
-            connection.sendall(whole(b'{"choices": []}'))
+            # Only a connection whose answers state their ids is used again.
+            identity = f"\r\nX-Request-Id: {engine.request_ids[connection]}\r\n\r\n".encode()
+            connection.sendall(whole(b'{"choices": []}').replace(b"\r\n\r\n", identity, 1))
             return KEEP
         else:
             stray.set()
