Verb gateway: do not take the close of a killed service for the end of its answer

Callers got half of a plain service's answer as a whole one, as in the verb relay: an answer without a length ends with its connection, also when its process is killed.

Evidence: test_half_an_answer_without_a_length_is_not_whole failed for a service that ended and for one that another one had replaced.

After such an end the service is asked for its load report, which names it; the answer is whole if the id is that of the endpoint. Both cases pass, and test_sound_answer_without_a_length_is_whole.

--- a/Source/Core/Endpoints/EndpointStream.cpp
+++ b/Source/Core/Endpoints/EndpointStream.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/buffers_cat.hpp>
 
 #include "Async/Async.h"
+#include "Common/Json.h"
 
 namespace LaburnumChute::Endpoints {
 
@@ -18,6 +19,8 @@
 constexpr int HttpVersion = 11;
 constexpr unsigned InterimClass = 1;
 constexpr std::uint64_t CallResponseLimitBytes = 16 * 1024;
+constexpr Common::milliseconds EndCheckTimeout{1000};
+constexpr std::string_view LoadTarget = "/load";
 constexpr int InterimResponseLimit = 16;
 constexpr std::string_view RunStateHeader = "Engine-Run-State";
 constexpr std::string_view NotStarted = "not-started";
@@ -213,6 +216,21 @@
     return connection_->reused && !refusal ? "an answer without an id on a used connection" : "";
 }
 
+asio::awaitable<EndpointResult<void>> EndpointStream::confirmEnd()
+{
+    connection_.reset();
+    auto message = makeRequest(http::verb::get, std::string(LoadTarget), request_.address,
+                               request_.request);
+    const auto response =
+        co_await callOnce(pool_, request_.address, std::move(message), EndCheckTimeout);
+    const auto report = response ? Common::parseJson(response->body()) : nlohmann::json();
+    if (!report.is_object() || report.value("id", nlohmann::json()) != request_.endpoint.text()) {
+        co_return tl::unexpected(failure(Common::RunState::Unknown,
+                                         "nothing shows that an answer without a length is whole"));
+    }
+    co_return EndpointResult<void>();
+}
+
 asio::awaitable<EndpointResult<std::string>> EndpointStream::readChunk()
 {
     auto &body = parser_->get().body();
@@ -251,7 +269,7 @@
     const bool statesId =
         !request_.answersStateId || head().header(RequestIdHeader) == request_.request.text();
     // Bytes after the end of a response belong to no request.
-    if (statesId && parser_->is_done() && parser_->get().keep_alive()
+    if (connection_ && statesId && parser_->is_done() && parser_->get().keep_alive()
         && connection_->buffer.size() == 0) {
         pool_->release(request_.address, std::move(connection_));
     }
@@ -266,6 +284,12 @@
             co_return tl::unexpected(failure(Common::RunState::Unknown, "cancelled"));
         }
         if (parser_->is_done()) {
+            if (!isEventStream_ && parser_->need_eof()) {
+                const auto confirmed = co_await confirmEnd();
+                if (!confirmed) {
+                    co_return tl::unexpected(confirmed.error());
+                }
+            }
             if (!isEventStream_ || splitter_.done()) {
                 co_return finishBody({});
             }
--- a/Source/IntegrationTests/test_gateway_delivery.py
+++ b/Source/IntegrationTests/test_gateway_delivery.py
@@ -231,6 +231,36 @@
                 read_answer(connection)
 
 
+UNFRAMED = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize("end", ["ended", "replaced"])
+def test_half_an_answer_without_a_length_is_not_whole(otaru, end):
+    """Guards against taking the close of a killed service's connection for the end of its answer."""
+    gateway = otaru.gateways[0]
+
+    def answer(connection, _, __):
+        connection.sendall(UNFRAMED + b"half")
+        time.sleep(0.2)
+        if end == "ended":
+            service.end()
+        else:
+            service.identity = "another"
+
+    with RawEndpoint(answer) as service:
+        use_only(otaru, service, "service", "sapporo", gateway)
+        connection = open_call(gateway, target="/services/order-desk/orders/7")
+        with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+            read_answer(connection)
+
+
+def test_sound_answer_without_a_length_is_whole(otaru):
+    gateway = otaru.gateways[0]
+    with RawEndpoint(lambda connection, _, __: connection.sendall(UNFRAMED + b"all")) as service:
+        use_only(otaru, service, "service", "sapporo", gateway)
+        assert probe(gateway, "service") == (200, "all")
+
+
 @pytest.mark.parametrize("kind", ["service", "engine"])
 def test_late_second_answer_is_not_taken_for_the_next_one(otaru, kind):
     """Guards against an answer to an earlier request that comes where the next one is due."""
