--- a/Source/IntegrationTests/relay_deployment.py
+++ b/Source/IntegrationTests/relay_deployment.py
@@ -33,6 +33,7 @@
         bounds=None,
         make_endpoint=None,
         memory_mb=300,
+        descriptors=2000,
     ):
         """
         @param instances: address and zone of each instance, by name; those of a zone ZONE-a are in
@@ -46,6 +47,7 @@
         self.zones.update({zone: zone.rsplit("-", 1)[0] for _, zone in instances.values()})
         self.bounds = bounds or {}
         self.memory_mb = memory_mb
+        self.descriptors = descriptors
         self.platform = standin.Platform(endpoints, make_endpoint or standin.Endpoint)
         self.ports = free_ports([ip for ip, _ in instances.values()], PORTS)
         self.processes = {}
@@ -64,7 +66,7 @@
             name, ip, zone, self.zones[zone], self.zones, seeds, port, self.ports
         )
         settings["bounds"].update(self.bounds)
-        settings["limits"]["memoryMb"] = self.memory_mb
+        settings["limits"].update(memoryMb=self.memory_mb, maxFds=self.descriptors)
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         arguments = [str(PROGRAM), "relay", "--config", str(path)]
