--- a/Source/Core/Endpoints/EndpointStream.cpp
+++ b/Source/Core/Endpoints/EndpointStream.cpp
@@ -38,8 +38,8 @@
     return message;
 }
 
-/// Sends a call that is not a request of a caller, on a connection of its own: the responses to such
-/// calls have no id. Returns nothing without a response in time.
+/// Sends a call that is not a request of a caller, on a connection of its own: the responses to
+/// such calls have no id. Returns nothing without a response in time.
 asio::awaitable<std::optional<http::response<http::string_body>>>
 callOnce(std::shared_ptr<ConnectionPool> pool, std::string address, StringRequest message,
          Common::Duration timeout)
@@ -219,8 +219,8 @@
 asio::awaitable<EndpointResult<void>> EndpointStream::confirmEnd()
 {
     connection_.reset();
-    auto message = makeRequest(http::verb::get, std::string(LoadTarget), request_.address,
-                               request_.request);
+    auto message =
+        makeRequest(http::verb::get, std::string(LoadTarget), request_.address, request_.request);
     const auto response =
         co_await callOnce(pool_, request_.address, std::move(message), EndCheckTimeout);
     const auto report = response ? Common::parseJson(response->body()) : nlohmann::json();
--- a/Source/Core/Endpoints/EndpointStream.h
+++ b/Source/Core/Endpoints/EndpointStream.h
@@ -35,9 +35,9 @@
     /// False if the call must not be sent on an idle connection: if the endpoint closes it during
     /// the write, it is unknown whether the endpoint has run the call.
     bool mayReuseConnection = true;
-    /// True if answers state the id of their request. Only then is the connection used again, since a
-    /// second answer to an earlier request may come where the next answer is due. False for queries on
-    /// a pool of their own.
+    /// True if answers state the id of their request. Only then is the connection used again, since
+    /// a second answer to an earlier request may come where the next answer is due. False for
+    /// queries on a pool of their own.
     bool answersStateId = true;
 };
 
--- a/Source/Core/Relay/EndCheck.cpp
+++ b/Source/Core/Relay/EndCheck.cpp
@@ -84,8 +84,7 @@
         connectionShown_ = connection_ && answer && !answer->remoteClosed();
         return;
     }
-    finish(connectionShown_ || !stoodStill_ ? EndCheckResult::Running
-                                            : EndCheckResult::Unanswered);
+    finish(connectionShown_ || !stoodStill_ ? EndCheckResult::Running : EndCheckResult::Unanswered);
     if (connection_) {
         pool_->release(request_.address, std::move(connection_), std::nullopt, now);
     }
--- a/Source/Core/Relay/EndCheck.h
+++ b/Source/Core/Relay/EndCheck.h
@@ -25,14 +25,14 @@
 std::string_view toString(EndCheckResult result);
 
 /// Shows whether the process that sends an answer without a length still runs after the connection
-/// of the answer was closed. The kernel closes the connections of a process that crashes as it closes
-/// those of one that has finished, and the address may soon be another process's, which may even have
-/// the same id.
+/// of the answer was closed. The kernel closes the connections of a process that crashes as it
+/// closes those of one that has finished, and the address may soon be another process's, which may
+/// even have the same id.
 ///
 /// A health call goes to the endpoint on a connection of its own when the answer begins. If it is
-/// answered while the answer's connection is open, both connections are those of one process. The same
-/// connection is used again after the end, and only that process can answer on it. If the answer ends
-/// first, the id in the response to the health call decides.
+/// answered while the answer's connection is open, both connections are those of one process. The
+/// same connection is used again after the end, and only that process can answer on it. If the
+/// answer ends first, the id in the response to the health call decides.
 class EndCheck : public std::enable_shared_from_this<EndCheck>
 {
 public:
--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -76,10 +76,10 @@
 {
     tcp_info info{};
     socklen_t size = sizeof(info);
-    const bool known = connection_ && connection_->socket.is_open()
-                       && ::getsockopt(connection_->socket.native_handle(), IPPROTO_TCP, TCP_INFO,
-                                       &info, &size)
-                              == 0;
+    const bool known =
+        connection_ && connection_->socket.is_open()
+        && ::getsockopt(connection_->socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size)
+               == 0;
     return !known || info.tcpi_state != TCP_ESTABLISHED;
 }
 
--- a/Source/Core/Relay/OutboundCall.h
+++ b/Source/Core/Relay/OutboundCall.h
@@ -28,8 +28,8 @@
     std::shared_ptr<const std::string> body;
     /// The method is HEAD, so the response has no body.
     bool isHeadMethod = false;
-    /// Identifies the request. Connections that have carried it are not used, since a second answer to
-    /// its earlier attempt has its id; 0 for requests that are sent only once.
+    /// Identifies the request. Connections that have carried it are not used, since a second answer
+    /// to its earlier attempt has its id; 0 for requests that are sent only once.
     std::uint64_t requestKey = 0;
     /// A pooled connection that has been idle for longer is not used: if the remote side closed it
     /// during the write, it would be unknown whether the request has run. 0 requests a new
--- a/Source/Core/Relay/OutboundPool.h
+++ b/Source/Core/Relay/OutboundPool.h
@@ -65,8 +65,8 @@
     void release(const std::string &address, OutboundConnectionPtr connection,
                  std::optional<Common::Duration> idleTimeout, Common::Time now);
     /// Sets until when the connection may be used again.
-    static void markIdle(OutboundConnection &connection, std::optional<Common::Duration> idleTimeout,
-                         Common::Time now);
+    static void markIdle(OutboundConnection &connection,
+                         std::optional<Common::Duration> idleTimeout, Common::Time now);
     /// Closes connections that may no longer be reused.
     void closeExpired(Common::Time now);
     std::size_t idleCount() const;
--- a/Source/Core/Relay/SecondAnswer.h
+++ b/Source/Core/Relay/SecondAnswer.h
@@ -6,9 +6,9 @@
 
 namespace LaburnumChute::Relay {
 
-/// Finds the head of a second answer to a request inside the body of its answer. Endpoints may answer
-/// twice; if the first answer has no length, or has broken off on a connection that stays open, the
-/// framing takes the second one for a part of its body.
+/// Finds the head of a second answer to a request inside the body of its answer. Endpoints may
+/// answer twice; if the first answer has no length, or has broken off on a connection that stays
+/// open, the framing takes the second one for a part of its body.
 class SecondAnswer
 {
 public:
--- a/Source/Core/Relay/SimpleFetch.cpp
+++ b/Source/Core/Relay/SimpleFetch.cpp
@@ -31,8 +31,8 @@
         calls_.at(id).status = head.status;
         return true;
     };
-    // Answers to these calls have no id. The connection carries nothing else, so that neither a second
-    // answer to a request is taken for that to a call, nor the reverse.
+    // Answers to these calls have no id. The connection carries nothing else, so that neither a
+    // second answer to a request is taken for that to a call, nor the reverse.
     events.released = [](OutboundConnectionPtr) {};
     events.body = [this, id](const std::string &bytes) { calls_.at(id).body += bytes; };
     events.end = [this, id](ResponseEnd) {
--- a/Source/IntegrationTests/crowd.py
+++ b/Source/IntegrationTests/crowd.py
@@ -7,6 +7,8 @@
 import socket
 import time
 
+from relay_deployment import standin
+
 MB = 1024 * 1024
 #: Limit of bodies in the settings of the tests.
 BODY_LIMIT = 4 * MB
@@ -21,7 +23,7 @@
 
 def request(framing, path="/status/x", extra=""):
     return (
-        f"POST {path} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: 00ff00ff00ff00ff\r\n"
+        f"POST {path} HTTP/1.1\r\nHost: shop.example\r\n{standin.ATTEMPT}: 00ff\r\n"
         f"Authorization: Bearer example-schools\r\nContent-Type: application/json\r\n"
         f"{extra}{framing}\r\n\r\n"
     ).encode()
--- a/Source/UnitTests/Relay/EndCheckTest.cpp
+++ b/Source/UnitTests/Relay/EndCheckTest.cpp
@@ -94,9 +94,10 @@
 TEST_F(EndCheckTest, AnotherEndpointAtTheAddressIsFound)
 {
     ScriptedServer server({[](tcp::socket &socket) {
-        answerWith(socket, Other);
-        answerWith(socket, Other);
-    }, [](tcp::socket &socket) { answerWith(socket, Other); }});
+                               answerWith(socket, Other);
+                               answerWith(socket, Other);
+                           },
+                           [](tcp::socket &socket) { answerWith(socket, Other); }});
     begin(server.address());
     runFor(Common::milliseconds(50));
     EXPECT_EQ(end(), EndCheckResult::Replaced);
@@ -120,8 +121,8 @@
     EXPECT_EQ(end(), EndCheckResult::Unanswered);
 }
 
-// Guards against an endpoint that has started under the id of its predecessor while this process did
-// not run.
+// Guards against an endpoint that has started under the id of its predecessor while this process
+// did not run.
 TEST_F(EndCheckTest, AnIdShowsNothingIfTheTimeOfTheEndIsUnknown)
 {
     ScriptedServer server({[](tcp::socket &socket) { answerWith(socket, Sender); }});
--- a/Source/UnitTests/Relay/OutboundCallTest.cpp
+++ b/Source/UnitTests/Relay/OutboundCallTest.cpp
@@ -124,8 +124,8 @@
 }
 
 // Guards against taking a closed port, which proves that the endpoint has ended, for a slow path.
-// Guards against MIXED and TWICE: a second answer to an earlier attempt of a request has the id of the
-// request and passes for that to the next attempt, which may be another call of this process.
+// Guards against MIXED and TWICE: a second answer to an earlier attempt of a request has the id of
+// the request and passes for that to the next attempt, which may be another call of this process.
 TEST_F(OutboundCallTest, AConnectionIsNotUsedForARequestThatItHasCarried)
 {
     constexpr std::string_view Answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
--- a/Source/UnitTests/Relay/SimpleFetchTest.cpp
+++ b/Source/UnitTests/Relay/SimpleFetchTest.cpp
@@ -6,8 +6,8 @@
 
 namespace LaburnumChute::Relay {
 
-// Guards against answers without an id on connections that carry requests of callers: one side's second
-// answer passes for the other's answer.
+// Guards against answers without an id on connections that carry requests of callers: one side's
+// second answer passes for the other's answer.
 TEST(SimpleFetchTest, EachCallHasAConnectionOfItsOwn)
 {
     asio::io_context context;
