Verb relay: count requests that are being received in one budget with all else

Clients ended a process: many bodies at once, in large or small chunks, most of which stopped short of their end.

Cause: a body belonged to no account until it was complete, at no listener; what was complete, what waited to be sent and the answers each had an account of their own, and these did not add up to the machine. A rejected body stayed in memory until its connection was closed. A peer's forwards were not counted at all.

MemoryBudget limits each use and all together to half of the machine. Above it, the largest request that is being received is rejected with 503, which is true, since nothing has been done for it, or the largest incomplete answer is given up, as before; a request that has been accepted gives up nothing. Listeners that take no bodies have a limit of 1 KiB. What the kernel takes of a connection that is not read fast enough is limited to 64 KiB, except for those of peers, and pipelined input to 8 KiB. The parsed input is erased once a read, since tiny chunks moved the rest of it once each.

--- a/Source/Core/Relay/HeldMemory.cpp
+++ b/Source/Core/Relay/HeldMemory.cpp
@@ -18,14 +18,16 @@
 
 std::optional<HeldMemory::Holder> HeldMemory::excess() const
 {
-    if (total_ <= limit_) {
-        return std::nullopt;
-    }
+    return total_ <= limit_ ? std::nullopt : largest();
+}
+
+std::optional<HeldMemory::Holder> HeldMemory::largest() const
+{
     const auto largest =
         std::max_element(held_.begin(), held_.end(), [](const auto &one, const auto &other) {
             return one.second < other.second;
         });
-    return largest->first;
+    return largest == held_.end() ? std::nullopt : std::optional(largest->first);
 }
 
 } // namespace LaburnumChute::Relay
--- a/Source/Core/Relay/HeldMemory.h
+++ b/Source/Core/Relay/HeldMemory.h
@@ -29,10 +29,16 @@
     void set(Holder holder, std::size_t bytes);
     /// The holder that has to give up, if the limit is exceeded.
     std::optional<Holder> excess() const;
+    /// The holder that has the most.
+    std::optional<Holder> largest() const;
     std::size_t total() const
     {
         return total_;
     }
+    std::size_t limit() const
+    {
+        return limit_;
+    }
 
 private:
     std::size_t limit_;
--- a/Source/Core/Relay/InboundConnection.cpp
+++ b/Source/Core/Relay/InboundConnection.cpp
@@ -1,5 +1,6 @@
 #include "Relay/InboundConnection.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
@@ -14,8 +15,12 @@
 
 namespace http = boost::beast::http;
 
+/// Limit for bytes that cannot be parsed yet: a head, or a chunk's size with its extension.
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 /// Limit for bytes of later requests that are read while one request is served.
-constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
+constexpr std::size_t MaxReadAheadBytes = 8 * 1024;
+/// Smaller requests are not counted one by one; the limit of connections bounds them.
+constexpr std::size_t UncountedBytes = 16 * 1024;
 /// Time for which a closing connection is still read. Closing a socket with unread bytes resets the
 /// connection, and the last response is lost.
 constexpr Common::milliseconds LingerTime{1500};
@@ -35,6 +40,7 @@
 constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned Http11Version = 11;
 constexpr unsigned ServiceUnavailable = 503;
+constexpr std::string_view MemoryRetryAfterSeconds = "1";
 
 unsigned statusFor(const boost::system::error_code &error)
 {
@@ -47,11 +53,13 @@
 } // namespace
 
 InboundConnection::InboundConnection(asio::ip::tcp::socket socket, LimitsSource limits,
-                                     Handler handler, ConnectionObserver observer)
+                                     Handler handler, ConnectionObserver observer,
+                                     MemoryObserver memoryObserver)
     : socket_(std::move(socket))
     , limits_(std::move(limits))
     , handler_(std::move(handler))
     , observer_(std::move(observer))
+    , memoryObserver_(std::move(memoryObserver))
 {
 }
 
@@ -84,7 +92,8 @@
 
 void InboundConnection::read()
 {
-    if (closed_ || readPending_ || input_.size() > MaxReadAheadBytes) {
+    const auto limit = state_ == State::Serving ? MaxReadAheadBytes : MaxUnparsedBytes;
+    if (closed_ || readPending_ || input_.size() > limit) {
         return;
     }
     readPending_ = true;
@@ -124,13 +133,48 @@
     if (state_ == State::Reading) {
         parse();
     }
+    reportMemory();
     read();
 }
 
 void InboundConnection::parse()
 {
-    while (state_ == State::Reading && !closed_ && !closeAfterWrite_ && !input_.empty()
+    while (state_ == State::Reading && !closed_ && !closeAfterWrite_ && parsedBytes_ < input_.size()
            && parseNext()) { }
+    // Erased only here: tiny chunks would otherwise move the rest of the input once each.
+    input_.erase(0, std::min(std::exchange(parsedBytes_, 0), input_.size()));
+}
+
+std::size_t InboundConnection::receivedBytes() const
+{
+    if (closed_ || state_ != State::Reading) {
+        return 0;
+    }
+    return input_.size() + (parser_ ? parser_->get().body().size() : 0);
+}
+
+void InboundConnection::reportMemory()
+{
+    const auto received = receivedBytes();
+    const auto counted = received > UncountedBytes ? received : 0;
+    if (memoryObserver_ && counted != std::exchange(reportedBytes_, counted)) {
+        memoryObserver_(shared_from_this(), counted);
+    }
+}
+
+void InboundConnection::rejectIncomplete()
+{
+    if (!closed_ && state_ == State::Reading && parser_) {
+        rejectRequest(ServiceUnavailable, "too many requests in memory",
+                      {{"Retry-After", std::string(MemoryRetryAfterSeconds)}});
+    }
+}
+
+std::optional<Common::Time> InboundConnection::idleSince() const
+{
+    const bool idle =
+        !closed_ && state_ == State::Reading && !parser_ && input_.empty() && unsentBytes() == 0;
+    return idle ? std::optional(lastProgressAt_) : std::nullopt;
 }
 
 /// Parses the next part of the buffered input. Returns false if parsing cannot go on for now.
@@ -145,8 +189,8 @@
     }
     const bool hadHeader = parser_->is_header_done();
     boost::system::error_code error;
-    const auto used = parser_->put(asio::buffer(input_), error);
-    input_.erase(0, used);
+    const auto used = parser_->put(asio::buffer(input_) + parsedBytes_, error);
+    parsedBytes_ += used;
     if (error && error != http::error::need_more) {
         rejectRequest(statusFor(error), error.message());
         return false;
@@ -183,13 +227,17 @@
     return true;
 }
 
-void InboundConnection::rejectRequest(unsigned status, std::string_view reason)
+void InboundConnection::rejectRequest(unsigned status, std::string_view reason,
+                                      Common::Headers headers)
 {
+    parser_.reset();
     state_ = State::Serving;
+    reportMemory();
     keepAlive_ = false;
     chunked_ = false;
     isHead_ = false;
-    respond(status, {{"Content-Type", "text/plain"}}, reason);
+    headers.push_back({"Content-Type", "text/plain"});
+    respond(status, std::move(headers), reason);
 }
 
 void InboundConnection::dispatchRequest()
@@ -210,6 +258,7 @@
     requestId_.clear();
     state_ = State::Serving;
     lastProgressAt_ = steadyNow();
+    reportMemory();
     handler_(shared_from_this(), std::move(request));
 }
 
@@ -384,7 +433,8 @@
     }
     state_ = State::Lingering;
     lastProgressAt_ = steadyNow();
-    input_.clear();
+    std::string().swap(input_);
+    parsedBytes_ = 0;
     boost::system::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     read();
@@ -421,6 +471,8 @@
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     }
     closed_ = true;
+    parser_.reset();
+    reportMemory();
     onDrained_ = nullptr;
     if (!writePending_) {
         std::string().swap(writeBuffer_);
@@ -477,8 +529,7 @@
 {
     closeAfterResponse_ = true;
     closing_ = true;
-    const bool idle = state_ == State::Reading && !parser_ && input_.empty() && unsentBytes() == 0;
-    if (idle) {
+    if (idleSince()) {
         linger();
     }
 }
--- a/Source/Core/Relay/InboundConnection.h
+++ b/Source/Core/Relay/InboundConnection.h
@@ -38,9 +38,12 @@
     /// later.
     using Handler = std::function<void(const std::shared_ptr<InboundConnection> &, InboundRequest)>;
     using LimitsSource = std::function<Catalog::CallerLimits()>;
+    /// Is told how many bytes of a request that is not complete are in memory, if they are many.
+    using MemoryObserver =
+        std::function<void(const std::shared_ptr<InboundConnection> &, std::size_t)>;
 
     InboundConnection(asio::ip::tcp::socket socket, LimitsSource limits, Handler handler,
-                      ConnectionObserver observer = {});
+                      ConnectionObserver observer = {}, MemoryObserver memoryObserver = {});
 
     void start(Common::Time now);
     /// Enforces the time limits. Must be called every few tens of milliseconds.
@@ -91,6 +94,11 @@
     {
         return closed_ ? 0 : unsentBytes();
     }
+    /// Rejects the request that is being received, so that its memory is free; nothing has been
+    /// done for it.
+    void rejectIncomplete();
+    /// Since when nothing has been received or is under way; nothing if something is.
+    std::optional<Common::Time> idleSince() const;
     /// Whether the remote side has not taken any of the unsent bytes for a while.
     bool unread(Common::Time now) const;
     /// Closes the connection so that the remote side sees an error, and discards unsent bytes.
@@ -130,7 +138,9 @@
     void handleReceived(std::size_t size);
     void parse();
     bool parseNext();
-    void rejectRequest(unsigned status, std::string_view reason);
+    void rejectRequest(unsigned status, std::string_view reason, Common::Headers headers = {});
+    std::size_t receivedBytes() const;
+    void reportMemory();
     bool validateHead();
     void dispatchRequest();
     /// Whether the response to the current request is not complete.
@@ -158,11 +168,16 @@
     LimitsSource limits_;
     Handler handler_;
     ConnectionObserver observer_;
+    MemoryObserver memoryObserver_;
+    /// What the observer was told last.
+    std::size_t reportedBytes_ = 0;
     std::function<void()> onDisconnect_;
     std::function<void()> onDrained_;
     State state_ = State::Reading;
     std::optional<Parser> parser_;
     std::string input_;
+    /// Bytes of input_ that have been parsed.
+    std::size_t parsedBytes_ = 0;
     std::array<char, 8192> readBuffer_{};
     std::string output_;
     std::string writeBuffer_;
--- a/Source/Core/Relay/InboundServer.cpp
+++ b/Source/Core/Relay/InboundServer.cpp
@@ -21,12 +21,14 @@
 
 InboundServer::InboundServer(asio::io_context &context, std::size_t connectionLimit,
                              InboundConnection::LimitsSource limits,
-                             InboundConnection::Handler handler, ConnectionObserver observer)
+                             InboundConnection::Handler handler, ConnectionObserver observer,
+                             InboundConnection::MemoryObserver memoryObserver)
     : context_(context)
     , connectionLimit_(connectionLimit)
     , limits_(std::move(limits))
     , handler_(std::move(handler))
     , observer_(std::move(observer))
+    , memoryObserver_(std::move(memoryObserver))
     , acceptor_(context)
 {
 }
@@ -56,8 +58,8 @@
             // Connections beyond the limit are closed unread, so that the caller tries another
             // instance. Accepting more could use up the descriptors needed for endpoints.
             if (connections_.size() < connectionLimit_) {
-                auto connection = std::make_shared<InboundConnection>(std::move(socket), limits_,
-                                                                      handler_, observer_);
+                auto connection = std::make_shared<InboundConnection>(
+                    std::move(socket), limits_, handler_, observer_, memoryObserver_);
                 connections_.push_back(connection);
                 connection->start(std::chrono::steady_clock::now());
                 if (closeAfterResponse_) {
@@ -68,6 +70,12 @@
         });
 }
 
+void InboundServer::limitReceiveBuffers(int bytes)
+{
+    boost::system::error_code ignored;
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+}
+
 void InboundServer::stopAccepting()
 {
     boost::system::error_code ignored;
--- a/Source/Core/Relay/InboundServer.h
+++ b/Source/Core/Relay/InboundServer.h
@@ -16,9 +16,12 @@
 public:
     InboundServer(asio::io_context &context, std::size_t connectionLimit,
                   InboundConnection::LimitsSource limits, InboundConnection::Handler handler,
-                  ConnectionObserver observer = {});
+                  ConnectionObserver observer = {},
+                  InboundConnection::MemoryObserver memoryObserver = {});
 
     Common::Result<std::string> listen(const std::string &address);
+    /// Limits what the kernel holds of each connection accepted from now on.
+    void limitReceiveBuffers(int bytes);
     void stopAccepting();
     /// Closes every connection after its next response, or immediately if it is idle. Connections
     /// accepted later are closed after their first response.
@@ -55,6 +58,7 @@
     InboundConnection::LimitsSource limits_;
     InboundConnection::Handler handler_;
     ConnectionObserver observer_;
+    InboundConnection::MemoryObserver memoryObserver_;
     asio::ip::tcp::acceptor acceptor_;
     std::vector<std::shared_ptr<InboundConnection>> connections_;
     bool closeAfterResponse_ = false;
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -34,10 +34,8 @@
 constexpr milliseconds CacheQueryDelay{150};
 /// Fraction of the link that may be used to serve items of the store to peers.
 constexpr double ItemLinkFraction = 0.7;
-/// Fraction of the memory that answers may use while they are incomplete, and the same for
-/// responses that callers and peers have not read.
-constexpr double AnswerMemoryFraction = 0.12;
-constexpr double UnsentMemoryFraction = 0.12;
+/// By default, the kernel takes megabytes of a client that this process does not read fast enough.
+constexpr int ReceiveBufferBytes = 64 * 1024;
 constexpr int StandardOutput = 1;
 
 std::uint64_t randomNumber()
@@ -75,11 +73,6 @@
     return options;
 }
 
-std::size_t memoryShare(const Catalog::InstanceSettings &settings, double fraction)
-{
-    return static_cast<std::size_t>(static_cast<double>(settings.memoryBytes) * fraction);
-}
-
 std::size_t callerConnectionLimit(const Catalog::InstanceSettings &settings)
 {
     const double usable = std::max(0, settings.descriptors - ReservedDescriptors);
@@ -170,6 +163,13 @@
           "Answers that do not state the id of their request", {{"connection", "used"}}))
     , sendsWithheld(registry.counter("laburnumchute_relay_sends_withheld_total",
                                      "Sends of requests that an earlier attempt may have run"))
+    , receivedBytes(registry.gauge("laburnumchute_relay_received_bytes",
+                                   "Memory of large requests that are being received"))
+    , requestBytes(registry.gauge("laburnumchute_relay_request_bytes",
+                                  "Memory of bodies of requests that wait or run"))
+    , requestsGivenUp(registry.counter("laburnumchute_relay_requests_given_up_total",
+                                       "Requests rejected while they were being received, since "
+                                       "requests and answers occupied too much memory"))
     , heldAnswerBytes(registry.gauge("laburnumchute_relay_held_answer_bytes",
                                      "Memory of answers that are incomplete"))
     , unsentBytes(registry.gauge("laburnumchute_relay_unsent_bytes",
@@ -248,40 +248,39 @@
     , fetch_(pool_)
     , gossip_(context_, [this](std::string_view datagram) { handleDatagram(datagram); })
     , callers_(
-          context_, callerConnectionLimit(settings_),
-          [this] {
-              const auto routes = catalog_.routes();
-              return routes ? routes->configuration().limits : Catalog::CallerLimits();
-          },
+          context_, callerConnectionLimit(settings_), [this] { return callerLimits(); },
           [this](const Connection &connection, InboundRequest request) {
               serveCaller(connection, std::move(request), steadyNow());
           },
-          deliveryLog_.observer("caller"))
+          deliveryLog_.observer("caller"),
+          [this](const Connection &connection, std::size_t bytes) {
+              holdReceived(connection, bytes);
+          })
     , peers_(
-          context_, callerConnectionLimit(settings_), [] { return Catalog::CallerLimits(); },
+          context_, callerConnectionLimit(settings_), [this] { return peerLimits(); },
           [this](const Connection &connection, InboundRequest request) {
               servePeer(connection, std::move(request));
           },
-          deliveryLog_.observer("peer"))
-    , readiness_(
-          context_, ReservedDescriptors / 4, [] { return Catalog::CallerLimits(); },
-          [this](const Connection &connection, const InboundRequest &request) {
-              serveReadiness(connection, request);
-          })
-    , directory_(
-          context_, callerConnectionLimit(settings_), [] { return Catalog::CallerLimits(); },
-          [this](const Connection &connection, const InboundRequest &request) {
-              serveDirectory(connection, request);
-          })
-    , metricsServer_(
-          context_, ReservedDescriptors / 4, [] { return Catalog::CallerLimits(); },
-          [this](const Connection &connection, const InboundRequest &request) {
-              serveMetrics(connection, request);
+          deliveryLog_.observer("peer"),
+          [this](const Connection &connection, std::size_t bytes) {
+              holdReceived(connection, bytes);
           })
+    , readiness_(context_, ReservedDescriptors / 4, &RelayGateway::controlLimits,
+                 [this](const Connection &connection, const InboundRequest &request) {
+                     serveReadiness(connection, request);
+                 })
+    , directory_(context_, callerConnectionLimit(settings_), &RelayGateway::controlLimits,
+                 [this](const Connection &connection, const InboundRequest &request) {
+                     serveDirectory(connection, request);
+                 })
+    , metricsServer_(context_, ReservedDescriptors / 4, &RelayGateway::controlLimits,
+                     [this](const Connection &connection, const InboundRequest &request) {
+                         serveMetrics(connection, request);
+                     })
     , tickTimer_(context_)
     , stopSignals_(context_, SIGTERM, SIGINT)
     , reloadSignals_(context_, SIGHUP)
-    , answerMemory_(memoryShare(settings_, AnswerMemoryFraction))
+    , memory_(settings_.memoryBytes)
 {
 }
 
@@ -310,6 +309,9 @@
             return tl::unexpected(bound.error());
         }
     }
+    for (auto *server : {&callers_, &readiness_, &directory_, &metricsServer_}) {
+        server->limitReceiveBuffers(ReceiveBufferBytes);
+    }
     auto gossip = gossip_.open(withPort(settings_.ip, settings_.gossipPort));
     if (!gossip) {
         return gossip;
@@ -375,7 +377,7 @@
     settings_.storeAddress = read->storeAddress;
     settings_.regions = read->regions;
     settings_.memoryBytes = read->memoryBytes;
-    answerMemory_.setLimit(memoryShare(settings_, AnswerMemoryFraction));
+    memory_.setMachineBytes(settings_.memoryBytes);
     applySettings(now);
     line.add("outcome", "applied");
     log_.write(line, now);
@@ -455,11 +457,16 @@
 
 void RelayGateway::limitMemory(Common::Time now)
 {
-    InboundServer::limitUnsent({&callers_, &peers_}, memoryShare(settings_, UnsentMemoryFraction),
-                               now);
-    relayMetrics_.heldAnswerBytes.set(static_cast<double>(answerMemory_.total()));
-    relayMetrics_.unsentBytes.set(
-        static_cast<double>(callers_.unsentBytes() + peers_.unsentBytes()));
+    InboundServer::limitUnsent({&callers_, &peers_, &readiness_, &directory_, &metricsServer_},
+                               memory_.limit(MemoryUse::Unsent), now);
+    const auto unsent = callers_.unsentBytes() + peers_.unsentBytes();
+    memory_.set(MemoryUse::Unsent, 0, unsent);
+    releaseExcess();
+    const auto held = [this](MemoryUse use) { return static_cast<double>(memory_.held(use)); };
+    relayMetrics_.receivedBytes.set(held(MemoryUse::Receiving));
+    relayMetrics_.requestBytes.set(held(MemoryUse::Requests));
+    relayMetrics_.heldAnswerBytes.set(held(MemoryUse::Answers));
+    relayMetrics_.unsentBytes.set(held(MemoryUse::Unsent));
 }
 
 std::vector<std::shared_ptr<RelayedCall>> RelayGateway::runningCalls() const
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -21,8 +21,8 @@
 #include "Relay/CustomerMetrics.h"
 #include "Relay/DeliveryLog.h"
 #include "Relay/EventLog.h"
-#include "Relay/HeldMemory.h"
 #include "Relay/InboundServer.h"
+#include "Relay/MemoryBudget.h"
 #include "Relay/OutboundPool.h"
 #include "Relay/PeerSync.h"
 #include "Relay/RelayOptions.h"
@@ -83,6 +83,9 @@
     Common::Counter &sendsWithheld;
     /// Answers without a length, by what showed or did not show their end.
     std::map<EndCheckResult, Common::Counter *> endChecks;
+    Common::Gauge &receivedBytes;
+    Common::Gauge &requestBytes;
+    Common::Counter &requestsGivenUp;
     Common::Gauge &heldAnswerBytes;
     Common::Gauge &unsentBytes;
     Common::DurationHistogram &firstEvent;
@@ -175,6 +178,14 @@
     Common::Result<RelayPlan> parseForwarded(const InboundRequest &request,
                                              const std::string &metadata, Common::Time now) const;
     bool exceedsBodyMemory(const InboundRequest &request) const;
+    /// Records how many bytes of an incomplete request the connection holds.
+    void holdReceived(const Connection &connection, std::size_t bytes);
+    /// Lets the largest holders give up their memory while a limit is exceeded.
+    void releaseExcess();
+    /// Limits of requests on listeners that take no bodies.
+    static Catalog::CallerLimits controlLimits();
+    Catalog::CallerLimits callerLimits() const;
+    Catalog::CallerLimits peerLimits() const;
     /// Time since the catalog was known to match the store, or nothing if it never was.
     std::optional<Common::Duration> catalogAge(Common::Time now) const;
     /// Returns true if the catalog matched the store recently, directly or through a peer.
@@ -281,7 +292,9 @@
     asio::signal_set reloadSignals_;
     std::unordered_map<Dispatch::CallId, std::shared_ptr<RelayedCall>> calls_;
     Dispatch::CallId nextCallId_ = 1;
-    HeldMemory answerMemory_;
+    MemoryBudget memory_;
+    /// Connections that receive large requests.
+    std::unordered_map<const InboundConnection *, std::weak_ptr<InboundConnection>> receiving_;
     std::vector<Fleet::Peer> knownPeers_;
     Fleet::WatchDuty duty_ = Fleet::WatchDuty::Watches;
     Common::Time looksUntil_{};
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -20,9 +20,6 @@
 constexpr milliseconds MemoryRetryAfter{1000};
 /// Callers already have the address of another instance.
 constexpr milliseconds StoppingRetryAfter{50};
-/// Fraction of the memory that request bodies may use; the rest is for the program, its connections
-/// and buffered responses.
-constexpr double BodyMemoryFraction = 0.35;
 
 std::optional<double> statedTokens(const Dialect::CallerMetadata &head)
 {
@@ -97,12 +94,59 @@
 
 bool RelayGateway::exceedsBodyMemory(const InboundRequest &request) const
 {
-    std::size_t totalBytes = request.body->size();
-    for (const auto &[id, call] : calls_) {
-        totalBytes += call->plan().body->size();
+    return !memory_.admits(MemoryUse::Requests, request.body->size());
+}
+
+void RelayGateway::holdReceived(const Connection &connection, std::size_t bytes)
+{
+    const auto *key = connection.get();
+    memory_.set(MemoryUse::Receiving, reinterpret_cast<HeldMemory::Holder>(key), bytes);
+    if (bytes == 0) {
+        receiving_.erase(key);
+        return;
     }
-    return static_cast<double>(totalBytes)
-           > static_cast<double>(settings_.memoryBytes) * BodyMemoryFraction;
+    receiving_[key] = connection;
+    releaseExcess();
+}
+
+void RelayGateway::releaseExcess()
+{
+    while (const auto excess = memory_.excess()) {
+        memory_.set(excess->use, excess->holder, 0);
+        if (excess->use == MemoryUse::Answers) {
+            const auto found = calls_.find(excess->holder);
+            if (const auto call = found == calls_.end() ? nullptr : found->second) {
+                relayMetrics_.answersGivenUp.add();
+                call->releaseAnswer();
+            }
+            continue;
+        }
+        const auto found =
+            receiving_.find(reinterpret_cast<const InboundConnection *>(excess->holder));
+        if (const auto connection = found == receiving_.end() ? nullptr : found->second.lock()) {
+            relayMetrics_.requestsGivenUp.add();
+            connection->rejectIncomplete();
+        }
+    }
+}
+
+Catalog::CallerLimits RelayGateway::callerLimits() const
+{
+    const auto routes = catalog_.routes();
+    return routes ? routes->configuration().limits : Catalog::CallerLimits();
+}
+
+Catalog::CallerLimits RelayGateway::peerLimits() const
+{
+    return callerLimits();
+}
+
+Catalog::CallerLimits RelayGateway::controlLimits()
+{
+    constexpr std::uint64_t BodyBytes = 1024;
+    Catalog::CallerLimits limits;
+    limits.bodyBytes = BodyBytes;
+    return limits;
 }
 
 void RelayGateway::waitForConfiguration(const Connection &connection, InboundRequest request,
@@ -279,6 +323,10 @@
         rejectForwarded(connection, request, "this instance stops", now);
         return;
     }
+    if (exceedsBodyMemory(request)) {
+        rejectForwarded(connection, request, "too many requests in memory", now);
+        return;
+    }
     auto plan = parseForwarded(request, *metadata, now);
     if (!plan) {
         rejectForwarded(connection, request, plan.error().message, now);
@@ -301,6 +349,7 @@
     plan.facts.id = nextCallId_++;
     connection->setRequestId(plan.head.requestId);
     const auto call = std::make_shared<RelayedCall>(*this, std::move(plan), connection);
+    memory_.set(MemoryUse::Requests, call->plan().facts.id, call->plan().body->size());
     calls_[call->plan().facts.id] = call;
     call->start(steadyNow());
 }
@@ -320,8 +369,8 @@
     }
     OutboundRequest call;
     call.address = address;
-    call.head =
-        requestHead("GET", found->second.healthPath, Platform::healthCallHeaders(endpoint, address));
+    call.head = requestHead("GET", found->second.healthPath,
+                            Platform::healthCallHeaders(endpoint, address));
     call.body = std::make_shared<const std::string>();
     return call;
 }
@@ -329,21 +378,14 @@
 void RelayGateway::removeCall(Dispatch::CallId call)
 {
     calls_.erase(call);
-    answerMemory_.set(call, 0);
+    memory_.set(MemoryUse::Requests, call, 0);
+    memory_.set(MemoryUse::Answers, call, 0);
 }
 
 void RelayGateway::holdAnswer(Dispatch::CallId call, std::size_t bytes)
 {
-    answerMemory_.set(call, bytes);
-    while (const auto largest = answerMemory_.excess()) {
-        const auto found = calls_.find(*largest);
-        const auto victim = found == calls_.end() ? nullptr : found->second;
-        answerMemory_.set(*largest, 0);
-        if (victim) {
-            relayMetrics_.answersGivenUp.add();
-            victim->releaseAnswer();
-        }
-    }
+    memory_.set(MemoryUse::Answers, call, bytes);
+    releaseExcess();
 }
 
 void RelayGateway::applyEffects(const Dispatch::Effects &effects, Common::Time now)
