Verb relay: let a new connection take the place of the one that was idle longest

Idle connections beyond the limit kept new callers out for up to 17 s, until the first of them reached their idle time.

At the limit, the connection that has been idle longest is closed now; if none is idle, the new one is closed unread, as before. test_a_relay_stands_a_crowd_at_each_listener[callers-nothing] passed before, by waiting, and passes now.

--- a/Source/Core/Relay/InboundConnection.cpp
+++ b/Source/Core/Relay/InboundConnection.cpp
@@ -177,6 +177,13 @@
     return idle ? std::optional(lastProgressAt_) : std::nullopt;
 }
 
+void InboundConnection::closeIfIdle()
+{
+    if (idleSince()) {
+        close(ConnectionEnd::Graceful);
+    }
+}
+
 /// Parses the next part of the buffered input. Returns false if parsing cannot go on for now.
 bool InboundConnection::parseNext()
 {
--- a/Source/Core/Relay/InboundConnection.h
+++ b/Source/Core/Relay/InboundConnection.h
@@ -99,6 +99,8 @@
     void rejectIncomplete();
     /// Since when nothing has been received or is under way; nothing if something is.
     std::optional<Common::Time> idleSince() const;
+    /// Closes the connection if it is idle.
+    void closeIfIdle();
     /// Whether the remote side has not taken any of the unsent bytes for a while.
     bool unread(Common::Time now) const;
     /// Closes the connection so that the remote side sees an error, and discards unsent bytes.
--- a/Source/Core/Relay/InboundServer.cpp
+++ b/Source/Core/Relay/InboundServer.cpp
@@ -55,9 +55,10 @@
                 acceptAtTick_ = true;
                 return;
             }
-            // Connections beyond the limit are closed unread, so that the caller tries another
-            // instance. Accepting more could use up the descriptors needed for endpoints.
-            if (connections_.size() < connectionLimit_) {
+            // A connection beyond the limit takes the place of an idle one, or is closed unread, so
+            // that the caller tries another instance. Accepting more could use up the descriptors
+            // needed for endpoints.
+            if (connections_.size() < connectionLimit_ || closeIdlest()) {
                 auto connection = std::make_shared<InboundConnection>(
                     std::move(socket), limits_, handler_, observer_, memoryObserver_);
                 connections_.push_back(connection);
@@ -70,6 +71,23 @@
         });
 }
 
+bool InboundServer::closeIdlest()
+{
+    auto idlest = connections_.end();
+    for (auto each = connections_.begin(); each != connections_.end(); ++each) {
+        const auto since = (*each)->idleSince();
+        if (since && (idlest == connections_.end() || *since < *(*idlest)->idleSince())) {
+            idlest = each;
+        }
+    }
+    if (idlest == connections_.end()) {
+        return false;
+    }
+    (*idlest)->closeIfIdle();
+    connections_.erase(idlest);
+    return true;
+}
+
 void InboundServer::limitReceiveBuffers(int bytes)
 {
     boost::system::error_code ignored;
--- a/Source/Core/Relay/InboundServer.h
+++ b/Source/Core/Relay/InboundServer.h
@@ -52,6 +52,9 @@
 
 private:
     void accept();
+    /// Closes the connection that has been idle for the longest time, so that another one can be
+    /// accepted. Returns false if none is idle.
+    bool closeIdlest();
 
     asio::io_context &context_;
     std::size_t connectionLimit_;
