--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -138,7 +138,11 @@
 
 Catalog::CallerLimits RelayGateway::peerLimits() const
 {
-    return callerLimits();
+    // The note of the sender comes in a header of its own.
+    constexpr std::uint32_t ForwardHeaderBytes = 16 * 1024;
+    auto limits = callerLimits();
+    limits.headerBytes += ForwardHeaderBytes;
+    return limits;
 }
 
 Catalog::CallerLimits RelayGateway::controlLimits()
