Verb gateway: count requests in the budget for answers

As in the verb relay, bodies that stop short of their end added up: 134 to 259 MB where 130 are allowed, at the listeners for callers and operators (six cases of test_hostile_clients.py).

The budget that limits answers of unknown size counts the bodies of requests too, from their first byte to the end of the exchange. A body that finds no room is rejected with 503 and Retry-After. The six cases pass.

--- a/Source/Core/Entry/Exchange.cpp
+++ b/Source/Core/Entry/Exchange.cpp
@@ -91,9 +91,11 @@
     asio::ip::tcp::socket &socket;
 };
 
-Exchange::Exchange(beast::tcp_stream &stream, HttpRequest request, Options options)
+Exchange::Exchange(beast::tcp_stream &stream, HttpRequest request, Options options,
+                   std::unique_ptr<Async::ByteReservation> memory)
     : stream_(stream)
     , request_(std::move(request))
+    , memory_(std::move(memory))
     , options_(options)
     , id_(chooseRequestId(request_.headers))
 {
@@ -110,6 +112,12 @@
     }
 }
 
+void Exchange::discardBody()
+{
+    std::string().swap(request_.body);
+    memory_->resize(0);
+}
+
 void Exchange::watch()
 {
     watch_ = std::make_shared<DisconnectWatch>(this, stream_.socket());
--- a/Source/Core/Entry/Exchange.h
+++ b/Source/Core/Entry/Exchange.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "Async/Async.h"
 #include "Common/Common.h"
 #include "Entry/ConnectionMetrics.h"
 #include "Entry/Problem.h"
@@ -44,7 +45,9 @@
         bool chunked = true;
     };
 
-    Exchange(beast::tcp_stream &stream, HttpRequest request, Options options);
+    /// @param memory the share that the request has in the budget of all of them
+    Exchange(beast::tcp_stream &stream, HttpRequest request, Options options,
+             std::unique_ptr<Async::ByteReservation> memory);
     ~Exchange();
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
@@ -53,6 +56,8 @@
     {
         return request_;
     }
+    /// Frees the memory of a request that is not handled.
+    void discardBody();
     const Common::RequestId &id() const
     {
         return id_;
@@ -116,6 +121,7 @@
 
     beast::tcp_stream &stream_;
     HttpRequest request_;
+    std::unique_ptr<Async::ByteReservation> memory_;
     Options options_;
     Common::RequestId id_;
     std::function<void()> onGone_;
--- a/Source/Core/Entry/HttpServer.cpp
+++ b/Source/Core/Entry/HttpServer.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t ReadAheadBytes = 64 * 1024;
 constexpr std::size_t DiscardBufferBytes = 4096;
 constexpr Common::milliseconds AcceptRetryDelay{50};
+constexpr Common::milliseconds MemoryRetryAfter{1000};
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// The last bytes of a response are lost if unread bytes of the caller are in the kernel when the
@@ -65,6 +66,11 @@
         problem.status = 413;
         problem.code = Common::ErrorCode::TooLarge;
         problem.detail = "the request's body is too large";
+    } else if (error == asio::error::no_buffer_space) {
+        problem.status = 503;
+        problem.code = Common::ErrorCode::Overloaded;
+        problem.detail = "too many requests in memory";
+        problem.retryAfter = MemoryRetryAfter;
     } else if (error == beast::error::timeout) {
         problem.status = 408;
         problem.code = Common::ErrorCode::DeadlineExceeded;
@@ -82,22 +88,33 @@
 }
 
 using Parser = http::request_parser<http::string_body>;
-enum class MessagePart { Header, Body };
 
-asio::awaitable<boost::system::error_code> readWithTimeout(Common::Duration timeout,
-                                                           beast::tcp_stream &stream,
-                                                           beast::flat_buffer &buffer,
-                                                           Parser &parser, MessagePart part)
+asio::awaitable<boost::system::error_code> readHeader(Common::Duration timeout,
+                                                      beast::tcp_stream &stream,
+                                                      beast::flat_buffer &buffer, Parser &parser)
 {
     // The stream stays open, so that an error response can still be sent.
     const Async::TimeLimit limit(stream.get_executor(), timeout, [&stream] { stream.cancel(); });
     boost::system::error_code error;
-    if (part == MessagePart::Header) {
-        co_await http::async_read_header(stream, buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
-    } else {
-        co_await http::async_read(stream, buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read_header(stream, buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    co_return limit.expired() ? beast::error::timeout : error;
+}
+
+/// Fails with no_buffer_space if the budget lacks memory for the body.
+asio::awaitable<boost::system::error_code> readBody(Common::Duration timeout,
+                                                    beast::tcp_stream &stream,
+                                                    beast::flat_buffer &buffer, Parser &parser,
+                                                    Async::ByteReservation &memory)
+{
+    const Async::TimeLimit limit(stream.get_executor(), timeout, [&stream] { stream.cancel(); });
+    boost::system::error_code error;
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(stream, buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        if (!memory.resize(parser.get().body().size())) {
+            co_return asio::error::no_buffer_space;
+        }
     }
     co_return limit.expired() ? beast::error::timeout : error;
 }
@@ -118,10 +135,11 @@
 } // namespace
 
 HttpServer::HttpServer(Async::IoPool &pool, HttpServerOptions options, ConnectionMetrics metrics,
-                       Handler handler)
+                       Async::ByteBudget &budget, Handler handler)
     : pool_(pool)
     , options_(options)
     , metrics_(metrics)
+    , budget_(budget)
     , handler_(std::move(handler))
     , acceptor_(pool.at(0))
 {
@@ -309,16 +327,16 @@
     parser.header_limit(options_.headerLimitBytes);
     parser.body_limit(options_.bodyLimitBytes);
     stream.expires_never();
-    auto error = co_await readWithTimeout(headerDeadline - std::chrono::steady_clock::now(), stream,
-                                          buffer, parser, MessagePart::Header);
+    auto memory = std::make_unique<Async::ByteReservation>(budget_);
+    auto error = co_await readHeader(headerDeadline - std::chrono::steady_clock::now(), stream,
+                                     buffer, parser);
     if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const asio::const_buffer interim(ContinueResponse.data(), ContinueResponse.size());
         co_await asio::async_write(stream, interim,
                                    asio::redirect_error(asio::use_awaitable, error));
     }
     if (!error) {
-        error = co_await readWithTimeout(options_.bodyTimeout, stream, buffer, parser,
-                                         MessagePart::Body);
+        error = co_await readBody(options_.bodyTimeout, stream, buffer, parser, *memory);
     }
     const bool idle =
         error == beast::error::timeout && buffer.size() == 0 && !parser.is_header_done();
@@ -329,9 +347,10 @@
     exchangeOptions.writeTimeout = options_.writeTimeout;
     exchangeOptions.chunked = parser.get().version() >= 11;
     exchangeOptions.keepAlive = !error && parser.get().keep_alive() && !draining_;
-    auto exchange =
-        std::make_unique<Exchange>(stream, makeHttpRequest(parser.get()), exchangeOptions);
+    auto exchange = std::make_unique<Exchange>(stream, makeHttpRequest(parser.get()),
+                                               exchangeOptions, std::move(memory));
     if (error) {
+        exchange->discardBody();
         co_await exchange->sendProblem(problemForReadError(error));
         co_return nullptr;
     }
--- a/Source/Core/Entry/HttpServer.h
+++ b/Source/Core/Entry/HttpServer.h
@@ -37,8 +37,9 @@
 public:
     using Handler = std::function<asio::awaitable<void>(Exchange &)>;
 
+    /// @param budget memory that the requests may have together with all else that it is for
     HttpServer(Async::IoPool &pool, HttpServerOptions options, ConnectionMetrics metrics,
-               Handler handler);
+               Async::ByteBudget &budget, Handler handler);
 
     /// Binds "ip:port" (port 0 selects any free port) and starts accepting. Returns the bound
     /// address.
@@ -87,6 +88,7 @@
     Async::IoPool &pool_;
     HttpServerOptions options_;
     ConnectionMetrics metrics_;
+    Async::ByteBudget &budget_;
     Handler handler_;
     asio::ip::tcp::acceptor acceptor_;
     std::atomic<bool> draining_{false};
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -28,8 +28,6 @@
 constexpr Common::milliseconds HousekeepingInterval{1000};
 constexpr Common::milliseconds IdlePollInterval{50};
 constexpr Common::milliseconds InternalRequestTimeout{2000};
-/// Memory for parts of answers that cannot be relayed as they come, of all calls together.
-constexpr std::size_t AnswerMemoryBytes = 32 * 1024 * 1024;
 constexpr const char *HandoverSubject = "ledger-handover";
 constexpr const char *OrderHintsSubject = "order-hints";
 constexpr const char *SupersedeSubject = "supersede";
@@ -110,7 +108,7 @@
     , incarnation_(newIncarnation())
     , callerPool_(static_cast<std::size_t>(options_.threads))
     , internalPool_(InternalThreads)
-    , budget_(AnswerMemoryBytes)
+    , budget_(options_.memoryBudgetBytes)
     , table_(std::make_shared<const RoutingTable>())
     , channelConnectionPool_(std::make_shared<Endpoints::ConnectionPool>(
           options_.pool, internalPool_.at(ChannelContext).get_executor()))
@@ -148,7 +146,7 @@
 void Gateway::buildServers()
 {
     callerServer_ = std::make_unique<Entry::HttpServer>(
-        callerPool_, options_.http, Entry::ConnectionMetrics(metrics_, "callers"),
+        callerPool_, options_.http, Entry::ConnectionMetrics(metrics_, "callers"), budget_,
         [this](Entry::Exchange &exchange) { return requests_.serve(exchange); });
     OperatorHandler::Actions actions;
     actions.dump = [this] { return dump(); };
@@ -157,7 +155,7 @@
     operators_ = std::make_unique<OperatorHandler>(internalPool_.at(ControlContext), dispatcher_,
                                                    table_, metrics_, std::move(actions));
     operatorServer_ = std::make_unique<Entry::HttpServer>(
-        callerPool_, options_.http, Entry::ConnectionMetrics(metrics_, "operators"),
+        callerPool_, options_.http, Entry::ConnectionMetrics(metrics_, "operators"), budget_,
         [this](Entry::Exchange &exchange) { return operators_->serve(exchange); });
     channelServer_ = std::make_unique<Peers::ChannelServer>(
         internalPool_.at(ChannelContext), options_.channel,
--- a/Source/Core/Gateway/GatewayOptions.cpp
+++ b/Source/Core/Gateway/GatewayOptions.cpp
@@ -89,6 +89,13 @@
                                                    "Largest number of open caller connections",
                                                    "a whole number above 0",
                                                    [](const std::int64_t &v) { return v > 0; }};
+const Setting<std::int64_t> MemorySetting{
+    "memory-budget",
+    Callers,
+    67108864,
+    "Memory for requests, and answers of unknown size, of all callers together in bytes",
+    "a whole number of at least 8000000, for one request of the largest size",
+    [](const std::int64_t &v) { return v >= 8000000; }};
 const Setting<milliseconds> AdviceSetting{
     "advice-lifetime",  Callers,
     milliseconds(5000), "How long callers may cache the response of /v1/entries",
@@ -235,6 +242,7 @@
     }
     settings.declare(BodyLimitSetting);
     settings.declare(ConnectionLimitSetting);
+    settings.declare(MemorySetting);
     for (const auto *setting : {&SilenceSetting, &ServiceTimeoutSetting, &ConnectSetting,
                                 &CancelSetting, &LoadSetting, &CacheSetting}) {
         settings.declare(*setting);
@@ -286,6 +294,7 @@
     options.http.writeTimeout = settings.get(WriteSetting);
     options.http.bodyLimitBytes = static_cast<std::uint64_t>(settings.get(BodyLimitSetting));
     options.http.connectionLimit = settings.get(ConnectionLimitSetting);
+    options.memoryBudgetBytes = static_cast<std::size_t>(settings.get(MemorySetting));
     options.stream.silenceTimeout = settings.get(SilenceSetting);
     options.stream.serviceTimeout = settings.get(ServiceTimeoutSetting);
     options.pool.connectTimeout = settings.get(ConnectSetting);
--- a/Source/Core/Gateway/GatewayOptions.h
+++ b/Source/Core/Gateway/GatewayOptions.h
@@ -38,6 +38,8 @@
     Common::milliseconds drainTimeout{0};
     Common::milliseconds cancelTimeout{0};
 
+    /// Memory for all that is held for callers: requests, and answers of unknown size.
+    std::size_t memoryBudgetBytes = 0;
     Entry::HttpServerOptions http;
     Endpoints::EndpointStreamOptions stream;
     Endpoints::ConnectionPoolOptions pool;
