Verb gateway: let a new connection take the place of the one that was idle longest

300 idle connections kept every ordinary caller out for the idle timeout of a minute (test_a_gateway_stands_a_crowd_at_each_listener[http-nothing] failed: none answered within 60 s).

At the limit, the connection that has waited longest for a request is closed. The case passes.

--- a/Source/Core/Entry/HttpServer.cpp
+++ b/Source/Core/Entry/HttpServer.cpp
@@ -163,7 +163,11 @@
 
     beast::tcp_stream stream;
     /// No byte of a request has been read since the last response.
-    bool idle = false;
+    std::atomic<bool> idle = false;
+    /// Number of the wait for a request, which shows which connection has waited longest.
+    std::uint64_t idleNumber = 0;
+    /// It is to be closed in favor of another one.
+    bool evicted = false;
 };
 
 std::int64_t HttpServer::connections() const
@@ -193,6 +197,29 @@
     });
 }
 
+bool HttpServer::closeIdlest()
+{
+    const std::lock_guard lock(mutex_);
+    std::shared_ptr<Connection> idlest;
+    for (const auto &connection : connections_) {
+        const bool candidate = connection->idle && !connection->evicted;
+        if (candidate && (!idlest || connection->idleNumber < idlest->idleNumber)) {
+            idlest = connection;
+        }
+    }
+    if (!idlest) {
+        return false;
+    }
+    idlest->evicted = true;
+    asio::post(idlest->stream.get_executor(), [idlest] {
+        if (idlest->idle) {
+            boost::system::error_code ignored;
+            idlest->stream.socket().close(ignored);
+        }
+    });
+    return true;
+}
+
 asio::awaitable<void> HttpServer::accept()
 {
     while (acceptor_.is_open()) {
@@ -205,7 +232,7 @@
             co_await Async::sleepFor(AcceptRetryDelay);
             continue;
         }
-        if (connections() >= options_.connectionLimit) {
+        if (connections() >= options_.connectionLimit && !closeIdlest()) {
             socket.close(error);
             continue;
         }
@@ -271,6 +298,10 @@
     if (!closing_) {
         const Async::TimeLimit limit(socket.get_executor(), options_.idleTimeout,
                                      [&connection] { connection.stream.cancel(); });
+        {
+            const std::lock_guard lock(mutex_);
+            connection.idleNumber = ++idleNumber_;
+        }
         connection.idle = true;
         co_await socket.async_wait(tcp::socket::wait_read,
                                    asio::redirect_error(asio::use_awaitable, error));
--- a/Source/Core/Entry/HttpServer.h
+++ b/Source/Core/Entry/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -79,6 +80,9 @@
     /// Waits until the caller has received everything, or takes nothing for the write timeout.
     /// Returns the bytes that it has not received.
     asio::awaitable<std::size_t> closeDelivered(beast::tcp_stream &stream);
+    /// Closes the connection that has waited longest for a request, so that another one can be
+    /// accepted. Returns false if none waits.
+    bool closeIdlest();
     /// Reads one request. Returns null if it cannot be handled, after sending an error response
     /// where possible.
     asio::awaitable<std::unique_ptr<Exchange>> readExchange(beast::tcp_stream &stream,
@@ -95,6 +99,7 @@
     std::atomic<bool> closing_{false};
     mutable std::mutex mutex_;
     std::set<std::shared_ptr<Connection>> connections_;
+    std::uint64_t idleNumber_ = 0;
     std::atomic<std::int64_t> exchanges_{0};
 };
 
