Verb gateway: limit connections and frames of strangers on the channel between instances

Clients can reach the channel too. 700 connections that said nothing took 728 descriptors where 450 are allowed, and 60 announced frames of 8 MiB took 505 MB where 130 are.

Cause: the channel had no limit of connections, and memory for a frame was taken by its stated length. It has 256 now, of which those whose peer has not said who it is give way first; until it has, frames are limited to 4 KiB, and memory is taken as bytes arrive. A peer that says who it is may still send frames of 8 MiB, which no budget counts.

--- a/Source/Core/Peers/ChannelConnection.cpp
+++ b/Source/Core/Peers/ChannelConnection.cpp
@@ -1,5 +1,7 @@
 #include "Peers/ChannelConnection.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
@@ -9,6 +11,12 @@
 
 namespace LaburnumChute::Peers {
 
+namespace {
+
+constexpr std::size_t ReadBytes = 64 * 1024;
+
+} // namespace
+
 ChannelConnection::ChannelConnection(asio::ip::tcp::socket socket, ChannelOptions options)
     : socket_(std::move(socket))
     , options_(options)
@@ -60,13 +68,17 @@
     }
 }
 
-asio::awaitable<void> ChannelConnection::readInto(std::string &bytes,
+asio::awaitable<void> ChannelConnection::readInto(std::string &bytes, std::size_t size,
                                                   boost::system::error_code &error)
 {
-    std::size_t size = 0;
-    while (!error && size < bytes.size()) {
-        size += co_await socket_.async_read_some(asio::buffer(bytes) + size,
-                                                 asio::redirect_error(asio::use_awaitable, error));
+    bytes.clear();
+    while (!error && bytes.size() < size) {
+        // Memory is taken as bytes arrive: a length alone costs nothing.
+        const auto have = bytes.size();
+        bytes.resize(std::min(size, have + ReadBytes));
+        const auto read = co_await socket_.async_read_some(
+            asio::buffer(bytes) + have, asio::redirect_error(asio::use_awaitable, error));
+        bytes.resize(have + read);
         // A part of a frame is a sign of life as well: a large one takes seconds on a slow link.
         lastReceived_ = std::chrono::steady_clock::now();
     }
@@ -78,14 +90,12 @@
     std::string bytes;
     while (!closed_) {
         boost::system::error_code error;
-        bytes.resize(FrameLengthBytes);
-        co_await readInto(bytes, error);
+        co_await readInto(bytes, FrameLengthBytes, error);
         const auto length = error ? 0 : decodeFrameLength(bytes);
-        if (!error && length <= FrameLimitBytes) {
-            bytes.resize(length);
-            co_await readInto(bytes, error);
+        if (!error && length <= frameLimit_) {
+            co_await readInto(bytes, length, error);
         }
-        if (error || length > FrameLimitBytes) {
+        if (error || length > frameLimit_) {
             close(error ? error.message() : "a frame is too large");
             co_return;
         }
--- a/Source/Core/Peers/ChannelConnection.h
+++ b/Source/Core/Peers/ChannelConnection.h
@@ -28,6 +28,8 @@
     /// How long a call without a connection waits to be resumed on a new one.
     Common::milliseconds resumeWindow{5000};
     Common::milliseconds reconnectDelay{100};
+    /// Connections of peers beyond it are refused, in favor of ones that have said who they are.
+    std::size_t connectionLimit = 256;
     /// Flow-control window: bytes of an answer in flight or not yet consumed by the reader.
     std::size_t windowBytes = 256 * 1024;
 };
@@ -53,6 +55,11 @@
     {
         return !closed_;
     }
+    /// Larger frames of the peer end the connection.
+    void setFrameLimit(std::size_t bytes)
+    {
+        frameLimit_ = bytes;
+    }
     /// Bytes of frames that the kernel has not taken.
     std::size_t unsentBytes() const
     {
@@ -64,7 +71,8 @@
     }
 
 private:
-    asio::awaitable<void> readInto(std::string &bytes, boost::system::error_code &error);
+    asio::awaitable<void> readInto(std::string &bytes, std::size_t size,
+                                   boost::system::error_code &error);
     asio::awaitable<void> readLoop();
     asio::awaitable<void> writeLoop();
     asio::awaitable<void> keepaliveLoop();
@@ -76,6 +84,7 @@
     asio::steady_timer keepaliveTimer_;
     std::deque<std::string> writeQueue_;
     Common::Time lastReceived_;
+    std::size_t frameLimit_ = FrameLimitBytes;
     std::size_t unsentBytes_ = 0;
     std::uint64_t bytesSent_ = 0;
     bool closed_ = false;
--- a/Source/Core/Peers/ChannelServer.cpp
+++ b/Source/Core/Peers/ChannelServer.cpp
@@ -16,6 +16,8 @@
 constexpr Common::milliseconds SweepInterval{500};
 constexpr Common::milliseconds DeliveryPollInterval{50};
 constexpr Common::milliseconds AcceptRetryDelay{50};
+/// Size of the first frame of a peer, which only says who it is.
+constexpr std::size_t HelloLimitBytes = 4096;
 
 std::size_t payloadBytes(const AnswerItem &item)
 {
@@ -123,7 +125,9 @@
             co_await Async::sleepFor(AcceptRetryDelay);
             continue;
         }
-        startConnection(std::move(socket));
+        if (connections_.size() < options_.connectionLimit || closeUnknownPeer()) {
+            startConnection(std::move(socket));
+        }
     }
 }
 
@@ -131,7 +135,9 @@
 {
     const auto peer = std::make_shared<Peer>();
     peer->connection = std::make_shared<ChannelConnection>(std::move(socket), options_);
+    peer->connection->setFrameLimit(HelloLimitBytes);
     connections_.insert(peer->connection);
+    unknownPeers_.push_back(peer->connection);
     ChannelConnection::Handlers handlers;
     handlers.frame = [this, peer](Frame frame) { receive(*peer, std::move(frame)); };
     handlers.closed = [this, peer](const std::string &) { connectionClosed(*peer); };
@@ -139,6 +145,16 @@
     peer->connection->send(self_);
 }
 
+bool ChannelServer::closeUnknownPeer()
+{
+    if (unknownPeers_.empty()) {
+        return false;
+    }
+    const auto connection = unknownPeers_.front();
+    connection->close("another peer connects");
+    return true;
+}
+
 std::size_t ChannelServer::unsentBytes() const
 {
     std::size_t bytes = 0;
@@ -158,6 +174,8 @@
     if (const auto *hello = std::get_if<Hello>(&frame)) {
         peer.hello = *hello;
         peer.helloReceived = true;
+        peer.connection->setFrameLimit(FrameLimitBytes);
+        std::erase(unknownPeers_, peer.connection);
         return;
     }
     if (!peer.helloReceived) {
@@ -242,6 +260,7 @@
 void ChannelServer::connectionClosed(const Peer &peer)
 {
     connections_.erase(peer.connection);
+    std::erase(unknownPeers_, peer.connection);
     const auto now = std::chrono::steady_clock::now();
     for (const auto &entry : calls_) {
         if (entry.second->connection_ == peer.connection) {
--- a/Source/Core/Peers/ChannelServer.h
+++ b/Source/Core/Peers/ChannelServer.h
@@ -127,6 +127,8 @@
 
     asio::awaitable<void> accept();
     void startConnection(asio::ip::tcp::socket socket);
+    /// Closes a connection whose peer has not said who it is. Returns false if there is none.
+    bool closeUnknownPeer();
     void receive(Peer &peer, Frame frame);
     void openCall(const Peer &peer, OpenCall open);
     void resumeCall(const Peer &peer, const ResumeCall &resume);
@@ -142,6 +144,8 @@
     asio::ip::tcp::acceptor acceptor_;
     std::map<CallKey, std::shared_ptr<IncomingCall>> calls_;
     std::set<std::shared_ptr<ChannelConnection>> connections_;
+    /// Those whose peer has not said who it is, from the oldest on.
+    std::vector<std::shared_ptr<ChannelConnection>> unknownPeers_;
     std::atomic<std::int64_t> callCount_{0};
     std::atomic<bool> rejecting_{false};
 };
