--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -294,7 +294,7 @@
     Dispatch::CallId nextCallId_ = 1;
     MemoryBudget memory_;
     /// Connections that receive large requests.
-    std::unordered_map<const InboundConnection *, std::weak_ptr<InboundConnection>> receiving_;
+    std::unordered_map<HeldMemory::Holder, std::weak_ptr<InboundConnection>> receiving_;
     std::vector<Fleet::Peer> knownPeers_;
     Fleet::WatchDuty duty_ = Fleet::WatchDuty::Watches;
     Common::Time looksUntil_{};
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -99,13 +99,13 @@
 
 void RelayGateway::holdReceived(const Connection &connection, std::size_t bytes)
 {
-    const auto *key = connection.get();
-    memory_.set(MemoryUse::Receiving, reinterpret_cast<HeldMemory::Holder>(key), bytes);
+    const auto holder = reinterpret_cast<HeldMemory::Holder>(connection.get());
+    memory_.set(MemoryUse::Receiving, holder, bytes);
     if (bytes == 0) {
-        receiving_.erase(key);
+        receiving_.erase(holder);
         return;
     }
-    receiving_[key] = connection;
+    receiving_[holder] = connection;
     releaseExcess();
 }
 
@@ -121,8 +121,7 @@
             }
             continue;
         }
-        const auto found =
-            receiving_.find(reinterpret_cast<const InboundConnection *>(excess->holder));
+        const auto found = receiving_.find(excess->holder);
         if (const auto connection = found == receiving_.end() ? nullptr : found->second.lock()) {
             relayMetrics_.requestsGivenUp.add();
             connection->rejectIncomplete();
