Soak: compare answers with what endpoints sent, draw ends without a length and crowds

The soak looked at statuses only. It judges each success by its body now and has two families: answers without a length whose endpoints crash inside them, and clients that don't keep to the limits at any listener, judged by memory and by processes that end.

--- a/Source/IntegrationTests/soak.py
+++ b/Source/IntegrationTests/soak.py
@@ -13,6 +13,11 @@
 
     ... soak.py --seeds 1-50 --seconds 40 --faults figures,endpoints,kills,pauses,paths
     ... soak.py --seeds 1-50 --seconds 40 --faults strays,endpoints,kills,pauses
+
+The family "ends" has answers without a length whose endpoints crash inside them, and "crowds" has
+clients that don't keep to the limits:
+
+    ... soak.py --seeds 1-50 --seconds 40 --faults ends,crowds,kills,pauses
 """
 
 import argparse
@@ -149,7 +154,9 @@
         {one.name: one.zone for one in deployment.instances},
         deployment.forgotten,
     )
-    broken += soak_rules.check_processes([] if deliveries_per_second else deployment.crashes)
+    if not deliveries_per_second:
+        broken += soak_rules.check_processes(deployment.crashes)
+        broken += soak_rules.check_memory(deployment.memory, deployment.extras.memory_mb)
     history = make_history(deployment, callers.requests) if deliveries_per_second else None
     if history:
         broken = soak_delivery_rules.check_all(history) + broken
--- a/Source/IntegrationTests/soak_callers.py
+++ b/Source/IntegrationTests/soak_callers.py
@@ -104,7 +104,7 @@
             headers = {standin.TOKENS: "200,20", standin.PROMPT: self._prompt(identity, bad_part)}
         try:
             answer = self._exchange(instance, identity, method, path, body, headers)
-            request.status = await asyncio.wait_for(answer, DEADLINE)
+            request.status, request.answer = await asyncio.wait_for(answer, DEADLINE)
         except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass
 
@@ -129,8 +129,8 @@
             head += [f"{name}: {value}" for name, value in headers.items()]
             head += [f"Content-Length: {len(body)}", "", ""]
             writer.write("\r\n".join(head).encode() + body)
-            status, kept = await self._read_answer(reader)
-            return status
+            status, answer, kept = await self._read_answer(reader)
+            return status, answer
         finally:
             if kept:
                 self.idle[instance.name].append((reader, writer))
@@ -139,13 +139,14 @@
 
     @staticmethod
     async def _read_answer(reader):
-        """The status, and whether the connection stays open."""
+        """The status, the body, and whether the connection stays open."""
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower().split("\r\n")
         headers = dict(line.split(": ", 1) for line in head[1:] if ": " in line)
+        body = b""
         if headers.get("transfer-encoding") == "chunked":
             while size := int(await reader.readline(), 16):
-                await reader.readexactly(size + 2)
+                body += (await reader.readexactly(size + 2))[:-2]
             await reader.readline()
         else:
-            await reader.readexactly(int(headers.get("content-length", 0)))
-        return int(head[0].split()[1]), headers.get("connection") != "close"
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+        return int(head[0].split()[1]), body, headers.get("connection") != "close"
--- a/Source/IntegrationTests/soak_faults.py
+++ b/Source/IntegrationTests/soak_faults.py
@@ -4,14 +4,21 @@
 import base64
 import random
 import signal
+import time
 
 from soak_deployment import standin  # noqa: F401, for the path of the stand-ins
+from crowd import KINDS as CROWD_KINDS
+from crowd import Crowd
 from odd_entries import ODD
+from relay_deployment import DIRECTORY_PORT, METRICS_PORT, PEER_PORT, READY_PORT
 
 #: Families of faults, and the mean time between two faults of a family.
 MEAN_GAPS = {"endpoints": 1.5, "kills": 2.0, "pauses": 4.0, "paths": 4.0}
 #: Families that are played only when named, so that the seeds of the others keep their faults.
-FURTHER_GAPS = {"figures": 3.0, "strays": 2.0}
+FURTHER_GAPS = {"figures": 3.0, "strays": 2.0, "ends": 1.5, "crowds": 3.0}
+CROWD = 20
+#: Of the listeners, that for callers first.
+CROWD_PORTS = (0, READY_PORT, DIRECTORY_PORT, PEER_PORT, METRICS_PORT)
 #: Texts that are no figure, or none that is possible.
 INVALID_FIGURES = ("", "0", "-100", "fast", "1e9", "9" * 40, "100,100")
 
@@ -46,6 +53,8 @@
             "paths": self._path_faults(),
             "figures": self._false_figures(),
             "strays": self._strays(),
+            "ends": {"no length": self._answer_without_length},
+            "crowds": {kind: lambda kind=kind: self._crowd(kind) for kind in CROWD_KINDS},
         }
 
     async def _series(self, end, faults, mean_gap):
@@ -143,6 +152,37 @@
         store.delete(key)
         return odd
 
+    # Answers without a length, and clients that don't keep to the limits.
+
+    async def _answer_without_length(self):
+        service = self.random.choice(["model", "desk"])
+        chosen = self._some(self._endpoints_of(service), self.random.choice([0.4, 1.0]))
+        for endpoint in chosen:
+            endpoint.unframed = True
+        await asyncio.sleep(self.random.uniform(0.5, 2))
+        crashing = self._some(chosen, 0.4)
+        for endpoint in crashing:
+            endpoint.crash()
+        await asyncio.sleep(self.random.uniform(0, 2))
+        for endpoint in chosen:
+            endpoint.unframed = False
+        return f"{service}: {len(chosen)} endpoints, {len(crashing)} of them crash"
+
+    async def _crowd(self, kind):
+        running = self._running()
+        if not running:
+            return "none runs"
+        instance, port = self.random.choice(running), self.random.choice(CROWD_PORTS)
+        address = f"{instance.ip}:{self.deployment.ports + port}"
+        await asyncio.to_thread(self._press, address, kind, self.random.uniform(0, 3))
+        return f"{CROWD} clients at {instance.name}, port {port}"
+
+    @staticmethod
+    def _press(address, kind, stay):
+        with Crowd(address, kind, CROWD) as crowd:
+            crowd.send_all(lambda: None)
+            time.sleep(stay)
+
     # Instances.
 
     def _kills(self):
--- a/Source/IntegrationTests/soak_rules.py
+++ b/Source/IntegrationTests/soak_rules.py
@@ -22,6 +22,8 @@
     """It may run once at most."""
     bad_part: str = None
     """The part of its prompt that crashes endpoints, if it has one."""
+    answer: bytes = None
+    """The body of an answer that looked whole."""
 
 
 @dataclasses.dataclass
@@ -32,6 +34,9 @@
     stable: float = 5.0
 
 
+#: Events of a stream.
+EVENTS = 5
+MB = 1024 * 1024
 #: More requests than this must break a rule before it counts as broken.
 TOLERATED_RUNS = 3
 TOLERATED_DEADLINES = 20
@@ -144,6 +149,21 @@
 STOP_TIME = 0.4
 
 
+def whole_answer(request):
+    """What the endpoints answer to a request."""
+    if request.service == "desk":
+        return f"done {request.identity}".encode()
+    events = range(1, EVENTS + 1)
+    return b"".join(f"id: {n}\ndata: {request.identity}\n\n".encode() for n in events)
+
+
+def check_answers(requests):
+    """No success is another request's answer, or a part of one."""
+    served = [one for one in requests if one.status == 200 and one.answer is not None]
+    wrong = [one.identity for one in served if one.answer != whole_answer(one)]
+    return [f"answer: {len(wrong)} are not whole, or another's: {wrong[:5]}"] if wrong else []
+
+
 def check_overlaps(requests, arrivals, in_touch):
     """An endpoint stops work on a stream when another one goes on with it, unless it has ended or
     its path was cut."""
@@ -160,6 +180,15 @@
     return [f"overlap: {len(found)} streams ran at two endpoints: {found[:5]}"] if found else []
 
 
+def check_memory(memory, limit_mb):
+    """@param memory: the largest size in bytes by name and start of a process"""
+    return [
+        f"memory: {name}, started at {started:.2f} s: {most / MB:.0f} MB"
+        for (name, started), most in memory.items()
+        if most > limit_mb * MB
+    ]
+
+
 def check_processes(crashes):
     """@param crashes: instance, time and status of processes that ended by themselves"""
     return [f"process: {name} ended with {status} at {at:.1f} s" for name, at, status in crashes]
@@ -319,6 +348,7 @@
     """The broken rules."""
     return (
         check_run_once(requests, arrivals)
+        + check_answers(requests)
         + check_overlaps(requests, arrivals, in_touch)
         + check_retry_budget(requests, arrivals, bounds)
         + check_endpoints_per_request(requests, arrivals)
