Look for the largest holder only beyond a limit; forget evictions that came too late

MemoryBudget::excess() searched all holders at each part of an answer. A connection of the verb gateway that was to be closed in favor of another one, and had received a request meanwhile, was never a candidate again. The channel limited all connections of peers to 256, which large deployments may exceed; it limits those whose peers have not said who they are.

--- a/Source/Core/Entry/HttpServer.cpp
+++ b/Source/Core/Entry/HttpServer.cpp
@@ -211,11 +211,15 @@
         return false;
     }
     idlest->evicted = true;
-    asio::post(idlest->stream.get_executor(), [idlest] {
+    asio::post(idlest->stream.get_executor(), [this, idlest] {
         if (idlest->idle) {
             boost::system::error_code ignored;
             idlest->stream.socket().close(ignored);
+            return;
         }
+        // A request has arrived meanwhile.
+        const std::lock_guard guard(mutex_);
+        idlest->evicted = false;
     });
     return true;
 }
--- a/Source/Core/Peers/ChannelConnection.h
+++ b/Source/Core/Peers/ChannelConnection.h
@@ -28,8 +28,9 @@
     /// How long a call without a connection waits to be resumed on a new one.
     Common::milliseconds resumeWindow{5000};
     Common::milliseconds reconnectDelay{100};
-    /// Connections of peers beyond it are refused, in favor of ones that have said who they are.
-    std::size_t connectionLimit = 256;
+    /// Limit of connections whose peers have not said who they are; the oldest one is closed beyond
+    /// it.
+    std::size_t unknownPeerLimit = 256;
     /// Flow-control window: bytes of an answer in flight or not yet consumed by the reader.
     std::size_t windowBytes = 256 * 1024;
 };
--- a/Source/Core/Peers/ChannelServer.cpp
+++ b/Source/Core/Peers/ChannelServer.cpp
@@ -125,9 +125,11 @@
             co_await Async::sleepFor(AcceptRetryDelay);
             continue;
         }
-        if (connections_.size() < options_.connectionLimit || closeUnknownPeer()) {
-            startConnection(std::move(socket));
+        if (unknownPeers_.size() >= options_.unknownPeerLimit) {
+            const auto oldest = unknownPeers_.front();
+            oldest->close("too many peers have not said who they are");
         }
+        startConnection(std::move(socket));
     }
 }
 
@@ -145,16 +147,6 @@
     peer->connection->send(self_);
 }
 
-bool ChannelServer::closeUnknownPeer()
-{
-    if (unknownPeers_.empty()) {
-        return false;
-    }
-    const auto connection = unknownPeers_.front();
-    connection->close("another peer connects");
-    return true;
-}
-
 std::size_t ChannelServer::unsentBytes() const
 {
     std::size_t bytes = 0;
--- a/Source/Core/Peers/ChannelServer.h
+++ b/Source/Core/Peers/ChannelServer.h
@@ -127,8 +127,6 @@
 
     asio::awaitable<void> accept();
     void startConnection(asio::ip::tcp::socket socket);
-    /// Closes a connection whose peer has not said who it is. Returns false if there is none.
-    bool closeUnknownPeer();
     void receive(Peer &peer, Frame frame);
     void openCall(const Peer &peer, OpenCall open);
     void resumeCall(const Peer &peer, const ResumeCall &resume);
--- a/Source/Core/Relay/MemoryBudget.cpp
+++ b/Source/Core/Relay/MemoryBudget.cpp
@@ -74,8 +74,10 @@
         const auto fill =
             static_cast<double>(memory.total()) / static_cast<double>(memory.limit() + 1);
         const bool tooMuch = allTooMuch || memory.total() > memory.limit();
-        const auto holder = memory.largest();
-        if (tooMuch && holder && fill > worst) {
+        if (!tooMuch || fill <= worst) {
+            continue;
+        }
+        if (const auto holder = memory.largest()) {
             worst = fill;
             found = Excess{use, *holder};
         }
