--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -321,13 +322,15 @@
 class Relays:
     """The machines of a small deployment, each with a loopback address of its own."""
 
-    def __init__(self, record, store, zones_of, regions, seeds=None):
+    def __init__(self, record, store, zones_of, regions, seeds=None, memory_mb=390, descriptors=6150):
         """
         @param zones_of: zone by machine
         @param regions: region by zone
         @param seeds: machines that the settings name as seeds, the first three if none are given
         """
         self.seeds = seeds or list(zones_of)[:3]
+        self.memory_mb = memory_mb
+        self.descriptors = descriptors
         self.record = record
         self.store = store
         self.zones_of = zones_of
@@ -380,7 +383,8 @@
             "portRange": [ports + 4, ports + 9],
             "seeds": [f"{self.ips[each]}:{ports + 2}" for each in self.seeds],
             "bootstrap": True,
-            "limits": {"cpuShare": 0.5, "cores": 1, "memoryMb": 390, "maxFds": 6150, "linkMbps": 1500.0, "diskMb": 0},
+            "limits": {"cpuShare": 0.5, "cores": 1, "memoryMb": self.memory_mb,
+                       "maxFds": self.descriptors, "linkMbps": 1500.0, "diskMb": 0},
             "dataDir": None,
             "discovery": "platform",
             "entry": "registry",
@@ -531,6 +535,9 @@
 def main(folder, case, limit_s=110):
     """Runs `case(record)`, which returns BROKEN or HELD; a case that could not run is told apart."""
     record = Record(folder)
+    # Clients have many connections in one process.
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     if not PROGRAM.exists():
         record.say("cannot run: the program is not built")
         sys.exit(COULD_NOT_RUN)
