--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -122,6 +122,8 @@
         self.fronts = {}
         #: Machines whose calls are answered 503.
         self.turned_away = set()
+        #: Machines whose path to the store is cut, with resets.
+        self.cut_off = set()
         #: Machines whose calls get no answer at all.
         self.unanswered = set()
 
@@ -149,6 +151,8 @@
         self.changed = asyncio.Event()
 
     async def _serve(self, machine, line, _headers, _body, writer):
+        if machine in self.cut_off:
+            raise ConnectionError
         if machine in self.unanswered:
             await asyncio.sleep(3600)
         if machine in self.turned_away:
@@ -168,6 +172,8 @@
                     await asyncio.wait_for(self.changed.wait(), left)
                 except asyncio.TimeoutError:
                     pass
+            if machine in self.cut_off:
+                raise ConnectionError
             if machine in self.turned_away:
                 writer.write(answer(503, {}))
                 return
@@ -468,6 +474,8 @@
         self.idle = []
         #: Attempt: (machine, time of sending, kind, status or "closed")
         self.ends = {}
+        #: Attempts that were sent on a connection that had carried another one.
+        self.kept = set()
 
     async def request(self, method, path, body=b"", deadline_ms=4000, headers=()):
         Client.count += 1
@@ -482,9 +490,10 @@
         try:
             if self.idle:
                 reader, writer = self.idle.pop()
+                self.kept.add(attempt)
             else:
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(*self.address), 1)
-            self.record.write("send", attempt, method, path, "to", self.name)
+            self.record.write("send", attempt, method, path, "to", self.name, "kept" if attempt in self.kept else "new")
             writer.write("\r\n".join(lines).encode() + body)
             line, answer_headers, answer_body = await asyncio.wait_for(
                 read_message(reader), deadline_ms / 1000 + 1
