Send a complete set to a peer behind the first listing

Cause: an instance that has read a complete listing at revision U has no tombstones of what was deleted before. It answered a peer at a lower revision with an incomplete set up to U; the peer adopted U, and its next call to the store began there, so it never saw the deletion.

PeerLearnsOfDeletionsBeforeTheFirstListing, PeerLearnsOfDeletionsBetweenTwoListings and the property AReplicaHasWhatTheStoreHadAtItsRevision fail before the change.

Fix: the store of items records up to which revision it may lack deletions; peers below it get a complete set, in which a missing item is a deleted one. The line `catalog` states whether a set was complete, which the log did not show.

--- a/Source/Core/Catalog/ItemStore.cpp
+++ b/Source/Core/Catalog/ItemStore.cpp
@@ -37,6 +37,10 @@
         for (const auto &item : changes.items) {
             listed.insert(item.key);
         }
+        if (changes.upTo > upTo_) {
+            // An item that was created and deleted since the last known revision is in no set.
+            deletionsKnownAfter_ = changes.upTo;
+        }
         std::vector<Item> missing;
         for (const auto &[key, item] : items_) {
             if (item.value && item.revision <= changes.upTo && listed.count(key) == 0) {
@@ -59,7 +63,7 @@
 {
     ItemChanges changes;
     changes.upTo = upTo_;
-    changes.complete = known < prunedUpTo_ || known == 0;
+    changes.complete = needsCompleteSet(known);
     for (const auto &[key, item] : items_) {
         const bool wanted = changes.complete ? item.value.has_value() : item.revision > known;
         if (wanted) {
@@ -87,10 +91,11 @@
     }
     const auto middle = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
     std::nth_element(revisions.begin(), middle, revisions.end());
-    prunedUpTo_ = *middle;
-    tombstones_ -= std::erase_if(items_, [this](const auto &entry) {
-        return !entry.second.value && entry.second.revision <= prunedUpTo_;
+    const auto discardedUpTo = *middle;
+    tombstones_ -= std::erase_if(items_, [discardedUpTo](const auto &entry) {
+        return !entry.second.value && entry.second.revision <= discardedUpTo;
     });
+    deletionsKnownAfter_ = std::max(deletionsKnownAfter_, discardedUpTo);
 }
 
 } // namespace LaburnumChute::Catalog
--- a/Source/Core/Catalog/ItemStore.h
+++ b/Source/Core/Catalog/ItemStore.h
@@ -58,6 +58,12 @@
     std::vector<Item> apply(const ItemChanges &changes);
     /// The changes that a peer needs that knows all changes up to the revision.
     ItemChanges since(Revision known) const;
+    /// Whether a peer that knows all changes up to the revision needs a complete set, since not all
+    /// later deletions are known here.
+    bool needsCompleteSet(Revision known) const
+    {
+        return known < deletionsKnownAfter_ || known == 0;
+    }
     /// All changes up to this revision are known.
     Revision upTo() const
     {
@@ -71,9 +77,9 @@
 
     std::map<std::string, Item> items_;
     Revision upTo_ = 0;
-    /// Tombstones up to this revision were discarded; a peer at a lower revision needs a complete
-    /// set.
-    Revision prunedUpTo_ = 0;
+    /// Only later deletions all have a tombstone: earlier ones were discarded, or took place before
+    /// a listing, which does not contain them.
+    Revision deletionsKnownAfter_ = 0;
     std::size_t tombstones_ = 0;
 };
 
--- a/Source/Core/Relay/RelayKnowledge.cpp
+++ b/Source/Core/Relay/RelayKnowledge.cpp
@@ -58,6 +58,7 @@
         EventLine line("catalog");
         line.add("revision", static_cast<std::int64_t>(catalog_.items().upTo()))
             .add("items", static_cast<std::int64_t>(changes.items.size()))
+            .add("complete", changes.complete)
             .add("evacuated_domains", static_cast<std::int64_t>(catalog_.evacuated().size()))
             .add("source", source);
         log_.write(line, now);
--- a/Source/Core/Relay/RelayServers.cpp
+++ b/Source/Core/Relay/RelayServers.cpp
@@ -42,7 +42,9 @@
 
 void RelayGateway::serveItems(const Connection &connection, Catalog::Revision known)
 {
-    const auto body = known == 0 ? completeListing() : encodeItems(catalog_.items().since(known));
+    const auto &items = catalog_.items();
+    const auto body =
+        items.needsCompleteSet(known) ? completeListing() : encodeItems(items.since(known));
     if (!itemTransfers_.admit(body.size(), steadyNow())) {
         connection->respond(ServiceUnavailable, {}, "serving other instances");
         return;
--- a/Source/UnitTests/Catalog/ItemStoreTest.cpp
+++ b/Source/UnitTests/Catalog/ItemStoreTest.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <array>
+#include <map>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -20,6 +22,57 @@
     return {key, revision, std::nullopt};
 }
 
+/// The platform's store with its history.
+class StoreModel
+{
+public:
+    void put(const std::string &key)
+    {
+        ++revision_;
+        history_.push_back(item(key, revision_, std::to_string(revision_)));
+    }
+    void remove(const std::string &key)
+    {
+        ++revision_;
+        history_.push_back(deletion(key, revision_));
+    }
+    /// Answer to a call that waits for changes.
+    ItemChanges changesAfter(Revision known) const
+    {
+        return {{history_.begin() + static_cast<std::ptrdiff_t>(known), history_.end()},
+                revision_,
+                false};
+    }
+    ItemChanges listing() const
+    {
+        ItemChanges all{{}, revision_, true};
+        for (const auto &[key, value] : contentsAt(revision_)) {
+            all.items.push_back(item(key, std::stoull(value), value));
+        }
+        return all;
+    }
+    std::map<std::string, std::string> contentsAt(Revision revision) const
+    {
+        std::map<std::string, std::string> result;
+        for (const auto &each : history_) {
+            if (each.revision > revision) {
+                break;
+            }
+            if (each.value) {
+                result[each.key] = *each.value;
+            } else {
+                result.erase(each.key);
+            }
+        }
+        return result;
+    }
+
+private:
+    Revision revision_ = 0;
+    /// The change with revision N has index N - 1.
+    std::vector<Item> history_;
+};
+
 std::map<std::string, std::string> contents(const ItemStore &store)
 {
     std::map<std::string, std::string> result;
@@ -99,6 +152,80 @@
     EXPECT_FALSE(store.since(revision - 4).complete);
 }
 
+// Guards against endpoints that stay in the catalog of an instance for good: it was cut off from
+// the store while they were removed, and catches up from an instance that has started since then.
+TEST(ItemStoreTest, PeerLearnsOfDeletionsBeforeTheFirstListing)
+{
+    ItemStore behind;
+    behind.apply({{item("a", 7, "x"), item("b", 8, "y")}, 8, true});
+    ItemStore restarted;
+    restarted.apply({{item("b", 8, "y"), item("c", 10, "z")}, 10, true});
+    behind.apply(restarted.since(behind.upTo()));
+    EXPECT_EQ(contents(behind), contents(restarted));
+}
+
+// As above, for an item that was created and deleted while the history of the store was lost.
+TEST(ItemStoreTest, PeerLearnsOfDeletionsBetweenTwoListings)
+{
+    ItemStore behind;
+    behind.apply({{item("a", 7, "x")}, 7, true});
+    ItemStore listedAgain;
+    listedAgain.apply({{}, 5, true});
+    listedAgain.apply({{item("b", 9, "y")}, 9, true});
+    behind.apply(listedAgain.since(behind.upTo()));
+    EXPECT_EQ(contents(behind), contents(listedAgain));
+}
+
+TEST(ItemStoreTest, PeersThatAreNotBehindAListingGetOnlyChanges)
+{
+    ItemStore store;
+    store.apply({{item("a", 7, "x")}, 7, true});
+    store.apply({{item("b", 8, "y")}, 8, false});
+    EXPECT_FALSE(store.since(7).complete);
+}
+
+// Guards against instances that claim a revision whose deletions they do not know, in any order of
+// changes, listings, restarts and transfers between instances.
+RC_GTEST_PROP(ItemStoreProperty, AReplicaHasWhatTheStoreHadAtItsRevision, ())
+{
+    constexpr int Replicas = 3;
+    enum class Step { Put, Remove, List, Watch, Restart, Transfer };
+    StoreModel model;
+    std::array<ItemStore, Replicas> replicas;
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int index = 0; index < steps; ++index) {
+        const auto key = std::string(1, *rc::gen::inRange('a', 'e'));
+        auto &replica = replicas.at(*rc::gen::inRange<std::size_t>(0, Replicas));
+        const auto &other = replicas.at(*rc::gen::inRange<std::size_t>(0, Replicas));
+        switch (*rc::gen::element(Step::Put, Step::Remove, Step::List, Step::Watch, Step::Restart,
+                                  Step::Transfer)) {
+        case Step::Put:
+            model.put(key);
+            break;
+        case Step::Remove:
+            model.remove(key);
+            break;
+        case Step::List:
+            replica.apply(model.listing());
+            break;
+        case Step::Watch:
+            if (replica.upTo() > 0) {
+                replica.apply(model.changesAfter(replica.upTo()));
+            }
+            break;
+        case Step::Restart:
+            replica = ItemStore();
+            break;
+        case Step::Transfer:
+            replica.apply(other.since(replica.upTo()));
+            break;
+        }
+        for (const auto &each : replicas) {
+            RC_ASSERT(contents(each) == model.contentsAt(each.upTo()));
+        }
+    }
+}
+
 RC_GTEST_PROP(ItemStoreProperty, OrderOfArrivalDoesNotMatter, ())
 {
     const auto count = *rc::gen::inRange(1, 20);
