End abandoned requests by a close that survives the loss of a segment

What endpoints saw: an endpoint worked on to the end of its run for a caller that had left, if the path lost packets at that moment (GONE), directly and behind another instance.

Cause: running requests were ended by a reset, which the kernel sends once; if it is lost, the remote side has an idle connection. The close that is repeated until it is acknowledged was used only for streams that another endpoint goes on with.

Fix: each end of a running request uses the close, unless the request has not arrived yet.

--- a/Source/Core/Relay/OutboundCall.h
+++ b/Source/Core/Relay/OutboundCall.h
@@ -107,8 +107,8 @@
     void tick(Common::Time now);
     /// Ends the call. No callback is called afterwards.
     void cancel();
-    /// As cancel(), for a request that another endpoint gets next: the remote side learns of the
-    /// end even if a segment is lost.
+    /// As cancel(), for a request that the remote side may be working on: it learns of the end even
+    /// if a segment is lost.
     void withdraw();
     /// Stops or resumes reading, to apply backpressure for a slow receiver.
     void pause(bool paused);
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -77,7 +77,7 @@
         endCheck_.reset();
     }
     if (call_) {
-        call_->cancel();
+        call_->withdraw();
         call_.reset();
     }
 }
@@ -363,7 +363,6 @@
         .add("events_passed", streamStarted_)
         .add("silent", now - lastEventAt_);
     gateway_.log().write(line, now);
-    call_->withdraw();
     endAttempt(AttemptOutcome::Silent, true, now);
 }
 
