State in refusals between instances that the request has not run

What callers saw: what the listener for other instances refused before its handler got the request (413, 431, 400, 408, and 503 for want of memory) ended the request, though no endpoint had seen it (DENIED).

Cause: these responses had no run state, and the sender takes a response without one for that of the endpoint.

Fix: the listener adds the run state to all responses of its connections that do not come from the handler. The sender then tries another instance.

--- a/Source/Core/Relay/InboundConnection.cpp
+++ b/Source/Core/Relay/InboundConnection.cpp
@@ -54,12 +54,14 @@
 
 InboundConnection::InboundConnection(asio::ip::tcp::socket socket, LimitsSource limits,
                                      Handler handler, ConnectionObserver observer,
-                                     MemoryObserver memoryObserver)
+                                     MemoryObserver memoryObserver,
+                                     Common::Headers rejectionHeaders)
     : socket_(std::move(socket))
     , limits_(std::move(limits))
     , handler_(std::move(handler))
     , observer_(std::move(observer))
     , memoryObserver_(std::move(memoryObserver))
+    , rejectionHeaders_(std::move(rejectionHeaders))
 {
 }
 
@@ -244,6 +246,7 @@
     chunked_ = false;
     isHead_ = false;
     headers.push_back({"Content-Type", "text/plain"});
+    headers.insert(headers.end(), rejectionHeaders_.begin(), rejectionHeaders_.end());
     respond(status, std::move(headers), reason);
 }
 
--- a/Source/Core/Relay/InboundConnection.h
+++ b/Source/Core/Relay/InboundConnection.h
@@ -42,8 +42,11 @@
     using MemoryObserver =
         std::function<void(const std::shared_ptr<InboundConnection> &, std::size_t)>;
 
+    /// @param rejectionHeaders further headers of responses to requests that do not reach the
+    /// handler
     InboundConnection(asio::ip::tcp::socket socket, LimitsSource limits, Handler handler,
-                      ConnectionObserver observer = {}, MemoryObserver memoryObserver = {});
+                      ConnectionObserver observer = {}, MemoryObserver memoryObserver = {},
+                      Common::Headers rejectionHeaders = {});
 
     void start(Common::Time now);
     /// Enforces the time limits. Must be called every few tens of milliseconds.
@@ -171,6 +174,7 @@
     Handler handler_;
     ConnectionObserver observer_;
     MemoryObserver memoryObserver_;
+    Common::Headers rejectionHeaders_;
     /// What the observer was told last.
     std::size_t reportedBytes_ = 0;
     std::function<void()> onDisconnect_;
--- a/Source/Core/Relay/InboundServer.cpp
+++ b/Source/Core/Relay/InboundServer.cpp
@@ -22,13 +22,15 @@
 InboundServer::InboundServer(asio::io_context &context, std::size_t connectionLimit,
                              InboundConnection::LimitsSource limits,
                              InboundConnection::Handler handler, ConnectionObserver observer,
-                             InboundConnection::MemoryObserver memoryObserver)
+                             InboundConnection::MemoryObserver memoryObserver,
+                             Common::Headers rejectionHeaders)
     : context_(context)
     , connectionLimit_(connectionLimit)
     , limits_(std::move(limits))
     , handler_(std::move(handler))
     , observer_(std::move(observer))
     , memoryObserver_(std::move(memoryObserver))
+    , rejectionHeaders_(std::move(rejectionHeaders))
     , acceptor_(context)
 {
 }
@@ -44,31 +46,32 @@
 
 void InboundServer::accept()
 {
-    acceptor_.async_accept(
-        context_, [this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
-            // A connection may have been accepted in the turn in which the acceptor was closed.
-            if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
-                return;
-            }
-            if (error) {
-                // Without a free descriptor, accepting would fail again at once.
-                acceptAtTick_ = true;
-                return;
-            }
-            // A connection beyond the limit takes the place of an idle one, or is closed unread, so
-            // that the caller tries another instance. Accepting more could use up the descriptors
-            // needed for endpoints.
-            if (connections_.size() < connectionLimit_ || closeIdlest()) {
-                auto connection = std::make_shared<InboundConnection>(
-                    std::move(socket), limits_, handler_, observer_, memoryObserver_);
-                connections_.push_back(connection);
-                connection->start(std::chrono::steady_clock::now());
-                if (closeAfterResponse_) {
-                    connection->closeAfterNextResponse();
-                }
+    acceptor_.async_accept(context_, [this](const boost::system::error_code &error,
+                                            asio::ip::tcp::socket socket) {
+        // A connection may have been accepted in the turn in which the acceptor was closed.
+        if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (error) {
+            // Without a free descriptor, accepting would fail again at once.
+            acceptAtTick_ = true;
+            return;
+        }
+        // A connection beyond the limit takes the place of an idle one, or is closed unread, so
+        // that the caller tries another instance. Accepting more could use up the descriptors
+        // needed for endpoints.
+        if (connections_.size() < connectionLimit_ || closeIdlest()) {
+            auto connection =
+                std::make_shared<InboundConnection>(std::move(socket), limits_, handler_, observer_,
+                                                    memoryObserver_, rejectionHeaders_);
+            connections_.push_back(connection);
+            connection->start(std::chrono::steady_clock::now());
+            if (closeAfterResponse_) {
+                connection->closeAfterNextResponse();
             }
-            accept();
-        });
+        }
+        accept();
+    });
 }
 
 bool InboundServer::closeIdlest()
--- a/Source/Core/Relay/InboundServer.h
+++ b/Source/Core/Relay/InboundServer.h
@@ -17,7 +17,8 @@
     InboundServer(asio::io_context &context, std::size_t connectionLimit,
                   InboundConnection::LimitsSource limits, InboundConnection::Handler handler,
                   ConnectionObserver observer = {},
-                  InboundConnection::MemoryObserver memoryObserver = {});
+                  InboundConnection::MemoryObserver memoryObserver = {},
+                  Common::Headers rejectionHeaders = {});
 
     Common::Result<std::string> listen(const std::string &address);
     /// Limits what the kernel holds of each connection accepted from now on.
@@ -62,6 +63,7 @@
     InboundConnection::Handler handler_;
     ConnectionObserver observer_;
     InboundConnection::MemoryObserver memoryObserver_;
+    Common::Headers rejectionHeaders_;
     asio::ip::tcp::acceptor acceptor_;
     std::vector<std::shared_ptr<InboundConnection>> connections_;
     bool closeAfterResponse_ = false;
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -264,7 +264,8 @@
           deliveryLog_.observer("peer"),
           [this](const Connection &connection, std::size_t bytes) {
               holdReceived(connection, bytes);
-          })
+          },
+          {{RunStateHeader, RunStateNotRun}})
     , readiness_(context_, ReservedDescriptors / 4, &RelayGateway::controlLimits,
                  [this](const Connection &connection, const InboundRequest &request) {
                      serveReadiness(connection, request);
--- /dev/null
+++ b/Source/IntegrationTests/test_forward_limits.py
@@ -0,0 +1,45 @@
+"""The listener for other instances, given requests that its own configuration would not allow."""
+
+import http.client
+
+import pytest
+
+from relay_deployment import PEER_PORT, RelayDeployment, standin
+
+HEAD_LIMIT = 16 << 10
+
+
+@pytest.fixture
+def connection(tmp_path):
+    deployment = RelayDeployment(
+        tmp_path,
+        {"north-1": ("127.0.0.23", "north-a")},
+        [("d-1", "desk", "north-a")],
+        [standin.route("status", "/status/", "desk", "idempotent")],
+        [standin.service("desk")],
+    )
+    try:
+        deployment.wait_ready()
+        host, port = "127.0.0.23", deployment.ports + PEER_PORT
+        yield http.client.HTTPConnection(host, port, timeout=5)
+    finally:
+        deployment.stop()
+
+
+def status_of(connection, body, headers):
+    connection.request("POST", "/status/x", body, {"Host": "shop.example", **headers})
+    answer = connection.getresponse()
+    answer.read()
+    return answer.status, answer.getheader("Laburnumchute-Run-State")
+
+
+# Guards against DENIED: what the listener itself refuses is taken for the answer of an endpoint.
+@pytest.mark.parametrize(
+    "headers",
+    [{"X-Filler": "x" * 16 * HEAD_LIMIT}, {"Transfer-Encoding": "gzip"}],
+    ids=["too large", "not supported"],
+)
+def test_what_is_refused_before_it_is_read_says_that_it_has_not_run(connection, headers):
+    status, run_state = status_of(connection, b"", headers)
+    assert status in (400, 431)
+    assert run_state == "not-run"
