Apply no limits for callers between instances

What callers would see: an instance that forwards by a later configuration with larger limits gets 413 or 431 for proper requests, for as long as the receiver lacks that version (DENIED).

Cause: the receiver judged each forwarded request again, by the limits of its own configuration.

Fix: the decision of the instance that the caller is connected to holds. The receiver bounds what it takes by its memory budget and by the size of a head.

--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -135,12 +135,17 @@
     return routes ? routes->configuration().limits : Catalog::CallerLimits();
 }
 
+/// The sender has applied the limits of the configuration, which may be a later one than that known
+/// here.
 Catalog::CallerLimits RelayGateway::peerLimits() const
 {
     // The note of the sender comes in a header of its own.
     constexpr std::uint32_t ForwardHeaderBytes = 16 * 1024;
+    constexpr std::uint32_t MinHeaderBytes = 64 * 1024;
     auto limits = callerLimits();
-    limits.headerBytes += ForwardHeaderBytes;
+    limits.headerBytes = std::max(limits.headerBytes + ForwardHeaderBytes, MinHeaderBytes);
+    limits.bodyBytes =
+        std::max<std::uint64_t>(limits.bodyBytes, memory_.limit(MemoryUse::Receiving));
     return limits;
 }
 
--- a/Source/IntegrationTests/test_forward_limits.py
+++ b/Source/IntegrationTests/test_forward_limits.py
@@ -6,6 +6,7 @@
 
 from relay_deployment import PEER_PORT, RelayDeployment, standin
 
+BODY_LIMIT = 4 << 20
 HEAD_LIMIT = 16 << 10
 
 
@@ -33,6 +34,18 @@
     return answer.status, answer.getheader("Laburnumchute-Run-State")
 
 
+# Guards against DENIED: the receiver of a forward refuses, by an older configuration, what the sender
+# has admitted, and the caller gets that as the final answer.
+@pytest.mark.parametrize(
+    "body, headers",
+    [(b"x" * (BODY_LIMIT + 1), {}), (b"", {"X-Filler": "x" * 2 * HEAD_LIMIT})],
+    ids=["body", "head"],
+)
+def test_limits_for_callers_do_not_apply_between_instances(connection, body, headers):
+    # Refused as what it is, a request without the note of an instance.
+    assert status_of(connection, body, headers)[0] == 400
+
+
 # Guards against DENIED: what the listener itself refuses is taken for the answer of an endpoint.
 @pytest.mark.parametrize(
     "headers",
