Do not take a reset during an upload for the end of an answer

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; callers got the part as a complete answer (MIXED).

Cause: the kernel reports the reset once. If the write of the upload gets the error, which was ignored, the read behind it sees a plain end.

Fix: the end of the connection completes an answer only if the request has been written in full.

The verb gateway writes the whole request before it reads and fails if the write does; a test shows that it is not affected.

--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -126,8 +126,8 @@
     asio::async_write(
         connection_->socket, buffers,
         [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-            // A write error does not fail the call: the response may already have arrived,
-            // and the pending read determines the outcome.
+            // A write error does not fail the call: a response that states its length may
+            // already have arrived, and the pending read determines the outcome.
             self->requestWritten_ = !error;
         });
     read();
@@ -168,13 +168,18 @@
         return;
     }
     const bool cleanClose = error == asio::error::eof;
-    if (cleanClose && headerDone_ && !skippingResponse_ && parser_->need_eof()) {
-        boost::system::error_code ignored;
-        parser_->put_eof(ignored);
-        finish(ResponseEnd::ConnectionClose);
+    if (!cleanClose || !headerDone_ || skippingResponse_ || !parser_->need_eof()) {
+        fail(CallFailure::Broken, error.message());
+        return;
+    }
+    if (!requestWritten_) {
+        // The kernel reports a reset once. If the write got it, the read sees a plain end.
+        fail(CallFailure::Broken, "the connection ended before the request was sent");
         return;
     }
-    fail(CallFailure::Broken, error.message());
+    boost::system::error_code ignored;
+    parser_->put_eof(ignored);
+    finish(ResponseEnd::ConnectionClose);
 }
 
 void OutboundCall::parse()
--- a/Source/IntegrationTests/raw_endpoint.py
+++ b/Source/IntegrationTests/raw_endpoint.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import socket
+import struct
 import threading
 import time
 
@@ -34,6 +35,12 @@
     connection.recv(1)
 
 
+def reset(connection):
+    """Closes the connection so that the other side sees an error."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
 class RawEndpoint:
     """Answers load queries itself and hands each other request, as (connection, method, path), to
     `answer`; the connection is closed after it. A context manager."""
@@ -108,3 +115,25 @@
             return True
         self.requests.append((time.monotonic(), method, path))
         return self.answer(connection, method, path) == KEEP
+
+
+class EarlyAnswerEndpoint(RawEndpoint):
+    """Answers large uploads before it has read them, with a part of an answer without a length, and
+    resets the connection."""
+
+    LARGE = 1_000_000
+
+    def __init__(self, answer, load=None):
+        super().__init__(answer, load)
+        self.early = 0
+
+    def _serve(self, connection):
+        head = connection.recv(65536, socket.MSG_PEEK)
+        fields = [line.split(b":") for line in head.lower().split(b"\r\n") if b":" in line]
+        length = dict((field[0], field[1]) for field in fields).get(b"content-length", b"0")
+        if int(length) < self.LARGE:
+            super()._serve(connection)
+            return
+        self.early += 1
+        connection.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+        reset(connection)
--- a/Source/IntegrationTests/test_gateway_delivery.py
+++ b/Source/IntegrationTests/test_gateway_delivery.py
@@ -16,7 +16,9 @@
 from calls import Stream
 from deployment import Deployment
 from deployment import http as call
-from raw_endpoint import EVENT_STREAM, KEEP, RawEndpoint, event, send_endlessly, whole
+from raw_endpoint import (
+    EVENT_STREAM, KEEP, EarlyAnswerEndpoint, RawEndpoint, event, send_endlessly, whole,
+)
 
 SCHOOLS = {"Authorization": "Bearer example-schools", "Content-Type": "application/json"}
 SETTINGS = ["--caller-write-timeout=2s", "--drain-notice=1s", "--drain-timeout=40s",
@@ -354,6 +356,22 @@
         assert probe(gateway, "service") == (200, "final")
 
 
+# Guards against MIXED: an early answer to an upload is reset, and its part is taken for the whole.
+def test_an_early_answer_that_is_reset_during_the_upload_is_not_whole(otaru):
+    gateway = otaru.gateways[0]
+    host, port = gateway.addresses["http"].split(":")
+    with EarlyAnswerEndpoint(lambda connection, *_: connection.sendall(whole(b"ok"))) as service:
+        use_only(otaru, service, "service", "sapporo", gateway)
+        for _ in range(12):
+            caller = http.client.HTTPConnection(host, int(port), timeout=20)
+            caller.request("GET", "/services/order-desk/orders/7", b"x" * 3_500_000, SCHOOLS)
+            with contextlib.suppress(http.client.HTTPException, ConnectionError):
+                answer = caller.getresponse()
+                body = answer.read()
+                assert answer.status != 200, body
+        assert service.early > 0
+
+
 def test_bytes_after_an_answer_are_no_answer(otaru):
     """Guards against taking what follows an answer for the answer to the next request."""
     gateway = otaru.gateways[0]
--- a/Source/IntegrationTests/test_whole_answers.py
+++ b/Source/IntegrationTests/test_whole_answers.py
@@ -8,6 +8,7 @@
 import pytest
 
 import killable_endpoint
+from early_endpoint import LARGE, EarlyAnswerEndpoint
 from killable_endpoint import HALF_BODY, whole_body
 from raw_caller import RawCaller
 from relay_deployment import RelayDeployment, standin
@@ -168,3 +169,20 @@
         assert BrokenStreamEndpoint.resumed > 0
     finally:
         deployment.stop()
+
+
+# Guards against MIXED: an early answer to an upload is reset, and its part is taken for the whole.
+@pytest.mark.parametrize("path", ["/order/x", "/status/x"])
+@pytest.mark.parametrize("name", ["north-1", "south-1"])
+def test_an_early_answer_that_is_reset_during_the_upload_is_not_whole(tmp_path, name, path):
+    deployment = RelayDeployment(
+        tmp_path, INSTANCES, [("d-1", "desk", "north-a")], ROUTES, SERVICES, BOUNDS, EarlyAnswerEndpoint
+    )
+    try:
+        deployment.wait_ready()
+        time.sleep(SETTLED)
+        for _ in range(16):
+            outcome = call(deployment, path, b"x" * 4 * LARGE, name).result()
+            assert outcome.status != 200 or not outcome.whole, outcome.body
+    finally:
+        deployment.stop()
--- a/Source/UnitTests/Relay/OutboundCallTest.cpp
+++ b/Source/UnitTests/Relay/OutboundCallTest.cpp
@@ -279,6 +279,37 @@
     EXPECT_EQ(pool_->idleCount(), 0U);
 }
 
+// Guards against MIXED: the endpoint answers an upload early and resets the connection. If the
+// write of the upload gets the error of the socket, the read behind it sees a plain end.
+TEST_F(OutboundCallTest, ResetDuringTheUploadDoesNotEndAResponseWithoutLength)
+{
+    constexpr int Calls = 30;
+    for (int index = 0; index < Calls; ++index) {
+        ScriptedServer server({[](tcp::socket &socket) {
+            ScriptedServer::readHead(socket);
+            ScriptedServer::write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+            ScriptedServer::reset(socket);
+        }});
+        const auto outcome = call(request(server.address(), std::string(4 << 20, 'x')));
+        EXPECT_FALSE(outcome.ended);
+        EXPECT_EQ(outcome.failure, CallFailure::Broken);
+    }
+}
+
+// As above, for an endpoint that closes its sending side and reads no further.
+TEST_F(OutboundCallTest, CloseDuringTheUploadDoesNotEndAResponseWithoutLength)
+{
+    ScriptedServer server({[](tcp::socket &socket) {
+        ScriptedServer::readHead(socket);
+        ScriptedServer::write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+        boost::system::error_code ignored;
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }});
+    const auto outcome = call(request(server.address(), std::string(16 << 20, 'x')));
+    EXPECT_EQ(outcome.failure, CallFailure::Broken);
+}
+
 TEST_F(OutboundCallTest, InterimResponsesAreSkipped)
 {
     ScriptedServer server({respondWith("HTTP/1.1 100 Continue\r\n\r\n"
