Take answers with an invalid status for no answers

In the verb relay what followed a 000, 099 or 101 was read as the final answer, and 600 and 999 were passed on.

Cause: the verb relay took each status below 200 for that of an interim answer; the verb gateway took all that do not begin with 1 for final ones.

Fix: one definition of interim and final statuses for both verbs, after RFC 9110, section 15. All others are no answer. 101 is none either, since no request asks for another protocol.

--- a/Source/Core/Common/Http.cpp
+++ b/Source/Core/Common/Http.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr unsigned LowestFinalStatus = 200;
+
 char lowered(char letter)
 {
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
@@ -29,4 +31,17 @@
     return nullptr;
 }
 
+bool isInterimStatus(unsigned status)
+{
+    constexpr unsigned Lowest = 100;
+    constexpr unsigned SwitchingProtocols = 101;
+    return status >= Lowest && status < LowestFinalStatus && status != SwitchingProtocols;
+}
+
+bool isFinalStatus(unsigned status)
+{
+    constexpr unsigned Highest = 599;
+    return status >= LowestFinalStatus && status <= Highest;
+}
+
 } // namespace LaburnumChute::Common
--- a/Source/Core/Endpoints/EndpointStream.cpp
+++ b/Source/Core/Endpoints/EndpointStream.cpp
@@ -17,7 +17,6 @@
 namespace http = beast::http;
 
 constexpr int HttpVersion = 11;
-constexpr unsigned InterimClass = 1;
 constexpr std::uint64_t CallResponseLimitBytes = 16 * 1024;
 constexpr Common::milliseconds EndCheckTimeout{1000};
 constexpr std::string_view LoadTarget = "/load";
@@ -152,9 +151,12 @@
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
         co_await http::async_read_header(connection_->stream, connection_->buffer, *parser_,
                                          asio::redirect_error(asio::use_awaitable, error));
-        if (error || parser_->get().result_int() / 100 != InterimClass) {
+        if (error || Common::isFinalStatus(parser_->get().result_int())) {
             co_return error;
         }
+        if (!Common::isInterimStatus(parser_->get().result_int())) {
+            co_return http::error::bad_status;
+        }
     }
     co_return http::error::header_limit;
 }
--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -20,7 +20,6 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
-constexpr unsigned FirstFinalStatus = 200;
 
 /// Whether the remote side has acknowledged all bytes.
 bool isDelivered(asio::ip::tcp::socket &socket)
@@ -199,7 +198,7 @@
 void OutboundCall::recordParsed(std::size_t size)
 {
     const bool interim =
-        parser_->is_header_done() && parser_->get().result_int() < FirstFinalStatus;
+        parser_->is_header_done() && Common::isInterimStatus(parser_->get().result_int());
     if (skippingResponse_ || interim) {
         bounds_.skipped(size);
         return;
@@ -246,10 +245,14 @@
 bool OutboundCall::handleHead()
 {
     const auto &message = parser_->get();
-    if (message.result_int() < FirstFinalStatus) {
+    if (Common::isInterimStatus(message.result_int())) {
         newParser();
         return false;
     }
+    if (!Common::isFinalStatus(message.result_int())) {
+        fail(CallFailure::Invalid, fmt::format("not an answer: status {}", message.result_int()));
+        return false;
+    }
     ResponseHead head;
     head.status = message.result_int();
     for (const auto &field : message) {
--- a/Source/IntegrationTests/test_gateway_delivery.py
+++ b/Source/IntegrationTests/test_gateway_delivery.py
@@ -356,6 +356,22 @@
         assert probe(gateway, "service") == (200, "final")
 
 
+# Guards against MIXED: an answer with a status that HTTP does not have is given to the caller.
+@pytest.mark.parametrize("kind", ["service", "engine"])
+def test_an_answer_with_an_invalid_status_is_no_answer(otaru, kind):
+    gateway = otaru.gateways[0]
+    status = "000"
+
+    def answer(connection, _, __):
+        connection.sendall(whole(whole(b"inner"), status))
+
+    with RawEndpoint(answer) as endpoint:
+        use_only(otaru, endpoint, kind, "sapporo", gateway)
+        for status in ("000 None", "099 Odd", "101 Switching Protocols", "600 Odd", "999 Odd"):
+            seen, body = probe(gateway, kind)
+            assert seen in (502, 503, 504), (status, seen, body)
+
+
 # Guards against MIXED: an early answer to an upload is reset, and its part is taken for the whole.
 def test_an_early_answer_that_is_reset_during_the_upload_is_not_whole(otaru):
     gateway = otaru.gateways[0]
--- a/Source/UnitTests/Relay/OutboundCallTest.cpp
+++ b/Source/UnitTests/Relay/OutboundCallTest.cpp
@@ -319,6 +319,21 @@
     EXPECT_EQ(outcome.body, "ok");
 }
 
+// Guards against MIXED: an answer with a status that HTTP does not have is passed on, or what
+// follows it is taken for the answer.
+TEST_F(OutboundCallTest, ResponsesWithAnInvalidStatusAreFailures)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (const auto *status : {"000", "099", "101", "600", "999"}) {
+        ScriptedServer server(
+            {respondWith("HTTP/1.1 " + std::string(status) + " Odd\r\nContent-Length: "
+                         + std::to_string(answer.size()) + "\r\n\r\n" + answer)});
+        const auto outcome = call(request(server.address()));
+        EXPECT_EQ(outcome.failure, CallFailure::Invalid) << status;
+        EXPECT_TRUE(outcome.statuses.empty()) << status;
+    }
+}
+
 // A corrupt header states an enormous length. No memory must be allocated for it.
 TEST_F(OutboundCallTest, ExcessiveContentLengthIsAFailure)
 {
