Do not close connections as idle whose request is on its way

Cause: a connection was idle if no byte of a request had been read. That holds for one that was just accepted and for one whose request has arrived and was not read yet. The closed connection was then still read for a while, and the request thrown away.

Fix: a new connection has a second for its first request; one with bytes to read is in use; one that is closed as idle is read no further once its last response has been delivered. The same for connections that time out and for those that make room for others.

--- a/Source/Core/Relay/InboundConnection.cpp
+++ b/Source/Core/Relay/InboundConnection.cpp
@@ -34,6 +34,8 @@
 constexpr Common::milliseconds UnreadTime{1000};
 /// Buffers that have grown beyond this are released once they are empty.
 constexpr std::size_t MaxKeptBufferBytes = 64 * 1024;
+/// A caller far away sends the first request of a connection a round trip after it was accepted.
+constexpr Common::milliseconds FirstRequestTime{1000};
 /// Idle connections are closed this much later than announced, so that a request sent at the last
 /// moment is still read.
 constexpr Common::milliseconds IdleGracePeriod{2000};
@@ -179,10 +181,39 @@
     return idle ? std::optional(lastProgressAt_) : std::nullopt;
 }
 
-void InboundConnection::closeIfIdle()
+bool InboundConnection::closeIfIdle()
 {
-    if (idleSince()) {
+    if (!idleSince() || bytesToRead() > 0) {
+        return false;
+    }
+    close(ConnectionEnd::Graceful);
+    return true;
+}
+
+std::size_t InboundConnection::bytesToRead()
+{
+    int bytes = 0;
+    const auto status = ::ioctl(socket_.native_handle(), FIONREAD, &bytes);
+    return status == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+bool InboundConnection::awaitsFirstRequest(Common::Time now) const
+{
+    return !hadRequest_ && now - lastProgressAt_ < FirstRequestTime;
+}
+
+void InboundConnection::closeUnlessInUse(Common::Time now)
+{
+    if (!idleSince() || awaitsFirstRequest(now) || bytesToRead() > 0) {
+        return;
+    }
+    // Lingering would read a request that crosses the close. If it is not read, its caller knows
+    // that it has not run.
+    const bool delivered = unacknowledgedBytes() == std::size_t(0);
+    if (delivered) {
         close(ConnectionEnd::Graceful);
+    } else {
+        linger();
     }
 }
 
@@ -190,6 +221,7 @@
 bool InboundConnection::parseNext()
 {
     if (!parser_) {
+        hadRequest_ = true;
         const auto limits = limits_();
         parser_.emplace();
         parser_->header_limit(limits.headerBytes);
@@ -539,9 +571,7 @@
 {
     closeAfterResponse_ = true;
     closing_ = true;
-    if (idleSince()) {
-        linger();
-    }
+    closeUnlessInUse(steadyNow());
 }
 
 bool InboundConnection::unread(Common::Time now) const
@@ -580,8 +610,8 @@
         rejectRequest(408, "the request did not arrive in time");
     } else if (parser_ && closing_ && now - lastReceivedAt_ > LingerTime) {
         rejectRequest(ServiceUnavailable, "this instance stops");
-    } else if (!parser_ && input_.empty() && age > limits.idleTimeout + IdleGracePeriod) {
-        linger();
+    } else if (closing_ || age > limits.idleTimeout + IdleGracePeriod) {
+        closeUnlessInUse(now);
     }
 }
 
--- a/Source/Core/Relay/InboundConnection.h
+++ b/Source/Core/Relay/InboundConnection.h
@@ -102,8 +102,8 @@
     void rejectIncomplete();
     /// Since when nothing has been received or is under way; nothing if something is.
     std::optional<Common::Time> idleSince() const;
-    /// Closes the connection if it is idle.
-    void closeIfIdle();
+    /// Closes the connection if it is idle. Returns false if it is in use.
+    bool closeIfIdle();
     /// Whether the remote side has not taken any of the unsent bytes for a while.
     bool unread(Common::Time now) const;
     /// Closes the connection so that the remote side sees an error, and discards unsent bytes.
@@ -145,6 +145,11 @@
     bool parseNext();
     void rejectRequest(unsigned status, std::string_view reason, Common::Headers headers = {});
     std::size_t receivedBytes() const;
+    /// Bytes that have arrived and have not been read.
+    std::size_t bytesToRead();
+    bool awaitsFirstRequest(Common::Time now) const;
+    /// Closes the connection unless a request is being received, is about to arrive or is served.
+    void closeUnlessInUse(Common::Time now);
     void reportMemory();
     bool validateHead();
     void dispatchRequest();
@@ -193,6 +198,7 @@
     std::string requestId_;
     /// The last response, from its end until its last byte has been passed to the kernel.
     std::optional<Undelivered> undelivered_;
+    bool hadRequest_ = false;
     bool readPending_ = false;
     bool writePending_ = false;
     bool closed_ = false;
--- a/Source/Core/Relay/InboundServer.cpp
+++ b/Source/Core/Relay/InboundServer.cpp
@@ -83,10 +83,9 @@
             idlest = each;
         }
     }
-    if (idlest == connections_.end()) {
+    if (idlest == connections_.end() || !(*idlest)->closeIfIdle()) {
         return false;
     }
-    (*idlest)->closeIfIdle();
     connections_.erase(idlest);
     return true;
 }
--- a/Source/UnitTests/Relay/InboundConnectionTest.cpp
+++ b/Source/UnitTests/Relay/InboundConnectionTest.cpp
@@ -93,6 +93,39 @@
     EXPECT_EQ(*requests_[0].body, "abcde");
 }
 
+// Guards against LOST: a caller far away sends the first request of its connection while the
+// instance closes idle ones; the request is thrown away.
+TEST_F(InboundConnectionTest, ANewConnectionIsNotClosedBeforeItsFirstRequest)
+{
+    run();
+    server_.closeGracefully();
+    run();
+    sendBytes("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_EQ(requests_.size(), 1U);
+    EXPECT_NE(receivedText().find("Connection: close"), std::string::npos);
+}
+
+// As above, with a request that has arrived and has not been read yet.
+TEST_F(InboundConnectionTest, ARequestThatHasArrivedIsServedBeforeTheConnectionCloses)
+{
+    sendBytes("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    boost::system::error_code ignored;
+    asio::write(caller_, asio::buffer(std::string("GET /b HTTP/1.1\r\nHost: h\r\n\r\n")), ignored);
+    server_.closeGracefully();
+    run();
+    EXPECT_EQ(requests_.size(), 2U);
+}
+
+// Guards against requests that are read and thrown away after a graceful close.
+TEST_F(InboundConnectionTest, ARequestThatCrossesTheCloseIsNotRead)
+{
+    sendBytes("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    receivedText();
+    server_.closeGracefully();
+    run();
+    EXPECT_EQ(server_.pending(std::chrono::steady_clock::now()), 0U);
+}
+
 // Request smuggling: the request has conflicting lengths, or a transfer coding that an endpoint may
 // interpret differently. Bytes that only one of the two considers part of the body would be a
 // separate request for the other.
