Skip at most one tick in a row after a stand-still

What callers saw: an instance that was short of processor time got SIGTERM and was killed at the end of its grace; the callers of requests that still ran got no answer (LOST).

Cause: a tick after a stand-still of over 400 ms does nothing, so that what has arrived is read before anything is taken for silent. A process that stands still before each tick never enforces a time limit, the steps of its own shutdown among them.

Evidence: test_a_process_short_of_processor_time_ends_its_requests_before_it_is_killed, seen failing on: the caller has no answer after 8.5 s.

Fix: the next tick is not skipped, whatever the time between them.

--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -400,9 +400,14 @@
 void RelayGateway::tick(Common::Time now)
 {
     // What arrived while the process stood still is read before anything is taken for silent.
+    // At most one tick in a row is skipped, so that limits are enforced however little this process
+    // runs.
     const bool stoodStill = now - std::exchange(tickedAt_, now) > OwnPause;
+    skipsTick_ = stoodStill && !skipsTick_;
     if (stoodStill) {
         stoodStillAt_ = now;
+    }
+    if (skipsTick_) {
         scheduleTick();
         return;
     }
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -301,6 +301,7 @@
     Common::Time startedAt_{};
     Common::Time tickedAt_{};
     Common::Time stoodStillAt_{};
+    bool skipsTick_ = false;
     std::map<Common::InstanceId, bool> peerAlive_;
     std::vector<Common::ServiceName> unreachableServices_;
     /// Updated once per tick rather than on each response, so that it predates the changes being
