Send no request that may be cut off by the exit

Cause: a stopping instance rejects new requests after 2.8 s, but goes on to send those that wait. With a bound shorter than 8 s the steps of the stop came as late as with the usual one.

Fix: once new requests are rejected, a request is not sent if the longest recent attempt of its service would end after the requests are ended; from 5.2 s on none is sent, and those that wait are told that they have not run. The expected time that the scheduler states could not serve for this: 180 ms for orders that took 4.5 s behind others. A shorter bound shortens all steps.

--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -539,16 +539,27 @@
     return shutdown_ && shutdown_->step({}, now).rejectRequests;
 }
 
-void RelayGateway::endAllRequests(Common::Time now)
+bool RelayGateway::exitsBefore(Common::Time end, Common::Time now) const
+{
+    if (!shutdown_) {
+        return false;
+    }
+    const auto step = shutdown_->step({}, now);
+    return step.endWaiting || (step.rejectRequests && end >= shutdown_->requestsEndAt());
+}
+
+void RelayGateway::endWaitingRequests(Common::Time now)
 {
-    const auto calls = runningCalls();
-    // The end of an attempt lets a request that waits be sent, so those end first.
-    for (const auto &call : calls) {
+    for (const auto &call : runningCalls()) {
         if (call->waiting()) {
             call->endForExit(now);
         }
     }
-    for (const auto &call : calls) {
+}
+
+void RelayGateway::endAllRequests(Common::Time now)
+{
+    for (const auto &call : runningCalls()) {
         call->endForExit(now);
     }
 }
@@ -568,6 +579,9 @@
         // Idle connections of peers stay open: forwards that cross the shutdown are rejected there.
         peers_.closeAfterNextResponses();
     }
+    if (step.endWaiting) {
+        endWaitingRequests(now);
+    }
     if (step.endRequests) {
         endAllRequests(now);
     }
--- a/Source/Core/Relay/RelayGateway.h
+++ b/Source/Core/Relay/RelayGateway.h
@@ -16,6 +16,7 @@
 #include "Customers/Customers.h"
 #include "Dispatch/Dispatch.h"
 #include "Fleet/Fleet.h"
+#include "Relay/AttemptTimes.h"
 #include "Relay/CallerAccess.h"
 #include "Relay/ControlMetrics.h"
 #include "Relay/CustomerMetrics.h"
@@ -148,6 +149,13 @@
     bool stoodStillRecently(Common::Time now) const;
     /// Returns the usage of a request that was admitted here and has not run.
     void refundUsage(const RelayPlan &plan, Common::Time now);
+    /// Whether this process stops and a request that was sent now would be cut off if it ended at
+    /// the given time.
+    bool exitsBefore(Common::Time end, Common::Time now) const;
+    AttemptTimes &attemptTimes()
+    {
+        return attemptTimes_;
+    }
 
 private:
     using Connection = std::shared_ptr<InboundConnection>;
@@ -249,6 +257,7 @@
     void waitForReload();
     void beginShutdown(Common::Time now);
     void continueShutdown(Common::Time now);
+    void endWaitingRequests(Common::Time now);
     void endAllRequests(Common::Time now);
     std::vector<std::shared_ptr<RelayedCall>> runningCalls() const;
     ShutdownStep shutdownStep(Common::Time now) const;
@@ -302,6 +311,7 @@
     Common::Time tickedAt_{};
     Common::Time stoodStillAt_{};
     bool skipsTick_ = false;
+    AttemptTimes attemptTimes_;
     std::map<Common::InstanceId, bool> peerAlive_;
     std::vector<Common::ServiceName> unreachableServices_;
     /// Updated once per tick rather than on each response, so that it predates the changes being
--- a/Source/Core/Relay/RelayedCall.cpp
+++ b/Source/Core/Relay/RelayedCall.cpp
@@ -181,9 +181,25 @@
     return true;
 }
 
+bool RelayedCall::endIfExitIsSooner(Common::Time now)
+{
+    const auto expected = gateway_.attemptTimes().longest(plan_.facts.service);
+    if (!gateway_.exitsBefore(now + expected, now)) {
+        return false;
+    }
+    endForExit(now);
+    // Posted, since the scheduler then sends the next request, which may end in the same way.
+    asio::post(gateway_.pool()->context(), [&gateway = gateway_, call = plan_.facts.id] {
+        const auto later = steadyNow();
+        gateway.applyEffects(
+            gateway.scheduler().ended(call, AttemptOutcome::Cancelled, false, later), later);
+    });
+    return true;
+}
+
 void RelayedCall::send(const Dispatch::Send &effect, Common::Time now)
 {
-    if (abandonIfCallerLeft(now)) {
+    if (abandonIfCallerLeft(now) || endIfExitIsSooner(now)) {
         return;
     }
     auto &metrics = gateway_.metrics();
@@ -254,7 +270,7 @@
 
 void RelayedCall::forward(const Dispatch::Forward &effect, Common::Time now)
 {
-    if (abandonIfCallerLeft(now)) {
+    if (abandonIfCallerLeft(now) || endIfExitIsSooner(now)) {
         return;
     }
     const bool handsOver = !effect.instance.empty();
@@ -340,6 +356,9 @@
 {
     const auto self = shared_from_this();
     cancelCall();
+    if (Dispatch::isWhole(outcome)) {
+        gateway_.attemptTimes().record(plan_.facts.service, now - sentAt_);
+    }
     permit_.end(Dispatch::runStateAfter(outcome));
     responding_ = false;
     const auto effects = gateway_.scheduler().ended(plan_.facts.id, outcome, mayRetry, now);
--- a/Source/Core/Relay/RelayedCall.h
+++ b/Source/Core/Relay/RelayedCall.h
@@ -145,6 +145,9 @@
     void handleCallerDisconnect();
     /// Ends the request instead of sending it if its caller has disconnected. Returns true if so.
     bool abandonIfCallerLeft(Common::Time now);
+    /// Ends the request instead of sending it if this process is expected to exit before its
+    /// answer. Returns true if so.
+    bool endIfExitIsSooner(Common::Time now);
     void timeOut(Common::Time now);
     /// Ends the request without an answer from an endpoint.
     void endUnanswered(const std::string &detail, const char *outcome,
--- a/Source/Core/Relay/ShutdownPlan.cpp
+++ b/Source/Core/Relay/ShutdownPlan.cpp
@@ -1,11 +1,15 @@
 #include "Relay/ShutdownPlan.h"
 
+#include <algorithm>
+
 namespace LaburnumChute::Relay {
 
 namespace {
 
 using Common::milliseconds;
 
+/// The steps below are those of this bound; a shorter one shortens them.
+constexpr milliseconds UsualBound{8000};
 /// Callers query the directory again after 1 s, some after 3 s, and then leave the instance on
 /// their own.
 constexpr milliseconds CloseAfter{2200};
@@ -15,6 +19,8 @@
 /// instance.
 constexpr milliseconds RejectRequestsAfter{2800};
 constexpr milliseconds RejectConnectionsAfter{3200};
+/// A request that is sent later is not expected to end in time.
+constexpr milliseconds EndWaitingAfter{5200};
 /// Requests that are still running this long before the process would be killed are ended, which
 /// leaves time for their last bytes.
 constexpr milliseconds EndRequestsMargin{500};
@@ -30,14 +36,22 @@
 {
 }
 
+Common::Time ShutdownPlan::requestsEndAt() const
+{
+    return requestedAt_ + bound_ - EndRequestsMargin;
+}
+
 ShutdownStep ShutdownPlan::step(const OpenWork &work, Common::Time now) const
 {
     const auto since = now - requestedAt_;
+    const auto factor = std::min(1.0, std::chrono::duration<double>(bound_) / UsualBound);
+    const auto isAfter = [since, factor](milliseconds time) { return since >= time * factor; };
     ShutdownStep step;
-    step.closeConnections = since >= CloseAfter;
-    step.rejectRequests = since >= RejectRequestsAfter;
-    step.rejectConnections = since >= RejectConnectionsAfter;
-    step.endRequests = since >= bound_ - EndRequestsMargin;
+    step.closeConnections = isAfter(CloseAfter);
+    step.rejectRequests = isAfter(RejectRequestsAfter);
+    step.endWaiting = isAfter(EndWaitingAfter);
+    step.rejectConnections = isAfter(RejectConnectionsAfter);
+    step.endRequests = now >= requestsEndAt();
     const bool mustExit = since >= bound_ - ForcedExitMargin;
     step.end = (step.rejectConnections && work.done()) || mustExit;
     step.timeLimitReached = mustExit && !work.done();
--- a/Source/Core/Relay/ShutdownPlan.h
+++ b/Source/Core/Relay/ShutdownPlan.h
@@ -30,6 +30,8 @@
     bool closeConnections = false;
     /// Reject new requests, so that callers use another instance.
     bool rejectRequests = false;
+    /// End the requests that wait, and send no more.
+    bool endWaiting = false;
     /// Accept no new connections.
     bool rejectConnections = false;
     /// End the requests that still run, so that their callers get an answer before the process is
@@ -53,6 +55,8 @@
     ShutdownPlan(Common::Time requestedAt, Common::Duration bound);
 
     ShutdownStep step(const OpenWork &work, Common::Time now) const;
+    /// When the requests that still run are ended.
+    Common::Time requestsEndAt() const;
 
 private:
     Common::Time requestedAt_;
--- a/Source/IntegrationTests/test_late_in_the_grace.py
+++ b/Source/IntegrationTests/test_late_in_the_grace.py
@@ -60,6 +60,16 @@
         deployment.stop()
 
 
+# Guards against LOST: a request that waits is sent so late that its run is cut off by the exit.
+def test_requests_that_wait_are_not_sent_shortly_before_the_exit(tmp_path):
+    with stopping(tmp_path, SingleEndpoint, 8) as (deployment, callers):
+        outcomes = [caller.result() for caller in callers]
+        reached = deployment.platform.endpoints["d-1"].reached
+    statuses = [(one.status, one.identity in reached) for one in outcomes]
+    assert statuses.count((200, True)) >= 3
+    assert set(statuses) <= {(200, True), (503, False)}, statuses
+
+
 # Guards against LOST: a process that is short of processor time skips each tick after a stand-still,
 # so that its shutdown makes no progress until it is killed.
 def test_a_process_short_of_processor_time_ends_its_requests_before_it_is_killed(tmp_path):
--- a/Source/UnitTests/Relay/ShutdownPlanTest.cpp
+++ b/Source/UnitTests/Relay/ShutdownPlanTest.cpp
@@ -10,6 +10,7 @@
 using Common::Time;
 
 constexpr milliseconds Bound{8000};
+constexpr milliseconds ShortBound{3000};
 /// Longest time for which callers wait for an at-most-once request.
 constexpr milliseconds LongestRequest{5000};
 /// The least time that the last bytes of a response need.
@@ -44,6 +45,28 @@
     }
 }
 
+// Guards against requests that are passed on shortly before they are cut off: they may have run,
+// and their callers cannot send them again.
+TEST(ShutdownPlanTest, SendsNoRequestThatMayNotEndInTime)
+{
+    EXPECT_FALSE(stepAfter(milliseconds(3000), {1, 1, 0}).endWaiting);
+    EXPECT_TRUE(stepAfter(milliseconds(6000), {1, 1, 0}).endWaiting);
+}
+
+// Guards against a bound that is shorter than the usual one and leaves no time for what was
+// accepted.
+TEST(ShutdownPlanTest, StepsFollowAShorterBound)
+{
+    const auto step = [](milliseconds time) {
+        return ShutdownPlan(Time(), ShortBound).step({1, 1, 0}, Time() + time);
+    };
+    EXPECT_FALSE(step(milliseconds(500)).closeConnections);
+    EXPECT_TRUE(step(milliseconds(1200)).rejectRequests);
+    EXPECT_FALSE(step(milliseconds(1200)).endWaiting);
+    EXPECT_TRUE(step(milliseconds(2000)).endWaiting);
+    EXPECT_FALSE(step(milliseconds(2000)).endRequests);
+}
+
 // Guards against an exit while bytes of a response are on their way, however late it ended.
 TEST(ShutdownPlanTest, WaitsForDeliveries)
 {
