Bound the answers of other instances and of health calls

What would happen: whatever answers at the address of another instance is read and kept up to 64 MB, twice that while the buffer grows, on machines of 260 MB. An answer of an endpoint without a length makes health calls, each of which read up to 64 MB (reports of other operators).

Cause: both used the default bound, which is that of streams that are passed on as they come.

Evidence: AnAnswerWithoutEndIsNotKept (70 MB read) and test_health_answers_without_end_take_little_- memory (66 MB read for a call), seen failing before.

Fix: 8 MB for an answer of another instance, 64 KB for a health answer.

--- a/Source/Core/Relay/PeerSync.cpp
+++ b/Source/Core/Relay/PeerSync.cpp
@@ -108,7 +108,7 @@
     requestPending_ = true;
     fetch_.get(
         peer.record.peerAddress, peerTarget({peer.record.incarnation, known}),
-        known == 0 ? ListingTimeout : RequestTimeout, MaxResponseBytes,
+        known == 0 ? ListingTimeout : RequestTimeout, MaxPeerAnswerBytes,
         [this, from = peer.record.id](unsigned status, const std::string &body) {
             handleAnswer(from, status, body);
         },
--- a/Source/Core/Relay/PeerSync.h
+++ b/Source/Core/Relay/PeerSync.h
@@ -15,6 +15,9 @@
 
 namespace LaburnumChute::Relay {
 
+/// Largest answer of another instance to a query, which may be a complete listing of the store.
+inline constexpr std::uint64_t MaxPeerAnswerBytes = 8u << 20;
+
 /// A query between instances.
 struct PeerTarget
 {
--- a/Source/Core/Relay/RelayRequests.cpp
+++ b/Source/Core/Relay/RelayRequests.cpp
@@ -375,8 +375,10 @@
     if (found == services.end() || found->second.healthPath.empty()) {
         return std::nullopt;
     }
+    constexpr std::uint64_t MaxHealthAnswerBytes = 64 * 1024;
     OutboundRequest call;
     call.address = address;
+    call.maxBodyBytes = MaxHealthAnswerBytes;
     call.head = requestHead("GET", found->second.healthPath,
                             Platform::healthCallHeaders(endpoint, address));
     call.body = std::make_shared<const std::string>();
--- a/Source/Core/Relay/RelayServers.cpp
+++ b/Source/Core/Relay/RelayServers.cpp
@@ -100,7 +100,7 @@
         }
         fetch_.get(
             peer.record.peerAddress, peerTarget({peer.record.incarnation, std::nullopt}),
-            CacheTimeout, MaxResponseBytes,
+            CacheTimeout, MaxPeerAnswerBytes,
             [this](unsigned status, const std::string &body) {
                 const auto placements =
                     Peers::decodeValue<std::vector<Dispatch::PartPlacement>>(body);
--- a/Source/IntegrationTests/test_endless_answers.py
+++ b/Source/IntegrationTests/test_endless_answers.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from endless_endpoint import EndlessCacheListEndpoint, EndlessEndpoint, UnusualEndpoint
+from endless_endpoint import (
+    EndlessCacheListEndpoint, EndlessEndpoint, EndlessHealthEndpoint, UnusualEndpoint, endless_handler,
+)
 from raw_caller import RawCaller
 from relay_deployment import RelayDeployment, standin
 
@@ -18,6 +20,7 @@
     standin.route("draft", "/stream/", "model", "stream", True, gap=400, timeout_ms=8000),
     standin.route("status", "/status/", "model", "idempotent", timeout_ms=8000),
 ]
+ADDED_ROUTE = standin.route("added", "/added/", "model", "idempotent")
 SERVICES = [standin.service("model", model=True)]
 CALLERS = 72
 #: Seconds after which no endpoint may still be sending.
@@ -184,6 +187,31 @@
         check_served([one.result() for one in send_all(deployment, "/stream/x", 20, 6.0)])
 
 
+# Guards against a process that keeps what the store sends without end, and with it all requests.
+@pytest.mark.parametrize("place", ["garbage", "headers", "interim", "chunked body", "trailers"])
+def test_bytes_without_end_from_the_store_take_little_memory(deployment, place):
+    store = deployment.platform.store
+    sound, store.server.handler = store.server.handler, endless_handler(place)
+    time.sleep(3)
+    assert deployment.memory("north") < 0.4 * MACHINE_MB * MB
+    check_served([one.result() for one in send_all(deployment, "/status/x", 20, 6.0)])
+    store.server.handler = sound
+    deployment.platform.publish(2, [*ROUTES, ADDED_ROUTE], SERVICES)
+    time.sleep(2)
+    assert RawCaller(deployment.address("north"), "/added/x", b"x").result().status == 200
+
+
+# Guards against health answers without end: the check of an answer without a length reads them all.
+def test_health_answers_without_end_take_little_memory(tmp_path):
+    with running(tmp_path, NORTH, EndlessHealthEndpoint) as deployment:
+        body = standin.Endpoint.UNFRAMED_BODY
+        outcomes = [one.result() for one in send_all(deployment, "/status/x", 20, 6.0, body)]
+        assert all(one.status != 200 or one.whole for one in outcomes)
+        assert deployment.memory("north") < 0.4 * MACHINE_MB * MB
+        sent = [bytes_sent for one in deployment.platform.endpoints.values() for _, bytes_sent in one.ended]
+        assert sent and max(sent) < 16 * MB, max(sent, default=0) / MB
+
+
 @pytest.mark.parametrize("form", UnusualEndpoint.FORMS)
 def test_unusual_sound_answers_arrive_whole(tmp_path, form):
     """Guards against bounds that end answers of sound endpoints."""
--- a/Source/UnitTests/Relay/PeerSyncTest.cpp
+++ b/Source/UnitTests/Relay/PeerSyncTest.cpp
@@ -64,4 +64,32 @@
     EXPECT_LT(elapsed(), Common::milliseconds(1300));
 }
 
+// Guards against an instance that keeps what comes without end from the address of another one.
+TEST(PeerSyncTest, AnAnswerWithoutEndIsNotKept)
+{
+    constexpr std::size_t Megabyte = 1024 * 1024;
+    std::atomic<std::size_t> sent = 0;
+    ScriptedServer endless({[&sent](tcp::socket &socket) {
+        ScriptedServer::readHead(socket);
+        ScriptedServer::write(socket, "HTTP/1.1 200 OK\r\n\r\n");
+        const std::string block(Megabyte, 'x');
+        boost::system::error_code error;
+        while (!error && sent < 100 * Megabyte) {
+            sent += asio::write(socket, asio::buffer(block), error);
+        }
+    }});
+    asio::io_context context;
+    PeerSync sync(std::make_shared<OutboundPool>(context),
+                  SyncSource(Common::RegionName("home"), Common::FailureDomainName("home-a"), 1),
+                  [](const Catalog::ItemChanges &, const Common::InstanceId &) {});
+    const auto end = std::chrono::steady_clock::now() + Common::seconds(1);
+    while (std::chrono::steady_clock::now() < end) {
+        sync.tick({makePeer("a", endless.address(), 10)}, 0, true,
+                  std::chrono::steady_clock::now());
+        context.restart();
+        context.run_for(Common::milliseconds(10));
+    }
+    EXPECT_LT(sent, 24 * Megabyte);
+}
+
 } // namespace LaburnumChute::Relay
