Verb gateway: withdraw forwarded orders whose callers leave

Cause: an instance cancels no forwarded request with a key, since one that has begun must run to its end. The receiver learns nothing of the caller and runs what has not begun, too.

Fix: a frame of the channel between instances asks the receiver to drop the request unless it has begun. The call goes on until its outcome is known, so that the key is freed or the answer recorded. The instance that forwarded it expects no further decision of its scheduler after the cancellation; it would have waited for one for good after a failure.

--- a/Source/Core/Gateway/CallRunner.cpp
+++ b/Source/Core/Gateway/CallRunner.cpp
@@ -82,6 +82,11 @@
             runner->onCallerDisconnected();
         }
     });
+    responder_.onWithdrawn([weak = weak_from_this()] {
+        if (const auto runner = weak.lock()) {
+            runner->onSenderWithdrew();
+        }
+    });
     if (plan_.atMostOnce && !keyHeldBySender()) {
         const bool proceed = co_await claimKey();
         if (!proceed) {
@@ -96,7 +101,7 @@
                                                        runner->withdraw();
                                                    }
                                                });
-    if (callerDisconnected_) {
+    if (callerDisconnected_ || senderWithdrew_) {
         registration_->cancel();
     }
     auto step = Step::Continue;
@@ -127,7 +132,8 @@
         Entry::Problem problem;
         problem.status = 409;
         problem.code = Common::ErrorCode::Cancelled;
-        problem.detail = "a later request has superseded this one";
+        problem.detail =
+            senderWithdrew_ ? "its caller has left" : "a later request has superseded this one";
         co_await sendProblem(std::move(problem));
     }
     co_return Step::Ended;
@@ -174,10 +180,14 @@
     const auto &endpoint = dispatch.endpoint;
     const auto table = context_.table.share();
     const auto found = table->endpoints.find(endpoint);
-    if (found == table->endpoints.end() || (callerDisconnected_ && mayAbort())) {
-        registration_->finished(endpoint, callerDisconnected_ ? D::Outcome::Cancelled
-                                                              : D::Outcome::NotStarted);
-        co_return callerDisconnected_ ? Step::Ended : Step::Continue;
+    const bool callerLeft = callerDisconnected_ || senderWithdrew_;
+    if (callerLeft && (found == table->endpoints.end() || mayAbort())) {
+        registration_->finished(endpoint, D::Outcome::Cancelled);
+        co_return co_await sendWithdrawnProblem();
+    }
+    if (found == table->endpoints.end()) {
+        registration_->finished(endpoint, D::Outcome::NotStarted);
+        co_return Step::Continue;
     }
     const bool permitted = co_await permitDispatch(endpoint);
     if (!permitted) {
@@ -378,7 +388,7 @@
         problem.status = 409;
         problem.code = Common::ErrorCode::Cancelled;
         problem.detail = "the request was superseded or withdrawn";
-        problem.run = Common::RunState::Unknown;
+        problem.run = permit_.mayHaveRun() ? Common::RunState::Unknown : Common::RunState::NotRun;
         co_await sendProblem(std::move(problem));
     }
     co_return Step::Ended;
@@ -387,10 +397,30 @@
 void CallRunner::withdraw()
 {
     withdrawn_ = true;
-    if (outgoingCall_ && !plan_.atMostOnce) {
+    cancelOutgoingCall();
+    abortAttempt();
+}
+
+void CallRunner::cancelOutgoingCall()
+{
+    if (!outgoingCall_) {
+        return;
+    }
+    // The outcome of an at-most-once request that has begun is recorded.
+    if (plan_.atMostOnce) {
+        outgoingCall_->withdraw();
+    } else {
         outgoingCall_->cancel();
     }
-    abortAttempt();
+}
+
+void CallRunner::onSenderWithdrew()
+{
+    senderWithdrew_ = true;
+    if (registration_) {
+        registration_->cancel();
+    }
+    cancelOutgoingCall();
 }
 
 void CallRunner::onCallerDisconnected()
@@ -399,9 +429,7 @@
     if (registration_) {
         registration_->cancel();
     }
-    if (outgoingCall_ && !plan_.atMostOnce) {
-        outgoingCall_->cancel();
-    }
+    cancelOutgoingCall();
     abortAttempt();
 }
 
--- a/Source/Core/Gateway/CallRunner.h
+++ b/Source/Core/Gateway/CallRunner.h
@@ -116,6 +116,10 @@
     asio::awaitable<void> sendKeyRequired(std::string detail);
 
     void onCallerDisconnected();
+    /// Called when the caller of the instance that forwarded the request has left. That instance
+    /// still waits for the outcome.
+    void onSenderWithdrew();
+    void cancelOutgoingCall();
     /// Called when the scheduler withdraws the request: it was superseded, or its slot is needed.
     void withdraw();
     /// Aborts the attempt at an endpoint, unless it must run to completion.
@@ -153,6 +157,7 @@
     Common::Time startedAt_;
     bool firstTokenSeen_ = false;
     bool callerDisconnected_ = false;
+    bool senderWithdrew_ = false;
     bool withdrawn_ = false;
     /// The last forwarded request never left this instance.
     bool forwardNotSent_ = false;
--- a/Source/Core/Gateway/CallRunnerForward.cpp
+++ b/Source/Core/Gateway/CallRunnerForward.cpp
@@ -151,7 +151,8 @@
     if (withdrawn_ && !callerDisconnected_) {
         co_return co_await sendWithdrawnProblem();
     }
-    if (!failure) {
+    if (!failure || callerDisconnected_) {
+        // After a cancellation, the scheduler decides nothing more.
         registration_->finished({}, callerDisconnected_ ? D::Outcome::Cancelled
                                                         : D::Outcome::Completed);
         co_return Step::Ended;
--- a/Source/Core/Gateway/Responder.cpp
+++ b/Source/Core/Gateway/Responder.cpp
@@ -75,6 +75,13 @@
     std::visit([&](auto &receiver) { receiver->onGone(std::move(callback)); }, receiver_);
 }
 
+void Responder::onWithdrawn(std::function<void()> callback)
+{
+    if (const auto *peer = std::get_if<Peer>(&receiver_)) {
+        (*peer)->onWithdrawn(std::move(callback));
+    }
+}
+
 bool Responder::disconnected() const
 {
     return std::visit([](const auto &receiver) { return receiver->gone(); }, receiver_);
--- a/Source/Core/Gateway/Responder.h
+++ b/Source/Core/Gateway/Responder.h
@@ -36,6 +36,8 @@
     asio::awaitable<bool> sendProblem(Entry::Problem problem);
 
     void onDisconnect(std::function<void()> callback);
+    /// Called when the caller of the instance that forwarded the request has left.
+    void onWithdrawn(std::function<void()> callback);
     bool disconnected() const;
     /// True once a part of the response was sent.
     bool started() const
--- a/Source/Core/Peers/ChannelClient.cpp
+++ b/Source/Core/Peers/ChannelClient.cpp
@@ -78,6 +78,13 @@
     }
 }
 
+void OutgoingCall::withdraw()
+{
+    if (!ended_) {
+        client_->withdraw(id_);
+    }
+}
+
 ChannelClient::ChannelClient(asio::io_context &context, ChannelOptions options, Hello self,
                              PeerAddress peer)
     : context_(context)
@@ -157,6 +164,22 @@
     });
 }
 
+void ChannelClient::withdraw(CallId id)
+{
+    asio::post(context_, [self = shared_from_this(), id] {
+        const auto found = self->calls_.find(id);
+        if (found == self->calls_.end()) {
+            return;
+        }
+        const auto call = found->second;
+        if (!call->sent) {
+            self->fail(id, *call, "withdrawn before it was sent");
+        } else if (self->connection_) {
+            self->connection_->send(WithdrawCall{id});
+        }
+    });
+}
+
 void ChannelClient::ensureConnected()
 {
     if (connecting_ || connection_ || stopped_) {
--- a/Source/Core/Peers/ChannelClient.h
+++ b/Source/Core/Peers/ChannelClient.h
@@ -38,6 +38,8 @@
     /// is the last part.
     asio::awaitable<std::optional<AnswerItem>> next(Common::Time deadline = Common::Time::max());
     void cancel();
+    /// Asks the peer to end the request unless it has begun. The next part of the answer tells.
+    void withdraw();
 
 private:
     friend class ChannelClient;
@@ -93,6 +95,7 @@
     void start(CallId id, std::shared_ptr<PendingCall> call);
     void consumed(CallId id, std::uint64_t nextItem);
     void cancel(CallId id);
+    void withdraw(CallId id);
     void ensureConnected();
     asio::awaitable<void> connect();
     void startConnection(asio::ip::tcp::socket socket);
--- a/Source/Core/Peers/ChannelFrames.h
+++ b/Source/Core/Peers/ChannelFrames.h
@@ -117,6 +117,19 @@
     }
 };
 
+/// The caller of the request has left: it is not wanted any more unless it has begun. The call goes
+/// on until its answer or failure says which.
+struct WithdrawCall
+{
+    CallId call = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(call);
+    }
+};
+
 /// Acknowledges that items below this number have been consumed: the sender may discard them and
 /// send as many more bytes.
 struct Consumed
@@ -215,7 +228,8 @@
     }
 };
 
-using Frame = std::variant<Hello, OpenCall, ResumeCall, CancelCall, Consumed, CallItem, Ping, Pong>;
+using Frame = std::variant<Hello, OpenCall, ResumeCall, CancelCall, Consumed, CallItem, Ping, Pong,
+                           WithdrawCall>;
 
 /// Size of the big-endian length prefix of each frame.
 inline constexpr std::size_t FrameLengthBytes = 4;
--- a/Source/Core/Peers/ChannelServer.cpp
+++ b/Source/Core/Peers/ChannelServer.cpp
@@ -95,6 +95,25 @@
     }
 }
 
+void IncomingCall::onWithdrawn(std::function<void()> callback)
+{
+    if (withdrawn_) {
+        callback();
+    } else {
+        onWithdrawn_ = std::move(callback);
+    }
+}
+
+void IncomingCall::markWithdrawn()
+{
+    if (std::exchange(withdrawn_, true)) {
+        return;
+    }
+    if (onWithdrawn_) {
+        onWithdrawn_();
+    }
+}
+
 ChannelServer::ChannelServer(asio::io_context &context, ChannelOptions options, Hello self,
                              Handler handler)
     : context_(context)
@@ -189,6 +208,13 @@
         }
         return;
     }
+    if (const auto *withdraw = std::get_if<WithdrawCall>(&frame)) {
+        const auto found = calls_.find(keyOf(peer, withdraw->call));
+        if (found != calls_.end()) {
+            found->second->markWithdrawn();
+        }
+        return;
+    }
     if (const auto *progress = std::get_if<Consumed>(&frame)) {
         const auto found = calls_.find(keyOf(peer, progress->call));
         if (found != calls_.end()) {
--- a/Source/Core/Peers/ChannelServer.h
+++ b/Source/Core/Peers/ChannelServer.h
@@ -45,6 +45,9 @@
     {
         return gone_;
     }
+    /// Called once, when the request is not wanted any more unless it has begun; at once if that is
+    /// known already.
+    void onWithdrawn(std::function<void()> callback);
 
     /// Sends a part, waiting while the window is full. Returns false if the caller is gone.
     asio::awaitable<bool> send(AnswerItem item);
@@ -63,6 +66,7 @@
     void detach(Common::Time now);
     void consumed(std::uint64_t nextItem);
     void markGone();
+    void markWithdrawn();
     bool finished() const
     {
         return ended_ && bufferedItems_.empty();
@@ -74,6 +78,7 @@
     CallRequest request_;
     std::shared_ptr<ChannelConnection> connection_;
     std::function<void()> onGone_;
+    std::function<void()> onWithdrawn_;
     asio::steady_timer windowSignal_;
     std::deque<BufferedItem> bufferedItems_;
     std::size_t bufferedBytes_ = 0;
@@ -81,6 +86,7 @@
     Common::Time detachedSince_;
     bool ended_ = false;
     bool gone_ = false;
+    bool withdrawn_ = false;
 };
 
 /// Accepts connections from peers and passes each call to a handler coroutine. All state is
--- a/Source/IntegrationTests/test_gateway_delivery.py
+++ b/Source/IntegrationTests/test_gateway_delivery.py
@@ -17,7 +17,7 @@
 from deployment import Deployment
 from deployment import http as call
 from raw_endpoint import (
-    EVENT_STREAM, KEEP, EarlyAnswerEndpoint, RawEndpoint, event, send_endlessly, whole,
+    EVENT_STREAM, KEEP, LOAD, EarlyAnswerEndpoint, RawEndpoint, event, send_endlessly, whole,
 )
 
 SCHOOLS = {"Authorization": "Bearer example-schools", "Content-Type": "application/json"}
@@ -297,6 +297,48 @@
         assert len(left) > 1
 
 
+# Orders whose callers leave
+
+
+def one_worker(connection):
+    """A load report by which the endpoint runs one request at a time."""
+    connection.sendall(whole(json.dumps({**LOAD, "workers": 1, "batch_limit": 1}).encode()))
+
+
+def send_order(gateway, key):
+    connection = socket.create_connection(gateway.addresses["http"].split(":"), 30)
+    connection.sendall(b"POST /services/order-desk/orders HTTP/1.1\r\nHost: x\r\n"
+                       b"Authorization: Bearer example-schools\r\n"
+                       b"Content-Length: %d\r\nIdempotency-Key: %s\r\n\r\n%s"
+                       % (len(key), key.encode(), key.encode()))
+    return connection
+
+
+# Guards against GONE: orders that wait at the instance that holds their keys run after their callers
+# have left.
+@pytest.mark.parametrize("entry", [0, 1], ids=["the holder", "another instance"])
+def test_orders_that_wait_are_withdrawn_with_their_callers(otaru, entry):
+    holder = otaru.gateways[0]
+
+    def answer(connection, _, __):
+        time.sleep(0.5)
+        connection.sendall(whole(b'{"order": 1}'))
+
+    with RawEndpoint(answer, one_worker) as service:
+        use_only(otaru, service, "service", "sapporo", holder)
+        keys = [json.loads(call("POST", holder.addresses["http"], "/v1/idempotency-keys", {}, SCHOOLS)[1])
+                for _ in range(16)]
+        callers = [send_order(otaru.gateways[entry], key["key"]) for key in keys]
+        time.sleep(0.7)
+        for caller in callers:
+            caller.close()
+        left = time.monotonic()
+        time.sleep(5)
+        late = [at for at, *_ in service.requests if at > left + 0.5]
+    assert service.requests, "no order has run"
+    assert len(late) <= 2, f"{len(late)} of {len(keys)} orders ran after their callers had left"
+
+
 # Endpoints that send bytes without end
 
 
--- a/Source/UnitTests/Peers/ChannelTest.cpp
+++ b/Source/UnitTests/Peers/ChannelTest.cpp
@@ -273,6 +273,41 @@
     });
 }
 
+// Guards against a withdrawn request whose outcome does not reach the instance that forwarded it.
+TEST_F(ChannelTest, AWithdrawnCallStillGetsItsOutcome)
+{
+    bool withdrawn = false;
+    const auto client =
+        clientOf(serve([&](std::shared_ptr<IncomingCall> call) -> asio::awaitable<void> {
+            call->onWithdrawn([&] { withdrawn = true; });
+            while (!withdrawn) {
+                co_await Async::sleepFor(Common::milliseconds(1));
+            }
+            AnswerFailure failure;
+            failure.run = Common::RunState::NotRun;
+            co_await call->send(failure);
+        }));
+    run([&]() -> asio::awaitable<void> {
+        const auto call = client->open(request("a"), context_.get_executor());
+        co_await Async::sleepFor(Common::milliseconds(50));
+        call->withdraw();
+        const auto item = co_await call->next();
+        EXPECT_EQ(std::get<AnswerFailure>(*item).run, Common::RunState::NotRun);
+    });
+    EXPECT_TRUE(withdrawn);
+}
+
+TEST_F(ChannelTest, ACallThatIsWithdrawnBeforeItWasSentIsNotRun)
+{
+    const auto client = clientOf("127.0.0.1:1");
+    run([&]() -> asio::awaitable<void> {
+        const auto call = client->open(request("a"), context_.get_executor());
+        call->withdraw();
+        const auto item = co_await call->next();
+        EXPECT_EQ(std::get<AnswerFailure>(*item).run, Common::RunState::NotRun);
+    });
+}
+
 // The reader has stopped reading. The sender must not buffer an unbounded amount for it.
 TEST_F(ChannelTest, SenderWaitsWhileTheReaderDoesNotRead)
 {
