Verb gateway: do not close new connections before their first request

A connection without a request counts as idle from its first moment, and a connection that is closed as idle is read and discarded for another half a second.

Fix: a new connection has a second for its first request; an idle one is not read any more if its last response has been delivered.

--- a/Source/Core/Entry/HttpServer.cpp
+++ b/Source/Core/Entry/HttpServer.cpp
@@ -31,6 +31,8 @@
 /// connection is closed, since the kernel then resets it. So bytes are read and discarded until the
 /// caller closes, or has everything and has sent nothing for this time.
 constexpr Common::milliseconds QuietBeforeClose{500};
+/// A caller far away sends the first request of a connection a round trip after it was accepted.
+constexpr Common::milliseconds FirstRequestTime{1000};
 constexpr Common::milliseconds DeliveryPollInterval{50};
 
 class ScopedCounter
@@ -162,6 +164,8 @@
     }
 
     beast::tcp_stream stream;
+    Common::Time acceptedAt = std::chrono::steady_clock::now();
+    bool hadRequest = false;
     /// No byte of a request has been read since the last response.
     std::atomic<bool> idle = false;
     /// Number of the wait for a request, which shows which connection has waited longest.
@@ -259,7 +263,10 @@
     // backpressure.
     socket.set_option(asio::socket_base::send_buffer_size(CallerSendBufferBytes), ignored);
     auto outcome = co_await serveRequests(*connection);
-    if (outcome.end == ConnectionEnd::Ordinary) {
+    // An idle connection is not read any more, so that the caller of a request that crosses the
+    // close knows that it has not run.
+    const bool delivered = outcome.idle && Async::unacknowledgedBytes(socket) == 0;
+    if (outcome.end == ConnectionEnd::Ordinary && !delivered) {
         outcome.undeliveredBytes = co_await closeDelivered(connection->stream);
     }
     metrics_.closed(outcome.end, outcome.undeliveredBytes);
@@ -275,8 +282,11 @@
         const auto headerDeadline = std::chrono::steady_clock::now() + options_.idleTimeout;
         const bool arrives = co_await waitForRequest(connection, buffer);
         if (!arrives) {
-            co_return Outcome();
+            Outcome outcome;
+            outcome.idle = true;
+            co_return outcome;
         }
+        connection.hadRequest = true;
         const auto exchange = co_await readExchange(connection.stream, buffer, headerDeadline);
         if (!exchange) {
             co_return Outcome();
@@ -297,23 +307,36 @@
     if (buffer.size() > 0) {
         co_return true;
     }
-    auto &socket = connection.stream.socket();
-    boost::system::error_code error;
     if (!closing_) {
-        const Async::TimeLimit limit(socket.get_executor(), options_.idleTimeout,
-                                     [&connection] { connection.stream.cancel(); });
-        {
-            const std::lock_guard lock(mutex_);
-            connection.idleNumber = ++idleNumber_;
-        }
-        connection.idle = true;
-        co_await socket.async_wait(tcp::socket::wait_read,
-                                   asio::redirect_error(asio::use_awaitable, error));
-        connection.idle = false;
+        co_await waitForBytes(connection, options_.idleTimeout);
+    }
+    boost::system::error_code error;
+    auto &socket = connection.stream.socket();
+    const auto firstRequestAt = connection.acceptedAt + FirstRequestTime;
+    const auto left = firstRequestAt - std::chrono::steady_clock::now();
+    const bool awaitsFirstRequest = closing_ && !connection.hadRequest && left.count() > 0;
+    if (awaitsFirstRequest && socket.available(error) == 0) {
+        co_await waitForBytes(connection, left);
     }
     co_return socket.available(error) > 0;
 }
 
+asio::awaitable<void> HttpServer::waitForBytes(Connection &connection, Common::Duration time)
+{
+    auto &socket = connection.stream.socket();
+    const Async::TimeLimit limit(socket.get_executor(), time,
+                                 [&connection] { connection.stream.cancel(); });
+    {
+        const std::lock_guard lock(mutex_);
+        connection.idleNumber = ++idleNumber_;
+    }
+    connection.idle = true;
+    boost::system::error_code ignored;
+    co_await socket.async_wait(tcp::socket::wait_read,
+                               asio::redirect_error(asio::use_awaitable, ignored));
+    connection.idle = false;
+}
+
 asio::awaitable<std::size_t> HttpServer::closeDelivered(beast::tcp_stream &stream)
 {
     auto &socket = stream.socket();
--- a/Source/Core/Entry/HttpServer.h
+++ b/Source/Core/Entry/HttpServer.h
@@ -71,12 +71,16 @@
     {
         ConnectionEnd end = ConnectionEnd::Ordinary;
         std::size_t undeliveredBytes = 0;
+        /// No byte of a request had been read since the last response.
+        bool idle = false;
     };
 
     asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
     asio::awaitable<Outcome> serveRequests(Connection &connection);
     /// Returns true once bytes of a request have arrived, false if the connection is to be closed.
     asio::awaitable<bool> waitForRequest(Connection &connection, const beast::flat_buffer &buffer);
+    /// Waits until something has arrived, the time is over or the connection is to be closed.
+    asio::awaitable<void> waitForBytes(Connection &connection, Common::Duration time);
     /// Waits until the caller has received everything, or takes nothing for the write timeout.
     /// Returns the bytes that it has not received.
     asio::awaitable<std::size_t> closeDelivered(beast::tcp_stream &stream);
--- a/Source/IntegrationTests/test_gateway_delivery.py
+++ b/Source/IntegrationTests/test_gateway_delivery.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import re
+import signal
 import socket
 import struct
 import threading
@@ -297,6 +298,28 @@
         assert len(left) > 1
 
 
+# Guards against LOST: a caller far away connects to a stopping instance and sends its first request a
+# round trip later; the connection counts as idle, and the request is read and thrown away.
+def test_a_new_connection_to_a_stopping_instance_gets_an_answer(otaru):
+    gateway = otaru.gateways[0]
+    host, port = gateway.addresses["http"].split(":")
+    gateway.process.send_signal(signal.SIGTERM)
+    time.sleep(DRAIN_NOTICE - 0.2)
+    connections = []
+    with contextlib.suppress(ConnectionError):
+        for _ in range(15):
+            connections.append(socket.create_connection((host, int(port)), 5))
+            time.sleep(0.01)
+    time.sleep(0.15)
+    answers = []
+    for connection in connections:
+        with contextlib.suppress(ConnectionError):
+            send_call(connection, target="/services/order-desk/orders/7")
+            connection.settimeout(8)
+            answers.append(connection.recv(4096))
+    assert answers and all(answers), answers
+
+
 # Orders whose callers leave
 
 
