--- a/Source/UnitTests/Readers/HttpClientTest.cpp
+++ b/Source/UnitTests/Readers/HttpClientTest.cpp
@@ -64,6 +64,21 @@
     }
 }
 
+// Guards against keeping what a service in trouble sends without end.
+TEST(HttpClientTest, LongHeadsExtensionsAndTrailersAreErrors)
+{
+    const std::string filler(1 << 20, 'x');
+    for (const auto *before :
+         {"HTTP/1.1 200 OK\r\nX-Filler: ",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Filler: "}) {
+        auto text = before + filler;
+        text += "\r\n\r\n";
+        OneShotServer server(std::move(text), AfterResponse::Close);
+        EXPECT_FALSE(get(server.address())) << before;
+    }
+}
+
 TEST(HttpClientTest, ErrorNamesTheInvalidAddress)
 {
     for (const auto *address : {"", "nowhere", "127.0.0.1", "127.0.0.1:", ":80", "127.0.0.1:99999",
