Test the reload of settings with a file that is replaced at once

Cause: the test writes its half file in place. The log has two reloads, 1.0 s apart, that both read a changed and invalid text, though the test wrote once: the first read the file after it had been emptied and before it was written.

The test now puts the file in its place by a rename. It asks for the same lines of the log, in the same order and number.

--- a/Source/IntegrationTests/test_relay.py
+++ b/Source/IntegrationTests/test_relay.py
@@ -228,15 +228,22 @@
     assert runs_of(fleet.platform).get(identity) is None
 
 
+def replace_file(path, text):
+    """At once, so that no instance reads the file while it is being written."""
+    part = path.with_suffix(".new")
+    part.write_text(text)
+    part.replace(path)
+
+
 def test_settings_that_change_without_a_signal_are_read_and_wrong_ones_are_not_put_in_force(fleet):
     """The settings file is replaced by half a file, and later by a whole one. The instance goes on
     with what it had, says so, and takes the new one."""
     path = fleet.folder / "south-1.json"
     text = path.read_text()
-    path.write_text(text[: len(text) // 2])
+    replace_file(path, text[: len(text) // 2])
     time.sleep(1.6)
     assert fleet.ready("south-1")
-    path.write_text(text.replace(standin.RETRY_SLACK.format(50), standin.RETRY_SLACK.format(60)))
+    replace_file(path, text.replace(standin.RETRY_SLACK.format(50), standin.RETRY_SLACK.format(60)))
     fleet.processes["south-1"].send_signal(signal.SIGHUP)
     time.sleep(0.5)
     reloads = [line for line in fleet.log_lines("south-1") if line["event"] == "reload"]
