Do not take an end before a reset for the end of an early answer

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was on its way; callers got the part as a complete answer (MIXED).

What was left: an endpoint that ends its sending side before the reset, as also the close of a connection does with bytes still on their way.

Cause: a request counts as written once the kernel of the instance has taken it, and a send buffer holds megabytes. Behind the end of what the endpoint sends, a read reports a plain end, also after a reset. The verb gateway writes before it reads, but into the same buffers, so it had the fault as well.

Fix: the end of the connection completes an answer once the endpoint's kernel has acknowledged the request, if the connection has not been reset by then, nor when the check of the end is answered; it is kept open until then. An endpoint may end its answer before it reads the upload, which is waited for.

The same cause was found in Readers/HttpClient, for requests with a body.

--- a/Source/Core/Async/SocketWrite.cpp
+++ b/Source/Core/Async/SocketWrite.cpp
@@ -2,6 +2,7 @@
 
 #include <linux/sockios.h>
 #include <memory>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -17,6 +18,7 @@
 
 /// A check detects a stall this much of the time limit too late at most.
 constexpr int ChecksPerLimit = 4;
+constexpr Common::milliseconds AcknowledgementPoll{10};
 
 /// Cancels the operations of a socket whose peer acknowledges nothing.
 class StallWatch : public std::enable_shared_from_this<StallWatch>
@@ -77,6 +79,12 @@
     bool stalled_ = false;
 };
 
+bool wasReset(tcp::socket &socket)
+{
+    pollfd descriptor{socket.native_handle(), 0, 0};
+    return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 } // namespace
 
 std::size_t unacknowledgedBytes(tcp::socket &socket)
@@ -87,6 +95,35 @@
                : 0;
 }
 
+DeliveryState deliveryState(tcp::socket &socket)
+{
+    if (wasReset(socket)) {
+        return DeliveryState::Reset;
+    }
+    return unacknowledgedBytes(socket) > 0 ? DeliveryState::Pending : DeliveryState::Acknowledged;
+}
+
+asio::awaitable<boost::system::error_code> waitUntilAcknowledged(tcp::socket &socket,
+                                                                 Common::Duration limit)
+{
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    asio::steady_timer timer(socket.get_executor());
+    auto state = deliveryState(socket);
+    while (state == DeliveryState::Pending && std::chrono::steady_clock::now() < deadline) {
+        timer.expires_after(AcknowledgementPoll);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        state = deliveryState(socket);
+    }
+    boost::system::error_code result;
+    if (state == DeliveryState::Reset) {
+        result = asio::error::connection_reset;
+    } else if (state == DeliveryState::Pending) {
+        result = asio::error::timed_out;
+    }
+    co_return result;
+}
+
 asio::awaitable<boost::system::error_code> waitUntilWritable(tcp::socket &socket,
                                                              Common::Duration stallLimit)
 {
--- a/Source/Core/Async/SocketWrite.h
+++ b/Source/Core/Async/SocketWrite.h
@@ -14,6 +14,24 @@
 /// Bytes that the kernel holds for the peer: not sent, or not acknowledged by the peer's kernel.
 std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket);
 
+/// What became of the bytes that were sent on a connection.
+enum class DeliveryState {
+    /// The peer's kernel has acknowledged all that this one has taken.
+    Acknowledged,
+    /// Some are not acknowledged yet.
+    Pending,
+    /// The peer has reset the connection.
+    Reset,
+};
+
+/// Also tells of a reset behind the end of what the peer sends, which a read does not report.
+DeliveryState deliveryState(boost::asio::ip::tcp::socket &socket);
+
+/// Waits until the peer has acknowledged all bytes. Fails with connection_reset when it has reset
+/// the connection, and with timed_out after the time limit.
+boost::asio::awaitable<boost::system::error_code>
+waitUntilAcknowledged(boost::asio::ip::tcp::socket &socket, Common::Duration limit);
+
 /// Waits until the socket takes more bytes. Fails with timed_out, and cancels all operations of the
 /// socket, when the peer has acknowledged nothing for the time limit.
 boost::asio::awaitable<boost::system::error_code>
--- a/Source/Core/Endpoints/EndpointStream.cpp
+++ b/Source/Core/Endpoints/EndpointStream.cpp
@@ -220,7 +220,6 @@
 
 asio::awaitable<EndpointResult<void>> EndpointStream::confirmEnd()
 {
-    connection_.reset();
     auto message =
         makeRequest(http::verb::get, std::string(LoadTarget), request_.address, request_.request);
     const auto response =
@@ -230,6 +229,16 @@
         co_return tl::unexpected(failure(Common::RunState::Unknown,
                                          "nothing shows that an answer without a length is whole"));
     }
+    // Asked last, since an endpoint that breaks off its answer may end it before it resets the
+    // connection.
+    const auto error = co_await Async::waitUntilAcknowledged(connection_->stream.socket(),
+                                                             options_.serviceTimeout);
+    if (error) {
+        co_return tl::unexpected(
+            failure(Common::RunState::Unknown,
+                    "the endpoint did not receive the whole request: " + error.message()));
+    }
+    connection_.reset();
     co_return EndpointResult<void>();
 }
 
--- a/Source/Core/Endpoints/EndpointStream.h
+++ b/Source/Core/Endpoints/EndpointStream.h
@@ -133,7 +133,8 @@
     /// Why the response that was read is not the one to this request; empty if it may be.
     std::string foreignReason(const ResponseHead &response) const;
     /// Shows that the endpoint still runs after it has closed a response without a length, as the
-    /// kernel also does for a process that has crashed.
+    /// kernel also does for a process that has crashed, and that it has received the whole request
+    /// and has not reset the connection.
     asio::awaitable<EndpointResult<void>> confirmEnd();
     /// Returns the whole events that the bytes complete.
     EndpointResult<std::string> feed(std::string_view bytes);
--- a/Source/Core/Readers/HttpClient.cpp
+++ b/Source/Core/Readers/HttpClient.cpp
@@ -77,6 +77,9 @@
     }
     co_await http::async_read(stream, buffer, parser,
                               asio::redirect_error(asio::use_awaitable, error));
+    if (!error && parser.need_eof()) {
+        error = co_await Async::waitUntilAcknowledged(stream.socket(), request.timeout);
+    }
     if (error) {
         co_return requestError(request, error);
     }
--- a/Source/Core/Relay/EndCheck.cpp
+++ b/Source/Core/Relay/EndCheck.cpp
@@ -24,6 +24,8 @@
         return "ended";
     case EndCheckResult::Replaced:
         return "replaced";
+    case EndCheckResult::Reset:
+        return "reset";
     case EndCheckResult::Unanswered:
         return "unanswered";
     }
@@ -84,12 +86,21 @@
         connectionShown_ = connection_ && answer && !answer->remoteClosed();
         return;
     }
-    finish(connectionShown_ || !stoodStill_ ? EndCheckResult::Running : EndCheckResult::Unanswered);
+    finish(resultOfSender());
     if (connection_) {
         pool_->release(request_.address, std::move(connection_), std::nullopt, now);
     }
 }
 
+EndCheckResult EndCheck::resultOfSender() const
+{
+    const auto answer = answer_.lock();
+    if (answer && answer->remoteReset()) {
+        return EndCheckResult::Reset;
+    }
+    return connectionShown_ || !stoodStill_ ? EndCheckResult::Running : EndCheckResult::Unanswered;
+}
+
 void EndCheck::failed(CallFailure failure)
 {
     const auto self = shared_from_this();
--- a/Source/Core/Relay/EndCheck.h
+++ b/Source/Core/Relay/EndCheck.h
@@ -18,6 +18,8 @@
     Ended,
     /// Another endpoint has its address.
     Replaced,
+    /// It still runs, but has reset the connection behind the end of the answer.
+    Reset,
     /// It did not answer in time, or could not be asked.
     Unanswered,
 };
@@ -33,6 +35,9 @@
 /// answered while the answer's connection is open, both connections are those of one process. The
 /// same connection is used again after the end, and only that process can answer on it. If the
 /// answer ends first, the id in the response to the health call decides.
+///
+/// The call that got the answer must keep its connection open meanwhile: an endpoint that has not
+/// read the whole request resets it after the end of an answer that it breaks off.
 class EndCheck : public std::enable_shared_from_this<EndCheck>
 {
 public:
@@ -60,6 +65,7 @@
     void ask(Common::Time now);
     void answered(bool fromSender, Common::Time now);
     void failed(CallFailure failure);
+    EndCheckResult resultOfSender() const;
     void finish(EndCheckResult result);
 
     std::shared_ptr<OutboundPool> pool_;
--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -82,6 +82,11 @@
     return !known || info.tcpi_state != TCP_ESTABLISHED;
 }
 
+bool OutboundCall::remoteReset() const
+{
+    return connection_ && Async::deliveryState(connection_->socket) == Async::DeliveryState::Reset;
+}
+
 void OutboundCall::connect(Common::Time now)
 {
     const auto target = Async::parseTcpAddress(request_.address);
@@ -128,6 +133,8 @@
             // A write error does not fail the call: a response that states its length may
             // already have arrived, and the pending read determines the outcome.
             self->requestWritten_ = !error;
+            self->writeFailed_ = error.failed();
+            self->finishIfRequestReceived();
         });
     read();
 }
@@ -171,9 +178,23 @@
         fail(CallFailure::Broken, error.message());
         return;
     }
-    if (!requestWritten_) {
-        // The kernel reports a reset once. If the write got it, the read sees a plain end.
-        fail(CallFailure::Broken, "the connection ended before the request was sent");
+    responseClosed_ = true;
+    finishIfRequestReceived();
+}
+
+/// Completes a response that ended with its connection. Reads do not report a reset that the write
+/// of the request got, or that came behind the end of the response.
+void OutboundCall::finishIfRequestReceived()
+{
+    if (finished_ || !responseClosed_) {
+        return;
+    }
+    const auto state = Async::deliveryState(connection_->socket);
+    if (writeFailed_ || state == Async::DeliveryState::Reset) {
+        fail(CallFailure::Broken, "the connection was reset after a response without a length");
+        return;
+    }
+    if (!requestWritten_ || state == Async::DeliveryState::Pending) {
         return;
     }
     boost::system::error_code ignored;
@@ -300,7 +321,7 @@
         events_.released(std::move(connection_));
     } else if (reusable) {
         pool_->release(request_.address, std::move(connection_), idleTimeout_, now);
-    } else {
+    } else if (end == ResponseEnd::Framing) {
         boost::system::error_code ignored;
         connection_->socket.close(ignored);
     }
@@ -356,7 +377,9 @@
 {
     if (connecting_ && now >= connectDeadline_) {
         fail(CallFailure::NotConnected, "no connection in time");
+        return;
     }
+    finishIfRequestReceived();
 }
 
 } // namespace LaburnumChute::Relay
--- a/Source/Core/Relay/OutboundCall.h
+++ b/Source/Core/Relay/OutboundCall.h
@@ -94,8 +94,8 @@
 ///
 /// Handles these irregular responses: a response may arrive before the request has been written; a
 /// response to an earlier request may arrive first; bytes may follow the end of the response; and a
-/// response without a length ends with its connection, and is complete only if the connection was
-/// closed cleanly rather than reset.
+/// response without a length ends with its connection, and is complete only if the remote side has
+/// received the whole request and has not reset the connection.
 class OutboundCall : public std::enable_shared_from_this<OutboundCall>
 {
 public:
@@ -128,6 +128,8 @@
     }
     /// The remote side has closed the connection, even if bytes before that have not been read.
     bool remoteClosed() const;
+    /// The remote side has reset the connection, maybe behind a response that ended with it.
+    bool remoteReset() const;
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -139,6 +141,7 @@
     void parse();
     bool parseNext();
     void recordParsed(std::size_t size);
+    void finishIfRequestReceived();
     bool handleHead();
     void newParser();
     void deliverBody();
@@ -158,7 +161,11 @@
     bool connecting_ = false;
     bool connected_ = false;
     bool usedIdleConnection_ = false;
+    /// The kernel has taken the request.
     bool requestWritten_ = false;
+    bool writeFailed_ = false;
+    /// The remote side has ended a response without a length.
+    bool responseClosed_ = false;
     bool headerDone_ = false;
     bool skippingResponse_ = false;
     bool paused_ = false;
--- a/Source/Core/Relay/RelayGateway.cpp
+++ b/Source/Core/Relay/RelayGateway.cpp
@@ -182,7 +182,8 @@
                                   "Expected wait of a copy of cached prompt parts for links"))
 {
     using End = EndCheckResult;
-    for (const auto result : {End::Running, End::Ended, End::Replaced, End::Unanswered}) {
+    for (const auto result :
+         {End::Running, End::Ended, End::Replaced, End::Reset, End::Unanswered}) {
         endChecks[result] = &registry.counter(
             "laburnumchute_relay_answers_without_length_total",
             "Answers that ended with their connections, by what was known of the endpoint then",
--- a/Source/Core/Relay/RelayedCallEnd.cpp
+++ b/Source/Core/Relay/RelayedCallEnd.cpp
@@ -21,6 +21,8 @@
         return "the endpoint ended together with its answer";
     case EndCheckResult::Replaced:
         return "another endpoint has the address, and the answer has no length";
+    case EndCheckResult::Reset:
+        return "the connection was reset behind an answer without a length";
     case EndCheckResult::Running:
     case EndCheckResult::Unanswered:
         break;
--- a/Source/IntegrationTests/raw_caller.py
+++ b/Source/IntegrationTests/raw_caller.py
@@ -55,6 +55,11 @@
         rest = rest[length + 2 :]
 
 
+def in_chunks(body, size=65536):
+    parts = [body[start : start + size] for start in range(0, len(body), size)]
+    return b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+
+
 class RawCaller:
     """One request on a connection of its own, read on a thread."""
 
@@ -68,8 +73,12 @@
         headers=None,
         deadline=12.0,
         receive_buffer=None,
+        chunked=False,
     ):
-        """@param bytes_per_second: how fast it reads; 0 reads nothing, None reads at once"""
+        """
+        @param bytes_per_second: how fast it reads; 0 reads nothing, None reads at once
+        @param chunked: the body is sent in chunks, without its length
+        """
         self.outcome = Outcome(f"{next(NUMBERS):016x}")
         #: All bytes that came, once the request has ended.
         self.received = b""
@@ -85,8 +94,8 @@
         lines += [f"{standin.ATTEMPT}: {self.outcome.identity}"]
         lines += [f"{standin.DEADLINE}: {int(deadline * 1000)}"]
         lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
-        lines += [f"Content-Length: {len(body)}", "", ""]
-        self.socket.sendall("\r\n".join(lines).encode() + body)
+        lines += ["Transfer-Encoding: chunked" if chunked else f"Content-Length: {len(body)}", "", ""]
+        self.socket.sendall("\r\n".join(lines).encode() + (in_chunks(body) if chunked else body))
         self.thread = threading.Thread(target=self._read, daemon=True)
         self.thread.start()
 
--- a/Source/IntegrationTests/raw_endpoint.py
+++ b/Source/IntegrationTests/raw_endpoint.py
@@ -118,13 +118,17 @@
 
 
 class EarlyAnswerEndpoint(RawEndpoint):
-    """Answers large uploads before it has read them, with a part of an answer without a length, and
-    resets the connection."""
+    """Answers large uploads before it has read them, and ends the connection as `finish` does, which gets
+    the connection and the length of the upload."""
 
-    LARGE = 1_000_000
+    LARGE = 300_000
 
     def __init__(self, answer, load=None):
         super().__init__(answer, load)
+        # Inherited by accepted connections: an upload that fits into the buffers is read at once.
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        self.sent = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"
+        self.finish = lambda connection, _: reset(connection)
         self.early = 0
 
     def _serve(self, connection):
@@ -135,5 +139,7 @@
             super()._serve(connection)
             return
         self.early += 1
-        connection.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
-        reset(connection)
+        with contextlib.suppress(OSError):
+            connection.sendall(self.sent)
+            self.finish(connection, int(length))
+        connection.close()
--- /dev/null
+++ b/Source/IntegrationTests/test_gateway_broken_answers.py
@@ -0,0 +1,176 @@
+"""Answers that end before they are whole, verb gateway, by real processes; judged by what callers get,
+directly and behind a forward."""
+
+import http.client
+import itertools
+import json
+import os
+import socket
+import time
+
+import pytest
+
+from broken_answers import FRAMINGS, framed
+from deployment import Deployment
+from raw_caller import in_chunks
+from raw_endpoint import EarlyAnswerEndpoint, event, reset
+from test_gateway_delivery import SCHOOLS, SETTINGS, use_only
+
+#: The places of instances among those of the deployment. The endpoint is in the region of the first.
+ENTRIES = {"directly": 0, "forwarded": 2}
+REGION = "sapporo"
+UPLOADS = (400_000, 3_500_000)
+PART = b'{"choices": []}'
+SOUND = {
+    "service": (b"Content-Type: application/json", b'{"sound": 1}'),
+    "engine": (b"Content-Type: text/event-stream", event(1, "sound") + b"data: [DONE]\n\n"),
+}
+
+
+@pytest.fixture(scope="module")
+def otaru():
+    with Deployment("otaru", os.environ["BUILD_DIR"], gateway_settings=SETTINGS) as running:
+        yield running
+
+
+@pytest.fixture(params=ENTRIES)
+def entry(request, otaru):
+    return otaru.gateways[ENTRIES[request.param]]
+
+
+@pytest.fixture(params=SOUND)
+def kind(request):
+    return request.param
+
+
+def ask(entry, kind, padding=b"", chunked=False):
+    """Status and body; a status of None if the answer is not whole."""
+    host, port = entry.addresses["http"].split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=20)
+    path, body = "/services/order-desk/orders/7", padding
+    if kind == "engine":
+        prompt = "p" + padding.decode()
+        path = "/v1/completions"
+        body = json.dumps({"model": "inscription", "prompt": prompt, "max_tokens": 1}).encode()
+    headers = dict(SCHOOLS)
+    if chunked:
+        headers["Transfer-Encoding"], body = "chunked", in_chunks(body)
+    method = "POST" if kind == "engine" else "GET"
+    try:
+        connection.request(method, path, body or None, headers)
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    except (http.client.HTTPException, ConnectionError):
+        return None, b""
+    finally:
+        connection.close()
+
+
+def sound_answers(kind):
+    answer = framed([b"HTTP/1.1 200 OK", SOUND[kind][0]], SOUND[kind][1], "length")
+    return lambda connection, *_: connection.sendall(answer)
+
+
+def wait_until_used(entry, kind):
+    """Until a sound answer is passed on, also after broken ones."""
+    deadline = time.monotonic() + 15
+    while (seen := ask(entry, kind))[0] != 200:
+        assert time.monotonic() < deadline, seen
+        time.sleep(0.1)
+
+
+def close_while_the_rest_comes(connection, _length):
+    connection.recv(65536)
+
+
+def half_close(connection):
+    connection.shutdown(socket.SHUT_WR)
+
+
+def half_close_and_reset(connection, _length):
+    half_close(connection)
+    reset(connection)
+
+
+def half_close_and_reset_later(connection, _length):
+    half_close(connection)
+    time.sleep(0.05)
+    reset(connection)
+
+
+def reset_later(connection, _length):
+    time.sleep(0.02)
+    reset(connection)
+
+
+def read_all(connection, length):
+    """The head is among what is read."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        received += connection.recv(65536)
+    left = length - len(received.split(b"\r\n\r\n", 1)[1])
+    while left > 0:
+        left -= len(connection.recv(min(65536, left)))
+
+
+def half_close_and_read_all(connection, length):
+    half_close(connection)
+    read_all(connection, length)
+
+
+BROKEN_ENDS = {
+    "reset": lambda connection, _: reset(connection),
+    "reset later": reset_later,
+    "closed": close_while_the_rest_comes,
+    "half closed, reset": half_close_and_reset,
+    "half closed, reset later": half_close_and_reset_later,
+}
+SOUND_ENDS = {"read, closed": read_all, "half closed, read": half_close_and_read_all}
+PARTS = {
+    "close": b"Connection: close\r\n\r\n" + PART,
+    "length": b"Content-Length: %d\r\n\r\n%s" % (len(PART) + 100, PART),
+    "chunked": b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(PART), PART),
+}
+EARLY_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+
+
+def uploads(kind):
+    # Prompts have a limit.
+    sizes = UPLOADS if kind == "service" else UPLOADS[:1]
+    return list(itertools.product(sizes, (False, True)))
+
+
+def ask_early(endpoint, entry, kind, size, chunked):
+    """As ask(), once the endpoint has got the upload: an instance may refuse large ones for a while."""
+    before = endpoint.early
+    deadline = time.monotonic() + 20
+    while endpoint.early == before:
+        wait_until_used(entry, kind)
+        seen = ask(entry, kind, b"x" * size, chunked)
+        assert time.monotonic() < deadline, seen
+    return seen
+
+
+# Guards against MIXED: an early answer to an upload is reset, and its part is taken for the whole.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("end", BROKEN_ENDS)
+def test_an_early_answer_that_is_reset_is_not_whole(otaru, entry, kind, end, framing):
+    with EarlyAnswerEndpoint(sound_answers(kind)) as endpoint:
+        use_only(otaru, endpoint, kind, REGION, entry)
+        endpoint.sent, endpoint.finish = EARLY_HEAD + PARTS[framing], BROKEN_ENDS[end]
+        calls = uploads(kind)
+        seen = []
+        for size, chunked in calls:
+            seen.append((size, chunked, *ask_early(endpoint, entry, kind, size, chunked)))
+        wrong = [one for one in seen if one[2] == 200]
+        assert not wrong, f"{len(wrong)} of {len(calls)}: {wrong}"
+
+
+# Guards against failing answers that come early, end with their connections and are whole.
+@pytest.mark.parametrize("end", SOUND_ENDS)
+def test_an_early_answer_to_an_upload_that_is_read_is_whole(otaru, entry, kind, end):
+    with EarlyAnswerEndpoint(sound_answers(kind)) as endpoint:
+        use_only(otaru, endpoint, kind, REGION, entry)
+        endpoint.sent, endpoint.finish = EARLY_HEAD + PARTS["close"], SOUND_ENDS[end]
+        for size, chunked in uploads(kind):
+            assert ask_early(endpoint, entry, kind, size, chunked)[0] == 200, (size, chunked)
--- a/Source/UnitTests/Readers/HttpClientTest.cpp
+++ b/Source/UnitTests/Readers/HttpClientTest.cpp
@@ -51,6 +51,20 @@
     }
 }
 
+// Guards against taking a part for the whole: the server ends a response without a length before it
+// has read the request, and resets the connection. A read reports only the first of these.
+TEST(HttpClientTest, ResetBehindAResponseWithoutLengthIsAnError)
+{
+    constexpr std::size_t UnreadBytes = 400'000;
+    OneShotServer server("HTTP/1.1 200 OK\r\n\r\npart", AfterResponse::CloseAndReset);
+    HttpClientRequest request;
+    request.address = server.address();
+    request.method = "POST";
+    request.target = "/thing";
+    request.body = std::string(UnreadBytes, 'x');
+    EXPECT_FALSE(runUntilComplete(fetch(request)));
+}
+
 TEST(HttpClientTest, BodyOverTheLimitIsTooLarge)
 {
     const std::string body(101, 'x');
--- a/Source/UnitTests/Readers/OneShotServer.h
+++ b/Source/UnitTests/Readers/OneShotServer.h
@@ -14,12 +14,13 @@
 
 namespace LaburnumChute::Readers {
 
-/// Accepts one connection, reads one request header and writes the given bytes. It then
-/// either closes the connection or keeps it open without sending until the client closes it.
+/// Accepts one connection, reads one request header and writes the given bytes. It then closes the
+/// connection, keeps it open without sending until the client closes it, or closes its sending side
+/// and resets the connection.
 class OneShotServer
 {
 public:
-    enum class AfterResponse { Close, StaySilent };
+    enum class AfterResponse { Close, StaySilent, CloseAndReset };
 
     OneShotServer(std::string response, AfterResponse afterResponse)
         : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0})
@@ -49,6 +50,8 @@
     void serve()
     {
         boost::system::error_code ignored;
+        // Inherited by the accepted connection, so that long requests are not received unread.
+        acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(65536), ignored);
         boost::asio::ip::tcp::socket socket(context_);
         acceptor_.accept(socket, ignored);
         boost::asio::streambuf buffer;
@@ -59,6 +62,10 @@
         if (afterResponse_ == AfterResponse::StaySilent) {
             // Returns when the client closes the connection.
             boost::asio::read_until(socket, buffer, "never", ignored);
+        } else if (afterResponse_ == AfterResponse::CloseAndReset) {
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+            socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            socket.close(ignored);
         }
     }
 
--- a/Source/UnitTests/Relay/EndCheckTest.cpp
+++ b/Source/UnitTests/Relay/EndCheckTest.cpp
@@ -1,3 +1,5 @@
+#include <future>
+
 #include <gtest/gtest.h>
 
 #include "Relay/EndCheck.h"
@@ -121,6 +123,44 @@
     EXPECT_EQ(end(), EndCheckResult::Unanswered);
 }
 
+// Guards against MIXED: the endpoint resets the connection after it has ended its answer, so the
+// answer was broken off.
+TEST_F(EndCheckTest, AResetBehindTheEndOfTheAnswerIsFound)
+{
+    std::promise<void> ended;
+    ScriptedServer answering({[&ended](tcp::socket &socket) {
+        ScriptedServer::readHead(socket);
+        ScriptedServer::write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+        boost::system::error_code ignored;
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+        ended.get_future().wait();
+        ScriptedServer::reset(socket);
+    }});
+    OutboundRequest request;
+    request.address = answering.address();
+    request.head = requestHead("GET", "/", {{"Host", "h"}});
+    request.body = std::make_shared<const std::string>();
+    bool whole = false;
+    CallEvents events;
+    events.head = [](const ResponseHead &) { return true; };
+    events.body = [](const std::string &) {};
+    events.end = [&whole](ResponseEnd) { whole = true; };
+    const auto answer = std::make_shared<OutboundCall>(pool_, request, events);
+    answer->start(steadyNow());
+    ScriptedServer server({[](tcp::socket &socket) {
+        answerWith(socket, Sender);
+        answerWith(socket, Sender);
+    }});
+    begin(server.address(), answer);
+    runFor(Common::milliseconds(100));
+    EXPECT_TRUE(whole);
+    ended.set_value();
+    // The reset arrives.
+    runFor(Common::milliseconds(50));
+    EXPECT_EQ(end(), EndCheckResult::Reset);
+    pool_.reset();
+}
+
 // Guards against an endpoint that has started under the id of its predecessor while this process
 // did not run.
 TEST_F(EndCheckTest, AnIdShowsNothingIfTheTimeOfTheEndIsUnknown)
--- a/Source/UnitTests/Relay/OutboundCallTest.cpp
+++ b/Source/UnitTests/Relay/OutboundCallTest.cpp
@@ -310,6 +310,44 @@
     EXPECT_EQ(outcome.failure, CallFailure::Broken);
 }
 
+// Guards against MIXED: the kernel has taken the upload, and the endpoint ends its response and
+// resets the connection before it has received all of it. Reads do not report a reset behind the
+// end.
+TEST_F(OutboundCallTest, ResetBehindTheEndDoesNotEndAResponseWithoutLength)
+{
+    for (const auto pause : {0, 50}) {
+        ScriptedServer server({[pause](tcp::socket &socket) {
+            ScriptedServer::readHead(socket);
+            ScriptedServer::write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+            boost::system::error_code ignored;
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+            std::this_thread::sleep_for(std::chrono::milliseconds(pause));
+            ScriptedServer::reset(socket);
+        }});
+        const auto outcome = call(request(server.address(), std::string(16 << 20, 'x')));
+        EXPECT_EQ(outcome.failure, CallFailure::Broken) << pause;
+    }
+}
+
+// An endpoint may end its response first and read the request then.
+TEST_F(OutboundCallTest, AResponseThatEndsBeforeTheUploadIsReadIsWhole)
+{
+    const std::string body(16 << 20, 'x');
+    ScriptedServer server({[](tcp::socket &socket) {
+        ScriptedServer::readHead(socket);
+        ScriptedServer::write(socket, "HTTP/1.1 200 OK\r\n\r\nall");
+        boost::system::error_code error;
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        std::string received(1 << 16, 0);
+        while (!error) {
+            socket.read_some(asio::buffer(received), error);
+        }
+    }});
+    const auto outcome = call(request(server.address(), body));
+    EXPECT_EQ(outcome.endedBy, ResponseEnd::ConnectionClose) << outcome.reason;
+    EXPECT_EQ(outcome.body, "all");
+}
+
 TEST_F(OutboundCallTest, InterimResponsesAreSkipped)
 {
     ScriptedServer server({respondWith("HTTP/1.1 100 Continue\r\n\r\n"
