Take no answer with an invalid status for a load report

Cause: gave both verbs one definition of final and interim statuses, but calls of the verb gateway that are no requests of callers did not use it: the check of the end of an answer without a length took a load report with any status. Readers/HttpClient took invalid statuses, and interim ones, for those of responses; its callers ask for 200, 202, 304 or 409, but `status` reads a body with any.

OnlyAFinalResponseIsReturned guards HttpClient.

Fix: Async::readFinalHead() reads the heads of all HTTP answers of the verb gateway; an invalid status is an error.

--- a/Source/Core/Async/Async.h
+++ b/Source/Core/Async/Async.h
@@ -6,6 +6,7 @@
 #include "Async/AsyncQueue.h"
 #include "Async/ByteBudget.h"
 #include "Async/IoPool.h"
+#include "Async/ReadFinalHead.h"
 #include "Async/RunOn.h"
 #include "Async/SocketWrite.h"
 #include "Async/TcpAddress.h"
--- a/Source/Core/Endpoints/EndpointStream.cpp
+++ b/Source/Core/Endpoints/EndpointStream.cpp
@@ -20,7 +20,6 @@
 constexpr std::uint64_t CallResponseLimitBytes = 16 * 1024;
 constexpr Common::milliseconds EndCheckTimeout{1000};
 constexpr std::string_view LoadTarget = "/load";
-constexpr int InterimResponseLimit = 16;
 constexpr std::string_view RunStateHeader = "Engine-Run-State";
 constexpr std::string_view NotStarted = "not-started";
 constexpr std::string_view RequestIdHeader = "X-Request-Id";
@@ -51,22 +50,22 @@
     stream.expires_after(timeout);
     boost::system::error_code error;
     co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(CallResponseLimitBytes);
+    std::optional<http::response_parser<http::string_body>> parser;
     if (!error) {
         // Read separately: when Beast 1.74 reads the whole response in one operation, a body with a
         // Content-Length can exceed body_limit().
-        co_await http::async_read_header(stream, (*connection)->buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
+        error = co_await Async::readFinalHead(stream, (*connection)->buffer, parser, [](auto &one) {
+            one.body_limit(CallResponseLimitBytes);
+        });
     }
     if (!error) {
-        co_await http::async_read(stream, (*connection)->buffer, parser,
+        co_await http::async_read(stream, (*connection)->buffer, *parser,
                                   asio::redirect_error(asio::use_awaitable, error));
     }
     if (error) {
         co_return std::nullopt;
     }
-    co_return parser.release();
+    co_return parser->release();
 }
 
 std::string streamTarget(const Common::RequestId &request)
@@ -144,21 +143,12 @@
 asio::awaitable<boost::system::error_code> EndpointStream::readHead(Common::Duration timeout)
 {
     connection_->stream.expires_after(timeout);
-    boost::system::error_code error;
-    for (int interim = 0; interim <= InterimResponseLimit; ++interim) {
-        parser_.emplace();
-        parser_->header_limit(options_.headerLimitBytes);
-        parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-        co_await http::async_read_header(connection_->stream, connection_->buffer, *parser_,
-                                         asio::redirect_error(asio::use_awaitable, error));
-        if (error || Common::isFinalStatus(parser_->get().result_int())) {
-            co_return error;
-        }
-        if (!Common::isInterimStatus(parser_->get().result_int())) {
-            co_return http::error::bad_status;
-        }
-    }
-    co_return http::error::header_limit;
+    const auto setLimits = [limit = options_.headerLimitBytes](Parser &parser) {
+        parser.header_limit(limit);
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    };
+    co_return co_await Async::readFinalHead(connection_->stream, connection_->buffer, parser_,
+                                            setLimits);
 }
 
 ResponseHead EndpointStream::head() const
--- a/Source/Core/Readers/HttpClient.cpp
+++ b/Source/Core/Readers/HttpClient.cpp
@@ -66,29 +66,29 @@
         co_return requestError(request, error);
     }
     beast::flat_buffer buffer(BufferLimitBytes);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(request.bodyLimitBytes);
+    std::optional<http::response_parser<http::string_body>> parser;
     // The header is read separately: when Beast 1.74 reads the whole response in one operation, a
     // body with a Content-Length can exceed body_limit().
-    co_await http::async_read_header(stream, buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
+    error = co_await Async::readFinalHead(
+        stream, buffer, parser,
+        [limit = request.bodyLimitBytes](auto &one) { one.body_limit(limit); });
     if (error) {
         co_return requestError(request, error);
     }
-    co_await http::async_read(stream, buffer, parser,
+    co_await http::async_read(stream, buffer, *parser,
                               asio::redirect_error(asio::use_awaitable, error));
-    if (!error && parser.need_eof()) {
+    if (!error && parser->need_eof()) {
         error = co_await Async::waitUntilAcknowledged(stream.socket(), request.timeout);
     }
     if (error) {
         co_return requestError(request, error);
     }
     HttpClientResponse response;
-    response.status = parser.get().result_int();
-    for (const auto &field : parser.get()) {
+    response.status = parser->get().result_int();
+    for (const auto &field : parser->get()) {
         response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    response.body = std::move(parser.get().body());
+    response.body = std::move(parser->get().body());
     co_return response;
 }
 
--- a/Source/Core/Readers/HttpClient.h
+++ b/Source/Core/Readers/HttpClient.h
@@ -31,9 +31,9 @@
     std::string body;
 };
 
-/// Sends the request and reads the whole response. Errors: InvalidArgument if the address cannot be
-/// parsed, Unavailable if connecting fails, the connection breaks or the timeout expires, TooLarge
-/// if the body exceeds its limit.
+/// Sends the request and reads the whole response, past interim ones. Errors: InvalidArgument if
+/// the address cannot be parsed, Unavailable if connecting fails, the connection breaks, the
+/// response is not valid or the timeout expires, TooLarge if the body exceeds its limit.
 asio::awaitable<Common::Result<HttpClientResponse>> fetch(HttpClientRequest request);
 
 } // namespace LaburnumChute::Readers
--- a/Source/IntegrationTests/broken_answers.py
+++ b/Source/IntegrationTests/broken_answers.py
@@ -1,6 +1,7 @@
-"""Answers byte by byte, for the tests of both verbs."""
+"""Answers that HTTP does not allow, byte by byte, for the tests of both verbs."""
 
 FRAMINGS = ("length", "chunked", "close")
+INVALID_STATUSES = ("000 None", "099 Odd", "101 Switching Protocols", "600 Odd", "999 Odd")
 
 
 def framed(head, body, framing):
--- a/Source/IntegrationTests/test_broken_answers.py
+++ b/Source/IntegrationTests/test_broken_answers.py
@@ -1,14 +1,15 @@
-"""Answers that end before they are whole, verb relay, by real processes; judged by what callers get,
-directly and behind a forward."""
+"""Answers that end before they are whole or are no valid HTTP, verb relay, by real processes; judged by
+what callers get, directly and behind a forward."""
 
 import collections
 import itertools
+import json
 
 import pytest
 
-from broken_answers import FRAMINGS
+from broken_answers import FRAMINGS, INVALID_STATUSES, framed
 from broken_endpoint import (
-    BROKEN_ENDINGS, EARLY_BODY, ENDING, FRAMING, SOUND_ENDINGS, BrokenAnswerEndpoint,
+    BROKEN_ENDINGS, EARLY_BODY, ENDING, FIELDS, FRAMING, IDENTITY, SOUND_ENDINGS, BrokenAnswerEndpoint,
 )
 from raw_caller import RawCaller
 from relay_deployment import RelayDeployment, standin
@@ -24,6 +25,8 @@
 PATHS = ("/order/x", "/status/x", "/stream/x")
 #: One that the buffers of the kernel hold, and one that they do not.
 UPLOADS = (400_000, 3_500_000)
+BODY = b"id: 1\ndata: " + IDENTITY + b"\n\n"
+FAILURES = (502, 503, 504)
 NUMBERS = itertools.count(1)
 
 
@@ -94,3 +97,44 @@
         outcome = upload(deployment, name, path, size, ending, "close", chunked)
         assert outcome.status == 200 and outcome.whole, (name, path, chunked, outcome)
         assert outcome.body == EARLY_BODY
+
+
+def check_refused(deployment, answers):
+    """Each answer must be given to no caller."""
+    sent = lambda endpoint: endpoint.sent  # noqa: E731
+    before = counted(deployment, sent)
+    for name, path, answer in itertools.product(INSTANCES, PATHS, answers):
+        call_sound(deployment, 1)
+        text = answer.decode("latin-1")
+        body = json.dumps({"answer": text, "number": next(NUMBERS)}).encode()
+        outcome = call(deployment, name, path, body)
+        refused = outcome.status in FAILURES or not outcome.whole
+        assert refused, f"{name}, {path}, {answer}: passed on {outcome.status} {outcome.body}"
+    times = counted(deployment, sent)
+    times.subtract(before)
+    assert all(times[answer] >= len(PATHS) for answer in answers), times
+
+
+# Guards against MIXED: an answer with a status that HTTP does not have, or what follows its head, is
+# given to the caller.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_an_answer_with_an_invalid_status_is_no_answer(deployment, status, framing):
+    inner = framed([b"HTTP/1.1 200 OK", *FIELDS], BODY, "length")
+    head = [b"HTTP/1.1 " + status.encode(), *FIELDS]
+    check_refused(deployment, [framed(head, BODY, framing), framed(head, inner, framing)])
+
+
+# Guards against MIXED: the check of an end takes an answer with an invalid status for one that shows
+# that the endpoint still runs.
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_a_health_answer_with_an_invalid_status_shows_nothing(deployment, status):
+    endpoints = deployment.platform.endpoints.values()
+    answer = framed([b"HTTP/1.1 200 OK", *FIELDS], BODY, "close")
+    for endpoint in endpoints:
+        deployment.platform.call(setattr, endpoint, "health_status", status)
+    try:
+        check_refused(deployment, [answer])
+    finally:
+        for endpoint in endpoints:
+            deployment.platform.call(setattr, endpoint, "health_status", None)
--- a/Source/IntegrationTests/test_gateway_broken_answers.py
+++ b/Source/IntegrationTests/test_gateway_broken_answers.py
@@ -1,6 +1,7 @@
-"""Answers that end before they are whole, verb gateway, by real processes; judged by what callers get,
-directly and behind a forward."""
+"""Answers that end before they are whole or are no valid HTTP, verb gateway, by real processes; judged
+by what callers get, directly and behind a forward."""
 
+import collections
 import http.client
 import itertools
 import json
@@ -10,10 +11,10 @@
 
 import pytest
 
-from broken_answers import FRAMINGS, framed
+from broken_answers import FRAMINGS, INVALID_STATUSES, framed
 from deployment import Deployment
 from raw_caller import in_chunks
-from raw_endpoint import EarlyAnswerEndpoint, event, reset
+from raw_endpoint import EarlyAnswerEndpoint, RawEndpoint, event, reset, whole
 from test_gateway_delivery import SCHOOLS, SETTINGS, use_only
 
 #: The places of instances among those of the deployment. The endpoint is in the region of the first.
@@ -25,6 +26,7 @@
     "service": (b"Content-Type: application/json", b'{"sound": 1}'),
     "engine": (b"Content-Type: text/event-stream", event(1, "sound") + b"data: [DONE]\n\n"),
 }
+FAILURES = (502, 503, 504)
 
 
 @pytest.fixture(scope="module")
@@ -66,9 +68,21 @@
         connection.close()
 
 
-def sound_answers(kind):
-    answer = framed([b"HTTP/1.1 200 OK", SOUND[kind][0]], SOUND[kind][1], "length")
-    return lambda connection, *_: connection.sendall(answer)
+class ScriptedAnswers:
+    """What a RawEndpoint sends to callers' requests: `next`, or else a sound answer."""
+
+    def __init__(self, kind):
+        self.sound = framed([b"HTTP/1.1 200 OK", SOUND[kind][0]], SOUND[kind][1], "length")
+        self.next = None
+        self.sent = collections.Counter()
+
+    def __call__(self, connection, _method, path):
+        if path == "/v1/state":
+            connection.sendall(whole(b"{}"))
+            return
+        if self.next:
+            self.sent[self.next] += 1
+        connection.sendall(self.next or self.sound)
 
 
 def wait_until_used(entry, kind):
@@ -79,6 +93,13 @@
         time.sleep(0.1)
 
 
+def use(otaru, endpoint, kind, entry):
+    """Makes all instances use the endpoint: a forward goes to any instance of its region."""
+    use_only(otaru, endpoint, kind, REGION, entry)
+    for gateway in otaru.gateways:
+        wait_until_used(gateway, kind)
+
+
 def close_while_the_rest_comes(connection, _length):
     connection.recv(65536)
 
@@ -155,8 +176,8 @@
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("end", BROKEN_ENDS)
 def test_an_early_answer_that_is_reset_is_not_whole(otaru, entry, kind, end, framing):
-    with EarlyAnswerEndpoint(sound_answers(kind)) as endpoint:
-        use_only(otaru, endpoint, kind, REGION, entry)
+    with EarlyAnswerEndpoint(ScriptedAnswers(kind)) as endpoint:
+        use(otaru, endpoint, kind, entry)
         endpoint.sent, endpoint.finish = EARLY_HEAD + PARTS[framing], BROKEN_ENDS[end]
         calls = uploads(kind)
         seen = []
@@ -169,8 +190,63 @@
 # Guards against failing answers that come early, end with their connections and are whole.
 @pytest.mark.parametrize("end", SOUND_ENDS)
 def test_an_early_answer_to_an_upload_that_is_read_is_whole(otaru, entry, kind, end):
-    with EarlyAnswerEndpoint(sound_answers(kind)) as endpoint:
-        use_only(otaru, endpoint, kind, REGION, entry)
+    with EarlyAnswerEndpoint(ScriptedAnswers(kind)) as endpoint:
+        use(otaru, endpoint, kind, entry)
         endpoint.sent, endpoint.finish = EARLY_HEAD + PARTS["close"], SOUND_ENDS[end]
         for size, chunked in uploads(kind):
             assert ask_early(endpoint, entry, kind, size, chunked)[0] == 200, (size, chunked)
+
+
+def ask_for(answer, script, entry, kind):
+    """As ask(), once the endpoint has sent the answer: an instance may refuse requests for a while."""
+    before = script.sent[answer]
+    deadline = time.monotonic() + 20
+    while script.sent[answer] == before:
+        wait_until_used(entry, kind)
+        script.next = answer
+        seen = ask(entry, kind)
+        script.next = None
+        assert time.monotonic() < deadline, seen
+    return seen
+
+
+def check_refused(otaru, entry, kind, answers):
+    """Each answer must be given to no caller."""
+    script = ScriptedAnswers(kind)
+    with RawEndpoint(script) as endpoint:
+        use(otaru, endpoint, kind, entry)
+        for answer in answers:
+            status, body = ask_for(answer, script, entry, kind)
+            assert status is None or status in FAILURES, f"{answer}: passed on {status} {body}"
+
+
+# Guards against MIXED: an answer with a status that HTTP does not have, or what follows its head, is
+# given to the caller.
+def test_an_answer_with_an_invalid_status_is_no_answer(otaru, entry, kind):
+    content_type, body = SOUND[kind]
+    inner = framed([b"HTTP/1.1 200 OK", content_type], body, "length")
+    answers = []
+    for status, framing in itertools.product(INVALID_STATUSES, FRAMINGS):
+        head = [b"HTTP/1.1 " + status.encode(), content_type]
+        answers += [framed(head, body, framing), framed(head, inner, framing)]
+    check_refused(otaru, entry, kind, answers)
+
+
+# Guards against MIXED: the check of an end takes an answer with an invalid status for one that shows
+# that the endpoint still runs.
+def test_a_load_report_with_an_invalid_status_shows_nothing(otaru, entry):
+    report = []
+
+    def load(connection):
+        connection.sendall(report[0] if report else whole(b'{"id": "raw"}'))
+
+    def answer(connection, _method, _path):
+        connection.sendall(framed([b"HTTP/1.1 200 OK"], b"part", "close"))
+
+    with RawEndpoint(answer) as endpoint:
+        use(otaru, endpoint, "service", entry)
+        endpoint.load = load
+        for status in INVALID_STATUSES:
+            report[:] = [whole(b'{"id": "raw"}', status)]
+            seen, body = ask(entry, "service")
+            assert seen != 200, (status, body)
--- a/Source/UnitTests/Readers/HttpClientTest.cpp
+++ b/Source/UnitTests/Readers/HttpClientTest.cpp
@@ -65,6 +65,21 @@
     EXPECT_FALSE(runUntilComplete(fetch(request)));
 }
 
+// Guards against taking an answer with a status that HTTP does not have, or an interim one, for the
+// response.
+TEST(HttpClientTest, OnlyAFinalResponseIsReturned)
+{
+    for (const auto *status : {"000 None", "099 Odd", "101 Switching Protocols", "600 Odd"}) {
+        OneShotServer server(httpResponse(status, "odd"), AfterResponse::Close);
+        EXPECT_FALSE(get(server.address())) << status;
+    }
+    OneShotServer server("HTTP/1.1 103 Early Hints\r\n\r\n" + httpResponse("200 OK", "final"),
+                         AfterResponse::Close);
+    const auto response = get(server.address());
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, "final");
+}
+
 TEST(HttpClientTest, BodyOverTheLimitIsTooLarge)
 {
     const std::string body(101, 'x');
