Test answers in whose heads the names of fields are invalid

What callers saw, on other systems: a line whose name holds a blank or a control byte was passed on, or a body that was not the endpoint's.

Handled already: both verbs parse with Beast, which takes only token characters in a name and fails the message otherwise.

Evidence: test_an_answer_with_an_invalid_name_of_a_field_is_no_answer sends 16 lines in 4 places over each framing, in both verbs, directly and behind a forward; each answer is seen to have been sent. There is no earlier code that fails; test_an_answer_with_a_sound_line_is_passed_on shows that it is the name for which such answers are refused. It also shows that a line that begins with a blank is joined to the value before it (RFC 9112, section 5.2).

--- a/Source/IntegrationTests/test_broken_answers.py
+++ b/Source/IntegrationTests/test_broken_answers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from broken_answers import FRAMINGS, INVALID_STATUSES, framed
+from broken_answers import FRAMINGS, INVALID_LINES, INVALID_STATUSES, PLACES, framed, with_line
 from broken_endpoint import (
     BROKEN_ENDINGS, EARLY_BODY, ENDING, FIELDS, FRAMING, IDENTITY, SOUND_ENDINGS, BrokenAnswerEndpoint,
 )
@@ -138,3 +138,29 @@
     finally:
         for endpoint in endpoints:
             deployment.platform.call(setattr, endpoint, "health_status", None)
+
+
+# Guards against MIXED: a line with an invalid name is passed on, or what it states decides where the
+# body ends.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("line", INVALID_LINES.values(), ids=INVALID_LINES)
+def test_an_answer_with_an_invalid_name_of_a_field_is_no_answer(deployment, line, framing):
+    answers = [with_line(line, place, FIELDS, BODY, framing) for place in PLACES]
+    check_refused(deployment, [answer for answer in answers if answer])
+
+
+# Guards against failing answers for sound lines in these places, and for lines that begin with a blank,
+# which continue a value (RFC 9112, section 5.2) and must not be passed on as they are.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("line", [b"X-Trace: 1", b"X-Trace: 1\r\n X-Fold: 2"], ids=["plain", "folded"])
+def test_an_answer_with_a_sound_line_is_passed_on(deployment, line, framing):
+    answers = [(place, with_line(line, place, FIELDS, BODY, framing)) for place in PLACES]
+    answers = [(place, answer) for place, answer in answers if answer]
+    for name, path, (place, answer) in itertools.product(INSTANCES, PATHS, answers):
+        text = answer.decode("latin-1")
+        body = json.dumps({"answer": text, "number": next(NUMBERS)}).encode()
+        outcome = call(deployment, name, path, body)
+        assert outcome.status == 200 and outcome.whole, (name, path, place, outcome)
+        assert outcome.body == BODY.replace(IDENTITY, outcome.identity.encode())
+        value = line.partition(b": ")[2].replace(b"\r\n", b"").decode()
+        assert place not in ("first", "last") or outcome.headers["x-trace"] == value
--- a/Source/IntegrationTests/test_gateway_broken_answers.py
+++ b/Source/IntegrationTests/test_gateway_broken_answers.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from broken_answers import FRAMINGS, INVALID_STATUSES, framed
+from broken_answers import FRAMINGS, INVALID_LINES, INVALID_STATUSES, PLACES, framed, with_line
 from deployment import Deployment
 from raw_caller import in_chunks
 from raw_endpoint import EarlyAnswerEndpoint, RawEndpoint, event, reset, whole
@@ -250,3 +250,30 @@
             report[:] = [whole(b'{"id": "raw"}', status)]
             seen, body = ask(entry, "service")
             assert seen != 200, (status, body)
+
+
+# Guards against MIXED: a line with an invalid name is passed on, or what it states decides where the
+# body ends.
+@pytest.mark.parametrize("place", PLACES)
+def test_an_answer_with_an_invalid_name_of_a_field_is_no_answer(otaru, entry, kind, place):
+    content_type, body = SOUND[kind]
+    answers = [
+        with_line(line, place, [content_type], body, framing)
+        for line, framing in itertools.product(INVALID_LINES.values(), FRAMINGS)
+    ]
+    check_refused(otaru, entry, kind, [answer for answer in answers if answer])
+
+
+# Guards against failing answers for sound lines in these places, and for lines that begin with a blank,
+# which continue a value (RFC 9112, section 5.2).
+@pytest.mark.parametrize("line", [b"X-Trace: 1", b"X-Trace: 1\r\n X-Fold: 2"], ids=["plain", "folded"])
+def test_an_answer_with_a_sound_line_is_passed_on(otaru, entry, kind, line):
+    content_type, body = SOUND[kind]
+    script = ScriptedAnswers(kind)
+    with RawEndpoint(script) as endpoint:
+        use(otaru, endpoint, kind, entry)
+        for place, framing in itertools.product(PLACES, FRAMINGS):
+            answer = with_line(line, place, [content_type], body, framing)
+            if answer:
+                seen = ask_for(answer, script, entry, kind)
+                assert seen[0] == 200, (place, framing, seen)
