Wait for the acknowledgement of a request within the time of a fetch

The wait gets a deadline.

ResetBehindTheEndDoesNotEndAResponseWithoutLength had an upload that was still being written when the response ended, and passed on.

--- a/Source/Core/Async/SocketWrite.cpp
+++ b/Source/Core/Async/SocketWrite.cpp
@@ -104,9 +104,8 @@
 }
 
 asio::awaitable<boost::system::error_code> waitUntilAcknowledged(tcp::socket &socket,
-                                                                 Common::Duration limit)
+                                                                 Common::Time deadline)
 {
-    const auto deadline = std::chrono::steady_clock::now() + limit;
     asio::steady_timer timer(socket.get_executor());
     auto state = deliveryState(socket);
     while (state == DeliveryState::Pending && std::chrono::steady_clock::now() < deadline) {
--- a/Source/Core/Async/SocketWrite.h
+++ b/Source/Core/Async/SocketWrite.h
@@ -28,9 +28,9 @@
 DeliveryState deliveryState(boost::asio::ip::tcp::socket &socket);
 
 /// Waits until the peer has acknowledged all bytes. Fails with connection_reset when it has reset
-/// the connection, and with timed_out after the time limit.
+/// the connection, and with timed_out at the deadline.
 boost::asio::awaitable<boost::system::error_code>
-waitUntilAcknowledged(boost::asio::ip::tcp::socket &socket, Common::Duration limit);
+waitUntilAcknowledged(boost::asio::ip::tcp::socket &socket, Common::Time deadline);
 
 /// Waits until the socket takes more bytes. Fails with timed_out, and cancels all operations of the
 /// socket, when the peer has acknowledged nothing for the time limit.
--- a/Source/Core/Endpoints/EndpointStream.cpp
+++ b/Source/Core/Endpoints/EndpointStream.cpp
@@ -221,8 +221,9 @@
     }
     // Asked last, since an endpoint that breaks off its answer may end it before it resets the
     // connection.
-    const auto error = co_await Async::waitUntilAcknowledged(connection_->stream.socket(),
-                                                             options_.serviceTimeout);
+    const auto deadline = std::chrono::steady_clock::now() + options_.serviceTimeout;
+    const auto error =
+        co_await Async::waitUntilAcknowledged(connection_->stream.socket(), deadline);
     if (error) {
         co_return tl::unexpected(
             failure(Common::RunState::Unknown,
--- a/Source/Core/Readers/HttpClient.cpp
+++ b/Source/Core/Readers/HttpClient.cpp
@@ -55,7 +55,8 @@
     }
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     boost::system::error_code error;
-    stream.expires_after(request.timeout);
+    const auto deadline = std::chrono::steady_clock::now() + request.timeout;
+    stream.expires_at(deadline);
     co_await stream.async_connect(*destination, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         co_return requestError(request, error);
@@ -78,7 +79,7 @@
     co_await http::async_read(stream, buffer, *parser,
                               asio::redirect_error(asio::use_awaitable, error));
     if (!error && parser->need_eof()) {
-        error = co_await Async::waitUntilAcknowledged(stream.socket(), request.timeout);
+        error = co_await Async::waitUntilAcknowledged(stream.socket(), deadline);
     }
     if (error) {
         co_return requestError(request, error);
--- a/Source/Core/Relay/EndCheck.h
+++ b/Source/Core/Relay/EndCheck.h
@@ -36,8 +36,8 @@
 /// same connection is used again after the end, and only that process can answer on it. If the
 /// answer ends first, the id in the response to the health call decides.
 ///
-/// The call that got the answer must keep its connection open meanwhile: an endpoint that has not
-/// read the whole request resets it after the end of an answer that it breaks off.
+/// The answer's connection must stay open meanwhile, since an endpoint that closes it with a part
+/// of the request unread may end the answer first and reset the connection later.
 class EndCheck : public std::enable_shared_from_this<EndCheck>
 {
 public:
--- a/Source/Core/Relay/OutboundCall.cpp
+++ b/Source/Core/Relay/OutboundCall.cpp
@@ -322,6 +322,7 @@
     } else if (reusable) {
         pool_->release(request_.address, std::move(connection_), idleTimeout_, now);
     } else if (end == ResponseEnd::Framing) {
+        // Otherwise the socket stays open with the call, for remoteReset().
         boost::system::error_code ignored;
         connection_->socket.close(ignored);
     }
--- a/Source/Core/Relay/OutboundCall.h
+++ b/Source/Core/Relay/OutboundCall.h
@@ -128,7 +128,8 @@
     }
     /// The remote side has closed the connection, even if bytes before that have not been read.
     bool remoteClosed() const;
-    /// The remote side has reset the connection, maybe behind a response that ended with it.
+    /// The remote side has reset the connection. After ResponseEnd::ConnectionClose this is known
+    /// as long as the call exists.
     bool remoteReset() const;
 
 private:
--- a/Source/IntegrationTests/raw_endpoint.py
+++ b/Source/IntegrationTests/raw_endpoint.py
@@ -132,14 +132,14 @@
         self.early = 0
 
     def _serve(self, connection):
-        head = connection.recv(65536, socket.MSG_PEEK)
-        fields = [line.split(b":") for line in head.lower().split(b"\r\n") if b":" in line]
-        length = dict((field[0], field[1]) for field in fields).get(b"content-length", b"0")
-        if int(length) < self.LARGE:
-            super()._serve(connection)
-            return
-        self.early += 1
         with contextlib.suppress(OSError):
+            head = connection.recv(65536, socket.MSG_PEEK)
+            fields = [line.split(b":") for line in head.lower().split(b"\r\n") if b":" in line]
+            length = int(dict((field[0], field[1]) for field in fields).get(b"content-length", b"0"))
+            if length < self.LARGE:
+                super()._serve(connection)
+                return
+            self.early += 1
             connection.sendall(self.sent)
-            self.finish(connection, int(length))
+            self.finish(connection, length)
         connection.close()
--- a/Source/UnitTests/Relay/OutboundCallTest.cpp
+++ b/Source/UnitTests/Relay/OutboundCallTest.cpp
@@ -315,16 +315,19 @@
 // end.
 TEST_F(OutboundCallTest, ResetBehindTheEndDoesNotEndAResponseWithoutLength)
 {
+    constexpr std::size_t UploadBytes = 400'000;
     for (const auto pause : {0, 50}) {
         ScriptedServer server({[pause](tcp::socket &socket) {
             ScriptedServer::readHead(socket);
+            // The kernel of the other side takes the upload.
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
             ScriptedServer::write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
             boost::system::error_code ignored;
             socket.shutdown(tcp::socket::shutdown_send, ignored);
             std::this_thread::sleep_for(std::chrono::milliseconds(pause));
             ScriptedServer::reset(socket);
         }});
-        const auto outcome = call(request(server.address(), std::string(16 << 20, 'x')));
+        const auto outcome = call(request(server.address(), std::string(UploadBytes, 'x')));
         EXPECT_EQ(outcome.failure, CallFailure::Broken) << pause;
     }
 }
