Ask the endpoint for each status in the test of load reports

test_a_load_report_with_an_invalid_status_shows_nothing had all reports invalid from the first status on, so the endpoint counted as unreachable and the later statuses were not tried. Reports are now sound between the answers, and each answer is seen to have been sent.

--- a/Source/IntegrationTests/test_gateway_broken_answers.py
+++ b/Source/IntegrationTests/test_gateway_broken_answers.py
@@ -14,7 +14,7 @@
 from broken_answers import FRAMINGS, INVALID_LINES, INVALID_STATUSES, PLACES, framed, with_line
 from deployment import Deployment
 from raw_caller import in_chunks
-from raw_endpoint import EarlyAnswerEndpoint, RawEndpoint, event, reset, whole
+from raw_endpoint import LOAD, EarlyAnswerEndpoint, RawEndpoint, event, reset, whole
 from test_gateway_delivery import SCHOOLS, SETTINGS, use_only
 
 #: The places of instances among those of the deployment. The endpoint is in the region of the first.
@@ -235,20 +235,20 @@
 # Guards against MIXED: the check of an end takes an answer with an invalid status for one that shows
 # that the endpoint still runs.
 def test_a_load_report_with_an_invalid_status_shows_nothing(otaru, entry):
-    report = []
+    answer = framed([b"HTTP/1.1 200 OK"], b"part", "close")
+    script = ScriptedAnswers("service")
 
-    def load(connection):
-        connection.sendall(report[0] if report else whole(b'{"id": "raw"}'))
+    with RawEndpoint(script) as endpoint:
 
-    def answer(connection, _method, _path):
-        connection.sendall(framed([b"HTTP/1.1 200 OK"], b"part", "close"))
+        def load(connection):
+            # Other reports are sound, so that the endpoint stays in use.
+            report = json.dumps({**LOAD, "id": endpoint.identity}).encode()
+            connection.sendall(whole(report, status) if script.next else whole(report))
 
-    with RawEndpoint(answer) as endpoint:
         use(otaru, endpoint, "service", entry)
         endpoint.load = load
         for status in INVALID_STATUSES:
-            report[:] = [whole(b'{"id": "raw"}', status)]
-            seen, body = ask(entry, "service")
+            seen, body = ask_for(answer, script, entry, "service")
             assert seen != 200, (status, body)
 
 
